--- /dev/null
+++ b/cli/serve.go
@@ -0,0 +1,159 @@
+// Package cli holds the commands of the program.
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/spf13/cobra"
+
+	"switchferry/controller"
+	"switchferry/httpapi"
+	"switchferry/policy"
+	"switchferry/settings"
+	"switchferry/tuning"
+)
+
+// Version is the program's version.
+const Version = "0.1.0"
+
+// Exit codes.
+const (
+	ExitFailed   = 1 // the command could not be carried out
+	ExitUsage    = 2 // wrong arguments, settings or policy
+	ExitRefused  = 3 // a controller refused the request for good
+	ExitNotFound = 4 // no such job
+)
+
+type codedError struct {
+	error
+	code int
+}
+
+func (e codedError) Unwrap() error { return e.error }
+
+func coded(code int, err error) error {
+	if err == nil {
+		return nil
+	}
+	return codedError{err, code}
+}
+
+// ExitCode is the process's exit code for an error.
+func ExitCode(err error) int {
+	var c codedError
+	if errors.As(err, &c) {
+		return c.code
+	}
+	return ExitUsage
+}
+
+// Root is the program's command.
+func Root() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "switchferry",
+		Short:         "A cluster scheduler: runs arrays of tasks and services on rented machines",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.AddCommand(serveCommand(), checkCommand(), versionCommand())
+	return root
+}
+
+func versionCommand() *cobra.Command {
+	return &cobra.Command{Use: "version", Short: "Print the version", Args: cobra.NoArgs,
+		Run: func(cmd *cobra.Command, _ []string) { fmt.Fprintln(cmd.OutOrStdout(), "switchferry", Version) }}
+}
+
+type files struct{ config, policy string }
+
+func (f *files) flags(cmd *cobra.Command) {
+	cmd.Flags().StringVar(&f.config, "config", "", "the platform's settings file (TOML)")
+	cmd.Flags().StringVar(&f.policy, "policy", "", "the operators' policy file (expressions)")
+}
+
+func (f *files) load() (*settings.Settings, *policy.Policy, error) {
+	if f.config == "" {
+		return nil, nil, coded(ExitUsage, errors.New("--config is missing"))
+	}
+	set, err := settings.Load(f.config)
+	pol, perr := policy.Load(f.policy)
+	return set, pol, coded(ExitUsage, errors.Join(err, perr))
+}
+
+func checkCommand() *cobra.Command {
+	var f files
+	cmd := &cobra.Command{Use: "check --config FILE [--policy FILE]", Short: "Check settings and policy without starting", Args: cobra.NoArgs,
+		Example: "  switchferry check --config node.toml --policy night.policy",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if _, _, err := f.load(); err != nil {
+				return err
+			}
+			if _, err := logLevel(); err != nil {
+				return err
+			}
+			fmt.Fprintln(cmd.OutOrStdout(), "ok")
+			return nil
+		}}
+	f.flags(cmd)
+	return cmd
+}
+
+func serveCommand() *cobra.Command {
+	var f files
+	cmd := &cobra.Command{Use: "serve --config FILE [--policy FILE]", Short: "Run a controller", Args: cobra.NoArgs,
+		Example: "  LOG_LEVEL=info switchferry serve --config node.toml",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			ctx, stop := signal.NotifyContext(cmd.Context(), os.Interrupt, syscall.SIGTERM)
+			defer stop()
+			return serve(ctx, f)
+		}}
+	f.flags(cmd)
+	return cmd
+}
+
+func logLevel() (slog.Level, error) {
+	switch v := os.Getenv("LOG_LEVEL"); v {
+	case "", "info":
+		return slog.LevelInfo, nil
+	case "error":
+		return slog.LevelError, nil
+	case "debug":
+		return slog.LevelDebug, nil
+	default:
+		return 0, coded(ExitUsage, fmt.Errorf("LOG_LEVEL: must be error, info or debug, not %q", v))
+	}
+}
+
+func serve(ctx context.Context, f files) error {
+	level, err := logLevel()
+	if err != nil {
+		return err
+	}
+	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})))
+	set, pol, err := f.load()
+	if err != nil {
+		return err
+	}
+	debug.SetMemoryLimit(int64(set.Facts.Resources.RAMMB * tuning.HeapShare * (1 << 20)))
+	front, err := net.Listen("tcp4", set.Listen)
+	if err != nil {
+		return coded(ExitFailed, fmt.Errorf("serve_on: %w", err))
+	}
+	back, err := net.Listen("tcp4", set.Back)
+	if err != nil {
+		return coded(ExitFailed, fmt.Errorf("back: %w", err))
+	}
+	slog.Info("controller starts", "member", set.Member, "zone", set.Zone, "version", Version)
+	n := controller.NewNode(ctx, set, pol, clockwork.NewRealClock(), controller.Transport())
+	go n.Run(back)
+	return coded(ExitFailed, httpapi.Serve(ctx, front, httpapi.New(n)))
+}
--- /dev/null
+++ b/controller/core.go
@@ -0,0 +1,499 @@
+// Package controller ties the parts together: Core is the leader's view of
+// jobs and machines during one term, Node is the process around it.
+package controller
+
+import (
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"switchferry/api"
+	"switchferry/fleet"
+	"switchferry/policy"
+	"switchferry/settings"
+	"switchferry/store"
+	"switchferry/tuning"
+)
+
+// job is a job that is not over.
+type job struct {
+	store.JobRecord
+	id    string
+	total int
+	need  fleet.Room
+	// accepted: its record is stored; before that nobody may be told of it.
+	accepted bool
+	// changed is closed when the job is accepted, and again when its final
+	// state is stored; users wait on it.
+	changed chan struct{}
+	bits    store.Bits
+	done    int
+	// live holds each task that is, or may be, on a machine: one at most.
+	live map[int]*assign
+	// pending holds tasks that no queue has.
+	pending []int32
+	queued  int
+	// shards that have a record.
+	shards map[int]bool
+	errors int
+	pause  time.Time
+	avoid  map[string]time.Time
+	// stored: the final state is on record and users may be told; filed: it
+	// stands under its own key, and the other records can go.
+	stored, filed bool
+	told          []func()
+	// arrived is when this leader got to know it.
+	arrived time.Time
+}
+
+// assign puts one task on one machine. It stays until that machine is proved
+// to be done with it, and until then counts for limits, zones and room.
+type assign struct {
+	job     *job
+	task    int
+	key     string
+	machine *machine
+	attempt uint64
+	// committed: the record is stored, so the command may be sent.
+	committed bool
+	// sent: a run was sent, by this leader or perhaps by an earlier one.
+	sent    bool
+	session uint64
+	// open counts direct runs whose outcome is unknown: they may be executed
+	// at any later time of this term.
+	open int
+	// answered is the report whose answer carried a run last; the worker is
+	// done with that answer when it sends the next report.
+	answered uint64
+	seen     bool
+	state    string
+	since    time.Time
+	running  time.Time
+	stop     bool
+	grace    float64
+	// victims make room for this task and are killed in the same command.
+	victims []*assign
+}
+
+// machine is a fleet.Machine with what we want of it.
+type machine struct {
+	*fleet.Machine
+	assigns map[string]*assign
+	used    fleet.Room
+	queue   []*queue
+	// ended holds exited tasks still reported; true: they can be cleared.
+	ended map[string]*ended
+	// sending: a direct command is under way; again: another is wanted.
+	sending, again bool
+	returning      bool
+	drain          bool
+	idle           time.Time
+	refused        time.Time
+}
+
+type ended struct {
+	attempt uint64
+	open    int
+	stored  bool
+}
+
+// queue is what one job has queued on one machine.
+type queue struct {
+	job   *job
+	tasks []int32
+}
+
+// Hooks are the core's ways out. They are called with the core's lock held and
+// must not block.
+type Hooks struct {
+	Touch func(key string, urgency int, after func())
+	Send  func(name, addr string, o api.Orders)
+	Valid func() bool
+	// Final tells that a job is over for good.
+	Final func(id string, f store.FinalRecord)
+}
+
+// Core is the leader's state in one term.
+type Core struct {
+	term   uint64
+	clock  clockwork.Clock
+	set    *settings.Settings
+	policy *policy.Policy
+	hooks  Hooks
+
+	mu       sync.Mutex
+	loaded   bool
+	started  time.Time
+	types    map[string]*api.MachineType
+	jobs     map[string]*job
+	order    []*job
+	machines map[string]*machine
+	gone     map[string]time.Time
+	use      map[string]fleet.Room
+	attempts uint64
+	charters uint64
+	refusals map[pool]time.Time
+	renting  int
+	wake     chan struct{}
+	heard    time.Time
+}
+
+// NewCore makes the state of a term.
+func NewCore(term uint64, clock clockwork.Clock, set *settings.Settings, pol *policy.Policy, types []api.MachineType, hooks Hooks) *Core {
+	c := &Core{term: term, clock: clock, set: set, policy: pol, hooks: hooks,
+		types: map[string]*api.MachineType{}, jobs: map[string]*job{}, machines: map[string]*machine{},
+		gone: map[string]time.Time{}, use: map[string]fleet.Room{}, refusals: map[pool]time.Time{},
+		wake: make(chan struct{}, 1), started: clock.Now()}
+	c.heard = c.started
+	c.SetTypes(types)
+	return c
+}
+
+// SetTypes takes in the cloud's catalog.
+func (c *Core) SetTypes(types []api.MachineType) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i := range types {
+		t := types[i]
+		c.types[t.Name] = &t
+	}
+	for _, m := range c.machines {
+		m.Spec = c.types[m.Type]
+	}
+}
+
+func (c *Core) kick() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+func taskKey(id string, task int) string { return id + "/" + strconv.Itoa(task) }
+
+func splitTask(key string) (string, int, bool) {
+	id, num, ok := strings.Cut(key, "/")
+	if !ok {
+		return "", 0, false
+	}
+	n, err := strconv.Atoi(num)
+	return id, n, err == nil && n >= 0
+}
+
+// before is the order of the queues: rank, then arrival.
+func before(a, b *job) int {
+	if ra, rb := a.Job.RankLevel(), b.Job.RankLevel(); ra != rb {
+		return rb - ra
+	}
+	if a.At != b.At {
+		if a.At < b.At {
+			return -1
+		}
+		return 1
+	}
+	return strings.Compare(a.id, b.id)
+}
+
+func (c *Core) addJob(rec store.JobRecord, accepted bool) *job {
+	j := &job{JobRecord: rec, id: rec.Job.ID, total: rec.Job.Tasks, need: fleet.Of(&rec.Job), accepted: accepted, changed: make(chan struct{}),
+		bits: store.NewBits(rec.Job.Tasks), live: map[int]*assign{}, shards: map[int]bool{}, avoid: map[string]time.Time{}, arrived: c.clock.Now()}
+	c.jobs[j.id] = j
+	at, _ := slices.BinarySearchFunc(c.order, j, before)
+	c.order = slices.Insert(c.order, at, j)
+	return j
+}
+
+// notify wakes the users that wait for the job's record.
+func (j *job) notify() {
+	close(j.changed)
+	j.changed = make(chan struct{})
+}
+
+func (c *Core) dropJob(j *job) {
+	delete(c.jobs, j.id)
+	c.order = slices.DeleteFunc(c.order, func(o *job) bool { return o == j })
+	c.unqueue(j)
+}
+
+// unqueue takes a job out of all queues.
+func (c *Core) unqueue(j *job) {
+	for _, m := range c.machines {
+		m.queue = slices.DeleteFunc(m.queue, func(q *queue) bool { return q.job == j })
+	}
+	j.pending, j.queued = nil, 0
+}
+
+func (c *Core) machine(name string) *machine {
+	m := c.machines[name]
+	if m == nil {
+		m = &machine{Machine: &fleet.Machine{Name: name, Heard: c.clock.Now(), Rented: c.clock.Now()},
+			assigns: map[string]*assign{}, ended: map[string]*ended{}, idle: c.clock.Now()}
+		c.machines[name] = m
+	}
+	return m
+}
+
+func (c *Core) nextAttempt() uint64 {
+	c.attempts++
+	return c.term<<tuning.AttemptBits | c.attempts
+}
+
+// hold makes an assignment count.
+func (c *Core) hold(j *job, task int, m *machine, attempt uint64) *assign {
+	a := &assign{job: j, task: task, key: taskKey(j.id, task), machine: m, attempt: attempt, since: c.clock.Now()}
+	j.live[task] = a
+	m.assigns[a.key] = a
+	m.used = m.used.Add(j.need)
+	c.use[j.Job.Team] = c.use[j.Job.Team].Add(j.need)
+	return a
+}
+
+// release ends an assignment that is proved to be over.
+func (c *Core) release(a *assign) {
+	if a.job.live[a.task] != a {
+		return
+	}
+	delete(a.job.live, a.task)
+	delete(a.machine.assigns, a.key)
+	a.machine.used = a.machine.used.Sub(a.job.need)
+	c.use[a.job.Job.Team] = c.use[a.job.Job.Team].Sub(a.job.need)
+	if len(a.machine.assigns) == 0 {
+		a.machine.idle = c.clock.Now()
+		a.machine.used = fleet.Room{}
+	}
+	c.settle(a.job)
+	c.kick()
+}
+
+// lost ends an assignment whose task must run again elsewhere.
+func (c *Core) lost(a *assign, why string) {
+	slog.Info("task lost", "task", a.key, "machine", a.machine.Name, "attempt", a.attempt, "why", why)
+	c.release(a)
+	c.requeue(a.job, a.task)
+}
+
+func (c *Core) requeue(j *job, task int) {
+	if j.Final != "" || j.bits.Has(task) {
+		return
+	}
+	j.pending = append(j.pending, int32(task))
+	c.kick()
+}
+
+// touchShard stores the record of a task's shard.
+func (c *Core) touchShard(j *job, task int, after func()) {
+	shard := task / tuning.ShardTasks
+	j.shards[shard] = true
+	c.hooks.Touch(store.ShardKey(j.id, shard), store.Ordinary, after)
+}
+
+// markDone notes a completed task; stored runs once that is on record.
+func (c *Core) markDone(j *job, task int, stored func()) {
+	if j.Final == "" && !j.bits.Has(task) {
+		j.bits.Set(task)
+		j.done++
+		c.takeOut(j, task)
+		if a := j.live[task]; a != nil {
+			c.stopTask(a, 0, "done elsewhere")
+		}
+		if j.done == j.total && j.Job.Shape == api.Array {
+			c.finish(j, api.Done)
+		}
+	}
+	switch {
+	case j.stored:
+		stored()
+	case j.Final != "":
+		j.told = append(j.told, stored)
+	default:
+		c.touchShard(j, task, c.locked(stored))
+	}
+}
+
+// takeOut removes a task from where it waits.
+func (c *Core) takeOut(j *job, task int) {
+	is := func(t int32) bool { return int(t) == task }
+	j.pending = slices.DeleteFunc(j.pending, is)
+	if j.queued == 0 {
+		return
+	}
+	for _, m := range c.machines {
+		for _, q := range m.queue {
+			if q.job == j {
+				n := len(q.tasks)
+				q.tasks = slices.DeleteFunc(q.tasks, is)
+				j.queued -= n - len(q.tasks)
+			}
+		}
+	}
+}
+
+// locked makes a callback of the committer take the lock.
+func (c *Core) locked(f func()) func() {
+	return func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		f()
+	}
+}
+
+// finish stores a job's final state; from then on users may be told.
+func (c *Core) finish(j *job, state string) {
+	if j.Final != "" {
+		return
+	}
+	j.Final = state
+	c.unqueue(j)
+	slog.Info("job over", "job", j.id, "class", j.Job.Class, "state", state, "after", c.clock.Since(time.UnixMilli(j.At)).Round(time.Millisecond))
+	c.hooks.Touch(store.JobKey(j.id), store.Urgent, c.locked(func() {
+		j.stored = true
+		c.hooks.Final(j.id, c.final(j))
+		j.notify()
+		for _, f := range j.told {
+			f()
+		}
+		j.told = nil
+		c.settle(j)
+	}))
+}
+
+func (c *Core) final(j *job) store.FinalRecord {
+	return store.FinalRecord{State: j.Final, Tasks: j.done}
+}
+
+// settle files a job that is over and has nothing left on machines: its final
+// state under a key of its own first, so that at every moment one of the two
+// keys answers for it; then its own key and its shards go.
+func (c *Core) settle(j *job) {
+	if !j.stored || j.filed || len(j.live) > 0 {
+		return
+	}
+	j.filed = true
+	c.hooks.Touch(store.FinalKey(j.id), store.Lazy, c.locked(func() {
+		c.dropJob(j)
+		c.hooks.Touch(store.JobKey(j.id), store.Lazy, func() {
+			for s := range j.shards {
+				c.hooks.Touch(store.ShardKey(j.id, s), store.Lazy, nil)
+			}
+		})
+	}))
+}
+
+// Record builds a record for the committer.
+func (c *Core) Record(key string) (any, bool, []store.Cond) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case strings.HasPrefix(key, store.JobPrefix):
+		j := c.jobs[strings.TrimPrefix(key, store.JobPrefix)]
+		if j == nil {
+			return nil, false, nil
+		}
+		var more []store.Cond
+		if !j.accepted {
+			// A job that is over must not come back to life.
+			more = []store.Cond{{Key: store.FinalKey(j.id), Stamp: 0}}
+		}
+		return j.JobRecord, true, more
+	case strings.HasPrefix(key, store.FinalPrefix):
+		j := c.jobs[strings.TrimPrefix(key, store.FinalPrefix)]
+		if j == nil || j.Final == "" {
+			return nil, false, nil
+		}
+		return c.final(j), true, nil
+	case strings.HasPrefix(key, store.ShardPrefix):
+		id, shard, ok := store.ParseShardKey(key)
+		j := c.jobs[id]
+		if !ok || j == nil {
+			return nil, false, nil
+		}
+		rec := store.ShardRecord{Done: j.bits.Pack(shard)}
+		for t := shard * tuning.ShardTasks; t < min(j.total, (shard+1)*tuning.ShardTasks); t++ {
+			if a := j.live[t]; a != nil {
+				rec.On = append(rec.On, store.Placed{Task: t, Machine: a.machine.Name, Attempt: a.attempt})
+			}
+		}
+		return rec, true, nil
+	}
+	return nil, false, nil
+}
+
+// Load takes in what the state service holds.
+func (c *Core) Load(jobs, shards []store.Item) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, it := range jobs {
+		var rec store.JobRecord
+		if err := json.Unmarshal(it.Value, &rec); err != nil || rec.Job.ID != strings.TrimPrefix(it.Key, store.JobPrefix) {
+			return fmt.Errorf("record %s is damaged: %v", it.Key, err)
+		}
+		if c.jobs[rec.Job.ID] == nil {
+			c.addJob(rec, true)
+		}
+	}
+	for _, it := range shards {
+		id, shard, ok := store.ParseShardKey(it.Key)
+		j := c.jobs[id]
+		if !ok || j == nil {
+			c.hooks.Touch(it.Key, store.Lazy, nil)
+			continue
+		}
+		j.shards[shard] = true
+		var rec store.ShardRecord
+		if err := json.Unmarshal(it.Value, &rec); err != nil {
+			return fmt.Errorf("record %s is damaged: %w", it.Key, err)
+		}
+		if err := j.bits.Unpack(shard, rec.Done); err != nil {
+			return fmt.Errorf("record %s is damaged: %w", it.Key, err)
+		}
+		for _, p := range rec.On {
+			if p.Task < 0 || p.Task >= j.total || j.bits.Has(p.Task) || j.live[p.Task] != nil {
+				continue
+			}
+			// It may run there, or its command was never sent: until the
+			// machine proves otherwise it counts as running.
+			a := c.hold(j, p.Task, c.machine(p.Machine), p.Attempt)
+			a.committed, a.sent = true, true
+		}
+	}
+	for _, j := range slices.Clone(c.order) {
+		for t := range j.total {
+			if j.bits.Has(t) {
+				j.done++
+			} else if j.live[t] == nil && j.Final == "" {
+				j.pending = append(j.pending, int32(t))
+			}
+		}
+		switch {
+		case j.Final != "":
+			j.stored = true
+			c.hooks.Final(j.id, c.final(j))
+			for _, a := range j.live {
+				c.stopTask(a, 0, "job is over")
+			}
+			c.settle(j)
+		case j.done == j.total && j.Job.Shape == api.Array:
+			c.finish(j, api.Done)
+		}
+	}
+	c.loaded = true
+	c.kick()
+	slog.Info("records loaded", "jobs", len(c.jobs))
+	return nil
+}
+
+// Loaded tells whether the records have been read.
+func (c *Core) Loaded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.loaded
+}
--- /dev/null
+++ b/controller/node.go
@@ -0,0 +1,616 @@
+package controller
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"switchferry/api"
+	"switchferry/cloud"
+	"switchferry/election"
+	"switchferry/peer"
+	"switchferry/policy"
+	"switchferry/settings"
+	"switchferry/store"
+	"switchferry/tuning"
+	"switchferry/worker"
+)
+
+// Node is one controller process.
+type Node struct {
+	set     *settings.Settings
+	policy  *policy.Policy
+	clock   clockwork.Clock
+	client  *store.Client
+	elector *election.Elector
+	peers   *peer.Net
+	cloud   *cloud.Client
+	worker  *worker.Client
+	born    time.Time
+	ctx     context.Context
+
+	mu      sync.Mutex
+	core    *Core
+	end     context.CancelFunc
+	types   []api.MachineType
+	served  time.Time
+	refused time.Time
+	finals  map[string]store.FinalRecord
+	ring    []string
+}
+
+// NewNode makes a controller. Transport carries its calls to other services.
+func NewNode(ctx context.Context, set *settings.Settings, pol *policy.Policy, clock clockwork.Clock, transport http.RoundTripper) *Node {
+	n := &Node{set: set, policy: pol, clock: clock, ctx: ctx, born: clock.Now(), finals: map[string]store.FinalRecord{}}
+	n.client = store.NewClient(set.External.State, transport)
+	n.client.Seen = n.stateSeen
+	n.cloud = cloud.New(set.External.Cloud, set.Facts.Cloud.RPS, transport)
+	n.worker = worker.New(transport)
+	n.peers = peer.New(set.Siblings, clock, n.hello, func(ctx context.Context, r peer.Request) peer.Answer { return n.Handle(ctx, r, true) })
+	n.elector = election.New(set.Member, n.client, clock, n)
+	return n
+}
+
+// Transport is the transport for all calls to other services.
+func Transport() *http.Transport {
+	return &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: tuning.DialTimeout}).DialContext,
+		MaxIdleConns:        tuning.IdleConns,
+		MaxIdleConnsPerHost: 4,
+		IdleConnTimeout:     30 * time.Second,
+		DisableCompression:  true,
+	}
+}
+
+// Run starts everything and runs until the context ends.
+func (n *Node) Run(back net.Listener) {
+	go func() {
+		if err := n.peers.Serve(n.ctx, back); err != nil {
+			slog.Error("back port", "err", err)
+		}
+	}()
+	n.peers.Run(n.ctx)
+	go n.catalog()
+	n.elector.Run(n.ctx)
+}
+
+func (n *Node) stateSeen(served bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if served {
+		n.served = n.clock.Now()
+	} else {
+		n.refused = n.clock.Now()
+	}
+}
+
+func (n *Node) stateOK() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !n.served.IsZero() && !n.refused.After(n.served)
+}
+
+func (n *Node) hello() peer.Hello {
+	term, _ := n.elector.Term()
+	return peer.Hello{Member: n.set.Member, Term: term, StateOK: n.stateOK()}
+}
+
+// Alone is for the elector: we reach no sibling in any way.
+func (n *Node) Alone() bool {
+	return n.clock.Since(n.born) > tuning.PeerDead && n.peers.CutOff()
+}
+
+// Ready tells whether users should come here.
+func (n *Node) Ready() bool {
+	if n.stateOK() {
+		return true
+	}
+	alive := n.peers.Alive()
+	for _, h := range alive {
+		if h.StateOK {
+			return false
+		}
+	}
+	// Nobody has the state service: an outage, and no node is better.
+	return len(alive) > 0 && !n.served.IsZero()
+}
+
+func (n *Node) leading() *Core {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.core
+}
+
+func (n *Node) catalog() {
+	for n.ctx.Err() == nil {
+		types, err := n.cloud.Catalog(n.ctx)
+		wait := tuning.CatalogEvery
+		if err != nil {
+			slog.Info("catalog not read", "err", err)
+			wait = tuning.BackoffBase
+		} else {
+			n.mu.Lock()
+			n.types = types
+			core := n.core
+			n.mu.Unlock()
+			if core != nil {
+				core.SetTypes(types)
+			}
+		}
+		n.sleep(n.ctx, wait)
+	}
+}
+
+func (n *Node) sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-n.clock.After(d):
+	}
+}
+
+func (n *Node) final(id string, f store.FinalRecord) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if _, ok := n.finals[id]; !ok {
+		n.ring = append(n.ring, id)
+		if len(n.ring) > tuning.FinalCache {
+			delete(n.finals, n.ring[0])
+			n.ring = n.ring[1:]
+		}
+	}
+	n.finals[id] = f
+}
+
+func (n *Node) finalOf(id string) (store.FinalRecord, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	f, ok := n.finals[id]
+	return f, ok
+}
+
+// source ties a term's core to its committer.
+type source struct {
+	*Core
+	n *Node
+}
+
+func (s source) Condition() (store.Cond, bool) {
+	term, valid := s.n.elector.Term()
+	return store.Cond{Key: store.LeaderKey, Stamp: s.term}, valid && term == s.term
+}
+
+func (s source) Deposed() { s.n.elector.Resign("deposed") }
+
+// Elected starts a term.
+func (n *Node) Elected(term uint64) {
+	ctx, end := context.WithCancel(n.ctx)
+	var com *store.Committer
+	hooks := Hooks{
+		Touch: func(key string, urgency int, after func()) { com.Touch(key, urgency, after) },
+		Valid: func() bool {
+			t, valid := n.elector.Term()
+			return valid && t == term
+		},
+		Final: n.final,
+	}
+	n.mu.Lock()
+	types := n.types
+	n.mu.Unlock()
+	core := NewCore(term, n.clock, n.set, n.policy, types, hooks)
+	core.hooks.Send = func(name, addr string, o api.Orders) { go n.send(ctx, core, name, addr, o) }
+	com = store.NewCommitter(n.client, source{core, n}, n.clock, n.set.Facts.State.WriteRPS, n.set.Facts.State.TxnOps, map[string]uint64{})
+	n.mu.Lock()
+	n.core, n.end = core, end
+	n.mu.Unlock()
+	go n.term(ctx, core, com)
+}
+
+// Lost ends a term.
+func (n *Node) Lost(uint64, string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.end != nil {
+		n.end()
+	}
+	n.core, n.end = nil, nil
+}
+
+func (n *Node) term(ctx context.Context, core *Core, com *store.Committer) {
+	var inbox uint64
+	for ctx.Err() == nil {
+		jobs, epoch, err := n.client.List(ctx, store.JobPrefix)
+		var shards []store.Item
+		if err == nil {
+			shards, _, err = n.client.List(ctx, store.ShardPrefix)
+		}
+		if err == nil {
+			for _, it := range append(jobs, shards...) {
+				com.Know(it.Key, it.Stamp)
+			}
+			err = core.Load(jobs, shards)
+		}
+		if err == nil {
+			inbox = epoch
+			break
+		}
+		slog.Error("records not read", "err", err)
+		n.sleep(ctx, tuning.ElectRetry)
+	}
+	go com.Run(ctx)
+	go n.inbox(ctx, core, com, inbox)
+	go n.machines(ctx, core)
+	go n.tend(ctx, core)
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-core.wake:
+		case <-n.clock.After(tuning.Tick):
+		}
+		core.Place()
+		if n.deaf(core) {
+			n.elector.Resign("hears neither workers nor siblings")
+		}
+		n.sleep(ctx, tuning.PlaceGap)
+	}
+}
+
+func (n *Node) deaf(core *Core) bool {
+	core.mu.Lock()
+	heard := core.heard
+	core.mu.Unlock()
+	return n.clock.Since(heard) > tuning.DeafAfter && n.peers.CutOff()
+}
+
+// inbox takes in jobs that siblings accepted while they did not reach us.
+func (n *Node) inbox(ctx context.Context, core *Core, com *store.Committer, after uint64) {
+	take := func(key string) {
+		id := key[len(store.InboxPrefix):]
+		it, err := n.client.Get(ctx, store.JobKey(id))
+		if err != nil {
+			return
+		}
+		if _, known := core.Known(id); !known {
+			com.Know(it.Key, it.Stamp)
+			core.Conflict(store.JobKey(id), &it)
+		}
+		if in, err := n.client.Get(ctx, key); err == nil {
+			com.Know(key, in.Stamp)
+			com.Touch(key, store.Lazy, nil)
+		}
+	}
+	if old, epoch, err := n.client.List(ctx, store.InboxPrefix); err == nil {
+		for _, it := range old {
+			take(it.Key)
+		}
+		after = epoch
+	}
+	for ctx.Err() == nil {
+		log, epoch, err := n.client.Watch(ctx, store.InboxPrefix, after, tuning.InboxBlock)
+		if errors.Is(err, store.ErrTooOld) {
+			old, e, lerr := n.client.List(ctx, store.InboxPrefix)
+			if lerr == nil {
+				after = e
+				for _, it := range old {
+					take(it.Key)
+				}
+			}
+		}
+		if err != nil {
+			n.sleep(ctx, tuning.ElectRetry)
+			continue
+		}
+		for _, e := range log {
+			if e.Set != "" {
+				take(e.Set)
+			}
+		}
+		after = max(after, epoch)
+	}
+}
+
+// send delivers a direct command.
+func (n *Node) send(ctx context.Context, core *Core, name, addr string, o api.Orders) {
+	r, _, err := n.worker.Send(ctx, addr, o)
+	if err != nil {
+		slog.Debug("direct command failed", "machine", name, "err", err)
+		core.Answered(name, o, nil, errors.Is(err, worker.ErrNotSent))
+		return
+	}
+	if r.Helm > core.term {
+		n.elector.Resign("a worker has seen a higher term")
+	}
+	core.Answered(name, o, r, true)
+}
+
+// machines reads the cloud's list. The first one tells a new leader whom to
+// show its term, so that workers turn to it at once.
+func (n *Node) machines(ctx context.Context, core *Core) {
+	first := true
+	for ctx.Err() == nil {
+		list, err := n.cloud.List(ctx)
+		if err != nil {
+			slog.Info("machine list not read", "err", err)
+			n.sleep(ctx, tuning.BackoffBase)
+			continue
+		}
+		core.Listed(list)
+		if first {
+			first = false
+			for _, addr := range core.Addresses() {
+				go func() {
+					r, done, err := n.worker.Send(ctx, addr, api.Orders{Helm: core.term, Session: 1, Commands: []api.Command{}})
+					if err == nil && !done && r.Helm < core.term {
+						_, _, _ = n.worker.Send(ctx, addr, api.Orders{Helm: core.term, Session: r.Session, Commands: []api.Command{}})
+					}
+				}()
+			}
+		}
+		n.sleep(ctx, tuning.ListEvery)
+	}
+}
+
+// tend rents and returns machines.
+func (n *Node) tend(ctx context.Context, core *Core) {
+	for ctx.Err() == nil {
+		if names := core.Tend(); len(names) > 0 {
+			for len(names) > 0 {
+				some := names[:min(len(names), tuning.ReturnBatch)]
+				names = names[len(some):]
+				go func() {
+					err := n.cloud.Return(ctx, some)
+					if err != nil {
+						slog.Info("machines not returned", "machines", some, "err", err)
+					}
+					core.Returned(some, err)
+				}()
+			}
+		}
+		for _, r := range core.Rentals() {
+			go func() {
+				names, err := n.cloud.Rent(ctx, r)
+				core.Rented(r, names, err)
+			}()
+		}
+		n.sleep(ctx, tuning.TendEvery)
+	}
+}
+
+// Report answers a worker.
+func (n *Node) Report(r *api.Report) (status int, body any) {
+	core := n.leading()
+	if core == nil {
+		leader := n.elector.Leader()
+		if leader == "" || leader == n.set.Member {
+			for _, h := range n.peers.Alive() {
+				if h.Term > 0 {
+					return http.StatusMisdirectedRequest, api.Redirect{Node: h.Member}
+				}
+			}
+			return http.StatusServiceUnavailable, api.Error{Error: "no leader yet"}
+		}
+		return http.StatusMisdirectedRequest, api.Redirect{Node: leader}
+	}
+	o, deposed, refused := core.Report(r)
+	switch {
+	case deposed:
+		n.elector.Resign("a worker has seen a higher term")
+		return http.StatusMisdirectedRequest, api.Redirect{}
+	case refused:
+		return http.StatusServiceUnavailable, api.Error{Error: "this machine was returned"}
+	}
+	return http.StatusOK, o
+}
+
+// Handle serves a user's request, here or at the leader. Forwarded: it comes
+// from a sibling and is not passed on.
+func (n *Node) Handle(ctx context.Context, r peer.Request, forwarded bool) peer.Answer {
+	if f, ok := n.finalOf(r.Job); ok && r.Verb != VerbSubmit {
+		return answer(http.StatusOK, finalStatus(r.Job, f))
+	}
+	if core := n.leading(); core != nil {
+		if !core.hooks.Valid() || !core.Loaded() {
+			return later("the state service is out of reach")
+		}
+		return n.serve(ctx, core, r)
+	}
+	if forwarded {
+		return later("not the leader")
+	}
+	leader := n.elector.Leader()
+	for _, h := range n.peers.Alive() {
+		if h.Term > 0 {
+			leader = h.Member
+		}
+	}
+	if n.peers.Reaches(leader) {
+		if a, err := n.peers.Ask(ctx, leader, r); err == nil {
+			return a
+		}
+		return later("the leader does not answer")
+	}
+	return n.serve(ctx, nil, r)
+}
+
+// serve answers as the leader (core) or, while the leader is out of reach,
+// from the state service itself.
+func (n *Node) serve(ctx context.Context, core *Core, r peer.Request) peer.Answer {
+	switch r.Verb {
+	case VerbSubmit:
+		s, id, err := api.ParseSubmission(r.Body)
+		status := http.StatusBadRequest
+		if id != "" {
+			if f, ok := n.finalOf(id); ok {
+				return answer(http.StatusOK, finalStatus(id, f))
+			}
+			if core != nil {
+				if st, ok := core.Known(id); ok {
+					return answer(http.StatusOK, st)
+				}
+			}
+		}
+		undecided := false
+		if err == nil {
+			status = http.StatusUnprocessableEntity
+			n.mu.Lock()
+			types := n.types
+			n.mu.Unlock()
+			err, undecided = canRun(s, n.limit, types)
+		}
+		if err != nil {
+			// A known id is never refused, whatever the body.
+			if id != "" {
+				if st, found, rerr := n.lookUp(ctx, core, id); rerr != nil {
+					return later("the state service is out of reach")
+				} else if found {
+					return answer(http.StatusOK, st)
+				}
+			}
+			return refusal(status, err)
+		}
+		if undecided {
+			return later("the machine types are not known yet")
+		}
+		if core == nil {
+			return n.submitAlone(ctx, s)
+		}
+		if a, ok := core.Submit(ctx, s, n.clock.Now()); ok {
+			return a
+		}
+		return n.told(ctx, core, id)
+	case VerbStatus:
+		if core != nil {
+			if st, ok := core.Known(r.Job); ok {
+				return answer(http.StatusOK, st)
+			}
+		}
+		return n.told(ctx, core, r.Job)
+	case VerbCancel:
+		if core == nil {
+			return n.cancelAlone(ctx, r.Job)
+		}
+		if a, ok := core.Cancel(ctx, r.Job); ok {
+			return a
+		}
+		a := n.told(ctx, core, r.Job)
+		if a.Status == http.StatusOK {
+			if b, ok := core.Cancel(ctx, r.Job); ok {
+				return b
+			}
+		}
+		return a
+	}
+	return answer(http.StatusNotFound, api.Error{Error: "no such request"})
+}
+
+func (n *Node) limit(team string) (float64, float64, bool) {
+	t, ok := n.set.Team(team)
+	return t.CPUsMax, t.CardsMax, ok
+}
+
+// told answers from the state service.
+func (n *Node) told(ctx context.Context, core *Core, id string) peer.Answer {
+	st, found, err := n.lookUp(ctx, core, id)
+	switch {
+	case err != nil:
+		return later("the state service is out of reach")
+	case !found:
+		return answer(http.StatusNotFound, api.Error{Error: "no such job"})
+	}
+	return answer(http.StatusOK, st)
+}
+
+// lookUp reads a job's record: its own key first, since the final one is
+// written before that goes.
+func (n *Node) lookUp(ctx context.Context, core *Core, id string) (api.JobStatus, bool, error) {
+	if !api.ValidID(id) {
+		return api.JobStatus{}, false, nil
+	}
+	it, err := n.client.Get(ctx, store.JobKey(id))
+	if err == nil {
+		var rec store.JobRecord
+		if err := json.Unmarshal(it.Value, &rec); err != nil {
+			return api.JobStatus{}, false, err
+		}
+		if f, ok := n.finalOf(id); ok {
+			// It ended while we read: the record is old by now.
+			return finalStatus(id, f), true, nil
+		}
+		if core != nil {
+			core.Conflict(it.Key, &it)
+			if st, ok := core.Known(id); ok {
+				return st, true, nil
+			}
+		}
+		st := api.JobStatus{ID: id, State: api.Pending}
+		if rec.Final != "" {
+			st.State = rec.Final
+		}
+		return st, true, nil
+	}
+	if !errors.Is(err, store.ErrNotFound) {
+		return api.JobStatus{}, false, err
+	}
+	it, err = n.client.Get(ctx, store.FinalKey(id))
+	if errors.Is(err, store.ErrNotFound) {
+		return api.JobStatus{}, false, nil
+	}
+	if err != nil {
+		return api.JobStatus{}, false, err
+	}
+	var f store.FinalRecord
+	if err := json.Unmarshal(it.Value, &f); err != nil {
+		return api.JobStatus{}, false, err
+	}
+	n.final(id, f)
+	return finalStatus(id, f), true, nil
+}
+
+// submitAlone accepts a job without the leader, which learns of it by the
+// inbox.
+func (n *Node) submitAlone(ctx context.Context, s *api.Submission) peer.Answer {
+	rec := store.JobRecord{Job: *s, At: n.clock.Now().UnixMilli()}
+	_, _, err := n.client.Multi(ctx,
+		[]store.Cond{{Key: store.JobKey(s.ID)}, {Key: store.FinalKey(s.ID)}},
+		[]store.Op{{Set: store.JobKey(s.ID), Value: rec}, {Set: store.InboxKey(s.ID), Value: true}})
+	switch {
+	case err == nil:
+		return answer(http.StatusCreated, api.JobStatus{ID: s.ID, State: api.Pending})
+	case errors.Is(err, store.ErrConflict):
+		return n.told(ctx, nil, s.ID)
+	}
+	return later("the state service is out of reach")
+}
+
+// cancelAlone cancels while there is no leader; with one, only it may, since it
+// answers polls from memory.
+func (n *Node) cancelAlone(ctx context.Context, id string) peer.Answer {
+	if !api.ValidID(id) {
+		return answer(http.StatusNotFound, api.Error{Error: "no such job"})
+	}
+	it, err := n.client.Get(ctx, store.JobKey(id))
+	if errors.Is(err, store.ErrNotFound) {
+		return n.told(ctx, nil, id)
+	}
+	var rec store.JobRecord
+	if err != nil || json.Unmarshal(it.Value, &rec) != nil {
+		return later("the state service is out of reach")
+	}
+	if rec.Final == "" {
+		rec.Final = api.Withdrawn
+		_, _, err = n.client.Multi(ctx,
+			[]store.Cond{{Key: store.LeaderKey}, {Key: it.Key, Stamp: it.Stamp}},
+			[]store.Op{{Set: it.Key, Value: rec}})
+		if err != nil {
+			return later("the leader is out of reach")
+		}
+	}
+	return answer(http.StatusOK, api.JobStatus{ID: id, State: rec.Final})
+}
--- /dev/null
+++ b/controller/place.go
@@ -0,0 +1,436 @@
+package controller
+
+import (
+	"log/slog"
+	"math"
+	"slices"
+	"time"
+
+	"switchferry/api"
+	"switchferry/fleet"
+	"switchferry/placement"
+	"switchferry/policy"
+	"switchferry/store"
+	"switchferry/tuning"
+)
+
+// total is a machine's whole room.
+func (m *machine) total() fleet.Room {
+	if m.Spec == nil {
+		return fleet.Room{}
+	}
+	return fleet.Room{CPUs: m.Spec.CPUs, Cards: m.Spec.Cards, MemoryGB: m.Spec.MemoryGB}
+}
+
+func (m *machine) free() fleet.Room { return m.total().Sub(m.used) }
+
+// usable tells whether a machine may get new work.
+func (c *Core) usable(m *machine) bool {
+	return m.Up && m.Spec != nil && !m.returning && !m.drain && m.TakenAt.IsZero() && !m.Suspect() &&
+		c.clock.Now().After(m.refused) && c.clock.Since(m.Heard) < c.quiet()
+}
+
+// quiet is how long a machine may be unheard and still get work.
+func (c *Core) quiet() time.Duration { return seconds(2.5 * c.set.Facts.Workers.ReportS) }
+
+// allowed tells whether a job's tasks may ever run on a machine.
+func (c *Core) allowed(j *job, m *machine) bool {
+	return m.Spec.Fits(&j.Job) && (j.Job.Zone == "" || j.Job.Zone == m.Zone) && (!m.Spot || j.Job.Spot)
+}
+
+func (c *Core) eligible(j *job, m *machine) bool {
+	if !c.usable(m) || !c.allowed(j, m) {
+		return false
+	}
+	until, ok := j.avoid[m.Name]
+	return !ok || c.clock.Now().After(until)
+}
+
+// zoneOK tells whether one more task may start in a machine's zone, given
+// where the others are or may be.
+func zoneOK(j *job, m *machine) bool {
+	if !j.Job.OneZone && !j.Job.Spread {
+		return true
+	}
+	here := 0
+	for _, a := range j.live {
+		if a.machine.Zone == m.Zone {
+			here++
+		} else if j.Job.OneZone {
+			return false
+		}
+	}
+	return !j.Job.Spread || here < (j.total+1)/2
+}
+
+// withinLimit tells whether a job's team may use one more task's worth.
+func (c *Core) withinLimit(j *job) bool {
+	t, ok := c.set.Team(j.Job.Team)
+	if !ok {
+		return false
+	}
+	u := c.use[t.Name].Add(j.need)
+	return (t.CPUsMax == 0 || u.CPUs <= t.CPUsMax+tuning.RoomSlack) && (t.CardsMax == 0 || u.Cards <= t.CardsMax+tuning.RoomSlack)
+}
+
+func (c *Core) ready(j *job) bool {
+	return j.accepted && j.Final == "" && !c.clock.Now().Before(j.pause)
+}
+
+// estimate is how long a task of the job runs, in seconds.
+func estimate(j *job) float64 { return math.Max(tuning.MinRun, j.Job.EstimateS) }
+
+// Place gives work to machines. It is the only place where tasks get one.
+func (c *Core) Place() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.loaded || !c.hooks.Valid() {
+		return
+	}
+	for _, m := range c.machines {
+		if len(m.queue) > 0 && !c.usable(m) {
+			for _, q := range m.queue {
+				q.job.pending = append(q.job.pending, q.tasks...)
+				q.job.queued -= len(q.tasks)
+			}
+			m.queue = nil
+		}
+	}
+	for _, j := range c.order {
+		if len(j.pending) == 0 || !c.ready(j) {
+			continue
+		}
+		if j.Job.Shape == api.Service {
+			c.placeService(j)
+		} else if c.withinLimit(j) {
+			c.waterFill(j)
+		}
+	}
+	ms := c.byName()
+	for _, m := range ms {
+		c.dispatch(m)
+	}
+	for _, m := range ms {
+		c.pull(m, ms)
+	}
+	for _, j := range c.order {
+		if j.Job.RankLevel() > 0 && j.Job.Shape == api.Array && len(j.pending)+j.queued > 0 {
+			c.preempt(j, ms)
+		}
+	}
+}
+
+func (c *Core) byName() []*machine {
+	out := make([]*machine, 0, len(c.machines))
+	for _, m := range c.machines {
+		out = append(out, m)
+	}
+	slices.SortFunc(out, func(a, b *machine) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// ahead is what a machine has outstanding for jobs up to and with j in the
+// order of the queues, as equation (2) needs it, and the room that services
+// leave.
+func (c *Core) ahead(m *machine, j *job, slot float64) (queued []placement.Queued, room fleet.Room) {
+	room = m.total()
+	count := map[*job]int{}
+	for _, a := range m.assigns {
+		if a.job.Job.Shape == api.Service {
+			room = room.Sub(a.job.need)
+		} else if !a.stop && before(a.job, j) <= 0 {
+			count[a.job]++
+		}
+	}
+	for _, q := range m.queue {
+		if before(q.job, j) <= 0 {
+			count[q.job] += len(q.tasks)
+		}
+	}
+	for o, n := range count {
+		mu := placement.Mu(max(1, room.Times(o.need)), slot, estimate(o))
+		queued = append(queued, placement.Queued{Tasks: n, Mu: mu})
+	}
+	return queued, room
+}
+
+// waterFill queues a job's waiting tasks by the paper's Algorithm 2. All tasks
+// of a job need one image, so they form one group; the machines that lack the
+// image take part with the fetch added to their busy time.
+func (c *Core) waterFill(j *job) {
+	slot := c.policy.Value(policy.SlotS, nil)
+	var ms []*machine
+	var servers []placement.Server
+	for _, m := range c.byName() {
+		if !c.eligible(j, m) {
+			continue
+		}
+		queued, room := c.ahead(m, j, slot)
+		s := placement.Server{Busy: placement.Busy(queued), Mu: placement.Mu(room.Times(j.need), slot, estimate(j))}
+		if s.Mu <= 0 {
+			continue
+		}
+		if f := m.FetchS(j.Job.Image, j.Job.ImageGB); f > 0 {
+			s.Busy += int(c.policy.Value(policy.FetchPenalty, policy.Vars{"fetch_s": f, "slot_s": slot}))
+		}
+		ms, servers = append(ms, m), append(servers, s)
+	}
+	share := placement.Fill(servers, len(j.pending))
+	if share == nil {
+		return
+	}
+	slices.Sort(j.pending)
+	for i, n := range share {
+		if n > 0 {
+			ms[i].enqueue(j, j.pending[:n])
+			j.pending = j.pending[n:]
+			j.queued += n
+		}
+	}
+	slog.Debug("job queued", "job", j.id, "machines", len(ms), "shares", share)
+}
+
+// enqueue puts tasks into a machine's queue in the order of the jobs.
+func (m *machine) enqueue(j *job, tasks []int32) {
+	at, ok := slices.BinarySearchFunc(m.queue, j, func(q *queue, j *job) int { return before(q.job, j) })
+	if !ok {
+		m.queue = slices.Insert(m.queue, at, &queue{job: j})
+	}
+	m.queue[at].tasks = append(m.queue[at].tasks, tasks...)
+}
+
+// pop takes the first task of a queue.
+func (q *queue) pop() int {
+	t := q.tasks[0]
+	q.tasks = q.tasks[1:]
+	q.job.queued--
+	return int(t)
+}
+
+func (m *machine) trim() {
+	m.queue = slices.DeleteFunc(m.queue, func(q *queue) bool { return len(q.tasks) == 0 })
+}
+
+// startable tells whether a task of the job can start on the machine now.
+func (c *Core) startable(j *job, m *machine) bool {
+	return c.ready(j) && m.free().Holds(j.need) && c.eligible(j, m) && zoneOK(j, m) && c.withinLimit(j)
+}
+
+// dispatch starts what a machine has queued and has room for.
+func (c *Core) dispatch(m *machine) {
+	if len(m.queue) == 0 {
+		return
+	}
+	for _, q := range m.queue {
+		for len(q.tasks) > 0 && c.startable(q.job, m) {
+			c.start(q.job, q.pop(), m, nil, "queued here")
+		}
+	}
+	m.trim()
+}
+
+// pull gives a machine with room unstarted tasks of the oldest job from the
+// longest queue that it can serve.
+func (c *Core) pull(m *machine, all []*machine) {
+	if !c.usable(m) {
+		return
+	}
+	for {
+		var from *queue
+		longest := 0
+		for _, o := range all {
+			if o == m || len(o.queue) == 0 {
+				continue
+			}
+			n := 0
+			for _, q := range o.queue {
+				n += len(q.tasks)
+			}
+			if n <= longest {
+				continue
+			}
+			for _, q := range o.queue {
+				if len(q.tasks) > 0 && c.startable(q.job, m) {
+					from, longest = q, n
+					break
+				}
+			}
+		}
+		if from == nil {
+			return
+		}
+		c.start(from.job, from.pop(), m, nil, "pulled")
+	}
+}
+
+// start records a task's machine; the command goes out once that is stored.
+func (c *Core) start(j *job, task int, m *machine, victims []*assign, why string) {
+	a := c.hold(j, task, m, c.nextAttempt())
+	a.victims = victims
+	slog.Debug("task placed", "task", a.key, "machine", m.Name, "attempt", a.attempt, "why", why, "image", m.Has(j.Job.Image))
+	c.touchShard(j, task, c.locked(func() {
+		a.committed = true
+		if j.live[task] == a {
+			c.push(m)
+		}
+	}))
+}
+
+// roomSoon is what a machine has free once the tasks being stopped are gone.
+func (m *machine) roomSoon() (fleet.Room, []*assign) {
+	free := m.free()
+	var leaving []*assign
+	for _, a := range m.assigns {
+		if a.stop {
+			free = free.Add(a.job.need)
+			leaving = append(leaving, a)
+		}
+	}
+	return free, leaving
+}
+
+// makeRoom finds what to stop so that one task fits: work of lower rank only,
+// and of that what has run the shortest. False: it cannot be done.
+func (c *Core) makeRoom(j *job, m *machine) (leaving, victims []*assign, ok bool) {
+	free, leaving := m.roomSoon()
+	if free.Holds(j.need) {
+		return leaving, nil, true
+	}
+	var can []*assign
+	for _, a := range m.assigns {
+		if !a.stop && a.seen && a.job.Job.RankLevel() < j.Job.RankLevel() {
+			can = append(can, a)
+		}
+	}
+	slices.SortFunc(can, func(a, b *assign) int {
+		if ra, rb := a.job.Job.RankLevel(), b.job.Job.RankLevel(); ra != rb {
+			return ra - rb
+		}
+		return int(c.loss(a) - c.loss(b))
+	})
+	for _, a := range can {
+		free = free.Add(a.job.need)
+		victims = append(victims, a)
+		if free.Holds(j.need) {
+			return leaving, victims, true
+		}
+	}
+	return nil, nil, false
+}
+
+// loss is the work, in ms, that stopping a task at once throws away.
+func (c *Core) loss(a *assign) int64 {
+	if a.running.IsZero() {
+		return 0
+	}
+	run := c.clock.Since(a.running)
+	if cp := seconds(a.job.Job.Checkpoint); cp > 0 {
+		run = run % cp
+	}
+	return run.Milliseconds()
+}
+
+// placeService starts replicas at once: they skip the water-filling, since
+// they run until they are cancelled. A machine that holds the image is worth
+// more than one that must fetch it, and worth stopping lower work for.
+func (c *Core) placeService(j *job) {
+	for len(j.pending) > 0 && c.withinLimit(j) {
+		var best *machine
+		var bestOut, bestVictims []*assign
+		bestScore := math.Inf(1)
+		for _, m := range c.byName() {
+			if !c.eligible(j, m) || !zoneOK(j, m) {
+				continue
+			}
+			score := m.FetchS(j.Job.Image, j.Job.ImageGB)
+			for _, a := range j.live {
+				if a.machine == m {
+					score += 0.5
+				}
+			}
+			score += 0.1 * m.used.CPUs / m.Spec.CPUs
+			var out, victims []*assign
+			if !m.free().Holds(j.need) {
+				var ok bool
+				out, victims, ok = c.makeRoom(j, m)
+				if !ok {
+					continue
+				}
+				score += 1 + 0.2*float64(len(victims))
+			}
+			if score < bestScore {
+				best, bestOut, bestVictims, bestScore = m, out, victims, score
+			}
+		}
+		if best == nil {
+			return
+		}
+		task := int(j.pending[0])
+		j.pending = j.pending[1:]
+		for _, v := range bestVictims {
+			c.stopTask(v, 0, "room for "+j.id)
+		}
+		c.start(j, task, best, append(bestOut, bestVictims...), "service")
+	}
+}
+
+// preempt makes room for an array of higher rank that found none.
+func (c *Core) preempt(j *job, all []*machine) {
+	for len(j.pending)+j.queued > 0 && c.ready(j) && c.withinLimit(j) {
+		var best *machine
+		var out, victims []*assign
+		bestScore := math.Inf(1)
+		for _, m := range all {
+			if !c.eligible(j, m) || !zoneOK(j, m) {
+				continue
+			}
+			o, v, ok := c.makeRoom(j, m)
+			if !ok {
+				continue
+			}
+			score := m.FetchS(j.Job.Image, j.Job.ImageGB)
+			for _, a := range v {
+				score += float64(c.loss(a)) / 1000
+			}
+			if score < bestScore {
+				best, out, victims, bestScore = m, o, v, score
+			}
+		}
+		if best == nil {
+			return
+		}
+		task := -1
+		if len(j.pending) > 0 {
+			task = int(j.pending[0])
+			j.pending = j.pending[1:]
+		}
+		for _, m := range all {
+			for _, q := range m.queue {
+				if task < 0 && q.job == j && len(q.tasks) > 0 {
+					task = q.pop()
+				}
+			}
+			m.trim()
+		}
+		if task < 0 {
+			return
+		}
+		for _, v := range victims {
+			c.stopTask(v, 0, "room for "+j.id)
+		}
+		c.start(j, task, best, append(out, victims...), "preempting")
+	}
+}
+
+// Conflict takes in a job record that another node, or a lost answer of ours,
+// has written.
+func (c *Core) Conflict(key string, found *store.Item) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.adopt(key, found)
+}
--- /dev/null
+++ b/controller/rent.go
@@ -0,0 +1,339 @@
+package controller
+
+import (
+	"fmt"
+	"log/slog"
+	"math"
+	"slices"
+	"time"
+
+	"switchferry/api"
+	"switchferry/policy"
+	"switchferry/tuning"
+)
+
+// pool is one kind of machine that the cloud rents.
+type pool struct {
+	typ, zone string
+	spot      bool
+}
+
+// silent is how long a machine may be unheard before it is given up.
+func (c *Core) silent() time.Duration {
+	return max(tuning.SilentMin, seconds(tuning.SilentReports*c.set.Facts.Workers.ReportS))
+}
+
+// Tend looks after machines: it returns the names to give back.
+func (c *Core) Tend() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.loaded || !c.hooks.Valid() {
+		return nil
+	}
+	now := c.clock.Now()
+	var out []string
+	giveUp := func(m *machine, why string) {
+		slog.Info("returning machine", "machine", m.Name, "why", why, "tasks", len(m.assigns))
+		m.returning = true
+		out = append(out, m.Name)
+	}
+	grace := seconds(c.set.Facts.Workers.LeaseS) + tuning.NewTermGrace
+	zoneHeard := map[string]bool{}
+	zoneCount := map[string]int{}
+	for _, m := range c.machines {
+		if m.Up {
+			zoneCount[m.Zone]++
+			if now.Sub(m.Heard) < c.silent() {
+				zoneHeard[m.Zone] = true
+			}
+		}
+	}
+	for _, m := range c.byName() {
+		if m.returning {
+			continue
+		}
+		since := now.Sub(m.Heard)
+		switch {
+		case !m.Up:
+			boot := 60.0
+			if m.Spec != nil {
+				boot = m.Spec.BootS
+			}
+			limit := grace
+			if len(m.assigns) == 0 {
+				limit = max(grace, seconds(boot*tuning.BootFactor))
+				since = now.Sub(m.Rented)
+			}
+			if since > limit && now.Sub(c.started) > grace {
+				giveUp(m, "never reported")
+			}
+		case !m.TakenAt.IsZero() && now.After(m.TakenAt.Add(time.Second)) && since > c.quiet():
+			giveUp(m, "taken back")
+		case since > c.silent() && (zoneHeard[m.Zone] || zoneCount[m.Zone] < 2 || since > 4*c.silent()):
+			// Its return proves that its tasks are gone. Where a whole zone
+			// is silent, more likely the way there is cut.
+			giveUp(m, "silent")
+		case m.Suspect():
+			giveUp(m, "suspect")
+		case !m.TakenAt.IsZero():
+			c.evacuate(m)
+		}
+	}
+	out = append(out, c.spare(now)...)
+	for name, at := range c.gone {
+		if now.Sub(at) > 10*time.Minute {
+			delete(c.gone, name)
+		}
+	}
+	return out
+}
+
+// evacuate saves what can be saved of a machine that is about to be taken.
+func (c *Core) evacuate(m *machine) {
+	left := m.TakenAt.Sub(c.clock.Now()).Seconds()
+	for _, a := range m.assigns {
+		if a.stop || !a.seen {
+			continue
+		}
+		j := &a.job.Job
+		ran := 0.0
+		if !a.running.IsZero() {
+			ran = c.clock.Since(a.running).Seconds()
+		}
+		finishes := j.Shape == api.Array && estimate(a.job)-ran < left
+		switch {
+		case j.Checkpoint > 0 && left < j.SaveS+2*tuning.SpotNoticeSlack+c.set.Facts.Workers.ReportS:
+			c.stopTask(a, j.SaveS, "machine is taken back")
+		case j.Checkpoint == 0 && !finishes:
+			c.stopTask(a, 0, "machine is taken back")
+		}
+	}
+}
+
+// demand is what unfinished jobs ask for, in processors, and how much of that
+// may not run on spot machines.
+func (c *Core) demand() (all, ordinary float64) {
+	perCPU := 0.0
+	for _, t := range c.types {
+		perCPU = math.Max(perCPU, t.MemoryGB/t.CPUs)
+	}
+	for _, j := range c.order {
+		if !j.accepted || j.Final != "" {
+			continue
+		}
+		one := math.Max(j.need.CPUs, j.need.MemoryGB/math.Max(perCPU, 1e-3))
+		n := float64(j.total - j.done)
+		if t, ok := c.set.Team(j.Job.Team); ok && t.CPUsMax > 0 && j.need.CPUs > 0 {
+			n = math.Min(n, t.CPUsMax/j.need.CPUs)
+		}
+		all += n * one
+		if !j.Job.Spot {
+			ordinary += n * one
+		}
+	}
+	return all, ordinary
+}
+
+// supply is the processors that are up or coming.
+func (c *Core) supply() (all, spot float64) {
+	for _, m := range c.machines {
+		if m.returning || m.drain || !m.TakenAt.IsZero() || m.Spec == nil {
+			continue
+		}
+		all += m.Spec.CPUs
+		if m.Spot {
+			spot += m.Spec.CPUs
+		}
+	}
+	return all, spot
+}
+
+func (c *Core) wanted() (want, ordinary float64) {
+	all, ord := c.demand()
+	guaranteed := 0.0
+	for _, t := range c.set.Facts.Teams {
+		guaranteed += t.CPUs
+	}
+	head := c.policy.Value(policy.HeadroomCPUs, policy.Vars{"demand_cpus": all, "guaranteed_cpus": guaranteed})
+	return all + head, 1.3*ord + 8
+}
+
+// Rentals says what to rent now.
+func (c *Core) Rentals() []api.Rental {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.clock.Now()
+	if !c.loaded || !c.hooks.Valid() || c.renting > 0 || now.Sub(c.started) < seconds(2*c.set.Facts.Workers.ReportS) {
+		return nil
+	}
+	want, ordWant := c.wanted()
+	all, spot := c.supply()
+	inZone := map[string]float64{}
+	for _, m := range c.machines {
+		if m.Spec != nil && !m.returning {
+			inZone[m.Zone] += m.Spec.CPUs
+		}
+	}
+	var pools []pool
+	for _, t := range c.types {
+		for _, z := range t.Zones {
+			for _, s := range []bool{false, true} {
+				p := pool{t.Name, z, s}
+				if now.After(c.refusals[p]) {
+					pools = append(pools, p)
+				}
+			}
+		}
+	}
+	slices.SortFunc(pools, func(a, b pool) int {
+		// Ordinary machines first: nobody takes them back, and services need
+		// them. Then the zone that has less, then the sooner one up.
+		if a.spot != b.spot {
+			if a.spot {
+				return 1
+			}
+			return -1
+		}
+		if d := inZone[a.zone] - inZone[b.zone]; d != 0 {
+			return int(math.Copysign(1, d))
+		}
+		if d := c.types[a.typ].BootS - c.types[b.typ].BootS; d != 0 {
+			return int(math.Copysign(1, d))
+		}
+		if a.typ+a.zone < b.typ+b.zone {
+			return -1
+		}
+		return 1
+	})
+	spotShare := c.policy.Value(policy.SpotShare, policy.Vars{"demand_cpus": want})
+	var out []api.Rental
+	for _, p := range pools {
+		t := c.types[p.typ]
+		missing := want - all
+		if !p.spot {
+			missing = math.Max(missing, ordWant-(all-spot))
+		} else {
+			missing = math.Min(missing, spotShare*want-spot)
+		}
+		if missing <= 0 {
+			continue
+		}
+		n := min(tuning.RentBatch, int(math.Ceil(missing/t.CPUs)))
+		c.charters++
+		out = append(out, api.Rental{Charter: fmt.Sprintf("t%d-%d", c.term, c.charters), Type: p.typ, Zone: p.zone, Spot: p.spot, Count: n})
+		if len(out) == 2 {
+			break
+		}
+		// What will come is unknown; the next round sees it.
+		all += float64(n) * t.CPUs
+	}
+	c.renting = len(out)
+	return out
+}
+
+// Rented takes in the outcome of a rental.
+func (c *Core) Rented(r api.Rental, names []string, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.renting--
+	if err != nil || len(names) < r.Count {
+		c.refusals[pool{r.Type, r.Zone, r.Spot}] = c.clock.Now().Add(tuning.RefusedPause)
+	}
+	if err != nil {
+		slog.Info("rental refused", "type", r.Type, "zone", r.Zone, "spot", r.Spot, "count", r.Count, "err", err)
+		return
+	}
+	slog.Info("rented", "type", r.Type, "zone", r.Zone, "spot", r.Spot, "asked", r.Count, "got", len(names))
+	for _, n := range names {
+		if _, gone := c.gone[n]; gone {
+			continue
+		}
+		m := c.machine(n)
+		if !m.Up {
+			m.Type, m.Zone, m.Spot, m.Spec = r.Type, r.Zone, r.Spot, c.types[r.Type]
+		}
+	}
+}
+
+// Listed takes in the cloud's list. It lags: absence from it proves nothing.
+func (c *Core) Listed(list []api.CloudMachine) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.clock.Now()
+	for _, l := range list {
+		if _, gone := c.gone[l.Name]; gone {
+			continue
+		}
+		_, known := c.machines[l.Name]
+		m := c.machine(l.Name)
+		if !known {
+			m.Rented = now.Add(-seconds(l.AgeS))
+			slog.Info("machine listed", "machine", l.Name, "type", l.Type, "zone", l.Zone, "state", l.State)
+		}
+		if !m.Up {
+			m.Address, m.Type, m.Zone, m.Spot, m.Spec = l.Address, l.Type, l.Zone, l.Spot, c.types[l.Type]
+		}
+		if l.State == "failed" && !m.returning {
+			m.Up = false
+			m.Rented, m.Heard = now.Add(-time.Hour), now.Add(-time.Hour)
+		}
+	}
+}
+
+// Addresses are the machines that have not reported yet in this term.
+func (c *Core) Addresses() map[string]string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := map[string]string{}
+	for _, m := range c.machines {
+		if !m.Up && m.Address != "" && !m.returning {
+			out[m.Name] = m.Address
+		}
+	}
+	return out
+}
+
+// Returned: the cloud has answered, so these machines and all on them are gone.
+func (c *Core) Returned(names []string, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, n := range names {
+		m := c.machines[n]
+		if m == nil {
+			continue
+		}
+		if err != nil {
+			m.returning = false
+			continue
+		}
+		c.gone[n] = c.clock.Now()
+		for _, a := range m.assigns {
+			c.lost(a, "its machine is gone")
+		}
+		for _, q := range m.queue {
+			q.job.pending = append(q.job.pending, q.tasks...)
+			q.job.queued -= len(q.tasks)
+		}
+		delete(c.machines, n)
+	}
+	c.kick()
+}
+
+// spare finds a machine that is plainly idle.
+func (c *Core) spare(now time.Time) []string {
+	want, ordWant := c.wanted()
+	all, spot := c.supply()
+	for _, m := range c.byName() {
+		if !c.usable(m) || len(m.assigns) > 0 || len(m.queue) > 0 {
+			continue
+		}
+		keep := seconds(c.policy.Value(policy.IdleKeepS, policy.Vars{"boot_s": m.Spec.BootS}))
+		if now.Sub(m.idle) < keep || all-m.Spec.CPUs < want || !m.Spot && all-spot-m.Spec.CPUs < ordWant {
+			continue
+		}
+		slog.Info("returning machine", "machine", m.Name, "why", "idle")
+		m.returning = true
+		return []string{m.Name}
+	}
+	return nil
+}
--- /dev/null
+++ b/controller/report.go
@@ -0,0 +1,335 @@
+package controller
+
+import (
+	"log/slog"
+	"time"
+
+	"switchferry/api"
+	"switchferry/tuning"
+)
+
+// Report takes in a worker's report and returns the answer. Deposed: the
+// worker has seen a higher term, and we no longer lead.
+func (c *Core) Report(r *api.Report) (o api.Orders, deposed, refused bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	o = api.Orders{Helm: c.term, Commands: []api.Command{}}
+	if r.Helm > c.term {
+		return o, true, false
+	}
+	c.heard = c.clock.Now()
+	if _, ok := c.gone[r.Machine]; ok {
+		return o, false, true
+	}
+	m := c.machine(r.Machine)
+	m.Heard = c.heard
+	if !m.Newer(r) {
+		// Held up on the way: its task list is old.
+		return o, false, false
+	}
+	if !c.loaded {
+		// The lease is kept; what runs is judged once the records are read.
+		return o, false, false
+	}
+	c.take(m, r, true)
+	o.Commands = c.commands(m, true)
+	return o, false, false
+}
+
+// take works a newer report into the state.
+func (c *Core) take(m *machine, r *api.Report, isReport bool) {
+	now := c.clock.Now()
+	if !m.Up {
+		slog.Info("machine up", "machine", r.Machine, "type", r.Type, "zone", r.Zone, "spot", r.Spot, "after", now.Sub(m.Rented).Round(time.Second))
+		m.idle = now
+		c.kick()
+	}
+	if r.NoticeS != nil && m.TakenAt.IsZero() {
+		slog.Info("machine will be taken", "machine", r.Machine, "in_s", *r.NoticeS)
+		c.kick()
+	}
+	m.Take(r, now)
+	if m.Spec == nil {
+		m.Spec = c.types[m.Type]
+	}
+	for key, a := range m.assigns {
+		t, ok := m.Tasks[key]
+		if ok && t.Attempt == a.attempt {
+			c.progress(m, a, t)
+			continue
+		}
+		c.absent(m, a, isReport)
+	}
+	for key, e := range m.ended {
+		if t, ok := m.Tasks[key]; !ok || t.Attempt != e.attempt {
+			delete(m.ended, key)
+		}
+	}
+	for key, t := range m.Tasks {
+		if a := m.assigns[key]; a != nil && a.attempt == t.Attempt {
+			continue
+		}
+		if e := m.ended[key]; e != nil && e.attempt == t.Attempt {
+			continue
+		}
+		c.stray(m, key, t)
+	}
+}
+
+// progress notes the state of a task that is where it should be.
+func (c *Core) progress(m *machine, a *assign, t api.TaskReport) {
+	now := c.clock.Now()
+	a.seen, a.sent = true, true
+	if a.session == 0 {
+		a.session = m.Session
+	}
+	if a.state != t.State {
+		a.state = t.State
+		if t.State == api.TaskRunning {
+			a.running = now
+			m.Used(a.job.Job.Image, a.job.Job.ImageGB)
+		}
+	}
+	if t.State == api.TaskEnded {
+		c.ended(m, a, t)
+	}
+}
+
+// ended handles an exit.
+func (c *Core) ended(m *machine, a *assign, t api.TaskReport) {
+	j := a.job
+	now := c.clock.Now()
+	e := &ended{attempt: a.attempt, open: a.open, stored: t.Cause != api.CauseDone}
+	m.ended[a.key] = e
+	slog.Debug("task ended", "task", a.key, "machine", m.Name, "cause", t.Cause)
+	if t.Cause == api.CauseDone {
+		// The clear waits for the record: until it is stored, only the
+		// worker knows that the task is done.
+		m.Worked()
+		m.Used(j.Job.Image, j.Job.ImageGB)
+		c.release(a)
+		c.markDone(j, a.task, func() {
+			e.stored = true
+			c.push(m)
+		})
+		return
+	}
+	switch t.Cause {
+	case api.CauseError:
+		was := m.Suspect()
+		if m.Failed(j.id) && !was {
+			slog.Info("machine suspect", "machine", m.Name, "errors", m.Errors)
+		}
+		j.errors++
+		j.avoid[m.Name] = now.Add(tuning.BackoffMax)
+		if j.errors >= tuning.BackoffErrors {
+			d := min(tuning.BackoffMax, tuning.BackoffBase<<min(j.errors-tuning.BackoffErrors, 6))
+			j.pause = now.Add(d)
+			slog.Info("job paused", "job", j.id, "errors", j.errors, "for", d)
+		}
+	case api.CauseNoRoom, api.CauseBusy, api.CauseUnknown:
+		slog.Info("start refused", "task", a.key, "machine", m.Name, "cause", t.Cause)
+		m.refused = now.Add(tuning.BackoffBase)
+		if t.Cause == api.CauseUnknown {
+			j.pause = now.Add(tuning.BackoffBase)
+		}
+	}
+	c.release(a)
+	c.requeue(j, a.task)
+	c.push(m)
+}
+
+// absent judges a task that the newest report lacks. Only a report that no
+// command under way can overtake proves that the task is not there.
+func (c *Core) absent(m *machine, a *assign, isReport bool) {
+	if !a.sent {
+		return
+	}
+	if m.Helm != c.term {
+		// The worker has not seen our term: an earlier leader's command may
+		// still reach it.
+		return
+	}
+	if a.session != 0 && m.Session > a.session {
+		c.lost(a, "the worker began a new session")
+		return
+	}
+	if a.open > 0 || a.answered > 0 && (!isReport || m.Seq <= a.answered) {
+		return
+	}
+	switch {
+	case a.seen:
+		c.lost(a, "the worker no longer has it")
+	case a.session == 0:
+		c.lost(a, "an earlier leader's start never arrived")
+	case a.stop:
+		c.lost(a, "stopped before it started")
+	default:
+		// The command was lost: the same attempt goes out again.
+		a.sent, a.answered = false, 0
+	}
+}
+
+// stray judges a task that should not be there.
+func (c *Core) stray(m *machine, key string, t api.TaskReport) {
+	id, task, ok := splitTask(key)
+	j := c.jobs[id]
+	if !ok || j == nil || task >= j.total {
+		if t.State == api.TaskEnded {
+			m.ended[key] = &ended{attempt: t.Attempt, stored: true}
+		}
+		return
+	}
+	if t.State == api.TaskEnded {
+		e := &ended{attempt: t.Attempt, stored: t.Cause != api.CauseDone}
+		m.ended[key] = e
+		if t.Cause == api.CauseDone {
+			c.markDone(j, task, func() {
+				e.stored = true
+				c.push(m)
+			})
+		}
+		return
+	}
+	if j.live[task] == nil && m.assigns[key] == nil {
+		// A task that we know nothing of runs: from here on it counts.
+		slog.Info("task found", "task", key, "machine", m.Name, "attempt", t.Attempt)
+		a := c.hold(j, task, m, t.Attempt)
+		a.committed = true
+		c.progress(m, a, t)
+		c.takeOut(j, task)
+		if j.Final != "" || j.bits.Has(task) {
+			c.stopTask(a, 0, "not wanted")
+			return
+		}
+		c.touchShard(j, task, nil)
+	}
+}
+
+// stopTask asks for a task to be stopped.
+func (c *Core) stopTask(a *assign, grace float64, why string) {
+	if a.stop && a.grace <= grace {
+		return
+	}
+	slog.Info("stopping task", "task", a.key, "machine", a.machine.Name, "why", why, "wind_down_s", grace)
+	a.stop, a.grace = true, grace
+	if !a.sent {
+		// Never sent by anyone, so it is nowhere.
+		c.release(a)
+		c.requeue(a.job, a.task)
+		return
+	}
+	c.push(a.machine)
+}
+
+// commands derives what to tell a worker from what is wanted and what it
+// reported. Repeating them is harmless.
+func (c *Core) commands(m *machine, isReport bool) []api.Command {
+	out := []api.Command{}
+	kill := func(key string, attempt uint64, grace float64) {
+		out = append(out, api.Command{Verb: api.Stop, Task: key, Attempt: attempt, GraceS: &grace})
+	}
+	for _, a := range m.assigns {
+		if a.stop && a.seen && (a.state != api.TaskSaving || a.grace == 0) {
+			kill(a.key, a.attempt, a.grace)
+		}
+	}
+	for key, t := range m.Tasks {
+		if a := m.assigns[key]; a != nil && a.attempt == t.Attempt {
+			continue
+		}
+		if e := m.ended[key]; e != nil && e.attempt == t.Attempt {
+			// A run of this attempt that is still under way would start it
+			// again after a clear.
+			if e.stored && e.open == 0 {
+				out = append(out, api.Command{Verb: api.Forget, Task: key, Attempt: t.Attempt})
+			}
+			continue
+		}
+		if t.State != api.TaskEnded {
+			kill(key, t.Attempt, 0)
+		}
+	}
+	if !c.hooks.Valid() || m.returning {
+		return out
+	}
+	for _, a := range m.assigns {
+		if !a.committed || a.stop || a.seen || a.sent && (a.session == 0 || a.session != m.Session) {
+			continue
+		}
+		if a.sent && !isReport && a.open > 0 || a.answered > 0 && !isReport {
+			continue
+		}
+		ready := true
+		for _, v := range a.victims {
+			if v.job.live[v.task] == v && !(v.stop && v.grace == 0 && v.seen) {
+				ready = false
+			}
+		}
+		if !ready {
+			continue
+		}
+		a.sent, a.session = true, m.Session
+		if isReport {
+			a.answered = m.Seq
+		} else {
+			a.open++
+		}
+		slog.Debug("starting task", "task", a.key, "machine", m.Name, "attempt", a.attempt, "direct", !isReport)
+		out = append(out, api.Command{Verb: api.Start, Task: a.key, Attempt: a.attempt})
+	}
+	return out
+}
+
+// push sends a machine its commands directly, one request at a time.
+func (c *Core) push(m *machine) {
+	if !m.Up || m.returning || c.gone[m.Name] != (time.Time{}) {
+		return
+	}
+	if m.sending {
+		m.again = true
+		return
+	}
+	cmds := c.commands(m, false)
+	if len(cmds) == 0 {
+		return
+	}
+	m.sending = true
+	c.hooks.Send(m.Name, m.Address, api.Orders{Helm: c.term, Session: m.Session, Commands: cmds})
+}
+
+// Answered takes in the outcome of a direct command. Certain: the worker
+// answered, or the command never left; otherwise it may still be executed.
+func (c *Core) Answered(name string, o api.Orders, r *api.Report, certain bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m := c.machines[name]
+	if m == nil {
+		return
+	}
+	m.sending = false
+	if certain {
+		for _, cmd := range o.Commands {
+			if cmd.Verb != api.Start {
+				continue
+			}
+			if a := m.assigns[cmd.Task]; a != nil && a.attempt == cmd.Attempt {
+				a.open--
+				if r == nil && a.open == 0 && !a.seen && a.answered == 0 {
+					a.sent = false
+				}
+			}
+			if e := m.ended[cmd.Task]; e != nil && e.attempt == cmd.Attempt && e.open > 0 {
+				e.open--
+			}
+		}
+	}
+	if r != nil && r.Machine == name && r.Helm <= c.term && m.Newer(r) {
+		c.take(m, r, false)
+	}
+	again := m.again
+	m.again = false
+	if again && (certain || r != nil) {
+		c.push(m)
+	}
+}
--- /dev/null
+++ b/controller/user.go
@@ -0,0 +1,228 @@
+package controller
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"net/http"
+	"strings"
+	"time"
+
+	"switchferry/api"
+	"switchferry/peer"
+	"switchferry/store"
+	"switchferry/tuning"
+)
+
+// Verbs of users' requests.
+const (
+	VerbSubmit = "submit"
+	VerbStatus = "status"
+	VerbCancel = "cancel"
+)
+
+func answer(status int, body any) peer.Answer {
+	raw, err := json.Marshal(body)
+	if err != nil {
+		return later("internal error")
+	}
+	return peer.Answer{Status: status, Body: raw}
+}
+
+// later refuses at once and tells when to come back.
+func later(why string) peer.Answer {
+	a := answer(http.StatusServiceUnavailable, api.Error{Error: why})
+	a.RetryAfterS = tuning.RetryAfterS
+	return a
+}
+
+func refusal(status int, err error) peer.Answer {
+	e := api.Error{Error: err.Error()}
+	if fe, ok := err.(*api.FieldError); ok {
+		e.Field = fe.Field
+	}
+	return answer(status, e)
+}
+
+func finalStatus(id string, f store.FinalRecord) api.JobStatus {
+	return api.JobStatus{ID: id, State: f.State, Done: f.Tasks}
+}
+
+// status is what a user is told of a job, with the lock held.
+func (c *Core) status(j *job) api.JobStatus {
+	if j.stored {
+		return finalStatus(j.id, c.final(j))
+	}
+	st := api.JobStatus{ID: j.id, State: api.Pending, Done: j.done}
+	for _, a := range j.live {
+		if a.state == api.TaskRunning {
+			st.Running++
+		}
+	}
+	if st.Running > 0 {
+		st.State = api.Running
+	}
+	return st
+}
+
+// canRun checks a submission against teams and machine types. Not decided:
+// the machine types are not known yet.
+func canRun(s *api.Submission, team func(string) (cpus, cards float64, ok bool), types []api.MachineType) (err error, undecided bool) {
+	cpus, cards, ok := team(s.Team)
+	if !ok {
+		return &api.FieldError{Field: "owner", Want: "no such team"}, false
+	}
+	n := 1.0
+	if s.Shape == api.Service {
+		n = float64(s.Tasks)
+	}
+	if cpus > 0 && n*s.CPUs > cpus+tuning.RoomSlack || cards > 0 && n*s.Cards > cards+tuning.RoomSlack {
+		return &api.FieldError{Field: "parts", Want: "the job needs more than its team's limit"}, false
+	}
+	if len(types) == 0 {
+		return nil, true
+	}
+	for i := range types {
+		if types[i].Fits(s) {
+			return nil, false
+		}
+	}
+	return &api.FieldError{Field: "cores", Want: "a task fits no allowed machine type"}, false
+}
+
+// Known answers for a job in memory; false: it is not here.
+func (c *Core) Known(id string) (api.JobStatus, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	j := c.jobs[id]
+	if j == nil || !j.accepted {
+		return api.JobStatus{}, false
+	}
+	return c.status(j), true
+}
+
+// Submit stores a new job and waits until it is stored. False: look again.
+func (c *Core) Submit(ctx context.Context, s *api.Submission, now time.Time) (peer.Answer, bool) {
+	c.mu.Lock()
+	j := c.jobs[s.ID]
+	fresh := j == nil
+	if fresh {
+		j = c.addJob(store.JobRecord{Job: *s, At: now.UnixMilli()}, false)
+		c.hooks.Touch(store.JobKey(s.ID), store.Urgent, c.locked(func() { c.accept(s.ID) }))
+	}
+	if j.accepted {
+		st := c.status(j)
+		c.mu.Unlock()
+		return answer(http.StatusOK, st), true
+	}
+	changed := j.changed
+	c.mu.Unlock()
+	if !c.wait(ctx, changed) {
+		return later("the record is not stored yet"), true
+	}
+	st, ok := c.Known(s.ID)
+	if !ok {
+		return peer.Answer{}, false
+	}
+	if fresh && st.State == api.Pending {
+		return answer(http.StatusCreated, st), true
+	}
+	return answer(http.StatusOK, st), true
+}
+
+func (c *Core) wait(ctx context.Context, changed chan struct{}) bool {
+	select {
+	case <-changed:
+		return true
+	case <-ctx.Done():
+	case <-c.clock.After(tuning.AcceptWait):
+	}
+	return false
+}
+
+// accept: the job's record is stored.
+func (c *Core) accept(id string) {
+	j := c.jobs[id]
+	if j == nil || j.accepted {
+		return
+	}
+	j.accepted = true
+	if j.Final == "" {
+		for t := range j.total {
+			j.pending = append(j.pending, int32(t))
+		}
+	}
+	slog.Info("job accepted", "job", id, "class", j.Job.Class, "team", j.Job.Team, "tasks", j.total, "rank", j.Job.Rank)
+	j.notify()
+	c.kick()
+}
+
+// adopt takes in a job's record as the state service holds it.
+func (c *Core) adopt(key string, found *store.Item) {
+	switch {
+	case strings.HasPrefix(key, store.FinalPrefix):
+		id := strings.TrimPrefix(key, store.FinalPrefix)
+		var f store.FinalRecord
+		j := c.jobs[id]
+		if json.Unmarshal(found.Value, &f) != nil || j == nil || j.accepted {
+			return
+		}
+		c.dropJob(j)
+		c.hooks.Final(id, f)
+		j.notify()
+	case strings.HasPrefix(key, store.JobPrefix):
+		id := strings.TrimPrefix(key, store.JobPrefix)
+		var rec store.JobRecord
+		if json.Unmarshal(found.Value, &rec) != nil || rec.Job.ID != id {
+			slog.Error("a job's record is damaged", "key", key)
+			return
+		}
+		j := c.jobs[id]
+		if j != nil && j.accepted {
+			return
+		}
+		var changed chan struct{}
+		if j != nil {
+			changed = j.changed
+			c.dropJob(j)
+		}
+		j = c.addJob(rec, false)
+		if changed != nil {
+			j.changed = changed
+		}
+		if rec.Final != "" {
+			j.stored = true
+			c.hooks.Final(id, c.final(j))
+		}
+		c.accept(id)
+		c.settle(j)
+	}
+}
+
+// Cancel stores that a job is cancelled and waits until that is stored.
+func (c *Core) Cancel(ctx context.Context, id string) (peer.Answer, bool) {
+	c.mu.Lock()
+	j := c.jobs[id]
+	if j == nil {
+		c.mu.Unlock()
+		return peer.Answer{}, false
+	}
+	if !j.accepted {
+		c.mu.Unlock()
+		return later("the job is not accepted yet"), true
+	}
+	if j.Final == "" {
+		c.finish(j, api.Withdrawn)
+		for _, a := range j.live {
+			c.stopTask(a, tuning.CancelKill, "cancelled")
+		}
+	}
+	stored, changed := j.stored, j.changed
+	c.mu.Unlock()
+	if !stored && !c.wait(ctx, changed) {
+		return later("the record is not stored yet"), true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return answer(http.StatusOK, api.JobStatus{ID: id, State: j.Final, Done: j.done}), true
+}
--- /dev/null
+++ b/election/election.go
@@ -0,0 +1,233 @@
+// Package election makes one controller the leader, by a key on a lease of the
+// state service. A term's number is the revision of the write that won it, so
+// it only grows; workers know it as their token.
+package election
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"switchferry/store"
+	"switchferry/tuning"
+)
+
+// Events are told what happens. They must not block for long.
+type Events interface {
+	Elected(term uint64)
+	Lost(term uint64, why string)
+	// Alone tells whether no sibling can be reached.
+	Alone() bool
+}
+
+// Elector stands for election and keeps the term.
+type Elector struct {
+	member string
+	client *store.Client
+	clock  clockwork.Clock
+	events Events
+
+	mu     sync.Mutex
+	leader string // as last read
+	term   uint64 // ours; 0: none
+	lease  uint64
+	valid  time.Time
+	// standAfter keeps a leader that resigned from standing at once.
+	standAfter time.Time
+	quit       chan string
+}
+
+// New makes an elector.
+func New(member string, client *store.Client, clock clockwork.Clock, events Events) *Elector {
+	return &Elector{member: member, client: client, clock: clock, events: events, quit: make(chan string, 1)}
+}
+
+// Leader is the member that leads, as far as known.
+func (e *Elector) Leader() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.leader
+}
+
+// Term is our term and whether our key certainly still stands.
+func (e *Elector) Term() (term uint64, valid bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.term, e.term != 0 && e.clock.Now().Before(e.valid)
+}
+
+// ValidFor is how long ago our key's life ended; negative while it lasts.
+func (e *Elector) Overdue() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.clock.Since(e.valid)
+}
+
+// Resign gives the term up.
+func (e *Elector) Resign(why string) {
+	select {
+	case e.quit <- why:
+	default:
+	}
+}
+
+// Run stands and leads until the context ends.
+func (e *Elector) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if e.stand(ctx) {
+			e.lead(ctx)
+		}
+	}
+}
+
+func (e *Elector) sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-e.clock.After(d):
+	}
+}
+
+func (e *Elector) setLeader(m string) {
+	e.mu.Lock()
+	changed := e.leader != m
+	e.leader = m
+	e.mu.Unlock()
+	if changed && m != "" {
+		slog.Info("leader known", "leader", m)
+	}
+}
+
+// stand waits until there is no leader and tries to become it.
+func (e *Elector) stand(ctx context.Context) bool {
+	it, err := e.client.Get(ctx, store.LeaderKey)
+	switch {
+	case err == nil:
+		var l store.Leader
+		if json.Unmarshal(it.Value, &l) != nil {
+			slog.Error("the leader's key holds something else", "value", string(it.Value))
+		}
+		if l.Member == e.member {
+			// Left by our own process before it ended: no one else bears
+			// this name, so the lease can go at once.
+			slog.Info("ending the lease of our earlier process")
+			_ = e.client.End(ctx, it.Lease)
+			e.sleep(ctx, tuning.ElectRetry/5)
+			return false
+		}
+		e.setLeader(l.Member)
+		e.follow(ctx, it.Stamp)
+		return false
+	case !errors.Is(err, store.ErrNotFound):
+		e.sleep(ctx, tuning.ElectRetry)
+		return false
+	}
+	e.setLeader("")
+	e.mu.Lock()
+	wait := e.standAfter.Sub(e.clock.Now())
+	e.mu.Unlock()
+	if wait > 0 {
+		e.sleep(ctx, min(wait, tuning.ElectRetry))
+		return false
+	}
+	if e.events.Alone() {
+		// A node that reaches nobody leaves the first chance to the others.
+		e.sleep(ctx, tuning.LoneDelay)
+		if _, err := e.client.Get(ctx, store.LeaderKey); !errors.Is(err, store.ErrNotFound) {
+			return false
+		}
+	}
+	sent := e.clock.Now()
+	lease, err := e.client.Grant(ctx, tuning.TermTTL)
+	if err != nil {
+		e.sleep(ctx, tuning.ElectRetry)
+		return false
+	}
+	term, _, err := e.client.Multi(ctx,
+		[]store.Cond{{Key: store.LeaderKey, Stamp: 0}},
+		[]store.Op{{Set: store.LeaderKey, Value: store.Leader{Member: e.member}, Lease: lease}})
+	if errors.Is(err, store.ErrUnknown) {
+		// It may have won: read before anything else.
+		it, rerr := e.client.Get(ctx, store.LeaderKey)
+		if rerr == nil && it.Lease == lease {
+			term, err = it.Stamp, nil
+		}
+	}
+	if err != nil {
+		_ = e.client.End(ctx, lease)
+		e.sleep(ctx, tuning.ElectRetry/5)
+		return false
+	}
+	e.mu.Lock()
+	e.term, e.lease, e.leader = term, lease, e.member
+	e.valid = sent.Add(tuning.TermTTL - tuning.TermMargin)
+	select {
+	case <-e.quit:
+	default:
+	}
+	e.mu.Unlock()
+	slog.Info("elected", "term", term)
+	e.events.Elected(term)
+	return true
+}
+
+// follow waits until the leader's key changes.
+func (e *Elector) follow(ctx context.Context, after uint64) {
+	for ctx.Err() == nil {
+		log, epoch, err := e.client.Watch(ctx, store.LeaderKey, after, tuning.WatchBlock)
+		if err != nil {
+			e.sleep(ctx, tuning.ElectRetry)
+			return
+		}
+		if len(log) > 0 {
+			return
+		}
+		after = max(after, epoch)
+	}
+}
+
+// lead renews until the term is over. The lease is timed from the moment a
+// renewal was sent, since its answer may be late.
+func (e *Elector) lead(ctx context.Context) {
+	why := ""
+	for why == "" {
+		wait := tuning.RenewEvery
+		sent := e.clock.Now()
+		switch err := e.client.Renew(ctx, e.lease); {
+		case err == nil:
+			e.mu.Lock()
+			e.valid = sent.Add(tuning.TermTTL - tuning.TermMargin)
+			e.mu.Unlock()
+		case errors.Is(err, store.ErrNoLease):
+			why = "the lease ended"
+			continue
+		default:
+			wait = tuning.ElectRetry
+			if e.Overdue() > tuning.Holdover {
+				why = "the state service is out of reach"
+				continue
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case why = <-e.quit:
+		case <-e.clock.After(wait):
+		}
+	}
+	e.mu.Lock()
+	term, lease := e.term, e.lease
+	e.term, e.leader, e.valid = 0, "", time.Time{}
+	e.standAfter = e.clock.Now().Add(tuning.StandAgain)
+	if why == "the lease ended" {
+		e.standAfter = time.Time{}
+	}
+	e.mu.Unlock()
+	slog.Info("term over", "term", term, "why", why)
+	e.events.Lost(term, why)
+	_ = e.client.End(ctx, lease)
+}
--- /dev/null
+++ b/fleet/fleet.go
@@ -0,0 +1,169 @@
+// Package fleet holds what is known of one machine: what it is, its newest
+// report, its image cache and its health.
+package fleet
+
+import (
+	"time"
+
+	"switchferry/api"
+	"switchferry/tuning"
+)
+
+// Room is an amount of a machine's resources.
+type Room struct{ CPUs, Cards, MemoryGB float64 }
+
+// Of is what one task of a job takes.
+func Of(s *api.Submission) Room { return Room{s.CPUs, s.Cards, s.MemoryGB} }
+
+// Sub takes o away.
+func (r Room) Sub(o Room) Room {
+	return Room{r.CPUs - o.CPUs, r.Cards - o.Cards, r.MemoryGB - o.MemoryGB}
+}
+
+// Add puts o back.
+func (r Room) Add(o Room) Room {
+	return Room{r.CPUs + o.CPUs, r.Cards + o.Cards, r.MemoryGB + o.MemoryGB}
+}
+
+// Holds tells whether o fits.
+func (r Room) Holds(o Room) bool {
+	const s = tuning.RoomSlack
+	return r.CPUs+s >= o.CPUs && r.Cards+s >= o.Cards && r.MemoryGB+s >= o.MemoryGB
+}
+
+// Times is how many of o fit at once.
+func (r Room) Times(o Room) int {
+	n := 1 << 20
+	for _, p := range [3][2]float64{{r.CPUs, o.CPUs}, {r.Cards, o.Cards}, {r.MemoryGB, o.MemoryGB}} {
+		if p[1] > 0 {
+			n = min(n, max(0, int((p[0]+tuning.RoomSlack)/p[1])))
+		}
+	}
+	return n
+}
+
+// Machine is one machine as last heard of.
+type Machine struct {
+	Name    string
+	Address string
+	Type    string
+	Zone    string
+	Spot    bool
+	Spec    *api.MachineType
+
+	// Up: its worker has reported in this term.
+	Up      bool
+	Session uint64
+	Seq     uint64
+	Helm    uint64
+	// Heard is when a report last came in; Rented when it was asked for.
+	Heard  time.Time
+	Rented time.Time
+	// TakenAt is when the cloud takes it away; zero: no notice.
+	TakenAt time.Time
+	Tasks   map[string]api.TaskReport
+
+	cache images
+	// Errors counts failures in a row; ErrorJobs whose they were.
+	Errors    int
+	ErrorJobs map[string]bool
+}
+
+// Newer tells whether a report is newer than the last one taken in. A late
+// report must not undo a newer one.
+func (m *Machine) Newer(r *api.Report) bool {
+	return r.Session > m.Session || r.Session == m.Session && r.Seq > m.Seq
+}
+
+// Take notes a report that is newer.
+func (m *Machine) Take(r *api.Report, now time.Time) {
+	m.Up = true
+	m.Address, m.Type, m.Zone, m.Spot = r.Address, r.Type, r.Zone, r.Spot
+	m.Session, m.Seq, m.Helm = r.Session, r.Seq, r.Helm
+	if r.NoticeS != nil {
+		m.TakenAt = now.Add(time.Duration(*r.NoticeS * float64(time.Second)))
+	} else {
+		m.TakenAt = time.Time{}
+	}
+	m.Tasks = make(map[string]api.TaskReport, len(r.Tasks))
+	for _, t := range r.Tasks {
+		m.Tasks[t.Task] = t
+	}
+}
+
+// Failed counts a task that failed here; it tells whether the machine is now
+// suspect: several failures in a row, and not all of one job, whose own mistake
+// they may be.
+func (m *Machine) Failed(job string) bool {
+	if m.ErrorJobs == nil {
+		m.ErrorJobs = map[string]bool{}
+	}
+	m.Errors++
+	m.ErrorJobs[job] = true
+	return m.Suspect()
+}
+
+// Worked forgets failures: the machine completes tasks.
+func (m *Machine) Worked() { m.Errors, m.ErrorJobs = 0, nil }
+
+// Suspect tells whether the machine should get no more work.
+func (m *Machine) Suspect() bool {
+	return m.Errors >= tuning.SickErrors && len(m.ErrorJobs) >= 2
+}
+
+// Used notes that a task with this image ran here.
+func (m *Machine) Used(image string, gb float64) {
+	limit := 0.0
+	if m.Spec != nil {
+		limit = m.Spec.CacheGB
+	}
+	m.cache.use(image, gb, limit)
+}
+
+// Has tells whether the machine likely holds an image.
+func (m *Machine) Has(image string) bool { return m.cache.has(image) }
+
+// FetchS is the time to get an image, 0 if it is held.
+func (m *Machine) FetchS(image string, gb float64) float64 {
+	if m.Has(image) || m.Spec == nil || m.Spec.PullGBs <= 0 {
+		return 0
+	}
+	return gb / m.Spec.PullGBs
+}
+
+// images is the worker's cache as inferred from its reports: the most recently
+// used images that fit.
+type images struct {
+	names []string // most recent first
+	gb    []float64
+}
+
+func (c *images) has(name string) bool {
+	for _, n := range c.names {
+		if n == name {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *images) use(name string, gb, limit float64) {
+	for i, n := range c.names {
+		if n == name {
+			copy(c.names[1:i+1], c.names[:i])
+			copy(c.gb[1:i+1], c.gb[:i])
+			c.names[0], c.gb[0] = name, gb
+			return
+		}
+	}
+	c.names = append([]string{name}, c.names...)
+	c.gb = append([]float64{gb}, c.gb...)
+	sum := 0.0
+	for i, g := range c.gb {
+		sum += g
+		if i > 0 && limit > 0 && sum > limit {
+			c.names, c.gb = c.names[:i], c.gb[:i]
+			return
+		}
+	}
+}
--- /dev/null
+++ b/httpapi/httpapi.go
@@ -0,0 +1,111 @@
+// Package httpapi is the port for users, workers and health checks.
+package httpapi
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"switchferry/api"
+	"switchferry/controller"
+	"switchferry/peer"
+	"switchferry/tuning"
+)
+
+// Node is what the port serves.
+type Node interface {
+	Ready() bool
+	Report(r *api.Report) (status int, body any)
+	Handle(ctx context.Context, r peer.Request, forwarded bool) peer.Answer
+}
+
+// New makes the port's handler.
+func New(n Node) http.Handler {
+	e := echo.New()
+	e.HideBanner, e.HidePort = true, true
+	e.HTTPErrorHandler = func(err error, c echo.Context) {
+		status := http.StatusInternalServerError
+		var he *echo.HTTPError
+		if errors.As(err, &he) {
+			status = he.Code
+		}
+		if !c.Response().Committed {
+			_ = c.JSON(status, api.Error{Error: http.StatusText(status)})
+		}
+	}
+	user := func(verb string) echo.HandlerFunc {
+		return func(c echo.Context) error {
+			r := peer.Request{Verb: verb, Job: c.Param("id")}
+			if verb == controller.VerbSubmit {
+				body, err := read(c)
+				if err != nil {
+					return c.JSON(http.StatusBadRequest, api.Error{Error: err.Error(), Field: "body"})
+				}
+				r.Body = body
+			}
+			a := n.Handle(c.Request().Context(), r, false)
+			if a.RetryAfterS > 0 {
+				c.Response().Header().Set("Retry-After", strconv.Itoa(a.RetryAfterS))
+			}
+			slog.Debug("answered", "verb", verb, "job", r.Job, "status", a.Status)
+			return c.JSONBlob(a.Status, a.Body)
+		}
+	}
+	e.POST("/submissions", user(controller.VerbSubmit))
+	e.GET("/submissions/:id", user(controller.VerbStatus))
+	e.POST("/submissions/:id/cancel", user(controller.VerbCancel))
+	e.GET("/ready", func(c echo.Context) error {
+		if n.Ready() {
+			return c.NoContent(http.StatusOK)
+		}
+		return c.NoContent(http.StatusServiceUnavailable)
+	})
+	e.POST("/v1/report", func(c echo.Context) error {
+		body, err := read(c)
+		var r api.Report
+		if err == nil {
+			err = json.Unmarshal(body, &r)
+		}
+		if err == nil {
+			err = r.Check()
+		}
+		if err != nil {
+			slog.Error("malformed report", "from", c.Request().RemoteAddr, "err", err)
+			return c.JSON(http.StatusBadRequest, api.Error{Error: err.Error()})
+		}
+		status, ans := n.Report(&r)
+		return c.JSON(status, ans)
+	})
+	return e
+}
+
+var errTooLong = errors.New("the body is over 64 KiB")
+
+func read(c echo.Context) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(c.Request().Body, tuning.BodyLimit+1))
+	if err == nil && len(body) > tuning.BodyLimit {
+		err = errTooLong
+	}
+	return body, err
+}
+
+// Serve runs the port until the context ends.
+func Serve(ctx context.Context, l net.Listener, h http.Handler) error {
+	s := &http.Server{Handler: h, ReadHeaderTimeout: tuning.HeaderTimeout, IdleTimeout: 2 * time.Minute, MaxHeaderBytes: 16 << 10}
+	go func() {
+		<-ctx.Done()
+		_ = s.Close()
+	}()
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/peer/peer.go
@@ -0,0 +1,371 @@
+// Package peer is the back port: controllers greet each other and pass users'
+// requests to the leader, in FlatBuffers frames with a length before each.
+package peer
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	flatbuffers "github.com/google/flatbuffers/go"
+	"github.com/jonboulle/clockwork"
+
+	"switchferry/peer/wire"
+	"switchferry/settings"
+	"switchferry/tuning"
+)
+
+// Request is what a user asked of a sibling. Answer is what to say.
+type Request struct {
+	Verb string
+	Job  string
+	Body []byte
+}
+
+// Answer goes back to the user.
+type Answer struct {
+	Status      int
+	Body        []byte
+	RetryAfterS int
+}
+
+// Hello is what a controller says of itself.
+type Hello struct {
+	Member  string
+	Term    uint64
+	StateOK bool
+}
+
+// ErrUnreachable: the request may or may not have been handled.
+var ErrUnreachable = errors.New("sibling out of reach")
+
+// Handler serves a sibling's requests.
+type Handler func(ctx context.Context, r Request) Answer
+
+type sibling struct {
+	settings.Sibling
+	conn  net.Conn
+	wmu   sync.Mutex
+	heard time.Time
+	// refused is when it last refused a connection: it is down or full, but
+	// the way to it is open.
+	refused time.Time
+	hello   Hello
+	seq     uint64
+	waits   map[uint64]chan Answer
+}
+
+// Net is this controller's end of the back network.
+type Net struct {
+	clock  clockwork.Clock
+	self   func() Hello
+	handle Handler
+
+	mu       sync.Mutex
+	siblings map[string]*sibling
+}
+
+// New makes the back network's end.
+func New(sibs []settings.Sibling, clock clockwork.Clock, self func() Hello, handle Handler) *Net {
+	n := &Net{clock: clock, self: self, handle: handle, siblings: map[string]*sibling{}}
+	for _, s := range sibs {
+		n.siblings[s.Member] = &sibling{Sibling: s, waits: map[uint64]chan Answer{}}
+	}
+	return n
+}
+
+// Alive is what each sibling within reach last said of itself.
+func (n *Net) Alive() []Hello {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var out []Hello
+	for _, s := range n.siblings {
+		if !s.heard.IsZero() && n.clock.Since(s.heard) < tuning.PeerDead {
+			out = append(out, s.hello)
+		}
+	}
+	return out
+}
+
+// CutOff tells whether no sibling answers in any way, not even by refusing:
+// then more likely our own network is at fault.
+func (n *Net) CutOff() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, s := range n.siblings {
+		last := s.heard
+		if s.refused.After(last) {
+			last = s.refused
+		}
+		if !last.IsZero() && n.clock.Since(last) < tuning.PeerDead+tuning.PeerHello {
+			return false
+		}
+	}
+	return len(n.siblings) > 0
+}
+
+// Reaches tells whether a sibling answered lately.
+func (n *Net) Reaches(member string) bool {
+	for _, h := range n.Alive() {
+		if h.Member == member {
+			return true
+		}
+	}
+	return false
+}
+
+// Serve accepts siblings.
+func (n *Net) Serve(ctx context.Context, l net.Listener) error {
+	go func() { <-ctx.Done(); l.Close() }()
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			slog.Error("back port", "err", err)
+			n.clock.Sleep(tuning.ElectRetry)
+			continue
+		}
+		go n.serveConn(ctx, c)
+	}
+}
+
+// serveConn answers one sibling. Whatever is not a frame closes this
+// connection and nothing else.
+func (n *Net) serveConn(ctx context.Context, c net.Conn) {
+	defer c.Close()
+	var wmu sync.Mutex
+	rd := bufio.NewReader(c)
+	for {
+		f, err := readFrame(rd)
+		if err != nil {
+			if !errors.Is(err, io.EOF) {
+				slog.Debug("back port: closing a connection", "from", c.RemoteAddr(), "err", err)
+			}
+			return
+		}
+		switch f.kind {
+		case wire.KindHello:
+			if write(c, &wmu, n.helloFrame()) != nil {
+				return
+			}
+		case wire.KindRequest:
+			go func() {
+				a := n.handle(ctx, Request{f.verb, f.job, f.body})
+				_ = write(c, &wmu, frame{kind: wire.KindReply, seq: f.seq, status: a.Status, body: a.Body, retry: a.RetryAfterS})
+			}()
+		}
+	}
+}
+
+func (n *Net) helloFrame() frame {
+	h := n.self()
+	return frame{kind: wire.KindHello, member: h.Member, term: h.Term, stateOK: h.StateOK}
+}
+
+// Run keeps a connection to every sibling.
+func (n *Net) Run(ctx context.Context) {
+	for _, s := range n.siblings {
+		go n.keep(ctx, s)
+	}
+}
+
+func (n *Net) keep(ctx context.Context, s *sibling) {
+	for ctx.Err() == nil {
+		d := net.Dialer{Timeout: tuning.PeerDead}
+		c, err := d.DialContext(ctx, "tcp", s.Address)
+		if err == nil {
+			n.talk(ctx, s, c)
+		} else if errors.Is(err, syscall.ECONNREFUSED) {
+			n.mu.Lock()
+			s.refused = n.clock.Now()
+			n.mu.Unlock()
+		}
+		select {
+		case <-ctx.Done():
+		case <-n.clock.After(tuning.PeerHello):
+		}
+	}
+}
+
+func (n *Net) talk(ctx context.Context, s *sibling, c net.Conn) {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	n.mu.Lock()
+	s.conn = c
+	n.mu.Unlock()
+	go func() {
+		defer c.Close()
+		started := n.clock.Now()
+		for {
+			if write(c, &s.wmu, n.helloFrame()) != nil {
+				return
+			}
+			select {
+			case <-ctx.Done():
+				return
+			case <-n.clock.After(tuning.PeerHello):
+			}
+			n.mu.Lock()
+			last := s.heard
+			n.mu.Unlock()
+			if last.Before(started) {
+				last = started
+			}
+			// A peer behind a cut says nothing and raises no error.
+			if n.clock.Since(last) > tuning.PeerDead {
+				return
+			}
+		}
+	}()
+	rd := bufio.NewReader(c)
+	for {
+		f, err := readFrame(rd)
+		if err != nil {
+			break
+		}
+		n.mu.Lock()
+		s.heard = n.clock.Now()
+		switch f.kind {
+		case wire.KindHello:
+			s.hello = Hello{s.Member, f.term, f.stateOK}
+		case wire.KindReply:
+			if w := s.waits[f.seq]; w != nil {
+				w <- Answer{f.status, f.body, f.retry}
+				delete(s.waits, f.seq)
+			}
+		}
+		n.mu.Unlock()
+	}
+	c.Close()
+	n.mu.Lock()
+	s.conn = nil
+	s.heard = time.Time{}
+	for seq, w := range s.waits {
+		close(w)
+		delete(s.waits, seq)
+	}
+	n.mu.Unlock()
+}
+
+// Ask passes a request to a sibling.
+func (n *Net) Ask(ctx context.Context, member string, r Request) (Answer, error) {
+	n.mu.Lock()
+	s := n.siblings[member]
+	if s == nil || s.conn == nil || n.clock.Since(s.heard) > tuning.PeerDead {
+		n.mu.Unlock()
+		return Answer{}, ErrUnreachable
+	}
+	s.seq++
+	seq, c := s.seq, s.conn
+	wait := make(chan Answer, 1)
+	s.waits[seq] = wait
+	n.mu.Unlock()
+	defer func() {
+		n.mu.Lock()
+		delete(s.waits, seq)
+		n.mu.Unlock()
+	}()
+	if err := write(c, &s.wmu, frame{kind: wire.KindRequest, seq: seq, verb: r.Verb, job: r.Job, body: r.Body}); err != nil {
+		return Answer{}, ErrUnreachable
+	}
+	select {
+	case a, ok := <-wait:
+		if !ok {
+			return Answer{}, ErrUnreachable
+		}
+		return a, nil
+	case <-ctx.Done():
+	case <-n.clock.After(tuning.PeerTimeout):
+	}
+	return Answer{}, ErrUnreachable
+}
+
+// frame is a decoded wire.Frame.
+type frame struct {
+	kind      wire.Kind
+	seq, term uint64
+	member    string
+	stateOK   bool
+	verb, job string
+	body      []byte
+	status    int
+	retry     int
+}
+
+func encode(f frame) []byte {
+	b := flatbuffers.NewBuilder(256 + len(f.body))
+	text := func(s string) flatbuffers.UOffsetT {
+		if s == "" {
+			return 0
+		}
+		return b.CreateString(s)
+	}
+	member, verb, job := text(f.member), text(f.verb), text(f.job)
+	var body flatbuffers.UOffsetT
+	if len(f.body) > 0 {
+		body = b.CreateByteVector(f.body)
+	}
+	wire.FrameStart(b)
+	wire.FrameAddKind(b, f.kind)
+	wire.FrameAddSeq(b, f.seq)
+	wire.FrameAddMember(b, member)
+	wire.FrameAddTerm(b, f.term)
+	wire.FrameAddStateOk(b, f.stateOK)
+	wire.FrameAddVerb(b, verb)
+	wire.FrameAddJob(b, job)
+	wire.FrameAddBody(b, body)
+	wire.FrameAddStatus(b, uint16(f.status))
+	wire.FrameAddRetryAfterS(b, uint16(f.retry))
+	b.FinishSizePrefixed(wire.FrameEnd(b))
+	return b.FinishedBytes()
+}
+
+func write(c net.Conn, mu *sync.Mutex, f frame) error {
+	raw := encode(f)
+	mu.Lock()
+	defer mu.Unlock()
+	if err := c.SetWriteDeadline(time.Now().Add(tuning.PeerTimeout)); err != nil {
+		return err
+	}
+	_, err := c.Write(raw)
+	return err
+}
+
+// readFrame reads one frame. FlatBuffers for Go has no verifier: a damaged
+// frame shows as a panic of its accessors, which ends up as an error here.
+func readFrame(rd io.Reader) (f frame, err error) {
+	var head [4]byte
+	if _, err := io.ReadFull(rd, head[:]); err != nil {
+		return f, err
+	}
+	size := binary.LittleEndian.Uint32(head[:])
+	if size < 8 || size > tuning.FrameLimit {
+		return f, fmt.Errorf("frame of %d bytes", size)
+	}
+	raw := make([]byte, size)
+	if _, err := io.ReadFull(rd, raw); err != nil {
+		return f, err
+	}
+	defer func() {
+		if p := recover(); p != nil {
+			err = fmt.Errorf("damaged frame: %v", p)
+		}
+	}()
+	w := wire.GetRootAsFrame(raw, 0)
+	f = frame{kind: w.Kind(), seq: w.Seq(), term: w.Term(), member: string(w.Member()), stateOK: w.StateOk(),
+		verb: string(w.Verb()), job: string(w.Job()), body: w.BodyBytes(), status: int(w.Status()), retry: int(w.RetryAfterS())}
+	if f.kind > wire.KindReply {
+		return f, fmt.Errorf("unknown kind %d", f.kind)
+	}
+	return f, nil
+}
--- /dev/null
+++ b/placement/placement.go
@@ -0,0 +1,115 @@
+// Package placement is the water-filling of "Data-Locality-Aware Task
+// Assignment and Scheduling for Distributed Job Executions", section III-B.
+// It is pure: numbers in, numbers out.
+package placement
+
+import "math"
+
+// Server is a machine as one group of a job's tasks sees it.
+type Server struct {
+	// Busy is b: the slots until the queue ahead of this job is done.
+	Busy int
+	// Mu is how many of the job's tasks the machine finishes in a slot.
+	Mu float64
+}
+
+// Queued is what one job has outstanding on a machine.
+type Queued struct {
+	Tasks int
+	Mu    float64
+}
+
+// Busy is equation (2): the sum over the queued jobs of tasks by mu, rounded up.
+func Busy(queue []Queued) int {
+	b := 0
+	for _, q := range queue {
+		if q.Tasks > 0 && q.Mu > 0 {
+			b += ceil(float64(q.Tasks) / q.Mu)
+		}
+	}
+	return b
+}
+
+// Mu is the tasks of one job that a machine with room for `room` of them at
+// once finishes in a slot.
+func Mu(room int, slotS, taskS float64) float64 {
+	if room <= 0 || slotS <= 0 || taskS <= 0 {
+		return 0
+	}
+	return float64(room) * slotS / taskS
+}
+
+// covers is the left side of condition (9) at a level.
+func covers(servers []Server, level int) float64 {
+	sum := 0.0
+	for _, s := range servers {
+		if level > s.Busy {
+			sum += float64(level-s.Busy) * s.Mu
+		}
+	}
+	return sum
+}
+
+// Level is the least integer level at which the servers cover the tasks, found
+// by binary search; false if no level does.
+func Level(servers []Server, tasks int) (int, bool) {
+	if tasks <= 0 {
+		return 0, true
+	}
+	lo, hi, ok := 0, 0, false
+	for _, s := range servers {
+		if s.Mu > 0 {
+			// This server alone covers the tasks here, as in (5).
+			top := s.Busy + ceil(float64(tasks)/s.Mu)
+			if !ok || top < hi {
+				hi = top
+			}
+			ok = true
+		}
+	}
+	if !ok {
+		return 0, false
+	}
+	for lo < hi {
+		mid := lo + (hi-lo)/2
+		if covers(servers, mid) >= float64(tasks)-epsilon {
+			hi = mid
+		} else {
+			lo = mid + 1
+		}
+	}
+	return lo, true
+}
+
+// Fill gives each server below the level (level-b)*mu tasks, and the last
+// taking part the rest, and raises b to the level, as in (10). It returns the
+// tasks of each server, or nil if none can take them.
+func Fill(servers []Server, tasks int) []int {
+	level, ok := Level(servers, tasks)
+	if !ok {
+		return nil
+	}
+	out := make([]int, len(servers))
+	last := -1
+	left := tasks
+	for i, s := range servers {
+		if s.Busy >= level || s.Mu <= 0 {
+			continue
+		}
+		last = i
+		n := min(left, ceil(float64(level-s.Busy)*s.Mu))
+		out[i] = n
+		left -= n
+	}
+	if last >= 0 {
+		out[last] += left
+	}
+	for i := range servers {
+		servers[i].Busy = max(servers[i].Busy, level)
+	}
+	return out
+}
+
+const epsilon = 1e-9
+
+func ceil(x float64) int { return int(math.Ceil(x - epsilon)) }
--- /dev/null
+++ b/policy/policy.go
@@ -0,0 +1,191 @@
+// Package policy holds the operators' own settings: expressions, checked
+// before the service starts.
+package policy
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math"
+	"os"
+	"sort"
+	"strings"
+	"sync"
+
+	"github.com/expr-lang/expr"
+	"github.com/expr-lang/expr/vm"
+)
+
+// Names of the settings.
+const (
+	SlotS        = "slot_s"
+	FetchPenalty = "fetch_penalty"
+	HeadroomCPUs = "headroom_cpus"
+	IdleKeepS    = "idle_keep_s"
+	SpotShare    = "spot_share"
+)
+
+// Vars are the variables of an expression.
+type Vars map[string]float64
+
+type setting struct {
+	doc      string
+	fallback string
+	vars     []string
+	min, max float64
+}
+
+var known = map[string]setting{
+	SlotS: {"length of a slot of the water-filling, in seconds", "10",
+		nil, 0.1, 600},
+	FetchPenalty: {"slots added to the busy time of a machine that lacks the image", "ceil(fetch_s / slot_s)",
+		[]string{"fetch_s", "slot_s"}, 0, 1e6},
+	HeadroomCPUs: {"processors to keep beyond what unfinished jobs ask for", "0.4 * demand_cpus + 0.25 * guaranteed_cpus + 16",
+		[]string{"demand_cpus", "guaranteed_cpus"}, 0, 1e6},
+	IdleKeepS: {"how long a machine stays without work before it is returned, in seconds", "max(240, 8 * boot_s)",
+		[]string{"boot_s"}, 0, 1e6},
+	SpotShare: {"largest share of all processors that spot machines may be", "1",
+		[]string{"demand_cpus"}, 0, 1},
+}
+
+// Policy evaluates the settings.
+type Policy struct {
+	programs map[string]*vm.Program
+	defaults map[string]*vm.Program
+
+	mu     sync.Mutex
+	warned map[string]bool
+}
+
+func compile(name, text string) (*vm.Program, error) {
+	env := map[string]any{}
+	for _, v := range known[name].vars {
+		env[v] = 0.0
+	}
+	return expr.Compile(text, expr.Env(env), expr.AsFloat64())
+}
+
+// Default is the built-in policy.
+func Default() *Policy {
+	p := &Policy{programs: map[string]*vm.Program{}, defaults: map[string]*vm.Program{}, warned: map[string]bool{}}
+	for name, s := range known {
+		prog, err := compile(name, s.fallback)
+		if err != nil {
+			panic(fmt.Sprintf("built-in policy %s: %v", name, err))
+		}
+		p.programs[name], p.defaults[name] = prog, prog
+	}
+	return p
+}
+
+// Load reads a policy file over the defaults; an empty path gives these.
+func Load(path string) (*Policy, error) {
+	if path == "" {
+		return Default(), nil
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("policy: %w", err)
+	}
+	return Parse(string(raw))
+}
+
+// Parse reads lines of the form `name = expression`; # starts a comment. The
+// error has a line for every mistake.
+func Parse(text string) (*Policy, error) {
+	p := Default()
+	var bad []error
+	seen := map[string]int{}
+	sc := bufio.NewScanner(strings.NewReader(text))
+	for line := 1; sc.Scan(); line++ {
+		s := strings.TrimSpace(sc.Text())
+		if s == "" || strings.HasPrefix(s, "#") {
+			continue
+		}
+		name, body, ok := strings.Cut(s, "=")
+		name = strings.TrimSpace(name)
+		if !ok {
+			bad = append(bad, fmt.Errorf("policy: line %d: want name = expression", line))
+			continue
+		}
+		if _, ok := known[name]; !ok {
+			bad = append(bad, fmt.Errorf("policy: line %d: %s: no such setting; there are %s", line, name, strings.Join(Names(), ", ")))
+			continue
+		}
+		if at := seen[name]; at > 0 {
+			bad = append(bad, fmt.Errorf("policy: line %d: %s: already set in line %d", line, name, at))
+			continue
+		}
+		seen[name] = line
+		prog, err := compile(name, strings.TrimSpace(body))
+		if err != nil {
+			first, _, _ := strings.Cut(err.Error(), "\n")
+			bad = append(bad, fmt.Errorf("policy: line %d: %s: want a number: %s", line, name, first))
+			continue
+		}
+		p.programs[name] = prog
+	}
+	if err := sc.Err(); err != nil {
+		bad = append(bad, fmt.Errorf("policy: %w", err))
+	}
+	if len(bad) > 0 {
+		return nil, errors.Join(bad...)
+	}
+	return p, nil
+}
+
+// Names lists the settings.
+func Names() []string {
+	var out []string
+	for n := range known {
+		out = append(out, n)
+	}
+	sort.Strings(out)
+	return out
+}
+
+// Describe is a setting's meaning, its default and its variables.
+func Describe(name string) (doc, fallback string, vars []string) {
+	s := known[name]
+	return s.doc, s.fallback, s.vars
+}
+
+// Value evaluates a setting. An expression that fails or gives a value out of
+// range is replaced by the default, which is logged once.
+func (p *Policy) Value(name string, vars Vars) float64 {
+	s := known[name]
+	v, err := run(p.programs[name], vars)
+	if err == nil && v >= s.min && v <= s.max {
+		return v
+	}
+	d, derr := run(p.defaults[name], vars)
+	if derr != nil {
+		d = s.min
+	}
+	d = math.Min(math.Max(d, s.min), s.max)
+	p.mu.Lock()
+	first := !p.warned[name]
+	p.warned[name] = true
+	p.mu.Unlock()
+	if first {
+		slog.Error("policy: using the default", "setting", name, "value", v, "err", err, "least", s.min, "most", s.max)
+	}
+	return d
+}
+
+func run(prog *vm.Program, vars Vars) (float64, error) {
+	env := make(map[string]any, len(vars))
+	for k, v := range vars {
+		env[k] = v
+	}
+	out, err := expr.Run(prog, env)
+	if err != nil {
+		return 0, err
+	}
+	f, ok := out.(float64)
+	if !ok || math.IsNaN(f) {
+		return 0, fmt.Errorf("not a number: %v", out)
+	}
+	return f, nil
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,195 @@
+// Package settings reads and checks the platform's settings file.
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"net"
+	"os"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Settings is what the platform hands a controller.
+type Settings struct {
+	Member   string    `toml:"member"`
+	Zone     string    `toml:"site"`
+	Listen   string    `toml:"serve_on"`
+	Back     string    `toml:"back"`
+	Siblings []Sibling `toml:"siblings"`
+	External External  `toml:"external"`
+	Facts    Facts     `toml:"facts"`
+}
+
+// Sibling is another controller.
+type Sibling struct {
+	Member  string `toml:"member"`
+	Zone    string `toml:"site"`
+	Address string `toml:"address"`
+}
+
+// External holds the addresses of the services around us.
+type External struct {
+	Cloud string `toml:"cloud"`
+	State string `toml:"state"`
+}
+
+// Facts describes the deployment.
+type Facts struct {
+	Nodes      int         `toml:"nodes"`
+	Zones      []string    `toml:"zones"`
+	ClockOffMS float64     `toml:"clock_off_ms"`
+	Teams      []Team      `toml:"teams"`
+	Objectives []Objective `toml:"objectives"`
+	Workers    Workers     `toml:"workers"`
+	State      State       `toml:"state"`
+	Cloud      Cloud       `toml:"cloud"`
+	Resources  Resources   `toml:"resources"`
+}
+
+// Team has guaranteed amounts and limits; 0 means none.
+type Team struct {
+	Name     string  `toml:"name"`
+	CPUs     float64 `toml:"cpus"`
+	CPUsMax  float64 `toml:"cpus_max"`
+	Cards    float64 `toml:"gpus"`
+	CardsMax float64 `toml:"gpus_max"`
+}
+
+// Objective is one aim of the users.
+type Objective struct {
+	Kind    string  `toml:"kind"`
+	Class   string  `toml:"class"`
+	WithinS float64 `toml:"within_s"`
+	Share   float64 `toml:"share"`
+	Times   float64 `toml:"times"`
+}
+
+// Workers holds the times that workers go by.
+type Workers struct {
+	ReportS float64 `toml:"report_s"`
+	LeaseS  float64 `toml:"lease_s"`
+	CancelS float64 `toml:"cancel_s"`
+}
+
+// State holds the limits of the state service.
+type State struct {
+	RPS      float64 `toml:"rps"`
+	WriteRPS float64 `toml:"write_rps"`
+	ValueKB  float64 `toml:"value_kb"`
+	TxnOps   int     `toml:"txn_ops"`
+}
+
+// Cloud holds the limits of the cloud.
+type Cloud struct {
+	RPS      float64 `toml:"rps"`
+	ListLagS float64 `toml:"list_lag_s"`
+}
+
+// Resources is what this process may use.
+type Resources struct {
+	CPU     float64 `toml:"cpu"`
+	RAMMB   float64 `toml:"ram_mb"`
+	Sockets int     `toml:"sockets"`
+}
+
+// Load reads a settings file and checks it; the error names the field.
+func Load(path string) (*Settings, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	return Parse(raw)
+}
+
+// Parse decodes and checks settings. Unknown fields are ignored.
+func Parse(raw []byte) (*Settings, error) {
+	var s Settings
+	if err := toml.Unmarshal(raw, &s); err != nil {
+		var de *toml.DecodeError
+		if errors.As(err, &de) {
+			row, _ := de.Position()
+			return nil, fmt.Errorf("settings: line %d: %v: %v", row, de.Key(), de)
+		}
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	return &s, s.check()
+}
+
+func (s *Settings) check() error {
+	var bad []error
+	fail := func(field, want string) { bad = append(bad, fmt.Errorf("%s: %s", field, want)) }
+	addr := func(field, v string) {
+		host, port, err := net.SplitHostPort(v)
+		if err != nil || net.ParseIP(host) == nil || port == "" {
+			fail(field, "must be an IP address and a port")
+		}
+	}
+	positive := func(field string, v float64) {
+		if !(v > 0) || math.IsInf(v, 0) {
+			fail(field, "must be a number above 0")
+		}
+	}
+	if s.Member == "" {
+		fail("member", "is missing")
+	}
+	addr("serve_on", s.Listen)
+	addr("back", s.Back)
+	addr("external.cloud", s.External.Cloud)
+	addr("external.state", s.External.State)
+	seen := map[string]bool{s.Member: true}
+	for i, p := range s.Siblings {
+		f := fmt.Sprintf("siblings[%d]", i)
+		if p.Member == "" || seen[p.Member] {
+			fail(f+".member", "is missing or stands twice")
+		}
+		seen[p.Member] = true
+		addr(f+".address", p.Address)
+	}
+	names := map[string]bool{}
+	for i, t := range s.Facts.Teams {
+		f := fmt.Sprintf("facts.teams[%d]", i)
+		if t.Name == "" || names[t.Name] {
+			fail(f+".name", "is missing or stands twice")
+		}
+		names[t.Name] = true
+		for _, v := range []float64{t.CPUs, t.CPUsMax, t.Cards, t.CardsMax} {
+			if !(v >= 0) || math.IsInf(v, 0) {
+				fail(f, "amounts must be numbers of 0 or more")
+				break
+			}
+		}
+	}
+	positive("facts.workers.report_s", s.Facts.Workers.ReportS)
+	positive("facts.workers.lease_s", s.Facts.Workers.LeaseS)
+	positive("facts.workers.cancel_s", s.Facts.Workers.CancelS)
+	positive("facts.state.rps", s.Facts.State.RPS)
+	positive("facts.state.write_rps", s.Facts.State.WriteRPS)
+	positive("facts.state.value_kb", s.Facts.State.ValueKB)
+	if s.Facts.State.TxnOps < 3 {
+		fail("facts.state.txn_ops", "must be 3 or more")
+	}
+	positive("facts.cloud.rps", s.Facts.Cloud.RPS)
+	if !(s.Facts.Cloud.ListLagS >= 0) {
+		fail("facts.cloud.list_lag_s", "must be 0 or more")
+	}
+	positive("facts.resources.ram_mb", s.Facts.Resources.RAMMB)
+	if len(bad) == 0 {
+		return nil
+	}
+	if len(bad) == 1 {
+		return fmt.Errorf("settings: %w", bad[0])
+	}
+	return fmt.Errorf("settings: %w (and %d more)", bad[0], len(bad)-1)
+}
+
+// Team finds a team by name.
+func (s *Settings) Team(name string) (Team, bool) {
+	for _, t := range s.Facts.Teams {
+		if t.Name == name {
+			return t, true
+		}
+	}
+	return Team{}, false
+}
--- /dev/null
+++ b/store/client.go
@@ -0,0 +1,247 @@
+// Package store keeps the service's records in the state service.
+package store
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"switchferry/tuning"
+)
+
+// Outcomes of a call. ErrUnknown: it may have been executed, or may be later.
+var (
+	ErrConflict = errors.New("a condition failed")
+	ErrNotFound = errors.New("no such key")
+	ErrNoLease  = errors.New("no such lease")
+	ErrBusy     = errors.New("refused, not executed")
+	ErrUnknown  = errors.New("no answer, outcome unknown")
+	ErrTooOld   = errors.New("revision no longer kept")
+)
+
+// Item is a key with its value and the revision of its last change.
+type Item struct {
+	Key   string          `json:"k"`
+	Value json.RawMessage `json:"value"`
+	Stamp uint64          `json:"stamp"`
+	Lease uint64          `json:"ticket"`
+}
+
+// Cond holds if Key has this revision; 0: it does not exist.
+type Cond struct {
+	Key   string `json:"k"`
+	Stamp uint64 `json:"stamp"`
+}
+
+// Op sets or deletes a key.
+type Op struct {
+	Set    string `json:"set,omitempty"`
+	Value  any    `json:"value,omitempty"`
+	Lease  uint64 `json:"ticket,omitempty"`
+	Delete string `json:"delete,omitempty"`
+}
+
+// Event is one change that a watch saw.
+type Event struct {
+	Set    string          `json:"set"`
+	Value  json.RawMessage `json:"value"`
+	Delete string          `json:"delete"`
+	Stamp  uint64          `json:"stamp"`
+}
+
+// Client speaks to the state service.
+type Client struct {
+	base string
+	http *http.Client
+	// Seen is told of every answer: true when the service served the call.
+	Seen func(served bool)
+}
+
+// NewClient makes a client for an address.
+func NewClient(addr string, transport http.RoundTripper) *Client {
+	return &Client{base: "http://" + addr, http: &http.Client{Transport: transport}, Seen: func(bool) {}}
+}
+
+func (c *Client) call(ctx context.Context, method, path string, body, into any, timeout time.Duration) (int, error) {
+	ctx, stop := context.WithTimeout(ctx, timeout)
+	defer stop()
+	var rd io.Reader
+	if body != nil {
+		raw, err := json.Marshal(body)
+		if err != nil {
+			return 0, err
+		}
+		rd = bytes.NewReader(raw)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, rd)
+	if err != nil {
+		return 0, err
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		c.Seen(false)
+		return 0, fmt.Errorf("%w: %v", ErrUnknown, err)
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, tuning.AnswerLimit))
+	if err != nil {
+		c.Seen(false)
+		return 0, fmt.Errorf("%w: %v", ErrUnknown, err)
+	}
+	switch resp.StatusCode {
+	case http.StatusServiceUnavailable:
+		c.Seen(false)
+		return resp.StatusCode, fmt.Errorf("%w: status 503", ErrBusy)
+	case http.StatusTooManyRequests:
+		return resp.StatusCode, fmt.Errorf("%w: status 429", ErrBusy)
+	}
+	c.Seen(true)
+	if into != nil && len(raw) > 0 {
+		if err := json.Unmarshal(raw, into); err != nil {
+			return resp.StatusCode, fmt.Errorf("%w: malformed answer: %v", ErrUnknown, err)
+		}
+	}
+	return resp.StatusCode, nil
+}
+
+func unexpected(status int) error { return fmt.Errorf("%w: status %d", ErrUnknown, status) }
+
+// Get reads a key.
+func (c *Client) Get(ctx context.Context, key string) (Item, error) {
+	var it Item
+	status, err := c.call(ctx, http.MethodGet, "/store/"+key, nil, &it, tuning.StateTimeout)
+	switch {
+	case err != nil:
+		return it, err
+	case status == http.StatusOK:
+		return it, nil
+	case status == http.StatusNotFound:
+		return it, ErrNotFound
+	}
+	return it, unexpected(status)
+}
+
+// List reads all keys under a prefix, and the revision before the first page.
+func (c *Client) List(ctx context.Context, prefix string) ([]Item, uint64, error) {
+	var out []Item
+	var first uint64
+	after := ""
+	for {
+		q := url.Values{"under": {prefix}, "limit": {"500"}}
+		if after != "" {
+			q.Set("after", after)
+		}
+		var page struct {
+			Rows  []Item `json:"rows"`
+			More  bool   `json:"more"`
+			Epoch uint64 `json:"epoch"`
+		}
+		status, err := c.call(ctx, http.MethodGet, "/store?"+q.Encode(), nil, &page, tuning.StateTimeout)
+		if err != nil {
+			return nil, 0, err
+		}
+		if status != http.StatusOK {
+			return nil, 0, unexpected(status)
+		}
+		if first == 0 {
+			first = page.Epoch
+		}
+		out = append(out, page.Rows...)
+		if !page.More || len(page.Rows) == 0 {
+			return out, first, nil
+		}
+		after = page.Rows[len(page.Rows)-1].Key
+	}
+}
+
+// Multi runs a transaction and returns its revision; on ErrConflict the keys
+// whose conditions failed.
+func (c *Client) Multi(ctx context.Context, conds []Cond, ops []Op) (uint64, []string, error) {
+	body := struct {
+		If   []Cond `json:"if"`
+		Then []Op   `json:"then,omitempty"`
+	}{conds, ops}
+	var ans struct {
+		Epoch  uint64   `json:"epoch"`
+		Failed []string `json:"failed"`
+		Error  string   `json:"error"`
+	}
+	status, err := c.call(ctx, http.MethodPost, "/multi", body, &ans, tuning.StateTimeout)
+	switch {
+	case err != nil:
+		return 0, nil, err
+	case status == http.StatusOK && ans.Epoch > 0:
+		return ans.Epoch, nil, nil
+	case status == http.StatusConflict:
+		return ans.Epoch, ans.Failed, ErrConflict
+	case status == http.StatusBadRequest && ans.Error == "no such lease":
+		return 0, nil, ErrNoLease
+	case status == http.StatusBadRequest:
+		return 0, nil, fmt.Errorf("state service refuses a transaction: %s", ans.Error)
+	}
+	return 0, nil, unexpected(status)
+}
+
+// Grant makes a lease.
+func (c *Client) Grant(ctx context.Context, life time.Duration) (uint64, error) {
+	var ans struct {
+		Ticket uint64 `json:"ticket"`
+	}
+	status, err := c.call(ctx, http.MethodPost, "/leases", map[string]int64{"life_ms": life.Milliseconds()}, &ans, tuning.StateTimeout)
+	if err != nil {
+		return 0, err
+	}
+	if status != http.StatusOK || ans.Ticket == 0 {
+		return 0, unexpected(status)
+	}
+	return ans.Ticket, nil
+}
+
+func leasePath(id uint64) string { return "/leases/" + strconv.FormatUint(id, 10) }
+
+// Renew renews a lease.
+func (c *Client) Renew(ctx context.Context, id uint64) error {
+	status, err := c.call(ctx, http.MethodPost, leasePath(id)+"/renew", nil, nil, tuning.StateTimeout)
+	switch {
+	case err != nil:
+		return err
+	case status == http.StatusOK:
+		return nil
+	case status == http.StatusNotFound:
+		return ErrNoLease
+	}
+	return unexpected(status)
+}
+
+// End ends a lease at once, and the keys on it.
+func (c *Client) End(ctx context.Context, id uint64) error {
+	_, err := c.call(ctx, http.MethodDelete, leasePath(id), nil, nil, tuning.StateTimeout)
+	return err
+}
+
+// Watch waits for changes under a prefix after a revision.
+func (c *Client) Watch(ctx context.Context, prefix string, after uint64, block time.Duration) ([]Event, uint64, error) {
+	q := url.Values{"under": {prefix}, "after": {strconv.FormatUint(after, 10)},
+		"block_ms": {strconv.FormatInt(block.Milliseconds(), 10)}}
+	var ans struct {
+		Epoch uint64  `json:"epoch"`
+		Log   []Event `json:"log"`
+	}
+	status, err := c.call(ctx, http.MethodGet, "/watch?"+q.Encode(), nil, &ans, block+tuning.StateTimeout)
+	switch {
+	case err != nil:
+		return nil, 0, err
+	case status == http.StatusOK:
+		return ans.Log, ans.Epoch, nil
+	case status == http.StatusGone:
+		return nil, 0, ErrTooOld
+	}
+	return nil, 0, unexpected(status)
+}
--- /dev/null
+++ b/store/commit.go
@@ -0,0 +1,280 @@
+package store
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"golang.org/x/time/rate"
+
+	"switchferry/tuning"
+)
+
+// Source builds records as they stand at the moment of a commit.
+type Source interface {
+	// Record gives a key's value; false: the key is to be deleted. Further
+	// conditions can be added.
+	Record(key string) (value any, exists bool, more []Cond)
+	// Condition holds while we lead; false: we do not.
+	Condition() (Cond, bool)
+	// Conflict tells what a key holds that was not written by this leader.
+	Conflict(key string, found *Item)
+	// Deposed: the leader's key is no longer ours.
+	Deposed()
+}
+
+// Committer writes the leader's records in groups, one transaction at a time.
+// Every key is conditional on its revision, so that a transaction whose outcome
+// was unknown and that is applied late cannot undo a newer one.
+type Committer struct {
+	client  *Client
+	src     Source
+	clock   clockwork.Clock
+	ops     int
+	limiter *rate.Limiter
+
+	mu     sync.Mutex
+	dirty  map[string]*entry
+	stamps map[string]uint64
+	next   uint64
+	wake   chan struct{}
+}
+
+type entry struct {
+	key   string
+	order uint64
+	after []func()
+}
+
+// Urgent records (accepts) go before others.
+const (
+	Urgent = iota
+	Ordinary
+	Lazy
+)
+
+// NewCommitter makes a committer for one term. Stamps are the revisions of
+// the keys as loaded.
+func NewCommitter(client *Client, src Source, clock clockwork.Clock, writeRPS float64, ops int, stamps map[string]uint64) *Committer {
+	burst := max(1, int(writeRPS*tuning.QuotaShare))
+	return &Committer{client: client, src: src, clock: clock, ops: min(ops, burst),
+		limiter: rate.NewLimiter(rate.Limit(writeRPS*tuning.QuotaShare), burst),
+		dirty:   map[string]*entry{}, stamps: stamps, wake: make(chan struct{}, 1)}
+}
+
+// Touch asks for a key to be written; after runs once a state at least as new
+// as now is stored. It does not block.
+func (c *Committer) Touch(key string, urgency int, after func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	e := c.dirty[key]
+	c.next++
+	order := uint64(urgency)<<56 | c.next
+	if e == nil {
+		e = &entry{key: key, order: order}
+		c.dirty[key] = e
+	}
+	e.order = min(e.order, order)
+	if after != nil {
+		e.after = append(e.after, after)
+	}
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Know tells the revision of a key that another node wrote.
+func (c *Committer) Know(key string, stamp uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stamps[key] = stamp
+}
+
+// Waiting is the number of records not yet written.
+func (c *Committer) Waiting() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.dirty)
+}
+
+// Run commits until the context ends.
+func (c *Committer) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if c.Waiting() == 0 {
+			select {
+			case <-ctx.Done():
+				return
+			case <-c.wake:
+			}
+			continue
+		}
+		if pause := c.Step(ctx); pause > 0 {
+			select {
+			case <-ctx.Done():
+			case <-c.clock.After(pause):
+			}
+		}
+	}
+}
+
+// bytesLimit keeps a transaction under the 64 KiB of a request.
+const bytesLimit = 48 << 10
+
+// Step tries one transaction. It returns how long to wait before the next.
+func (c *Committer) Step(ctx context.Context) time.Duration {
+	batch := c.take()
+	if len(batch) == 0 {
+		return 0
+	}
+	lead, ok := c.src.Condition()
+	if !ok {
+		c.putBack(batch)
+		return tuning.Tick
+	}
+	conds := []Cond{lead}
+	var ops []Op
+	size := 0
+	used := batch[:0:0]
+	for i, e := range batch {
+		value, exists, more := c.src.Record(e.key)
+		c.mu.Lock()
+		stamp := c.stamps[e.key]
+		c.mu.Unlock()
+		if !exists && stamp == 0 {
+			used = append(used, e)
+			continue
+		}
+		op := Op{Delete: e.key}
+		if exists {
+			raw, err := json.Marshal(value)
+			if err != nil {
+				slog.Error("a record cannot be encoded", "key", e.key, "err", err)
+				continue
+			}
+			op = Op{Set: e.key, Value: json.RawMessage(raw)}
+			size += len(raw)
+		}
+		if size > bytesLimit && len(ops) > 0 {
+			c.putBack(batch[i:])
+			break
+		}
+		conds = append(append(conds, Cond{e.key, stamp}), more...)
+		ops = append(ops, op)
+		used = append(used, e)
+	}
+	if len(ops) > 0 {
+		now := c.clock.Now()
+		res := c.limiter.ReserveN(now, len(ops))
+		if d := res.DelayFrom(now); d > 0 {
+			res.CancelAt(now)
+			c.putBack(used)
+			return d
+		}
+		epoch, failed, err := c.client.Multi(ctx, conds, ops)
+		if err != nil {
+			c.putBack(used)
+			return c.failed(ctx, lead, ops, failed, err)
+		}
+		c.mu.Lock()
+		for _, op := range ops {
+			if op.Delete != "" {
+				delete(c.stamps, op.Delete)
+			} else {
+				c.stamps[op.Set] = epoch
+			}
+		}
+		c.mu.Unlock()
+	}
+	for _, e := range used {
+		for _, f := range e.after {
+			f()
+		}
+	}
+	return 0
+}
+
+func (c *Committer) failed(ctx context.Context, lead Cond, ops []Op, failed []string, err error) time.Duration {
+	const again = 100 * time.Millisecond
+	switch {
+	case errors.Is(err, ErrBusy):
+		return again
+	case errors.Is(err, ErrConflict):
+		if slices.Contains(failed, lead.Key) {
+			c.src.Deposed()
+			return tuning.Tick
+		}
+		for _, k := range failed {
+			c.reread(ctx, k, true)
+		}
+		return 0
+	case errors.Is(err, ErrUnknown):
+		// It may have been applied, or may be later: learn the keys'
+		// revisions. Should it be applied after this, the next try fails.
+		slog.Info("outcome of a commit is unknown, reading again", "err", err)
+		for _, op := range ops {
+			c.reread(ctx, op.Set+op.Delete, false)
+		}
+		return again
+	}
+	slog.Error("commit refused", "err", err)
+	return 10 * again
+}
+
+func (c *Committer) reread(ctx context.Context, key string, conflict bool) {
+	it, err := c.client.Get(ctx, key)
+	var found *Item
+	c.mu.Lock()
+	known, ours := c.stamps[key]
+	switch {
+	case err == nil:
+		found = &it
+		c.stamps[key] = it.Stamp
+	case errors.Is(err, ErrNotFound):
+		delete(c.stamps, key)
+	}
+	c.mu.Unlock()
+	// A key that we never knew and that exists was written by another node,
+	// or by a try of ours whose answer was lost; the source tells which.
+	if found != nil && (!ours || known != it.Stamp) && (conflict || !ours) {
+		c.src.Conflict(key, found)
+	}
+}
+
+func (c *Committer) take() []*entry {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	all := make([]*entry, 0, len(c.dirty))
+	for _, e := range c.dirty {
+		all = append(all, e)
+	}
+	slices.SortFunc(all, func(a, b *entry) int {
+		if a.order < b.order {
+			return -1
+		}
+		return 1
+	})
+	all = all[:min(len(all), c.ops)]
+	for _, e := range all {
+		delete(c.dirty, e.key)
+	}
+	return all
+}
+
+func (c *Committer) putBack(batch []*entry) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, e := range batch {
+		if now := c.dirty[e.key]; now != nil {
+			now.after = append(e.after, now.after...)
+			now.order = min(now.order, e.order)
+		} else {
+			c.dirty[e.key] = e
+		}
+	}
+}
--- /dev/null
+++ b/store/records.go
@@ -0,0 +1,124 @@
+package store
+
+import (
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"switchferry/api"
+	"switchferry/tuning"
+)
+
+// Keys. The layout is described in docs/operators.md.
+const (
+	// LeaderKey holds the leader; it hangs on a lease.
+	LeaderKey = "sf/leader"
+	// JobPrefix holds the jobs that are not over.
+	JobPrefix = "sf/j/"
+	// ShardPrefix holds their tasks' ends and machines.
+	ShardPrefix = "sf/t/"
+	// FinalPrefix holds the final state of jobs that are over.
+	FinalPrefix = "sf/f/"
+	// InboxPrefix names jobs that a sibling accepted without the leader.
+	InboxPrefix = "sf/in/"
+)
+
+// JobKey, FinalKey and InboxKey are the keys of a job.
+func JobKey(id string) string   { return JobPrefix + id }
+func FinalKey(id string) string { return FinalPrefix + id }
+func InboxKey(id string) string { return InboxPrefix + id }
+
+// ShardKey is the key of a run of a job's tasks.
+func ShardKey(id string, shard int) string { return fmt.Sprintf("%s%s/%d", ShardPrefix, id, shard) }
+
+// ParseShardKey is the reverse of ShardKey.
+func ParseShardKey(key string) (id string, shard int, ok bool) {
+	id, num, ok := strings.Cut(strings.TrimPrefix(key, ShardPrefix), "/")
+	if !ok {
+		return "", 0, false
+	}
+	shard, err := strconv.Atoi(num)
+	return id, shard, err == nil && shard >= 0
+}
+
+// Leader is the value of LeaderKey.
+type Leader struct {
+	Member string `json:"member"`
+}
+
+// JobRecord is a job as accepted. At orders the queues; it is the accepting
+// node's time of day in ms. Final is set once the job is done or cancelled.
+type JobRecord struct {
+	Job   api.Submission `json:"job"`
+	At    int64          `json:"at"`
+	Final string         `json:"final,omitempty"`
+}
+
+// FinalRecord is all that is kept of a job that is over.
+type FinalRecord struct {
+	State string `json:"s"`
+	Tasks int    `json:"n"`
+}
+
+// Placed is a task that is, or may be, on a machine.
+type Placed struct {
+	Task    int
+	Machine string
+	Attempt uint64
+}
+
+// MarshalJSON writes a short triple: a shard must stay within one value.
+func (p Placed) MarshalJSON() ([]byte, error) {
+	return json.Marshal([]any{p.Task, p.Machine, p.Attempt})
+}
+
+// UnmarshalJSON reads the triple.
+func (p *Placed) UnmarshalJSON(raw []byte) error {
+	return json.Unmarshal(raw, &[]any{&p.Task, &p.Machine, &p.Attempt})
+}
+
+// ShardRecord holds the done bits of a run of tasks and the machines of the
+// others.
+type ShardRecord struct {
+	Done string   `json:"d,omitempty"`
+	On   []Placed `json:"on,omitempty"`
+}
+
+// Bits is a bitmap of done tasks.
+type Bits []byte
+
+// NewBits makes room for n tasks.
+func NewBits(n int) Bits { return make(Bits, (n+7)/8) }
+
+// Has and Set read and mark a task.
+func (b Bits) Has(i int) bool { return b[i/8]&(1<<(i%8)) != 0 }
+
+// Set marks a task.
+func (b Bits) Set(i int) { b[i/8] |= 1 << (i % 8) }
+
+// Pack writes the bits of one shard.
+func (b Bits) Pack(shard int) string {
+	lo := shard * tuning.ShardTasks / 8
+	hi := min(len(b), lo+tuning.ShardTasks/8)
+	part := b[lo:hi]
+	for len(part) > 0 && part[len(part)-1] == 0 {
+		part = part[:len(part)-1]
+	}
+	return base64.RawStdEncoding.EncodeToString(part)
+}
+
+// Unpack reads the bits of one shard.
+func (b Bits) Unpack(shard int, s string) error {
+	part, err := base64.RawStdEncoding.DecodeString(s)
+	if err != nil {
+		return err
+	}
+	lo := shard * tuning.ShardTasks / 8
+	if lo+len(part) > len(b) {
+		return fmt.Errorf("shard %d is longer than its job", shard)
+	}
+	copy(b[lo:], part)
+	return nil
+}
--- /dev/null
+++ b/tuning/tuning.go
@@ -0,0 +1,150 @@
+// Package tuning holds every constant of the service, with unit and reason.
+package tuning
+
+import "time"
+
+// Leadership.
+const (
+	// TermTTL is the life of the leader's key. Short, so that a takeover lies
+	// well inside the workers' lease; long against a slow state answer (a few
+	// hundred ms) and a starved processor.
+	TermTTL = 2500 * time.Millisecond
+	// RenewEvery leaves room for three renewals before the key ends.
+	RenewEvery = 600 * time.Millisecond
+	// TermMargin is taken off our own view of the key's life: 0.05% drift
+	// plus the delay of a timer.
+	TermMargin = 150 * time.Millisecond
+	// Holdover bounds how long a leader that lost the state service goes on
+	// answering reports. Long against an outage, and no proof rests on it.
+	Holdover = 180 * time.Second
+	// StandAgain is how long a leader that resigned leaves the post to others.
+	StandAgain = 5 * time.Second
+	// LoneDelay holds back a candidate that reaches no sibling, so that one
+	// with a working network wins.
+	LoneDelay = 1500 * time.Millisecond
+	// DeafAfter: a leader that hears no worker and no sibling for so long,
+	// while machines should report, resigns.
+	DeafAfter = 3500 * time.Millisecond
+	// ElectRetry paces a candidate whose attempt failed.
+	ElectRetry = 250 * time.Millisecond
+)
+
+// Calls.
+const (
+	// StateTimeout bounds one state call; slow answers take a few hundred ms.
+	StateTimeout = 1200 * time.Millisecond
+	// WatchBlock is how long a watch waits for changes. Short, since a watch
+	// stays open through an outage and so hides it.
+	WatchBlock = 2 * time.Second
+	// InboxBlock is the same for the inbox, which nobody waits on.
+	InboxBlock = 10 * time.Second
+	// DialTimeout bounds a connection attempt; one that was given up does not
+	// complete later.
+	DialTimeout = time.Second
+	// IdleConns bounds open connections to other services that wait for use,
+	// against the limit of sockets.
+	IdleConns = 100
+	// WorkerTimeout bounds a direct command: past it, its outcome is unknown.
+	WorkerTimeout = 2 * time.Second
+	// CloudTimeout bounds a cloud call.
+	CloudTimeout = 5 * time.Second
+	// PeerTimeout bounds a forwarded request; the user waits 2 s for a poll.
+	PeerTimeout = 1500 * time.Millisecond
+	// PeerHello is the interval of greetings between controllers.
+	PeerHello = 500 * time.Millisecond
+	// PeerDead: a sibling silent for so long counts as unreachable.
+	PeerDead = 1600 * time.Millisecond
+	// AcceptWait bounds how long a submission waits for its record; past it
+	// the user is told to come back.
+	AcceptWait = 1500 * time.Millisecond
+	// BodyLimit is the protocol's limit of a request body in bytes.
+	BodyLimit = 64 << 10
+	// FrameLimit bounds a frame on the back port in bytes: a body and its names.
+	FrameLimit = 80 << 10
+	// AnswerLimit bounds what is read of an answer, in bytes. State lists
+	// reach 512 KiB; watches have no limit of their own.
+	AnswerLimit = 4 << 20
+)
+
+// RetryAfterS is what a user is told to wait, in seconds.
+const RetryAfterS = 1
+
+// Records.
+const (
+	// ShardTasks is how many tasks share one record: with all of them on
+	// machines, at under 30 bytes each, the record stays within 16 KiB.
+	ShardTasks = 400
+	// FinalCache is how many final jobs a controller keeps in memory.
+	FinalCache = 4000
+	// AttemptBits of an attempt number count within a term; the rest is the term.
+	AttemptBits = 24
+	// QuotaShare is the share of the write limit that the leader uses; the
+	// rest is for siblings that accept jobs themselves.
+	QuotaShare = 0.8
+)
+
+// Machines.
+const (
+	// SilentReports: a machine unheard for so many report intervals is given
+	// up and returned, which proves that its tasks are gone.
+	SilentReports = 4.5
+	// SilentMin is the least such time: loss and resending take a second.
+	SilentMin = 5 * time.Second
+	// NewTermGrace is added to the workers' lease before a new leader gives
+	// up a machine that it has not heard yet.
+	NewTermGrace = 2 * time.Second
+	// BootFactor times the catalog's boot time: later machines are replaced.
+	BootFactor = 3.0
+	// SickErrors: so many errors in a row, of two jobs or more, and the
+	// machine is suspect.
+	SickErrors = 3
+	// RefusedPause: after a 503 this kind of machine is not asked for again
+	// for a while.
+	RefusedPause = 12 * time.Second
+	// ListEvery paces the machine list.
+	ListEvery = 5 * time.Second
+	// CatalogEvery paces the catalog.
+	CatalogEvery = 60 * time.Second
+	// RentBatch is the cloud's limit for one rental.
+	RentBatch = 50
+	// ReturnBatch is the cloud's limit for one return.
+	ReturnBatch = 100
+	// SpotNoticeSlack is kept free before a machine is taken back, in seconds.
+	SpotNoticeSlack = 1.0
+)
+
+// Scheduling.
+const (
+	// Tick is the pace of the placer when nothing wakes it.
+	Tick = 250 * time.Millisecond
+	// PlaceGap is the least time between two runs of the placer, so that a
+	// burst of reports costs one run.
+	PlaceGap = 15 * time.Millisecond
+	// TendEvery is the pace of renting and returning.
+	TendEvery = 500 * time.Millisecond
+	// BackoffBase and BackoffMax pace a job that fails across machines.
+	BackoffBase = time.Second
+	BackoffMax  = 60 * time.Second
+	// BackoffErrors is how many errors a job may have before it is paced.
+	BackoffErrors = 3
+	// CancelKill is the wind-down of a cancelled task: its work is of no use.
+	CancelKill = 0.0
+	// MinRun is the least estimate of a task's time in seconds, so that a
+	// wrong estimate does not make a machine look endless.
+	MinRun = 1.0
+	// RoomSlack absorbs the rounding of decimal amounts.
+	RoomSlack = 1e-6
+)
+
+// Process.
+const (
+	// HeaderTimeout bounds how long a connection may take to say what it wants.
+	HeaderTimeout = 10 * time.Second
+	// HeapShare is the share of the memory limit that the heap may grow to
+	// before the collector works harder; the rest is stacks and the runtime.
+	HeapShare = 0.6
+	// ClientTimeout bounds one request of the command line.
+	ClientTimeout = 5 * time.Second
+	// ClientTotal bounds a command with its retries.
+	ClientTotal = 60 * time.Second
+)
