--- /dev/null
+++ b/api/api_test.go
@@ -0,0 +1,87 @@
+package api
+
+import (
+	"encoding/json"
+	"errors"
+	"testing"
+)
+
+func valid() map[string]any {
+	return map[string]any{"name_id": "run-000412", "jobclass": "train", "owner": "vision", "shape": "sweep", "rank": "high", "parts": 16,
+		"cores": 8.0, "cards": 1.0, "ram_gb": 64.0, "bundle": "img-07", "size_gb": 6.2, "hulls": []string{"g8"}, "berth": nil,
+		"together": true, "apart": false, "standby": true, "expect_s": 240.0, "snapshot_s": 30.0, "stow_s": 4.0, "due_s": 900.0}
+}
+
+func TestGoodSubmission(t *testing.T) {
+	v := valid()
+	v["more"] = "ignored"
+	delete(v, "berth")
+	v["due_s"] = nil
+	raw, _ := json.Marshal(v)
+	s, id, err := ParseSubmission(raw)
+	if err != nil || id != "run-000412" || s.Tasks != 16 || s.Types[0] != "g8" {
+		t.Errorf("%+v %q %v", s, id, err)
+	}
+	// What is stored must say the same again.
+	again, _ := json.Marshal(s)
+	var back Submission
+	if json.Unmarshal(again, &back) != nil || back.Team != "vision" || back.DeadlineS != 0 {
+		t.Errorf("%+v", back)
+	}
+}
+
+// Every field that is missing, mistyped or out of range is named.
+func TestBadFieldsAreNamed(t *testing.T) {
+	for field := range valid() {
+		if field == "hulls" || field == "berth" || field == "due_s" {
+			continue
+		}
+		v := valid()
+		delete(v, field)
+		check(t, v, field)
+	}
+	for _, c := range []struct {
+		field string
+		bad   any
+	}{{"parts", 0}, {"parts", 100001}, {"parts", 1.5}, {"parts", "3"}, {"cores", -1}, {"cores", 0}, {"cores", "8"}, {"ram_gb", 1e300},
+		{"rank", "urgent"}, {"shape", "gang"}, {"name_id", "job-1"}, {"name_id", 7}, {"together", 1}, {"hulls", "g8"}, {"hulls", []any{}},
+		{"expect_s", -0.5}, {"berth", 4}, {"bundle", ""}} {
+		v := valid()
+		v[c.field] = c.bad
+		check(t, v, c.field)
+	}
+}
+
+func check(t *testing.T, v map[string]any, field string) {
+	t.Helper()
+	raw, _ := json.Marshal(v)
+	_, id, err := ParseSubmission(raw)
+	var fe *FieldError
+	if !errors.As(err, &fe) || fe.Field != field {
+		t.Errorf("%s: error %v", field, err)
+	}
+	if field != "name_id" && id != "run-000412" {
+		t.Errorf("%s: the id was lost", field)
+	}
+}
+
+func TestNotAnObject(t *testing.T) {
+	for _, body := range []string{"", "{", "[]", "null", "3", `"x"`, `{"cores": 1e999}`} {
+		if _, _, err := ParseSubmission([]byte(body)); err == nil {
+			t.Errorf("%q was taken", body)
+		}
+	}
+}
+
+func TestFits(t *testing.T) {
+	m := MachineType{Name: "g8", CPUs: 8, MemoryGB: 32, CacheGB: 10, Zones: []string{"a"}}
+	for _, c := range []struct {
+		s    Submission
+		want bool
+	}{{Submission{CPUs: 8, MemoryGB: 32}, true}, {Submission{CPUs: 8.1}, false}, {Submission{CPUs: 1, Cards: 1}, false},
+		{Submission{CPUs: 1, Types: []string{"x"}}, false}, {Submission{CPUs: 1, Zone: "b"}, false}, {Submission{CPUs: 1, Image: "i", ImageGB: 11}, false}} {
+		if m.Fits(&c.s) != c.want {
+			t.Errorf("%+v", c.s)
+		}
+	}
+}
--- a/controller/core.go
+++ b/controller/core.go
@@ -139,6 +139,8 @@
 	use      map[string]fleet.Room
 	attempts uint64
 	charters uint64
+	// toPush are machines with commands that a commit has set free.
+	toPush   map[*machine]bool
 	refusals map[pool]time.Time
 	renting  int
 	wake     chan struct{}
@@ -149,7 +151,7 @@
 func NewCore(term uint64, clock clockwork.Clock, set *settings.Settings, pol *policy.Policy, types []api.MachineType, hooks Hooks) *Core {
 	c := &Core{term: term, clock: clock, set: set, policy: pol, hooks: hooks,
 		types: map[string]*api.MachineType{}, jobs: map[string]*job{}, machines: map[string]*machine{},
-		gone: map[string]time.Time{}, use: map[string]fleet.Room{}, refusals: map[pool]time.Time{},
+		gone: map[string]time.Time{}, toPush: map[*machine]bool{}, use: map[string]fleet.Room{}, refusals: map[pool]time.Time{},
 		wake: make(chan struct{}, 1), started: clock.Now()}
 	c.heard = c.started
 	c.SetTypes(types)
@@ -491,6 +493,16 @@
 	return nil
 }
 
+// Committed sends what a commit has set free, in one command a machine.
+func (c *Core) Committed() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for m := range c.toPush {
+		c.push(m)
+	}
+	clear(c.toPush)
+}
+
 // Loaded tells whether the records have been read.
 func (c *Core) Loaded() bool {
 	c.mu.Lock()
--- /dev/null
+++ b/controller/core_test.go
@@ -0,0 +1,619 @@
+package controller
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"switchferry/api"
+	"switchferry/internal/standin"
+	"switchferry/policy"
+	"switchferry/settings"
+	"switchferry/store"
+)
+
+// stage is a leader on a fake clock with a scripted state service; the test
+// plays the workers and the cloud.
+type stage struct {
+	*testing.T
+	*Core
+	clock    *clockwork.FakeClock
+	state    *standin.State
+	com      *store.Committer
+	valid    bool
+	sent     []sentOrders
+	finals   map[string]store.FinalRecord
+	seq      uint64
+	answered int
+}
+
+type sentOrders struct {
+	name string
+	o    api.Orders
+}
+
+var testTypes = []api.MachineType{{Name: "m8", CPUs: 8, MemoryGB: 32, CacheGB: 20, PullGBs: 0.5, BootS: 30, Zones: []string{"a", "b"}}}
+
+func newStage(t *testing.T) *stage {
+	clock := clockwork.NewFakeClock()
+	return (&stage{T: t, clock: clock, state: standin.NewState(clock)}).elect()
+}
+
+// elect begins a new term over the same state service, as after a crash.
+func (s *stage) elect() *stage {
+	s.Helper()
+	set := &settings.Settings{Member: "x"}
+	set.Facts.Workers = settings.Workers{ReportS: 1, LeaseS: 10, CancelS: 40}
+	set.Facts.State = settings.State{RPS: 200, WriteRPS: 5000, ValueKB: 16, TxnOps: 12}
+	set.Facts.Teams = []settings.Team{{Name: "t", CPUsMax: 400}, {Name: "small", CPUsMax: 8}}
+	term := s.state.Put(store.LeaderKey, store.Leader{Member: "x"})
+	client := store.NewClient("state:1", s.state)
+	s.valid, s.sent, s.answered, s.finals = true, nil, 0, map[string]store.FinalRecord{}
+	hooks := Hooks{
+		Touch: func(k string, u int, f func()) { s.com.Touch(k, u, f) },
+		Send:  func(n, _ string, o api.Orders) { s.sent = append(s.sent, sentOrders{n, o}) },
+		Valid: func() bool { return s.valid },
+		Final: func(id string, f store.FinalRecord) { s.finals[id] = f },
+	}
+	s.Core = NewCore(term, s.clock, set, policy.Default(), testTypes, hooks)
+	s.com = store.NewCommitter(client, stageSource{s.Core, s}, s.clock, set.Facts.State.WriteRPS, set.Facts.State.TxnOps, map[string]uint64{})
+	ctx := context.Background()
+	jobs, _, err := client.List(ctx, store.JobPrefix)
+	if err != nil {
+		s.Fatal(err)
+	}
+	shards, _, err := client.List(ctx, store.ShardPrefix)
+	if err != nil {
+		s.Fatal(err)
+	}
+	for _, it := range append(jobs, shards...) {
+		s.com.Know(it.Key, it.Stamp)
+	}
+	if err := s.Load(jobs, shards); err != nil {
+		s.Fatal(err)
+	}
+	return s
+}
+
+type stageSource struct {
+	*Core
+	s *stage
+}
+
+func (x stageSource) Condition() (store.Cond, bool) {
+	return store.Cond{Key: store.LeaderKey, Stamp: x.term}, x.s.valid
+}
+func (x stageSource) Deposed() { x.s.valid = false }
+
+// commit writes all that waits.
+func (s *stage) commit() {
+	for i := 0; s.com.Waiting() > 0 && i < 2000; i++ {
+		s.com.Step(context.Background())
+		s.clock.Advance(time.Millisecond)
+	}
+}
+
+// submit stores a job.
+func (s *stage) submit(id string, tasks int, change func(*api.Submission)) {
+	s.Helper()
+	sub := api.Submission{ID: id, Class: "c", Team: "t", Shape: api.Array, Rank: "normal", Tasks: tasks,
+		CPUs: 4, MemoryGB: 8, Image: "img", ImageGB: 1, Spot: true, EstimateS: 30}
+	if change != nil {
+		change(&sub)
+	}
+	s.Submit(gaveUp(), &sub, s.clock.Now())
+	s.commit()
+	if _, ok := s.Known(id); !ok {
+		s.Fatalf("%s not accepted", id)
+	}
+}
+
+// report plays a worker that has seen the current term.
+func (s *stage) report(name string, session uint64, tasks ...api.TaskReport) api.Orders {
+	s.seq++
+	return s.reportAt(name, session, s.seq, s.term, tasks...)
+}
+
+func (s *stage) reportAt(name string, session, seq, helm uint64, tasks ...api.TaskReport) api.Orders {
+	o, _, _ := s.Report(&api.Report{Machine: name, Address: name + ":1", Type: "m8", Zone: zoneOf(name), Session: session, Seq: seq, Helm: helm, Tasks: tasks})
+	return o
+}
+
+// zoneOf puts machines whose name begins with b into zone b.
+func zoneOf(name string) string {
+	if name[0] == 'b' {
+		return "b"
+	}
+	return "a"
+}
+
+func task(key string, attempt uint64, state, cause string) api.TaskReport {
+	return api.TaskReport{Task: key, Attempt: attempt, State: state, Cause: cause}
+}
+
+// starts are the run commands sent directly so far, newest last.
+func (s *stage) starts(key string) (out []sentOrders) {
+	for _, o := range s.sent {
+		for _, c := range o.o.Commands {
+			if c.Verb == api.Start && c.Task == key {
+				out = append(out, sentOrders{o.name, api.Orders{Helm: o.o.Helm, Session: o.o.Session, Commands: []api.Command{c}}})
+			}
+		}
+	}
+	return out
+}
+
+func has(o api.Orders, verb, key string) bool {
+	for _, c := range o.Commands {
+		if c.Verb == verb && c.Task == key {
+			return true
+		}
+	}
+	return false
+}
+
+// started places a job of one task on a lone machine and returns its start.
+func (s *stage) started(id string) sentOrders {
+	s.Helper()
+	s.report("a1", 1)
+	s.submit(id, 1, nil)
+	s.Place()
+	if len(s.sent) > 0 {
+		s.Fatal("a start was sent before it was stored")
+	}
+	s.commit()
+	st := s.starts(id + "/0")
+	if len(st) != 1 {
+		s.Fatalf("%d starts", len(st))
+	}
+	return st[0]
+}
+
+func TestStartIsStoredBeforeItIsSent(t *testing.T) {
+	s := newStage(t)
+	st := s.started("run-000001")
+	if s.state.Get(store.ShardKey("run-000001", 0)) == nil || st.name != "a1" {
+		t.Error("no record, or the wrong machine")
+	}
+}
+
+// A direct start without an answer may be executed at any later time: the same
+// attempt is repeated on the same machine, and nowhere else.
+func TestUnansweredStartStaysOnItsMachine(t *testing.T) {
+	s := newStage(t)
+	st := s.started("run-000001")
+	s.Answered("a1", st.o, nil, false)
+	s.report("b1", 1)
+	for range 5 {
+		s.clock.Advance(time.Second)
+		o := s.report("a1", 1)
+		if !has(o, api.Start, "run-000001/0") || o.Commands[0].Attempt != st.o.Commands[0].Attempt {
+			t.Fatalf("want the same attempt again, got %+v", o.Commands)
+		}
+		s.report("b1", 1)
+		s.Place()
+		s.commit()
+	}
+	for _, x := range s.starts("run-000001/0") {
+		if x.name != "a1" {
+			t.Errorf("started on %s as well", x.name)
+		}
+	}
+}
+
+// A clear makes the worker forget the attempt; a start of it that is still
+// under way would run it again.
+func TestClearWaitsForOpenStart(t *testing.T) {
+	s := newStage(t)
+	st := s.started("run-000001")
+	a := st.o.Commands[0].Attempt
+	o := s.report("a1", 1, task("run-000001/0", a, api.TaskEnded, api.CauseStopped))
+	if has(o, api.Forget, "run-000001/0") {
+		t.Fatal("cleared while its start was unanswered")
+	}
+	s.Answered("a1", st.o, nil, true)
+	if o = s.report("a1", 1, task("run-000001/0", a, api.TaskEnded, api.CauseStopped)); !has(o, api.Forget, "run-000001/0") {
+		t.Error("not cleared after the answer")
+	}
+}
+
+// A new leader starts nothing that a machine which it has not heard may run.
+func TestNewLeaderWaitsForUnheardMachine(t *testing.T) {
+	s := newStage(t)
+	st := s.started("run-000001")
+	s.elect()
+	s.report("b1", 1)
+	s.Place()
+	s.commit()
+	if len(s.starts("run-000001/0")) != 0 {
+		t.Fatal("started twice")
+	}
+	// A report from before our term proves nothing: an old command may follow.
+	s.reportAt("a1", 1, 500, st.o.Helm)
+	s.Place()
+	s.commit()
+	if len(s.starts("run-000001/0")) != 0 {
+		t.Fatal("an old report was taken for a proof")
+	}
+	s.reportAt("a1", 1, 501, s.term)
+	s.Place()
+	s.commit()
+	got := s.starts("run-000001/0")
+	if len(got) != 1 || got[0].o.Commands[0].Attempt == st.o.Commands[0].Attempt {
+		t.Errorf("want one start of a new attempt, got %+v", got)
+	}
+}
+
+// The cloud's answer to a return proves that a silent machine's tasks are gone.
+func TestReturnOfSilentMachineFreesItsTasks(t *testing.T) {
+	s := newStage(t)
+	s.started("run-000001")
+	s.report("a2", 1)
+	for range 16 {
+		s.clock.Advance(time.Second)
+		s.report("a2", 1)
+		s.Place()
+	}
+	names := s.Tend()
+	if len(names) != 1 || names[0] != "a1" {
+		t.Fatalf("to be returned: %v", names)
+	}
+	s.commit()
+	if len(s.starts("run-000001/0")) != 1 {
+		t.Fatal("started elsewhere before the proof")
+	}
+	s.Returned(names, nil)
+	s.Place()
+	s.commit()
+	if got := s.starts("run-000001/0"); len(got) != 2 || got[1].name != "a2" {
+		t.Errorf("starts %+v", got)
+	}
+	// What the machine said before, held up on the way, brings nothing back.
+	if _, _, refused := s.Report(&api.Report{Machine: "a1", Session: 1, Seq: 900, Helm: s.term}); !refused {
+		t.Error("a returned machine was taken back")
+	}
+}
+
+// A whole zone that is silent is more likely cut off than gone.
+func TestCutZoneIsNotReturned(t *testing.T) {
+	s := newStage(t)
+	s.report("b1", 1)
+	s.report("b2", 1)
+	for range 15 {
+		s.clock.Advance(time.Second)
+		s.report("a1", 1)
+		s.report("a2", 1)
+	}
+	if names := s.Tend(); len(names) != 0 {
+		t.Errorf("returned %v", names)
+	}
+}
+
+func TestHigherSessionProvesLoss(t *testing.T) {
+	s := newStage(t)
+	st := s.started("run-000001")
+	s.Answered("a1", st.o, nil, false)
+	s.report("a1", 2)
+	s.Place()
+	s.commit()
+	if got := s.starts("run-000001/0"); len(got) != 2 || got[1].o.Session != 2 || got[1].o.Commands[0].Attempt == got[0].o.Commands[0].Attempt {
+		t.Errorf("starts %+v", got)
+	}
+}
+
+// gaveUp is the context of a user who does not wait for the answer.
+func gaveUp() context.Context {
+	ctx, stop := context.WithCancel(context.Background())
+	stop()
+	return ctx
+}
+
+// A cancel that overtakes a start: what was never sent never goes out, and what
+// was sent is killed when it shows, however late.
+func TestCancelRacingStart(t *testing.T) {
+	s := newStage(t)
+	s.report("a1", 1)
+	s.submit("run-000001", 1, nil)
+	s.Place()
+	s.Cancel(gaveUp(), "run-000001")
+	s.commit()
+	if n := len(s.starts("run-000001/0")); n != 0 {
+		t.Errorf("%d starts after the cancel", n)
+	}
+
+	s = newStage(t)
+	st := s.started("run-000002")
+	s.Answered("a1", st.o, nil, false)
+	s.Cancel(gaveUp(), "run-000002")
+	s.commit()
+	if o := s.report("a1", 1); has(o, api.Start, "run-000002/0") {
+		t.Error("a cancelled task was started again")
+	}
+	if o := s.report("a1", 1, task("run-000002/0", st.o.Commands[0].Attempt, api.TaskFetching, "")); !has(o, api.Stop, "run-000002/0") {
+		t.Error("a late start was not killed")
+	}
+	if s.finals["run-000002"].State != api.Withdrawn {
+		t.Error("not on record as cancelled")
+	}
+}
+
+// A task that was done just before the leader crashed: the new one hears of it,
+// stores it before it clears it, and does not run it again.
+func TestDoneJustBeforeCrash(t *testing.T) {
+	s := newStage(t)
+	s.report("a1", 1)
+	s.submit("run-000001", 2, nil)
+	s.Place()
+	s.commit()
+	at := s.starts("run-000001/0")[0].o.Commands[0].Attempt
+	at1 := s.starts("run-000001/1")[0].o.Commands[0].Attempt
+	s.elect()
+	done := task("run-000001/0", at, api.TaskEnded, api.CauseDone)
+	other := task("run-000001/1", at1, api.TaskRunning, "")
+	if o := s.report("a1", 1, done, other); has(o, api.Forget, "run-000001/0") || has(o, api.Stop, "run-000001/1") {
+		t.Fatal("cleared before it was stored, or a running task was killed")
+	}
+	s.commit()
+	if o := s.report("a1", 1, done, other); !has(o, api.Forget, "run-000001/0") {
+		t.Error("not cleared once stored")
+	}
+	s.Place()
+	s.commit()
+	if len(s.starts("run-000001/0"))+len(s.starts("run-000001/1")) != 0 {
+		t.Error("run again")
+	}
+	if st, _ := s.Known("run-000001"); st.State != api.Running || st.Done != 1 {
+		t.Errorf("status %+v", st)
+	}
+	s.report("a1", 1, task("run-000001/1", at1, api.TaskEnded, api.CauseDone))
+	if len(s.finals) != 0 {
+		t.Error("done before that was stored")
+	}
+	s.commit()
+	if s.finals["run-000001"].State != api.Done || s.state.Get(store.FinalKey("run-000001")) == nil || s.state.Get(store.JobKey("run-000001")) != nil || s.state.Get(store.ShardKey("run-000001", 0)) != nil {
+		t.Error("the job was not filed")
+	}
+	// A late repeat must not bring it back to life.
+	s.Submit(gaveUp(), &api.Submission{ID: "run-000001", Tasks: 1, Shape: api.Array, Team: "t"}, s.clock.Now())
+	s.commit()
+	if s.state.Get(store.JobKey("run-000001")) != nil {
+		t.Error("a job that is over was accepted again")
+	}
+}
+
+// While the state service is out, reports are answered, else every worker would
+// kill its tasks; nothing is started.
+func TestOutageLongerThanLease(t *testing.T) {
+	s := newStage(t)
+	st := s.started("run-000001")
+	s.Answered("a1", st.o, nil, true)
+	s.submit("run-000002", 1, nil)
+	s.Place()
+	s.valid = false
+	s.state.Down = true
+	run := task("run-000001/0", st.o.Commands[0].Attempt, api.TaskRunning, "")
+	for range 25 {
+		s.clock.Advance(time.Second)
+		s.com.Step(context.Background())
+		o := s.report("a1", 1, run)
+		s.Place()
+		if o.Helm != s.term || len(o.Commands) != 0 {
+			t.Fatalf("answer in an outage: %+v", o)
+		}
+		if len(s.Tend())+len(s.Rentals()) != 0 {
+			t.Fatal("machines returned or rented in an outage")
+		}
+	}
+	s.valid, s.state.Down = true, false
+	s.clock.Advance(time.Second)
+	s.commit()
+	if len(s.starts("run-000002/0")) != 1 {
+		t.Error("not started after the outage")
+	}
+}
+
+// A worker that has seen a higher term has another leader.
+func TestHigherTermDeposes(t *testing.T) {
+	s := newStage(t)
+	_, deposed, _ := s.Report(&api.Report{Machine: "a1", Session: 1, Seq: 1, Helm: s.term + 5})
+	if !deposed {
+		t.Error("still leads")
+	}
+}
+
+// A report that was held up on the way must not undo a newer one.
+func TestLateReport(t *testing.T) {
+	s := newStage(t)
+	st := s.started("run-000001")
+	s.Answered("a1", st.o, nil, true)
+	s.reportAt("a1", 1, 50, s.term, task("run-000001/0", st.o.Commands[0].Attempt, api.TaskRunning, ""))
+	if o := s.reportAt("a1", 1, 40, s.term); len(o.Commands) != 0 {
+		t.Errorf("commands on a late report: %+v", o.Commands)
+	}
+	s.Place()
+	s.commit()
+	if len(s.starts("run-000001/0")) != 1 {
+		t.Error("a late report made the task start again")
+	}
+}
+
+// Machines of a rental whose answer was lost turn up and are used.
+func TestUnexpectedMachineIsUsed(t *testing.T) {
+	s := newStage(t)
+	s.submit("run-000001", 1, nil)
+	s.Listed([]api.CloudMachine{{Name: "a7", Address: "a7:1", Type: "m8", Zone: "a", State: "booting"}})
+	s.Place()
+	s.report("a7", 1)
+	s.Place()
+	s.commit()
+	if got := s.starts("run-000001/0"); len(got) != 1 || got[0].name != "a7" {
+		t.Errorf("starts %+v", got)
+	}
+}
+
+// A task that runs though no record names its machine counts from then on.
+func TestUnknownRunningTaskIsNotStartedTwice(t *testing.T) {
+	s := newStage(t)
+	s.submit("run-000001", 1, nil)
+	s.report("a1", 1, task("run-000001/0", 77, api.TaskRunning, ""))
+	s.report("b1", 1)
+	s.Place()
+	s.commit()
+	if len(s.starts("run-000001/0")) != 0 {
+		t.Error("started twice")
+	}
+}
+
+func TestLargestJobWithinStateLimits(t *testing.T) {
+	s := newStage(t)
+	s.submit("run-000001", api.MaxTasks, func(x *api.Submission) { x.CPUs, x.MemoryGB, x.Team = 0.01, 0.01, "t" })
+	s.mu.Lock()
+	j := s.jobs["run-000001"]
+	m := s.machine("n-999999")
+	for i := range api.MaxTasks {
+		s.hold(j, i, m, s.nextAttempt()+1<<40)
+		s.touchShard(j, i, nil)
+	}
+	s.mu.Unlock()
+	s.commit()
+	l := s.state.Largest
+	if l.Value > 16<<10 || l.Bytes > 64<<10 || l.Ops > 12 {
+		t.Errorf("largest transaction %+v", l)
+	}
+	if s.com.Waiting() > 0 {
+		t.Errorf("%d records wait", s.com.Waiting())
+	}
+	s.elect()
+	if n := len(s.jobs["run-000001"].live); n != api.MaxTasks {
+		t.Errorf("%d tasks read back", n)
+	}
+}
+
+func TestTeamLimit(t *testing.T) {
+	s := newStage(t)
+	for i := range 4 {
+		s.report(fmt.Sprintf("a%d", i), 1)
+	}
+	s.submit("run-000001", 6, func(x *api.Submission) { x.Team = "small" })
+	s.Place()
+	s.commit()
+	n := 0
+	for i := range 6 {
+		n += len(s.starts(taskKey("run-000001", i)))
+	}
+	if n != 2 {
+		t.Errorf("%d tasks of 4 processors within a limit of 8", n)
+	}
+}
+
+// Spread: at most half of the replicas, rounded up, in one zone, also while
+// one zone has no machine.
+func TestSpread(t *testing.T) {
+	s := newStage(t)
+	for i := range 3 {
+		s.report(fmt.Sprintf("a%d", i), 1)
+	}
+	s.submit("run-000001", 3, func(x *api.Submission) { x.Shape, x.Spread, x.Rank = api.Service, true, "prod" })
+	s.Place()
+	s.commit()
+	if len(s.jobs["run-000001"].live) != 2 {
+		t.Fatalf("%d replicas in one zone", len(s.jobs["run-000001"].live))
+	}
+	s.report("b1", 1)
+	s.Place()
+	if len(s.jobs["run-000001"].live) != 3 {
+		t.Error("the third replica did not start in the other zone")
+	}
+}
+
+// Production takes room from lower work, in one command, and never from its
+// own rank.
+func TestPreemption(t *testing.T) {
+	s := newStage(t)
+	s.report("a1", 1)
+	s.submit("run-000001", 2, nil)
+	s.Place()
+	s.commit()
+	s.Answered("a1", s.sent[0].o, nil, true)
+	var run []api.TaskReport
+	for i := range 2 {
+		run = append(run, task(taskKey("run-000001", i), s.starts(taskKey("run-000001", i))[0].o.Commands[0].Attempt, api.TaskRunning, ""))
+	}
+	s.report("a1", 1, run...)
+	s.sent = nil
+	s.submit("run-000002", 1, func(x *api.Submission) { x.Shape, x.Rank = api.Service, "prod" })
+	s.Place()
+	s.commit()
+	var cmds []api.Command
+	for _, o := range s.sent {
+		cmds = append(cmds, o.o.Commands...)
+	}
+	o := s.report("a1", 1, run...)
+	cmds = append(cmds, o.Commands...)
+	kill, start := -1, -1
+	for i, c := range cmds {
+		if c.Verb == api.Stop && kill < 0 {
+			kill = i
+		}
+		if c.Verb == api.Start && c.Task == "run-000002/0" {
+			start = i
+		}
+	}
+	if kill < 0 || start < kill {
+		t.Errorf("want a kill, then the start: %+v", cmds)
+	}
+	s.submit("run-000003", 2, func(x *api.Submission) { x.Shape, x.Rank, x.CPUs = api.Service, "prod", 8 })
+	s.Place()
+	if s.jobs["run-000002"].live[0].stop {
+		t.Error("stopped work of its own rank")
+	}
+}
+
+// A machine on which tasks of several jobs fail gets no more work; a job that
+// fails on every machine is paced.
+func TestSickMachineAndBadJob(t *testing.T) {
+	s := newStage(t)
+	s.report("a1", 1)
+	for i := 1; i <= 3; i++ {
+		id := fmt.Sprintf("run-%06d", i)
+		s.submit(id, 1, nil)
+		s.Place()
+		s.commit()
+		s.answerAll()
+		if st := s.starts(id + "/0"); len(st) > 0 {
+			s.report("a1", 1, task(id+"/0", st[0].o.Commands[0].Attempt, api.TaskEnded, api.CauseError))
+			s.answerAll()
+		}
+	}
+	if names := s.Tend(); len(names) != 1 {
+		t.Errorf("suspect machines: %v", names)
+	}
+
+	s = newStage(t)
+	s.submit("run-000009", 1, nil)
+	for i := range 10 {
+		s.report(fmt.Sprintf("a%d", i), 1)
+		before := len(s.starts("run-000009/0"))
+		s.Place()
+		s.commit()
+		s.answerAll()
+		if st := s.starts("run-000009/0"); len(st) > before {
+			last := st[len(st)-1]
+			s.report(last.name, 1, task("run-000009/0", last.o.Commands[0].Attempt, api.TaskEnded, api.CauseError))
+			s.answerAll()
+		}
+	}
+	if n := len(s.starts("run-000009/0")); n > 4 || len(s.Tend()) != 0 {
+		t.Errorf("a job that always fails was started %d times at once", n)
+	}
+}
+
+// answerAll lets the workers answer every direct command.
+func (s *stage) answerAll() {
+	for ; s.answered < len(s.sent); s.answered++ {
+		s.Answered(s.sent[s.answered].name, s.sent[s.answered].o, nil, true)
+	}
+}
--- a/controller/place.go
+++ b/controller/place.go
@@ -276,7 +276,7 @@
 	c.touchShard(j, task, c.locked(func() {
 		a.committed = true
 		if j.live[task] == a {
-			c.push(m)
+			c.toPush[m] = true
 		}
 	}))
 }
--- a/controller/report.go
+++ b/controller/report.go
@@ -110,7 +110,7 @@
 		c.release(a)
 		c.markDone(j, a.task, func() {
 			e.stored = true
-			c.push(m)
+			c.toPush[m] = true
 		})
 		return
 	}
@@ -186,7 +186,7 @@
 		if t.Cause == api.CauseDone {
 			c.markDone(j, task, func() {
 				e.stored = true
-				c.push(m)
+				c.toPush[m] = true
 			})
 		}
 		return
--- /dev/null
+++ b/placement/placement_test.go
@@ -0,0 +1,83 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+)
+
+// Worked by hand: b = 0, 2, 5 and mu = 2, 1, 4; ten tasks. At level 3 the
+// servers cover 6+1+0 = 7, at level 4 8+2 = 10.
+func TestFillByHand(t *testing.T) {
+	s := []Server{{0, 2}, {2, 1}, {5, 4}}
+	if l, ok := Level(s, 10); !ok || l != 4 {
+		t.Fatalf("level %d, want 4", l)
+	}
+	if got := Fill(s, 10); !slices.Equal(got, []int{8, 2, 0}) {
+		t.Errorf("shares %v", got)
+	}
+	// b becomes max(b, level).
+	if s[0].Busy != 4 || s[1].Busy != 4 || s[2].Busy != 5 {
+		t.Errorf("busy times %v", s)
+	}
+	// The last taking part gets the rest only: 9 tasks need level 4 as well.
+	if got := Fill([]Server{{0, 2}, {2, 1}, {5, 4}}, 9); !slices.Equal(got, []int{8, 1, 0}) {
+		t.Errorf("shares %v", got)
+	}
+}
+
+func TestBusyRoundsUpPerJob(t *testing.T) {
+	if b := Busy([]Queued{{3, 2}, {1, 4}, {0, 1}, {4, 0.5}}); b != 2+1+8 {
+		t.Errorf("busy %d", b)
+	}
+}
+
+func TestNobodyCanServe(t *testing.T) {
+	if Fill([]Server{{0, 0}}, 3) != nil || Fill(nil, 1) != nil {
+		t.Error("a share without a server")
+	}
+}
+
+// The binary search finds what trying every level in turn finds, and the
+// shares add up with none above the level.
+func TestLevelAgainstBruteForce(t *testing.T) {
+	rnd := rand.New(rand.NewPCG(1, 2))
+	for range 3000 {
+		var s []Server
+		for range 1 + rnd.IntN(8) {
+			s = append(s, Server{rnd.IntN(20), float64(rnd.IntN(9)) / 4})
+		}
+		tasks := 1 + rnd.IntN(60)
+		want := -1
+		for l := 0; l < 2000 && want < 0; l++ {
+			sum := 0.0
+			for _, x := range s {
+				sum += float64(max(l-x.Busy, 0)) * x.Mu
+			}
+			if sum >= float64(tasks) {
+				want = l
+			}
+		}
+		got, ok := Level(s, tasks)
+		if ok != (want >= 0) || ok && got != want {
+			t.Fatalf("%v, %d tasks: level %d, want %d", s, tasks, got, want)
+		}
+		if !ok {
+			continue
+		}
+		before := slices.Clone(s)
+		sum := 0
+		for i, n := range Fill(s, tasks) {
+			sum += n
+			if n > 0 && before[i].Busy >= got {
+				t.Fatalf("%v: server %d above the level got %d", before, i, n)
+			}
+			if float64(n) > float64(got-before[i].Busy)*before[i].Mu+1 && n > 0 {
+				t.Fatalf("%v, %d tasks: server %d got %d", before, tasks, i, n)
+			}
+		}
+		if sum != tasks {
+			t.Fatalf("%d of %d tasks placed", sum, tasks)
+		}
+	}
+}
--- /dev/null
+++ b/policy/policy_test.go
@@ -0,0 +1,49 @@
+package policy
+
+import (
+	"strings"
+	"testing"
+)
+
+func TestDefaultsAndOverride(t *testing.T) {
+	p, err := Parse("# nightly\nslot_s = 5 + 7\n\nfetch_penalty = fetch_s > 30 ? 9.0 : 1.0\n")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if v := p.Value(SlotS, nil); v != 12 {
+		t.Errorf("slot_s %v", v)
+	}
+	if v := p.Value(FetchPenalty, Vars{"fetch_s": 31, "slot_s": 10}); v != 9 {
+		t.Errorf("fetch_penalty %v", v)
+	}
+	if v := Default().Value(FetchPenalty, Vars{"fetch_s": 31, "slot_s": 10}); v != 4 {
+		t.Errorf("default fetch_penalty %v", v)
+	}
+}
+
+// Every mistake is reported, with its line and the setting's name.
+func TestMistakes(t *testing.T) {
+	_, err := Parse("slot_s = \"long\"\nslotz = 3\nheadroom_cpus = demand +\nno equals\nslot_s = 4\n")
+	if err == nil {
+		t.Fatal("taken")
+	}
+	for _, want := range []string{"line 1: slot_s", "line 2: slotz", "line 3: headroom_cpus", "line 4:", "line 5: slot_s: already set in line 1"} {
+		if !strings.Contains(err.Error(), want) {
+			t.Errorf("no %q in %v", want, err)
+		}
+	}
+}
+
+// A value that makes no sense at run time falls back to the default.
+func TestNonsenseFallsBack(t *testing.T) {
+	p, err := Parse("slot_s = 0 - 4\nspot_share = 1 / demand_cpus")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if v := p.Value(SlotS, nil); v != 10 {
+		t.Errorf("slot_s %v", v)
+	}
+	if v := p.Value(SpotShare, Vars{"demand_cpus": 0}); v != 1 {
+		t.Errorf("spot_share %v", v)
+	}
+}
--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,62 @@
+package settings
+
+import (
+	"strings"
+	"testing"
+)
+
+const good = `
+member = "n0"
+site = "a"
+serve_on = "10.0.0.1:8080"
+back = "10.0.0.1:8081"
+unheard_of = 3
+[[siblings]]
+member = "n1"
+site = "b"
+address = "10.0.0.2:8081"
+[external]
+cloud = "10.2.0.2:8443"
+state = "10.2.0.1:2379"
+[facts]
+[[facts.teams]]
+name = "t"
+[facts.workers]
+report_s = 1.0
+lease_s = 10.0
+cancel_s = 40.0
+[facts.state]
+rps = 120.0
+write_rps = 30.0
+value_kb = 16.0
+txn_ops = 24
+[facts.cloud]
+rps = 4.0
+[facts.resources]
+ram_mb = 70.0
+`
+
+func TestUnknownFieldsAreIgnored(t *testing.T) {
+	if _, err := Parse([]byte(good)); err != nil {
+		t.Error(err)
+	}
+}
+
+// A wrong setting ends the process with one line that names the field.
+func TestMistakesNameTheField(t *testing.T) {
+	for _, c := range []struct{ old, new, want string }{
+		{`member = "n0"`, ``, "member"},
+		{`serve_on = "10.0.0.1:8080"`, `serve_on = "here"`, "serve_on"},
+		{`state = "10.2.0.1:2379"`, ``, "external.state"},
+		{`member = "n1"`, `member = "n0"`, "siblings[0].member"},
+		{`lease_s = 10.0`, `lease_s = -1.0`, "facts.workers.lease_s"},
+		{`lease_s = 10.0`, `lease_s = "long"`, "lease_s"},
+		{`txn_ops = 24`, `txn_ops = 1`, "facts.state.txn_ops"},
+		{`rps = 4.0`, `rps = nan`, "facts.cloud.rps"},
+	} {
+		_, err := Parse([]byte(strings.Replace(good, c.old, c.new, 1)))
+		if err == nil || !strings.Contains(err.Error(), c.want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%q: %v, want one line naming %s", c.new, err, c.want)
+		}
+	}
+}
--- a/store/commit.go
+++ b/store/commit.go
@@ -24,6 +24,8 @@
 	Condition() (Cond, bool)
 	// Conflict tells what a key holds that was not written by this leader.
 	Conflict(key string, found *Item)
+	// Committed is called once what waited for a commit has run.
+	Committed()
 	// Deposed: the leader's key is no longer ours.
 	Deposed()
 }
@@ -196,6 +198,7 @@
 			f()
 		}
 	}
+	c.src.Committed()
 	return 0
 }
 
--- /dev/null
+++ b/store/commit_test.go
@@ -0,0 +1,158 @@
+package store
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+
+	"switchferry/internal/standin"
+)
+
+// scripted is a term whose records are what the test says.
+type scripted struct {
+	values   map[string]any
+	lead     Cond
+	deposed  bool
+	conflict []string
+}
+
+func (s *scripted) Record(key string) (any, bool, []Cond) {
+	v, ok := s.values[key]
+	return v, ok, nil
+}
+func (s *scripted) Condition() (Cond, bool)      { return s.lead, true }
+func (s *scripted) Conflict(key string, _ *Item) { s.conflict = append(s.conflict, key) }
+func (s *scripted) Committed()                   {}
+func (s *scripted) Deposed()                     { s.deposed = true }
+
+func setUp() (*standin.State, *scripted, *Committer) {
+	clock := clockwork.NewFakeClock()
+	st := standin.NewState(clock)
+	src := &scripted{values: map[string]any{}}
+	src.lead = Cond{LeaderKey, st.Put(LeaderKey, Leader{Member: "a"})}
+	c := NewCommitter(NewClient("x:1", st), src, clock, 60, 12, map[string]uint64{})
+	return st, src, c
+}
+
+func value(t *testing.T, raw json.RawMessage) (v string) {
+	t.Helper()
+	if raw != nil && json.Unmarshal(raw, &v) != nil {
+		t.Fatalf("value %s", raw)
+	}
+	return v
+}
+
+// A leader that wakes up late must not write: its transactions are conditional
+// on the leader's key.
+func TestOldLeaderCannotCommit(t *testing.T) {
+	st, src, c := setUp()
+	st.Put(LeaderKey, Leader{Member: "b"})
+	src.values["sf/t/run-1/0"] = "old"
+	told := false
+	c.Touch("sf/t/run-1/0", Ordinary, func() { told = true })
+	c.Step(context.Background())
+	if st.Get("sf/t/run-1/0") != nil || told || !src.deposed {
+		t.Errorf("written %s, told %v, deposed %v", st.Get("sf/t/run-1/0"), told, src.deposed)
+	}
+}
+
+// A transaction without an answer that is applied late must not undo a newer
+// one.
+func TestLateTransactionCannotUndo(t *testing.T) {
+	st, src, c := setUp()
+	const key = "sf/t/run-1/0"
+	src.values[key] = "first"
+	c.Touch(key, Ordinary, nil)
+	st.HoldNext = true
+	c.Step(context.Background())
+	src.values[key] = "second"
+	c.Step(context.Background())
+	if got := value(t, st.Get(key)); got != "second" {
+		t.Fatalf("stored %q", got)
+	}
+	st.Deliver()
+	if got := value(t, st.Get(key)); got != "second" {
+		t.Errorf("a late transaction wrote %q", got)
+	}
+}
+
+// A transaction that was applied although its answer was lost counts once the
+// key is read again, and what waits for it runs once.
+func TestLostAnswer(t *testing.T) {
+	st, src, c := setUp()
+	src.values["sf/j/run-1"] = "job"
+	told := 0
+	c.Touch("sf/j/run-1", Urgent, func() { told++ })
+	st.LoseAnswer = true
+	c.Step(context.Background())
+	if told != 0 {
+		t.Fatal("told before the outcome was known")
+	}
+	c.Step(context.Background())
+	if told != 1 || len(src.conflict) != 1 {
+		t.Errorf("told %d times, conflicts %v", told, src.conflict)
+	}
+}
+
+func TestUrgentFirstAndBudget(t *testing.T) {
+	st, src, c := setUp()
+	for _, k := range []string{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l", "m"} {
+		src.values["sf/t/"+k] = k
+		c.Touch("sf/t/"+k, Lazy, nil)
+	}
+	src.values["sf/j/run-9"] = "job"
+	c.Touch("sf/j/run-9", Urgent, nil)
+	c.Step(context.Background())
+	if st.Get("sf/j/run-9") == nil || st.Largest.Ops > 12 {
+		t.Errorf("accept not first, or %d changes", st.Largest.Ops)
+	}
+	for range 10 {
+		c.Step(context.Background())
+	}
+	// On a clock that stands still no more than one second's worth goes out.
+	if c.Waiting() != 0 {
+		t.Errorf("%d records wait", c.Waiting())
+	}
+}
+
+func TestOutageKeepsRecordsWaiting(t *testing.T) {
+	st, src, c := setUp()
+	src.values["sf/j/run-1"] = "job"
+	c.Touch("sf/j/run-1", Urgent, nil)
+	st.Down = true
+	if c.Step(context.Background()) == 0 || c.Waiting() != 1 {
+		t.Error("the record does not wait for the service")
+	}
+	st.Down = false
+	c.Step(context.Background())
+	if st.Get("sf/j/run-1") == nil {
+		t.Error("not written after the outage")
+	}
+}
+
+func TestBitsAndShards(t *testing.T) {
+	b := NewBits(1000)
+	for _, i := range []int{0, 399, 400, 807, 999} {
+		b.Set(i)
+	}
+	got := NewBits(1000)
+	for s := range 3 {
+		if err := got.Unpack(s, b.Pack(s)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for i := range 1000 {
+		if got.Has(i) != b.Has(i) {
+			t.Fatalf("bit %d", i)
+		}
+	}
+	if got.Unpack(2, "AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA") == nil {
+		t.Error("a shard longer than its job was taken")
+	}
+	id, n, ok := ParseShardKey(ShardKey("run-000412", 17))
+	if id != "run-000412" || n != 17 || !ok {
+		t.Error(id, n, ok)
+	}
+}
