Relay reports and commands through the state service while a zone is cut off

Ruled out: returning those machines sooner, since spread replicas may not move to the near zone. Machines whose silence began first are still returned.

--- a/controller/core.go
+++ b/controller/core.go
@@ -72,12 +72,16 @@
 	// answered is the report whose answer carried a run last; the worker is
 	// done with that answer when it sends the next report.
 	answered uint64
-	seen     bool
-	state    string
-	since    time.Time
-	running  time.Time
-	stop     bool
-	grace    float64
+	// mailed: a run went into a relay's mail. A relayed report cannot tell
+	// whether it is still to come; one that reaches us directly can, since
+	// the relay then starts afresh with that worker.
+	mailed  bool
+	seen    bool
+	state   string
+	since   time.Time
+	running time.Time
+	stop    bool
+	grace   float64
 	// victims make room for this task and are killed in the same command.
 	victims []*assign
 }
@@ -92,10 +96,12 @@
 	ended map[string]*ended
 	// sending: a direct command is under way; again: another is wanted.
 	sending, again bool
-	returning      bool
-	drain          bool
-	idle           time.Time
-	refused        time.Time
+	// relay is the sibling that its reports come through; empty: directly.
+	relay     string
+	returning bool
+	drain     bool
+	idle      time.Time
+	refused   time.Time
 }
 
 type ended struct {
@@ -264,6 +270,13 @@
 	if a.job.live[a.task] != a {
 		return
 	}
+	c.drop(a)
+	c.settle(a.job)
+	c.kick()
+}
+
+// drop makes an assignment count no more.
+func (c *Core) drop(a *assign) {
 	delete(a.job.live, a.task)
 	delete(a.machine.assigns, a.key)
 	a.machine.used = a.machine.used.Sub(a.job.need)
@@ -272,8 +285,6 @@
 		a.machine.idle = c.clock.Now()
 		a.machine.used = fleet.Room{}
 	}
-	c.settle(a.job)
-	c.kick()
 }
 
 // lost ends an assignment whose task must run again elsewhere.
@@ -307,7 +318,7 @@
 		if a := j.live[task]; a != nil {
 			c.stopTask(a, 0, "done elsewhere")
 		}
-		if j.done == j.total && j.Job.Shape == api.Array {
+		if j.done == j.total && j.Job.Shape != api.Service {
 			c.finish(j, api.Done)
 		}
 	}
@@ -412,6 +423,8 @@
 			return nil, false, nil
 		}
 		return c.final(j), true, nil
+	case strings.HasPrefix(key, store.MailPrefix):
+		return c.mail(strings.TrimPrefix(key, store.MailPrefix)), true, nil
 	case strings.HasPrefix(key, store.ShardPrefix):
 		id, shard, ok := store.ParseShardKey(key)
 		j := c.jobs[id]
@@ -483,7 +496,7 @@
 				c.stopTask(a, 0, "job is over")
 			}
 			c.settle(j)
-		case j.done == j.total && j.Job.Shape == api.Array:
+		case j.done == j.total && j.Job.Shape != api.Service:
 			c.finish(j, api.Done)
 		}
 	}
--- a/controller/core_test.go
+++ b/controller/core_test.go
@@ -617,3 +617,23 @@
 		s.Answered(s.sent[s.answered].name, s.sent[s.answered].o, nil, true)
 	}
 }
+
+// A gang starts as a whole or not at all.
+func TestGang(t *testing.T) {
+	s := newStage(t)
+	s.report("a1", 1)
+	s.submit("run-000001", 3, func(x *api.Submission) { x.Shape, x.OneZone = api.Gang, true })
+	s.report("b1", 1)
+	s.Place()
+	if n := len(s.jobs["run-000001"].live); n != 0 || s.machines["a1"].used.CPUs != 0 {
+		t.Fatalf("%d of 3 tasks placed in zones with room for 2", n)
+	}
+	s.report("b2", 1)
+	s.Place()
+	s.commit()
+	for i := range 3 {
+		if got := s.starts(taskKey("run-000001", i)); len(got) != 1 || got[0].name[0] != 'b' {
+			t.Errorf("task %d: %+v", i, got)
+		}
+	}
+}
--- a/controller/node.go
+++ b/controller/node.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -44,6 +45,8 @@
 	refused time.Time
 	finals  map[string]store.FinalRecord
 	ring    []string
+
+	relay *relay
 }
 
 // NewNode makes a controller. Transport carries its calls to other services.
@@ -55,6 +58,7 @@
 	n.worker = worker.New(transport)
 	n.peers = peer.New(set.Siblings, clock, n.hello, func(ctx context.Context, r peer.Request) peer.Answer { return n.Handle(ctx, r, true) })
 	n.elector = election.New(set.Member, n.client, clock, n)
+	n.relay = newRelay(n)
 	return n
 }
 
@@ -78,6 +82,7 @@
 	}()
 	n.peers.Run(n.ctx)
 	go n.catalog()
+	go n.relay.run(n.ctx)
 	n.elector.Run(n.ctx)
 }
 
@@ -245,6 +250,7 @@
 	}
 	go com.Run(ctx)
 	go n.inbox(ctx, core, com, inbox)
+	go n.relayed(ctx, core, com, inbox)
 	go n.machines(ctx, core)
 	go n.tend(ctx, core)
 	for ctx.Err() == nil {
@@ -272,7 +278,7 @@
 // inbox takes in jobs that siblings accepted while they did not reach us.
 func (n *Node) inbox(ctx context.Context, core *Core, com *store.Committer, after uint64) {
 	take := func(key string) {
-		id := key[len(store.InboxPrefix):]
+		id := strings.TrimPrefix(key, store.InboxPrefix)
 		it, err := n.client.Get(ctx, store.JobKey(id))
 		if err != nil {
 			return
@@ -282,6 +288,10 @@
 			core.Conflict(store.JobKey(id), &it)
 		}
 		if in, err := n.client.Get(ctx, key); err == nil {
+			var rec store.InboxRecord
+			if json.Unmarshal(in.Value, &rec) == nil && rec.Cancel {
+				core.Cancel(ctx, id)
+			}
 			com.Know(key, in.Stamp)
 			com.Touch(key, store.Lazy, nil)
 		}
@@ -387,15 +397,18 @@
 func (n *Node) Report(r *api.Report) (status int, body any) {
 	core := n.leading()
 	if core == nil {
-		leader := n.elector.Leader()
-		if leader == "" || leader == n.set.Member {
-			for _, h := range n.peers.Alive() {
-				if h.Term > 0 {
-					return http.StatusMisdirectedRequest, api.Redirect{Node: h.Member}
-				}
+		leader, term := n.elector.Leader()
+		for _, h := range n.peers.Alive() {
+			if h.Term > 0 {
+				return http.StatusMisdirectedRequest, api.Redirect{Node: h.Member}
 			}
+		}
+		if leader == "" || leader == n.set.Member {
 			return http.StatusServiceUnavailable, api.Error{Error: "no leader yet"}
 		}
+		if !n.peers.Reaches(leader) && r.Helm <= term {
+			return http.StatusOK, n.relay.report(r, term)
+		}
 		return http.StatusMisdirectedRequest, api.Redirect{Node: leader}
 	}
 	o, deposed, refused := core.Report(r)
@@ -424,7 +437,7 @@
 	if forwarded {
 		return later("not the leader")
 	}
-	leader := n.elector.Leader()
+	leader, _ := n.elector.Leader()
 	for _, h := range n.peers.Alive() {
 		if h.Term > 0 {
 			leader = h.Member
@@ -579,7 +592,7 @@
 	rec := store.JobRecord{Job: *s, At: n.clock.Now().UnixMilli()}
 	_, _, err := n.client.Multi(ctx,
 		[]store.Cond{{Key: store.JobKey(s.ID)}, {Key: store.FinalKey(s.ID)}},
-		[]store.Op{{Set: store.JobKey(s.ID), Value: rec}, {Set: store.InboxKey(s.ID), Value: true}})
+		[]store.Op{{Set: store.JobKey(s.ID), Value: rec}, {Set: store.InboxKey(s.ID), Value: store.InboxRecord{}}})
 	switch {
 	case err == nil:
 		return answer(http.StatusCreated, api.JobStatus{ID: s.ID, State: api.Pending})
@@ -608,6 +621,12 @@
 		_, _, err = n.client.Multi(ctx,
 			[]store.Cond{{Key: store.LeaderKey}, {Key: it.Key, Stamp: it.Stamp}},
 			[]store.Op{{Set: it.Key, Value: rec}})
+		if errors.Is(err, store.ErrConflict) {
+			// The leader is asked through the state service; the user's next
+			// try finds its answer there.
+			_, _, _ = n.client.Multi(ctx, []store.Cond{{Key: it.Key, Stamp: it.Stamp}},
+				[]store.Op{{Set: store.InboxKey(id), Value: store.InboxRecord{Cancel: true}}})
+		}
 		if err != nil {
 			return later("the leader is out of reach")
 		}
--- a/controller/place.go
+++ b/controller/place.go
@@ -27,11 +27,17 @@
 // usable tells whether a machine may get new work.
 func (c *Core) usable(m *machine) bool {
 	return m.Up && m.Spec != nil && !m.returning && !m.drain && m.TakenAt.IsZero() && !m.Suspect() &&
-		c.clock.Now().After(m.refused) && c.clock.Since(m.Heard) < c.quiet()
+		c.clock.Now().After(m.refused) && c.clock.Since(m.Heard) < c.quiet(m)
 }
 
 // quiet is how long a machine may be unheard and still get work.
-func (c *Core) quiet() time.Duration { return seconds(2.5 * c.set.Facts.Workers.ReportS) }
+func (c *Core) quiet(m *machine) time.Duration {
+	d := seconds(2.5 * c.set.Facts.Workers.ReportS)
+	if m.relay != "" {
+		d += tuning.RelayKeep
+	}
+	return d
+}
 
 // allowed tells whether a job's tasks may ever run on a machine.
 func (c *Core) allowed(j *job, m *machine) bool {
@@ -100,9 +106,12 @@
 		if len(j.pending) == 0 || !c.ready(j) {
 			continue
 		}
-		if j.Job.Shape == api.Service {
+		switch {
+		case j.Job.Shape == api.Service:
 			c.placeService(j)
-		} else if c.withinLimit(j) {
+		case j.Job.Shape == api.Gang:
+			c.placeGang(j)
+		case c.withinLimit(j):
 			c.waterFill(j)
 		}
 	}
@@ -272,11 +281,15 @@
 func (c *Core) start(j *job, task int, m *machine, victims []*assign, why string) {
 	a := c.hold(j, task, m, c.nextAttempt())
 	a.victims = victims
-	slog.Debug("task placed", "task", a.key, "machine", m.Name, "attempt", a.attempt, "why", why, "image", m.Has(j.Job.Image))
-	c.touchShard(j, task, c.locked(func() {
+	c.commitStart(a, why)
+}
+
+func (c *Core) commitStart(a *assign, why string) {
+	slog.Debug("task placed", "task", a.key, "machine", a.machine.Name, "attempt", a.attempt, "why", why, "image", a.machine.Has(a.job.Job.Image))
+	c.touchShard(a.job, a.task, c.locked(func() {
 		a.committed = true
-		if j.live[task] == a {
-			c.toPush[m] = true
+		if a.job.live[a.task] == a {
+			c.toPush[a.machine] = true
 		}
 	}))
 }
@@ -379,6 +392,49 @@
 	}
 }
 
+// placeGang starts all waiting tasks of a gang, or none: a few of them would
+// only hold room while they wait for the others.
+func (c *Core) placeGang(j *job) {
+	if len(j.live) > 0 {
+		// The rest of an earlier try ends by itself, for want of its mates.
+		return
+	}
+	ms := c.byName()
+	holders := func(a, b *machine) int {
+		return int(a.FetchS(j.Job.Image, j.Job.ImageGB) - b.FetchS(j.Job.Image, j.Job.ImageGB))
+	}
+	slices.SortStableFunc(ms, holders)
+	var held []*assign
+	// Workers bring those together that have the same attempt.
+	attempt := c.nextAttempt()
+	zone := ""
+	for _, first := range ms {
+		if !c.eligible(j, first) || !zoneOK(j, first) || j.Job.OneZone && first.Zone == zone {
+			continue
+		}
+		zone = first.Zone
+		for _, m := range ms {
+			for len(held) < len(j.pending) && c.startable(j, m) && (!j.Job.OneZone || m.Zone == zone) {
+				held = append(held, c.hold(j, int(j.pending[len(held)]), m, attempt))
+			}
+		}
+		if len(held) == len(j.pending) {
+			break
+		}
+		for _, a := range held {
+			c.drop(a)
+		}
+		held = nil
+	}
+	if held == nil {
+		return
+	}
+	j.pending = nil
+	for _, a := range held {
+		c.commitStart(a, "gang")
+	}
+}
+
 // preempt makes room for an array of higher rank that found none.
 func (c *Core) preempt(j *job, all []*machine) {
 	for len(j.pending)+j.queued > 0 && c.ready(j) && c.withinLimit(j) {
--- a/controller/rent.go
+++ b/controller/rent.go
@@ -23,6 +23,13 @@
 	return max(tuning.SilentMin, seconds(tuning.SilentReports*c.set.Facts.Workers.ReportS))
 }
 
+func relayDelay(m *machine) time.Duration {
+	if m.relay != "" {
+		return tuning.RelayKeep
+	}
+	return 0
+}
+
 // Tend looks after machines: it returns the names to give back.
 func (c *Core) Tend() []string {
 	c.mu.Lock()
@@ -67,9 +74,9 @@
 			if since > limit && now.Sub(c.started) > grace {
 				giveUp(m, "never reported")
 			}
-		case !m.TakenAt.IsZero() && now.After(m.TakenAt.Add(time.Second)) && since > c.quiet():
+		case !m.TakenAt.IsZero() && now.After(m.TakenAt.Add(time.Second)) && since > c.quiet(m):
 			giveUp(m, "taken back")
-		case since > c.silent() && (zoneHeard[m.Zone] || zoneCount[m.Zone] < 2 || since > 4*c.silent()):
+		case since > c.silent()+relayDelay(m) && (zoneHeard[m.Zone] || zoneCount[m.Zone] < 2 || since > 4*c.silent()):
 			// Its return proves that its tasks are gone. Where a whole zone
 			// is silent, more likely the way there is cut.
 			giveUp(m, "silent")
--- a/controller/report.go
+++ b/controller/report.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"switchferry/api"
+	"switchferry/store"
 	"switchferry/tuning"
 )
 
@@ -18,26 +19,84 @@
 		return o, true, false
 	}
 	c.heard = c.clock.Now()
-	if _, ok := c.gone[r.Machine]; ok {
+	m, ok := c.hear(r)
+	if m == nil {
 		return o, false, true
 	}
-	m := c.machine(r.Machine)
-	m.Heard = c.heard
-	if !m.Newer(r) {
-		// Held up on the way: its task list is old.
-		return o, false, false
-	}
-	if !c.loaded {
-		// The lease is kept; what runs is judged once the records are read.
+	m.relay = ""
+	if !ok {
 		return o, false, false
 	}
-	c.take(m, r, true)
-	o.Commands = c.commands(m, true)
+	c.take(m, r, byReport)
+	o.Commands = c.commands(m, byReport)
 	return o, false, false
 }
 
+// hear notes that a machine reports. Nil: it was returned. False: its task list
+// is not to be used.
+func (c *Core) hear(r *api.Report) (*machine, bool) {
+	if _, ok := c.gone[r.Machine]; ok {
+		return nil, false
+	}
+	m := c.machine(r.Machine)
+	m.Heard = c.clock.Now()
+	// A report that was held up on the way is not newer: its task list is
+	// old. Before the records are read only the lease is kept.
+	return m, m.Newer(r) && c.loaded
+}
+
+// Relayed takes in reports that a sibling passed on.
+func (c *Core) Relayed(member string, rec store.RelayRecord) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if rec.Term != c.term {
+		return
+	}
+	for i := range rec.Reports {
+		r := &rec.Reports[i]
+		if r.Check() != nil || r.Helm > c.term {
+			continue
+		}
+		if m := c.machines[r.Machine]; m != nil && !m.Newer(r) {
+			continue
+		}
+		m, ok := c.hear(r)
+		if m == nil || !ok {
+			continue
+		}
+		if m.relay != member {
+			slog.Info("machine reports through a sibling", "machine", r.Machine, "sibling", member)
+		}
+		m.relay = member
+		c.take(m, r, byRelay)
+		c.hooks.Touch(store.MailKey(member), store.Ordinary, nil)
+	}
+}
+
+// mail builds the commands for the machines behind a sibling.
+func (c *Core) mail(member string) store.MailRecord {
+	rec := store.MailRecord{Term: c.term, Machines: map[string]store.Mail{}}
+	for _, m := range c.machines {
+		if m.relay == member {
+			if cmds := c.commands(m, byRelay); len(cmds) > 0 {
+				rec.Machines[m.Name] = store.Mail{Session: m.Session, Seq: m.Seq, Commands: cmds}
+			}
+		}
+	}
+	return rec
+}
+
+// way is how a report came, or how commands go.
+type way int
+
+const (
+	byReport way = iota
+	byOrders
+	byRelay
+)
+
 // take works a newer report into the state.
-func (c *Core) take(m *machine, r *api.Report, isReport bool) {
+func (c *Core) take(m *machine, r *api.Report, by way) {
 	now := c.clock.Now()
 	if !m.Up {
 		slog.Info("machine up", "machine", r.Machine, "type", r.Type, "zone", r.Zone, "spot", r.Spot, "after", now.Sub(m.Rented).Round(time.Second))
@@ -58,7 +117,7 @@
 			c.progress(m, a, t)
 			continue
 		}
-		c.absent(m, a, isReport)
+		c.absent(m, a, by)
 	}
 	for key, e := range m.ended {
 		if t, ok := m.Tasks[key]; !ok || t.Attempt != e.attempt {
@@ -141,7 +200,7 @@
 
 // absent judges a task that the newest report lacks. Only a report that no
 // command under way can overtake proves that the task is not there.
-func (c *Core) absent(m *machine, a *assign, isReport bool) {
+func (c *Core) absent(m *machine, a *assign, by way) {
 	if !a.sent {
 		return
 	}
@@ -154,7 +213,7 @@
 		c.lost(a, "the worker began a new session")
 		return
 	}
-	if a.open > 0 || a.answered > 0 && (!isReport || m.Seq <= a.answered) {
+	if a.open > 0 || a.answered > 0 && (by == byOrders || m.Seq <= a.answered) || a.mailed && !a.seen && by != byReport {
 		return
 	}
 	switch {
@@ -166,7 +225,7 @@
 		c.lost(a, "stopped before it started")
 	default:
 		// The command was lost: the same attempt goes out again.
-		a.sent, a.answered = false, 0
+		a.sent, a.answered, a.mailed = false, 0, false
 	}
 }
 
@@ -224,7 +283,7 @@
 
 // commands derives what to tell a worker from what is wanted and what it
 // reported. Repeating them is harmless.
-func (c *Core) commands(m *machine, isReport bool) []api.Command {
+func (c *Core) commands(m *machine, by way) []api.Command {
 	out := []api.Command{}
 	kill := func(key string, attempt uint64, grace float64) {
 		out = append(out, api.Command{Verb: api.Stop, Task: key, Attempt: attempt, GraceS: &grace})
@@ -257,7 +316,7 @@
 		if !a.committed || a.stop || a.seen || a.sent && (a.session == 0 || a.session != m.Session) {
 			continue
 		}
-		if a.sent && !isReport && a.open > 0 || a.answered > 0 && !isReport {
+		if by == byOrders && (a.open > 0 || a.answered > 0 || a.mailed) {
 			continue
 		}
 		ready := true
@@ -270,12 +329,15 @@
 			continue
 		}
 		a.sent, a.session = true, m.Session
-		if isReport {
+		switch by {
+		case byReport:
 			a.answered = m.Seq
-		} else {
+		case byOrders:
 			a.open++
+		case byRelay:
+			a.mailed = true
 		}
-		slog.Debug("starting task", "task", a.key, "machine", m.Name, "attempt", a.attempt, "direct", !isReport)
+		slog.Debug("starting task", "task", a.key, "machine", m.Name, "attempt", a.attempt, "direct", by == byOrders)
 		out = append(out, api.Command{Verb: api.Start, Task: a.key, Attempt: a.attempt})
 	}
 	return out
@@ -286,11 +348,15 @@
 	if !m.Up || m.returning || c.gone[m.Name] != (time.Time{}) {
 		return
 	}
+	if m.relay != "" {
+		c.hooks.Touch(store.MailKey(m.relay), store.Ordinary, nil)
+		return
+	}
 	if m.sending {
 		m.again = true
 		return
 	}
-	cmds := c.commands(m, false)
+	cmds := c.commands(m, byOrders)
 	if len(cmds) == 0 {
 		return
 	}
@@ -315,7 +381,7 @@
 			}
 			if a := m.assigns[cmd.Task]; a != nil && a.attempt == cmd.Attempt {
 				a.open--
-				if r == nil && a.open == 0 && !a.seen && a.answered == 0 {
+				if r == nil && a.open == 0 && !a.seen && a.answered == 0 && !a.mailed {
 					a.sent = false
 				}
 			}
@@ -325,7 +391,7 @@
 		}
 	}
 	if r != nil && r.Machine == name && r.Helm <= c.term && m.Newer(r) {
-		c.take(m, r, false)
+		c.take(m, r, byOrders)
 	}
 	again := m.again
 	m.again = false
--- a/controller/user.go
+++ b/controller/user.go
@@ -73,7 +73,7 @@
 		return &api.FieldError{Field: "owner", Want: "no such team"}, false
 	}
 	n := 1.0
-	if s.Shape == api.Service {
+	if s.Shape != api.Array {
 		n = float64(s.Tasks)
 	}
 	if cpus > 0 && n*s.CPUs > cpus+tuning.RoomSlack || cards > 0 && n*s.Cards > cards+tuning.RoomSlack {
--- a/election/election.go
+++ b/election/election.go
@@ -34,6 +34,7 @@
 
 	mu     sync.Mutex
 	leader string // as last read
+	reign  uint64 // its term
 	term   uint64 // ours; 0: none
 	lease  uint64
 	valid  time.Time
@@ -47,11 +48,11 @@
 	return &Elector{member: member, client: client, clock: clock, events: events, quit: make(chan string, 1)}
 }
 
-// Leader is the member that leads, as far as known.
-func (e *Elector) Leader() string {
+// Leader is the member that leads and its term, as far as known.
+func (e *Elector) Leader() (member string, term uint64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.leader
+	return e.leader, e.reign
 }
 
 // Term is our term and whether our key certainly still stands.
@@ -61,7 +62,7 @@
 	return e.term, e.term != 0 && e.clock.Now().Before(e.valid)
 }
 
-// ValidFor is how long ago our key's life ended; negative while it lasts.
+// Overdue is how long ago our key's life ended; negative while it lasts.
 func (e *Elector) Overdue() time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -92,10 +93,10 @@
 	}
 }
 
-func (e *Elector) setLeader(m string) {
+func (e *Elector) setLeader(m string, term uint64) {
 	e.mu.Lock()
 	changed := e.leader != m
-	e.leader = m
+	e.leader, e.reign = m, term
 	e.mu.Unlock()
 	if changed && m != "" {
 		slog.Info("leader known", "leader", m)
@@ -119,14 +120,14 @@
 			e.sleep(ctx, tuning.ElectRetry/5)
 			return false
 		}
-		e.setLeader(l.Member)
+		e.setLeader(l.Member, it.Stamp)
 		e.follow(ctx, it.Stamp)
 		return false
 	case !errors.Is(err, store.ErrNotFound):
 		e.sleep(ctx, tuning.ElectRetry)
 		return false
 	}
-	e.setLeader("")
+	e.setLeader("", 0)
 	e.mu.Lock()
 	wait := e.standAfter.Sub(e.clock.Now())
 	e.mu.Unlock()
--- a/store/records.go
+++ b/store/records.go
@@ -23,6 +23,10 @@
 	FinalPrefix = "sf/f/"
 	// InboxPrefix names jobs that a sibling accepted without the leader.
 	InboxPrefix = "sf/in/"
+	// RelayPrefix holds reports that a sibling passes on because the leader
+	// is out of its reach; MailPrefix what the leader has for their senders.
+	RelayPrefix = "sf/relay/"
+	MailPrefix  = "sf/mail/"
 )
 
 // JobKey, FinalKey and InboxKey are the keys of a job.
@@ -30,6 +34,35 @@
 func FinalKey(id string) string { return FinalPrefix + id }
 func InboxKey(id string) string { return InboxPrefix + id }
 
+// RelayKey and MailKey are the keys of a sibling's relay.
+func RelayKey(member string, n int) string { return fmt.Sprintf("%s%s/%d", RelayPrefix, member, n) }
+func MailKey(member string) string         { return MailPrefix + member }
+
+// InboxRecord tells the leader of a job: a new one, or one to be cancelled.
+type InboxRecord struct {
+	Cancel bool `json:"cancel,omitempty"`
+}
+
+// RelayRecord carries reports to the leader of a term.
+type RelayRecord struct {
+	Term    uint64       `json:"term"`
+	Reports []api.Report `json:"reports"`
+}
+
+// MailRecord carries commands back. Each machine's are derived from one report
+// of it, which Session and Seq name.
+type MailRecord struct {
+	Term     uint64          `json:"term"`
+	Machines map[string]Mail `json:"to,omitempty"`
+}
+
+// Mail is one machine's commands.
+type Mail struct {
+	Session  uint64        `json:"w"`
+	Seq      uint64        `json:"q"`
+	Commands []api.Command `json:"o"`
+}
+
 // ShardKey is the key of a run of a job's tasks.
 func ShardKey(id string, shard int) string { return fmt.Sprintf("%s%s/%d", ShardPrefix, id, shard) }
 
--- a/tuning/tuning.go
+++ b/tuning/tuning.go
@@ -113,6 +113,18 @@
 	SpotNoticeSlack = 1.0
 )
 
+// Relay of reports through the state service, while a sibling does not reach
+// the leader.
+const (
+	// RelayEvery is the pace of writing reports: a write a second is little
+	// against the state service's limit.
+	RelayEvery = 700 * time.Millisecond
+	// RelayKeep is how long an unchanged report is not written again.
+	RelayKeep = 3 * time.Second
+	// RelayBytes bounds the reports in one record, against 16 KiB a value.
+	RelayBytes = 12 << 10
+)
+
 // Scheduling.
 const (
 	// Tick is the pace of the placer when nothing wakes it.
