Tell a cut zone from lost machines by its controllers and by most of its machines

Cause: machines whose silence began a little sooner than their zone's were returned 5 s into a cut, before a relay had them. Ruled out: a longer limit for every silent machine, which delays real losses.

--- a/controller/core.go
+++ b/controller/core.go
@@ -122,6 +122,8 @@
 	Touch func(key string, urgency int, after func())
 	Send  func(name, addr string, o api.Orders)
 	Valid func() bool
+	// Cut tells whether no controller in a zone can be reached.
+	Cut func(zone string) bool
 	// Final tells that a job is over for good.
 	Final func(id string, f store.FinalRecord)
 }
--- a/controller/core_test.go
+++ b/controller/core_test.go
@@ -27,6 +27,7 @@
 	sent     []sentOrders
 	finals   map[string]store.FinalRecord
 	seq      uint64
+	cutZone  string
 	answered int
 }
 
@@ -56,6 +57,7 @@
 		Touch: func(k string, u int, f func()) { s.com.Touch(k, u, f) },
 		Send:  func(n, _ string, o api.Orders) { s.sent = append(s.sent, sentOrders{n, o}) },
 		Valid: func() bool { return s.valid },
+		Cut:   func(zone string) bool { return zone == s.cutZone },
 		Final: func(id string, f store.FinalRecord) { s.finals[id] = f },
 	}
 	s.Core = NewCore(term, s.clock, set, policy.Default(), testTypes, hooks)
@@ -290,6 +292,64 @@
 	if names := s.Tend(); len(names) != 0 {
 		t.Errorf("returned %v", names)
 	}
+	// The same with most of the zone already relayed, while its controllers
+	// are out of reach: the rest is still looking for a relay.
+	s = newStage(t)
+	for _, m := range []string{"b1", "b2", "b3"} {
+		s.report(m, 1)
+	}
+	s.cutZone = "b"
+	for range 15 {
+		s.clock.Advance(time.Second)
+		s.report("a1", 1)
+		s.Relayed("sib", store.RelayRecord{Term: s.term, Reports: s.relayedReports("b2", "b3")})
+	}
+	if names := s.Tend(); len(names) != 0 {
+		t.Errorf("returned %v", names)
+	}
+	s.cutZone = ""
+	if names := s.Tend(); len(names) != 1 || names[0] != "b1" {
+		t.Errorf("returned %v, want b1", names)
+	}
+}
+
+func (s *stage) relayedReports(names ...string) (out []api.Report) {
+	for _, n := range names {
+		s.seq++
+		out = append(out, api.Report{Machine: n, Address: n + ":1", Type: "m8", Zone: zoneOf(n), Session: 1, Seq: s.seq, Helm: s.term})
+	}
+	return out
+}
+
+// A start that went into a relay's mail may be delivered after any report that
+// the relay passes on; only a report that comes directly proves its absence.
+func TestMailedStartIsNotProvedAbsentByRelay(t *testing.T) {
+	s := newStage(t)
+	s.report("b1", 1)
+	s.Relayed("sib", store.RelayRecord{Term: s.term, Reports: s.relayedReports("b1")})
+	s.submit("run-000001", 1, nil)
+	s.Place()
+	s.commit()
+	m := s.mail("sib").Machines["b1"]
+	if len(m.Commands) != 1 || m.Commands[0].Verb != api.Start || len(s.starts("run-000001/0")) != 0 {
+		t.Fatalf("mail %+v, direct starts %d", m, len(s.starts("run-000001/0")))
+	}
+	s.Cancel(gaveUp(), "run-000001")
+	s.commit()
+	s.Relayed("sib", store.RelayRecord{Term: s.term, Reports: s.relayedReports("b1")})
+	if len(s.jobs["run-000001"].live) != 1 {
+		t.Fatal("a relayed report was taken for a proof")
+	}
+	s.report("b1", 1)
+	s.commit()
+	if s.jobs["run-000001"] != nil {
+		t.Error("a direct report was not taken for a proof")
+	}
+	// Reports for another term's leader are not ours to use.
+	s.Relayed("sib", store.RelayRecord{Term: s.term - 1, Reports: s.relayedReports("b9")})
+	if s.machines["b9"] != nil {
+		t.Error("took reports of another term")
+	}
 }
 
 func TestHigherSessionProvesLoss(t *testing.T) {
--- a/controller/node.go
+++ b/controller/node.go
@@ -203,6 +203,7 @@
 			t, valid := n.elector.Term()
 			return valid && t == term
 		},
+		Cut:   n.cut,
 		Final: n.final,
 	}
 	n.mu.Lock()
@@ -217,6 +218,20 @@
 	go n.term(ctx, core, com)
 }
 
+// cut tells whether no controller in another zone can be reached.
+func (n *Node) cut(zone string) bool {
+	there := false
+	for _, s := range n.set.Siblings {
+		if s.Zone == zone {
+			there = true
+			if n.peers.Reaches(s.Member) {
+				return false
+			}
+		}
+	}
+	return there && zone != n.set.Zone
+}
+
 // Lost ends a term.
 func (n *Node) Lost(uint64, string) {
 	n.mu.Lock()
--- a/controller/rent.go
+++ b/controller/rent.go
@@ -45,16 +45,21 @@
 		out = append(out, m.Name)
 	}
 	grace := seconds(c.set.Facts.Workers.LeaseS) + tuning.NewTermGrace
-	zoneHeard := map[string]bool{}
-	zoneCount := map[string]int{}
+	up, heard := map[string]int{}, map[string]int{}
 	for _, m := range c.machines {
 		if m.Up {
-			zoneCount[m.Zone]++
-			if now.Sub(m.Heard) < c.silent() {
-				zoneHeard[m.Zone] = true
+			up[m.Zone]++
+			if now.Sub(m.Heard) < c.quiet(m) {
+				heard[m.Zone]++
 			}
 		}
 	}
+	// Where most of a zone, or its controllers, cannot be heard, more likely
+	// the way there is cut than the machines are gone: they need time to find
+	// a sibling that relays for them.
+	cut := func(m *machine) bool {
+		return up[m.Zone] > 1 && (2*heard[m.Zone] < up[m.Zone] || c.hooks.Cut(m.Zone))
+	}
 	for _, m := range c.byName() {
 		if m.returning {
 			continue
@@ -76,9 +81,8 @@
 			}
 		case !m.TakenAt.IsZero() && now.After(m.TakenAt.Add(time.Second)) && since > c.quiet(m):
 			giveUp(m, "taken back")
-		case since > c.silent()+relayDelay(m) && (zoneHeard[m.Zone] || zoneCount[m.Zone] < 2 || since > 4*c.silent()):
-			// Its return proves that its tasks are gone. Where a whole zone
-			// is silent, more likely the way there is cut.
+		case since > c.silent()+relayDelay(m) && (!cut(m) || since > 4*c.silent()):
+			// Its return proves that its tasks are gone.
 			giveUp(m, "silent")
 		case m.Suspect():
 			giveUp(m, "suspect")
