--- a/controller/core.go
+++ b/controller/core.go
@@ -3,9 +3,11 @@
 package controller
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"math"
 	"slices"
 	"strconv"
 	"strings"
@@ -49,6 +51,8 @@
 	// stands under its own key, and the other records can go.
 	stored, filed bool
 	told          []func()
+	// latest orders it among those of its rank.
+	latest int64
 	// arrived is when this leader got to know it.
 	arrived time.Time
 }
@@ -147,6 +151,8 @@
 	use      map[string]fleet.Room
 	attempts uint64
 	charters uint64
+	// aims are the classes' times of completion, sooner first.
+	aims map[string][]float64
 	// toPush are machines with commands that a commit has set free.
 	toPush   map[*machine]bool
 	refusals map[pool]time.Time
@@ -162,6 +168,13 @@
 		gone: map[string]time.Time{}, toPush: map[*machine]bool{}, use: map[string]fleet.Room{}, refusals: map[pool]time.Time{},
 		wake: make(chan struct{}, 1), started: clock.Now()}
 	c.heard = c.started
+	c.aims = map[string][]float64{}
+	for _, o := range set.Facts.Objectives {
+		if o.Kind == "finished" && o.WithinS > 0 {
+			c.aims[o.Class] = append(c.aims[o.Class], o.WithinS)
+			slices.Sort(c.aims[o.Class])
+		}
+	}
 	c.SetTypes(types)
 	return c
 }
@@ -199,26 +212,54 @@
 	return id, n, err == nil && n >= 0
 }
 
-// before is the order of the queues: rank, then arrival.
+// before is the order of the queues: rank, then the jobs that can still be in
+// time by their latest start, then arrival.
 func before(a, b *job) int {
-	if ra, rb := a.Job.RankLevel(), b.Job.RankLevel(); ra != rb {
-		return rb - ra
+	return cmp.Or(
+		cmp.Compare(b.Job.RankLevel(), a.Job.RankLevel()),
+		cmp.Compare(a.latest, b.latest),
+		cmp.Compare(a.At, b.At),
+		strings.Compare(a.id, b.id))
+}
+
+// sortQueues brings jobs and queues into order as of now.
+func (c *Core) sortQueues() {
+	now := c.clock.Now().UnixMilli()
+	for _, j := range c.order {
+		j.latest = c.latestStart(j, now)
 	}
-	if a.At != b.At {
-		if a.At < b.At {
-			return -1
+	slices.SortFunc(c.order, before)
+	for _, m := range c.machines {
+		slices.SortFunc(m.queue, func(a, b *queue) int { return before(a.job, b.job) })
+	}
+}
+
+// latestStart is when the rest of a job must start to be in time, in ms. A job
+// that can no longer be in time yields to those that can.
+func (c *Core) latestStart(j *job, now int64) int64 {
+	run := int64(estimate(j) * 1000)
+	for _, due := range c.dues(j) {
+		if t := j.At + int64(due*1000) - run; t >= now {
+			return t
 		}
-		return 1
 	}
-	return strings.Compare(a.id, b.id)
+	return math.MaxInt64
+}
+
+// dues are the times from its arrival by which a job should be complete: its
+// own deadline or, without one, the aims of its class.
+func (c *Core) dues(j *job) []float64 {
+	if j.Job.DeadlineS > 0 {
+		return []float64{j.Job.DeadlineS}
+	}
+	return c.aims[j.Job.Class]
 }
 
 func (c *Core) addJob(rec store.JobRecord, accepted bool) *job {
 	j := &job{JobRecord: rec, id: rec.Job.ID, total: rec.Job.Tasks, need: fleet.Of(&rec.Job), accepted: accepted, changed: make(chan struct{}),
 		bits: store.NewBits(rec.Job.Tasks), live: map[int]*assign{}, shards: map[int]bool{}, avoid: map[string]time.Time{}, arrived: c.clock.Now()}
 	c.jobs[j.id] = j
-	at, _ := slices.BinarySearchFunc(c.order, j, before)
-	c.order = slices.Insert(c.order, at, j)
+	c.order = append(c.order, j)
 	return j
 }
 
--- a/controller/place.go
+++ b/controller/place.go
@@ -93,6 +93,7 @@
 	if !c.loaded || !c.hooks.Valid() {
 		return
 	}
+	c.sortQueues()
 	for _, m := range c.machines {
 		if len(m.queue) > 0 && !c.usable(m) {
 			for _, q := range m.queue {
