Workers report to their zone's own controller, which passes reports on to the leader

Ruled out: redirecting on the leader's side once the cut is there (too late). A deployment with one zone is not touched.

--- a/controller/node.go
+++ b/controller/node.go
@@ -408,24 +408,48 @@
 	}
 }
 
-// Report answers a worker.
-func (n *Node) Report(r *api.Report) (status int, body any) {
+// Report answers a worker. Its zone's own controller is its home, so that a cut
+// between zones does not take its answers away: that one passes reports on to
+// the leader, and relays them once it cannot.
+func (n *Node) Report(ctx context.Context, r *api.Report, raw []byte) (status int, body any) {
 	core := n.leading()
-	if core == nil {
-		leader, term := n.elector.Leader()
-		for _, h := range n.peers.Alive() {
-			if h.Term > 0 {
-				return http.StatusMisdirectedRequest, api.Redirect{Node: h.Member}
-			}
+	if core != nil {
+		if home := n.home(r.Zone); home != "" && home != n.set.Member {
+			return http.StatusMisdirectedRequest, api.Redirect{Node: home}
+		}
+		return n.judge(core, r)
+	}
+	leader, term := n.elector.Leader()
+	for _, h := range n.peers.Alive() {
+		if h.Term > 0 {
+			leader, term = h.Member, max(term, h.Term)
+		}
+	}
+	switch {
+	case leader == "" || leader == n.set.Member:
+		return http.StatusServiceUnavailable, api.Error{Error: "no leader yet"}
+	case !n.peers.Reaches(leader):
+		if r.Helm <= term {
+			return http.StatusOK, n.relay.report(r, term)
 		}
-		if leader == "" || leader == n.set.Member {
-			return http.StatusServiceUnavailable, api.Error{Error: "no leader yet"}
+	case n.home(r.Zone) == n.set.Member && n.zoneOf(leader) != r.Zone:
+		a, err := n.peers.Ask(ctx, leader, peer.Request{Verb: verbReport, Body: raw})
+		if err == nil {
+			return a.Status, json.RawMessage(a.Body)
 		}
-		if !n.peers.Reaches(leader) && r.Helm <= term {
+		// Whatever the leader answered, this report's answer is ours now: it
+		// keeps the lease and carries nothing that was not in the mail.
+		if r.Helm <= term {
 			return http.StatusOK, n.relay.report(r, term)
 		}
-		return http.StatusMisdirectedRequest, api.Redirect{Node: leader}
+	case n.zoneOf(leader) != r.Zone && n.home(r.Zone) != "":
+		return http.StatusMisdirectedRequest, api.Redirect{Node: n.home(r.Zone)}
 	}
+	return http.StatusMisdirectedRequest, api.Redirect{Node: leader}
+}
+
+// judge answers a report as the leader.
+func (n *Node) judge(core *Core, r *api.Report) (status int, body any) {
 	o, deposed, refused := core.Report(r)
 	switch {
 	case deposed:
@@ -437,9 +461,45 @@
 	return http.StatusOK, o
 }
 
+// home is the controller that a zone's workers report to: this one if it is
+// there, else the first within reach that is; none if no one is.
+func (n *Node) home(zone string) string {
+	if zone == n.set.Zone {
+		return n.set.Member
+	}
+	for _, s := range n.set.Siblings {
+		if s.Zone == zone && n.peers.Reaches(s.Member) {
+			return s.Member
+		}
+	}
+	return ""
+}
+
+func (n *Node) zoneOf(member string) string {
+	for _, s := range n.set.Siblings {
+		if s.Member == member {
+			return s.Zone
+		}
+	}
+	return n.set.Zone
+}
+
+// passedOn serves a report that a sibling passes on.
+func (n *Node) passedOn(raw []byte) peer.Answer {
+	core := n.leading()
+	var r api.Report
+	if err := json.Unmarshal(raw, &r); err != nil || r.Check() != nil || core == nil {
+		return answer(http.StatusServiceUnavailable, api.Error{Error: "not the leader"})
+	}
+	return answer(n.judge(core, &r))
+}
+
 // Handle serves a user's request, here or at the leader. Forwarded: it comes
 // from a sibling and is not passed on.
 func (n *Node) Handle(ctx context.Context, r peer.Request, forwarded bool) peer.Answer {
+	if forwarded && r.Verb == verbReport {
+		return n.passedOn(r.Body)
+	}
 	if f, ok := n.finalOf(r.Job); ok && r.Verb != VerbSubmit {
 		return answer(http.StatusOK, finalStatus(r.Job, f))
 	}
--- a/controller/user.go
+++ b/controller/user.go
@@ -14,11 +14,13 @@
 	"switchferry/tuning"
 )
 
-// Verbs of users' requests.
+// Verbs of requests between controllers.
 const (
 	VerbSubmit = "submit"
 	VerbStatus = "status"
 	VerbCancel = "cancel"
+	// verbReport is a worker's report that a sibling passes on.
+	verbReport = "report"
 )
 
 func answer(status int, body any) peer.Answer {
--- a/httpapi/httpapi.go
+++ b/httpapi/httpapi.go
@@ -23,7 +23,7 @@
 // Node is what the port serves.
 type Node interface {
 	Ready() bool
-	Report(r *api.Report) (status int, body any)
+	Report(ctx context.Context, r *api.Report, raw []byte) (status int, body any)
 	Handle(ctx context.Context, r peer.Request, forwarded bool) peer.Answer
 }
 
@@ -81,7 +81,7 @@
 			slog.Error("malformed report", "from", c.Request().RemoteAddr, "err", err)
 			return c.JSON(http.StatusBadRequest, api.Error{Error: err.Error()})
 		}
-		status, ans := n.Report(&r)
+		status, ans := n.Report(c.Request().Context(), &r, body)
 		return c.JSON(status, ans)
 	})
 	return e
