--- a/controller/place.go
+++ b/controller/place.go
@@ -362,9 +362,12 @@
 				continue
 			}
 			score := m.FetchS(j.Job.Image, j.Job.ImageGB)
-			for _, a := range j.live {
-				if a.machine == m {
+			// Replicas on one machine are lost together.
+			for _, a := range m.assigns {
+				if a.job == j {
 					score += 0.5
+				} else if a.job.Job.Shape == api.Service {
+					score += 0.2
 				}
 			}
 			score += 0.1 * m.used.CPUs / m.Spec.CPUs
--- a/controller/rent.go
+++ b/controller/rent.go
@@ -81,7 +81,7 @@
 			}
 		case !m.TakenAt.IsZero() && now.After(m.TakenAt.Add(time.Second)) && since > c.quiet(m):
 			giveUp(m, "taken back")
-		case since > c.silent()+relayDelay(m) && (!cut(m) || since > 4*c.silent()):
+		case since > c.silent()+relayDelay(m) && (!cut(m) || since > tuning.CutLeases*seconds(c.set.Facts.Workers.LeaseS)):
 			// Its return proves that its tasks are gone.
 			giveUp(m, "silent")
 		case m.Suspect():
--- a/tuning/tuning.go
+++ b/tuning/tuning.go
@@ -87,9 +87,12 @@
 const (
 	// SilentReports: a machine unheard for so many report intervals is given
 	// up and returned, which proves that its tasks are gone.
-	SilentReports = 4.5
+	SilentReports = 3.2
 	// SilentMin is the least such time: loss and resending take a second.
-	SilentMin = 5 * time.Second
+	SilentMin = 3500 * time.Millisecond
+	// CutLeases times the workers' lease: so long a machine that may be behind
+	// a cut has to find a relay; it needs one lease at the most.
+	CutLeases = 2
 	// NewTermGrace is added to the workers' lease before a new leader gives
 	// up a machine that it has not heard yet.
 	NewTermGrace = 2 * time.Second
