--- a/controller/place.go
+++ b/controller/place.go
@@ -361,16 +361,13 @@
 			if !c.eligible(j, m) || !zoneOK(j, m) {
 				continue
 			}
-			score := 0.0
-			if f := m.FetchS(j.Job.Image, j.Job.ImageGB); f > 0 {
-				// Any fetch misses a start aim of a second or two; how long
-				// it takes then matters little.
-				score = tuning.FetchScore + 0.1*f
-			}
+			score := m.FetchS(j.Job.Image, j.Job.ImageGB)
 			// Replicas on one machine are lost together.
 			for _, a := range m.assigns {
-				if a.job.Job.Shape == api.Service {
-					score += tuning.TogetherScore
+				if a.job == j {
+					score += 0.5
+				} else if a.job.Job.Shape == api.Service {
+					score += 0.2
 				}
 			}
 			score += 0.1 * m.used.CPUs / m.Spec.CPUs
@@ -381,7 +378,7 @@
 				if !ok {
 					continue
 				}
-				score += tuning.VictimScore + 0.2*float64(len(victims))
+				score += 1 + 0.2*float64(len(victims))
 			}
 			if score < bestScore {
 				best, bestOut, bestVictims, bestScore = m, out, victims, score
--- a/tuning/tuning.go
+++ b/tuning/tuning.go
@@ -147,13 +147,6 @@
 	// MinRun is the least estimate of a task's time in seconds, so that a
 	// wrong estimate does not make a machine look endless.
 	MinRun = 1.0
-	// Scores of a machine for a replica; the least wins. Fetching the image
-	// costs FetchScore, each service that would be lost together with it
-	// TogetherScore, stopping lower work VictimScore: a holder is left for a
-	// fetch only when it has several more services.
-	FetchScore    = 2.0
-	TogetherScore = 0.4
-	VictimScore   = 1.0
 	// RoomSlack absorbs the rounding of decimal amounts.
 	RoomSlack = 1e-6
 )
