--- a/policy/policy.go
+++ b/policy/policy.go
@@ -37,7 +37,7 @@
 }
 
 var known = map[string]setting{
-	SlotS: {"length of a slot of the water-filling, in seconds", "10",
+	SlotS: {"length of a slot of the water-filling, in seconds", "2",
 		nil, 0.1, 600},
 	FetchPenalty: {"slots added to the busy time of a machine that lacks the image", "ceil(fetch_s / slot_s)",
 		[]string{"fetch_s", "slot_s"}, 0, 1e6},
