--- a/controller/place.go
+++ b/controller/place.go
@@ -265,7 +265,7 @@
 				continue
 			}
 			for _, q := range o.queue {
-				if len(q.tasks) > 0 && c.startable(q.job, m) {
+				if len(q.tasks) > 0 && c.startable(q.job, m) && c.worthPulling(q.job, m) {
 					from, longest = q, n
 					break
 				}
@@ -278,6 +278,14 @@
 	}
 }
 
+// worthPulling tells whether a machine without the image should take a job's
+// task off a holder's queue: once the job has waited as long as the fetch takes,
+// so that at worst it waits twice what was best.
+func (c *Core) worthPulling(j *job, m *machine) bool {
+	f := m.FetchS(j.Job.Image, j.Job.ImageGB)
+	return f <= tuning.FreeFetch || c.clock.Since(j.arrived).Seconds() >= tuning.PullPatience*f
+}
+
 // start records a task's machine; the command goes out once that is stored.
 func (c *Core) start(j *job, task int, m *machine, victims []*assign, why string) {
 	a := c.hold(j, task, m, c.nextAttempt())
--- a/tuning/tuning.go
+++ b/tuning/tuning.go
@@ -147,6 +147,12 @@
 	// MinRun is the least estimate of a task's time in seconds, so that a
 	// wrong estimate does not make a machine look endless.
 	MinRun = 1.0
+	// FreeFetch is a fetch, in seconds, that an idle machine makes without
+	// hesitation.
+	FreeFetch = 2.0
+	// PullPatience is the share of its fetch that an idle machine waits before
+	// it takes a task off the queue of a machine that holds the image.
+	PullPatience = 0.5
 	// RoomSlack absorbs the rounding of decimal amounts.
 	RoomSlack = 1e-6
 )
