--- a/controller/node.go
+++ b/controller/node.go
@@ -45,13 +45,16 @@
 	refused time.Time
 	finals  map[string]store.FinalRecord
 	ring    []string
+	// bounced is when a worker was last sent to another node. One that comes
+	// back soon could not reach that node.
+	bounced map[string]time.Time
 
 	relay *relay
 }
 
 // NewNode makes a controller. Transport carries its calls to other services.
 func NewNode(ctx context.Context, set *settings.Settings, pol *policy.Policy, clock clockwork.Clock, transport http.RoundTripper) *Node {
-	n := &Node{set: set, policy: pol, clock: clock, ctx: ctx, born: clock.Now(), finals: map[string]store.FinalRecord{}}
+	n := &Node{set: set, policy: pol, clock: clock, ctx: ctx, born: clock.Now(), bounced: map[string]time.Time{}, finals: map[string]store.FinalRecord{}}
 	n.client = store.NewClient(set.External.State, transport)
 	n.client.Seen = n.stateSeen
 	n.cloud = cloud.New(set.External.Cloud, set.Facts.Cloud.RPS, transport)
@@ -276,18 +279,35 @@
 		case <-n.clock.After(tuning.Tick):
 		}
 		core.Place()
-		if n.deaf(core) {
-			n.elector.Resign("hears neither workers nor siblings")
+		if why := n.unfit(core); why != "" {
+			n.elector.Resign(why)
 		}
 		n.sleep(ctx, tuning.PlaceGap)
 	}
 }
 
-func (n *Node) deaf(core *Core) bool {
+// unfit is why this node should no longer lead; empty: it should.
+func (n *Node) unfit(core *Core) string {
+	for _, h := range n.peers.Alive() {
+		if h.Term > core.term {
+			return "a sibling has a higher term"
+		}
+	}
+	if !n.peers.CutOff() {
+		return ""
+	}
 	core.mu.Lock()
 	heard := core.heard
 	core.mu.Unlock()
-	return n.clock.Since(heard) > tuning.DeafAfter && n.peers.CutOff()
+	switch {
+	case n.clock.Since(heard) > tuning.DeafAfter:
+		return "hears neither workers nor siblings"
+	case n.elector.Overdue() > tuning.DeafAfter:
+		// With the siblings answering this would be an outage, in which
+		// workers must go on being answered.
+		return "reaches neither the state service nor siblings"
+	}
+	return ""
 }
 
 // inbox takes in jobs that siblings accepted while they did not reach us.
@@ -412,9 +432,8 @@
 // between zones does not take its answers away: that one passes reports on to
 // the leader, and relays them once it cannot.
 func (n *Node) Report(ctx context.Context, r *api.Report, raw []byte) (status int, body any) {
-	core := n.leading()
-	if core != nil {
-		if home := n.home(r.Zone); home != "" && home != n.set.Member {
+	if core := n.leading(); core != nil {
+		if home := n.home(r.Zone); home != "" && home != n.set.Member && n.bounce(r.Machine) {
 			return http.StatusMisdirectedRequest, api.Redirect{Node: home}
 		}
 		return n.judge(core, r)
@@ -425,27 +444,49 @@
 			leader, term = h.Member, max(term, h.Term)
 		}
 	}
-	switch {
-	case leader == "" || leader == n.set.Member:
+	if leader == "" || leader == n.set.Member {
 		return http.StatusServiceUnavailable, api.Error{Error: "no leader yet"}
-	case !n.peers.Reaches(leader):
-		if r.Helm <= term {
-			return http.StatusOK, n.relay.report(r, term)
+	}
+	if n.peers.Reaches(leader) {
+		to := leader
+		if home := n.home(r.Zone); home != "" && n.zoneOf(leader) != r.Zone {
+			to = home
 		}
-	case n.home(r.Zone) == n.set.Member && n.zoneOf(leader) != r.Zone:
-		a, err := n.peers.Ask(ctx, leader, peer.Request{Verb: verbReport, Body: raw})
-		if err == nil {
+		if to != n.set.Member && n.bounce(r.Machine) {
+			return http.StatusMisdirectedRequest, api.Redirect{Node: to}
+		}
+		if a, err := n.peers.Ask(ctx, leader, peer.Request{Verb: verbReport, Body: raw}); err == nil {
 			return a.Status, json.RawMessage(a.Body)
 		}
 		// Whatever the leader answered, this report's answer is ours now: it
 		// keeps the lease and carries nothing that was not in the mail.
-		if r.Helm <= term {
-			return http.StatusOK, n.relay.report(r, term)
+	}
+	if r.Helm > term || !n.stateOK() && n.peers.CutOff() {
+		// Reaching neither the state service nor any sibling, we are the one
+		// that is cut off: the worker may find the leader elsewhere.
+		return http.StatusServiceUnavailable, api.Error{Error: "the leader is out of reach"}
+	}
+	return http.StatusOK, n.relay.report(r, term)
+}
+
+// bounce tells whether a worker may be sent to another node: not if it came
+// back from there a moment ago.
+func (n *Node) bounce(name string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.clock.Now()
+	if at, ok := n.bounced[name]; ok && now.Sub(at) < tuning.BounceKeep && now.Sub(at) > tuning.BounceTrip {
+		return false
+	}
+	for k, at := range n.bounced {
+		if now.Sub(at) >= tuning.BounceKeep {
+			delete(n.bounced, k)
 		}
-	case n.zoneOf(leader) != r.Zone && n.home(r.Zone) != "":
-		return http.StatusMisdirectedRequest, api.Redirect{Node: n.home(r.Zone)}
 	}
-	return http.StatusMisdirectedRequest, api.Redirect{Node: leader}
+	if _, ok := n.bounced[name]; !ok {
+		n.bounced[name] = now
+	}
+	return true
 }
 
 // judge answers a report as the leader.
--- a/controller/relay.go
+++ b/controller/relay.go
@@ -120,6 +120,10 @@
 	if err != nil {
 		slog.Info("reports not passed on", "err", err)
 		y.mu.Lock()
+		if errors.Is(err, store.ErrConflict) {
+			// That leader's term is over; so is the relay.
+			y.workers = map[string]*relayed{}
+		}
 		for _, w := range y.workers {
 			w.changed = true
 		}
--- a/tuning/tuning.go
+++ b/tuning/tuning.go
@@ -116,6 +116,15 @@
 	SpotNoticeSlack = 1.0
 )
 
+// Workers that are sent from node to node.
+const (
+	// BounceTrip is how long a worker may take to leave for the node that it
+	// was sent to: half a second and a report already under way.
+	BounceTrip = 2 * time.Second
+	// BounceKeep is how long a worker that came back is not sent there again.
+	BounceKeep = 30 * time.Second
+)
+
 // Relay of reports through the state service, while a sibling does not reach
 // the leader.
 const (
