Between two leaders, answer workers with the last term's token

Cause: in the incident the leader was cut off while the zones were apart; its key ended at 288 s, no one led for 1.7 s, and the far zone's controller sent its workers away, to nodes beyond the cut. Ruled out: a shorter lease of the leader's key (renewals late by a slow state answer would end terms).

--- a/controller/node.go
+++ b/controller/node.go
@@ -444,8 +444,15 @@
 			leader, term = h.Member, max(term, h.Term)
 		}
 	}
+	cutOff := !n.stateOK() && n.peers.CutOff()
 	if leader == "" || leader == n.set.Member {
-		return http.StatusServiceUnavailable, api.Error{Error: "no leader yet"}
+		last, since := n.elector.Vacant()
+		if cutOff || last == 0 || r.Helm > last || since > tuning.Interregnum {
+			return http.StatusServiceUnavailable, api.Error{Error: "no leader yet"}
+		}
+		// Between two leaders the last one's token still keeps leases. Sent
+		// away, a worker might try nodes beyond a cut until its lease ends.
+		return http.StatusOK, api.Orders{Helm: last, Commands: []api.Command{}}
 	}
 	if n.peers.Reaches(leader) {
 		to := leader
@@ -461,7 +468,7 @@
 		// Whatever the leader answered, this report's answer is ours now: it
 		// keeps the lease and carries nothing that was not in the mail.
 	}
-	if r.Helm > term || !n.stateOK() && n.peers.CutOff() {
+	if r.Helm > term || cutOff {
 		// Reaching neither the state service nor any sibling, we are the one
 		// that is cut off: the worker may find the leader elsewhere.
 		return http.StatusServiceUnavailable, api.Error{Error: "the leader is out of reach"}
--- a/election/election.go
+++ b/election/election.go
@@ -34,7 +34,8 @@
 
 	mu     sync.Mutex
 	leader string // as last read
-	reign  uint64 // its term
+	reign  uint64 // its term, or the last one's while there is no leader
+	vacant time.Time
 	term   uint64 // ours; 0: none
 	lease  uint64
 	valid  time.Time
@@ -55,6 +56,13 @@
 	return e.leader, e.reign
 }
 
+// Vacant is the last term and how long nobody has led since.
+func (e *Elector) Vacant() (term uint64, since time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.reign, e.clock.Since(e.vacant)
+}
+
 // Term is our term and whether our key certainly still stands.
 func (e *Elector) Term() (term uint64, valid bool) {
 	e.mu.Lock()
@@ -96,7 +104,13 @@
 func (e *Elector) setLeader(m string, term uint64) {
 	e.mu.Lock()
 	changed := e.leader != m
-	e.leader, e.reign = m, term
+	if e.leader != "" && m == "" {
+		e.vacant = e.clock.Now()
+	}
+	e.leader = m
+	if term != 0 {
+		e.reign = term
+	}
 	e.mu.Unlock()
 	if changed && m != "" {
 		slog.Info("leader known", "leader", m)
@@ -222,7 +236,7 @@
 	}
 	e.mu.Lock()
 	term, lease := e.term, e.lease
-	e.term, e.leader, e.valid = 0, "", time.Time{}
+	e.term, e.leader, e.reign, e.vacant, e.valid = 0, "", term, e.clock.Now(), time.Time{}
 	e.standAfter = e.clock.Now().Add(tuning.StandAgain)
 	if why == "the lease ended" {
 		e.standAfter = time.Time{}
--- a/tuning/tuning.go
+++ b/tuning/tuning.go
@@ -25,6 +25,9 @@
 	// DeafAfter: a leader that hears no worker and no sibling for so long,
 	// while machines should report, resigns.
 	DeafAfter = 3500 * time.Millisecond
+	// Interregnum is how long, with nobody leading, workers are answered with
+	// the last term's token: several elections.
+	Interregnum = 6 * time.Second
 	// ElectRetry paces a candidate whose attempt failed.
 	ElectRetry = 250 * time.Millisecond
 )
