A cut-off node keeps workers that come back; answers to commands count as heard

Sent away by a cut-off controller, workers whose whole zone was cut tried two dead ways of 5 s each; and a new leader resigned although its commands were answered, because the workers still looked for it. Ruled out: never sending workers away (a lone cut node would hold them).

--- a/controller/node.go
+++ b/controller/node.go
@@ -389,19 +389,32 @@
 		core.Listed(list)
 		if first {
 			first = false
-			for _, addr := range core.Addresses() {
-				go func() {
-					r, done, err := n.worker.Send(ctx, addr, api.Orders{Helm: core.term, Session: 1, Commands: []api.Command{}})
-					if err == nil && !done && r.Helm < core.term {
-						_, _, _ = n.worker.Send(ctx, addr, api.Orders{Helm: core.term, Session: r.Session, Commands: []api.Command{}})
-					}
-				}()
+			for name, addr := range core.Addresses() {
+				go n.show(ctx, core, name, addr)
 			}
 		}
 		n.sleep(ctx, tuning.ListEvery)
 	}
 }
 
+// show lets a worker see our term. Its session is not known: a wrong guess is
+// answered with the right one.
+func (n *Node) show(ctx context.Context, core *Core, name, addr string) {
+	session := uint64(1)
+	for range 2 {
+		o := api.Orders{Helm: core.term, Session: session, Commands: []api.Command{}}
+		r, done, err := n.worker.Send(ctx, addr, o)
+		if err != nil {
+			return
+		}
+		if done || r.Session == session {
+			core.Answered(name, o, r, true)
+			return
+		}
+		session = r.Session
+	}
+}
+
 // tend rents and returns machines.
 func (n *Node) tend(ctx context.Context, core *Core) {
 	for ctx.Err() == nil {
@@ -444,10 +457,15 @@
 			leader, term = h.Member, max(term, h.Term)
 		}
 	}
-	cutOff := !n.stateOK() && n.peers.CutOff()
+	if !n.stateOK() && n.peers.CutOff() && n.bounce(r.Machine) {
+		// Reaching neither the state service nor any sibling, we are the one
+		// that is cut off, or all of our zone is. A worker that comes back
+		// reaches nobody else either, and stays.
+		return http.StatusMisdirectedRequest, api.Redirect{Node: n.before()}
+	}
 	if leader == "" || leader == n.set.Member {
 		last, since := n.elector.Vacant()
-		if cutOff || last == 0 || r.Helm > last || since > tuning.Interregnum {
+		if last == 0 || r.Helm > last || since > tuning.Interregnum {
 			return http.StatusServiceUnavailable, api.Error{Error: "no leader yet"}
 		}
 		// Between two leaders the last one's token still keeps leases. Sent
@@ -468,14 +486,28 @@
 		// Whatever the leader answered, this report's answer is ours now: it
 		// keeps the lease and carries nothing that was not in the mail.
 	}
-	if r.Helm > term || cutOff {
-		// Reaching neither the state service nor any sibling, we are the one
-		// that is cut off: the worker may find the leader elsewhere.
+	if r.Helm > term {
 		return http.StatusServiceUnavailable, api.Error{Error: "the leader is out of reach"}
 	}
 	return http.StatusOK, n.relay.report(r, term)
 }
 
+// before is the sibling that comes before us in the order in which workers try
+// nodes: one that finds nobody there comes straight back.
+func (n *Node) before() string {
+	prev, last := "", ""
+	for _, s := range n.set.Siblings {
+		last = max(last, s.Member)
+		if s.Member < n.set.Member {
+			prev = max(prev, s.Member)
+		}
+	}
+	if prev == "" {
+		return last
+	}
+	return prev
+}
+
 // bounce tells whether a worker may be sent to another node: not if it came
 // back from there a moment ago.
 func (n *Node) bounce(name string) bool {
--- a/controller/relay_test.go
+++ b/controller/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 
@@ -59,3 +60,32 @@
 		t.Errorf("accepted: %d", got)
 	}
 }
+
+// A node that reaches neither the state service nor a sibling sends a worker to
+// the node before it. A worker that comes back found nobody there: it is kept,
+// or it would lose its lease while it tries one dead way after the other.
+func TestCutOffNodeKeepsWorkersThatComeBack(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	st := standin.NewState(clock)
+	set := &settings.Settings{Member: "n1", Zone: "b", Siblings: []settings.Sibling{{Member: "n0", Zone: "a", Address: "127.0.0.1:1"}, {Member: "n2", Zone: "a", Address: "127.0.0.1:1"}}}
+	n := NewNode(context.Background(), set, policy.Default(), clock, st)
+	st.Put(store.LeaderKey, store.Leader{Member: "n2"})
+	if n.elector.Stand(context.Background()) {
+		t.Fatal("two leaders")
+	}
+	_, term := n.elector.Leader()
+	st.Down = true
+	clock.Advance(time.Second)
+	n.told(context.Background(), nil, "run-1")
+	r := &api.Report{Machine: "b1", Zone: "b", Session: 1, Seq: 1, Helm: term}
+	status, body := n.Report(context.Background(), r, nil)
+	if status != 421 || body.(api.Redirect).Node != "n0" {
+		t.Fatalf("first report: %d %+v", status, body)
+	}
+	clock.Advance(6 * time.Second)
+	r.Seq++
+	status, body = n.Report(context.Background(), r, nil)
+	if o, ok := body.(api.Orders); status != 200 || !ok || o.Helm != term || len(o.Commands) != 0 {
+		t.Errorf("report of a worker that came back: %d %+v", status, body)
+	}
+}
--- a/controller/report.go
+++ b/controller/report.go
@@ -390,7 +390,13 @@
 			}
 		}
 	}
-	if r != nil && r.Machine == name && r.Helm <= c.term && m.Newer(r) {
+	if r != nil {
+		// A worker that answers shows that our own network works.
+		c.heard = c.clock.Now()
+	}
+	// A machine that has not reported in this term has its whole lease to find
+	// us; only its own report makes it count as heard.
+	if r != nil && m.Up && r.Machine == name && r.Helm <= c.term && m.Newer(r) {
 		c.take(m, r, byOrders)
 	}
 	again := m.again
--- a/election/election.go
+++ b/election/election.go
@@ -36,9 +36,11 @@
 	leader string // as last read
 	reign  uint64 // its term, or the last one's while there is no leader
 	vacant time.Time
-	term   uint64 // ours; 0: none
-	lease  uint64
-	valid  time.Time
+	// following is the revision of another's key, for the loop of Run alone.
+	following uint64
+	term      uint64 // ours; 0: none
+	lease     uint64
+	valid     time.Time
 	// standAfter keeps a leader that resigned from standing at once.
 	standAfter time.Time
 	quit       chan string
@@ -88,8 +90,11 @@
 // Run stands and leads until the context ends.
 func (e *Elector) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if e.stand(ctx) {
+		e.following = 0
+		if e.Stand(ctx) {
 			e.lead(ctx)
+		} else if e.following > 0 {
+			e.follow(ctx, e.following)
 		}
 	}
 }
@@ -117,8 +122,8 @@
 	}
 }
 
-// stand waits until there is no leader and tries to become it.
-func (e *Elector) stand(ctx context.Context) bool {
+// Stand looks who leads and, if nobody does, tries to become the leader.
+func (e *Elector) Stand(ctx context.Context) bool {
 	it, err := e.client.Get(ctx, store.LeaderKey)
 	switch {
 	case err == nil:
@@ -135,7 +140,7 @@
 			return false
 		}
 		e.setLeader(l.Member, it.Stamp)
-		e.follow(ctx, it.Stamp)
+		e.following = it.Stamp
 		return false
 	case !errors.Is(err, store.ErrNotFound):
 		e.sleep(ctx, tuning.ElectRetry)
--- a/tuning/tuning.go
+++ b/tuning/tuning.go
@@ -94,8 +94,9 @@
 	// SilentMin is the least such time: loss and resending take a second.
 	SilentMin = 3500 * time.Millisecond
 	// CutLeases times the workers' lease: so long a machine that may be behind
-	// a cut has to find a relay; it needs one lease at the most.
-	CutLeases = 2
+	// a cut is left alone. Its zone's controllers may be keeping its tasks
+	// alive; replicas that are spread could not run elsewhere anyway.
+	CutLeases = 6
 	// NewTermGrace is added to the workers' lease before a new leader gives
 	// up a machine that it has not heard yet.
 	NewTermGrace = 2 * time.Second
