--- /dev/null
+++ b/cli/cli_test.go
@@ -0,0 +1,80 @@
+package cli
+
+import (
+	"bytes"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// call runs the program with arguments and returns its exit code and output.
+func call(args ...string) (int, string) {
+	var out bytes.Buffer
+	root := Root()
+	root.SetArgs(args)
+	root.SetOut(&out)
+	root.SetErr(&out)
+	err := root.Execute()
+	if err != nil {
+		return ExitCode(err), out.String() + err.Error()
+	}
+	return 0, out.String()
+}
+
+func node(t *testing.T, status int, body string) string {
+	t.Helper()
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(status)
+		_, _ = w.Write([]byte(body))
+	}))
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+func TestExitCodes(t *testing.T) {
+	good := filepath.Join(t.TempDir(), "job.json")
+	job := `{"name_id":"run-000001","jobclass":"c","owner":"t","shape":"sweep","rank":"low","parts":2,"cores":1,"cards":0,"ram_gb":1,"bundle":"i","size_gb":1,"together":false,"apart":false,"standby":true,"expect_s":3,"snapshot_s":0,"stow_s":0}`
+	if err := os.WriteFile(good, []byte(job), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	ok := node(t, 201, `{"name_id":"run-000001","status":"pending"}`)
+	for _, c := range []struct {
+		want int
+		text string
+		args []string
+	}{
+		{0, "run-000001 pending", []string{"submit", "--file", good, "--node", ok}},
+		{0, `"status":"pending"`, []string{"submit", "--file", good, "--json", "--node", ok}},
+		{0, "pending", []string{"submit", "--id", "run-000001", "--class", "c", "--team", "t", "--image", "i", "--node", ok}},
+		{ExitUsage, "owner", []string{"submit", "--id", "run-000001", "--class", "c", "--image", "i", "--node", ok}},
+		{ExitUsage, "no such file", []string{"submit", "--file", good + "x"}},
+		{ExitUsage, "no job id", []string{"status", "job-1"}},
+		{ExitUsage, "unknown command", []string{"ponder"}},
+		{ExitUsage, "unknown flag", []string{"status", "run-1", "--speed", "9"}},
+		{ExitUsage, "--config is missing", []string{"check"}},
+		{ExitNotFound, "no such job", []string{"status", "run-000009", "--node", node(t, 404, `{"error":"no such job"}`)}},
+		{ExitRefused, "no such team", []string{"submit", "--file", good, "--node", node(t, 422, `{"error":"no such team"}`)}},
+		{ExitFailed, "no answer within", []string{"cancel", "run-000009", "--wait", "50ms", "--node", "127.0.0.1:1"}},
+		{0, "switchferry", []string{"version"}},
+	} {
+		code, out := call(c.args...)
+		if code != c.want || !strings.Contains(out, c.text) {
+			t.Errorf("%v: exit %d, %q; want %d with %q", c.args, code, out, c.want, c.text)
+		}
+	}
+}
+
+// A wrong policy and wrong settings are all reported before anything starts.
+func TestCheckReportsEverything(t *testing.T) {
+	dir := t.TempDir()
+	conf, pol := filepath.Join(dir, "n.toml"), filepath.Join(dir, "p.policy")
+	_ = os.WriteFile(conf, []byte("member = \"\"\n"), 0o600)
+	_ = os.WriteFile(pol, []byte("slot_s = 3\nslots = 4\n"), 0o600)
+	code, out := call("check", "--config", conf, "--policy", pol)
+	if code != ExitUsage || !strings.Contains(out, "member") || !strings.Contains(out, "line 2: slots") {
+		t.Errorf("exit %d, %s", code, out)
+	}
+}
--- a/cli/serve.go
+++ b/cli/serve.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"net/http"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -64,7 +65,9 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(serveCommand(), checkCommand(), versionCommand())
+	root.AddCommand(serveCommand(), checkCommand(), versionCommand(), submitCommand(),
+		jobCommand("status", "Show a job's state", http.MethodGet, ""),
+		jobCommand("cancel", "Cancel a job", http.MethodPost, "/cancel"))
 	return root
 }
 
--- /dev/null
+++ b/httpapi/httpapi_test.go
@@ -0,0 +1,57 @@
+package httpapi
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"switchferry/api"
+	"switchferry/peer"
+)
+
+type fakeNode struct{ got peer.Request }
+
+func (f *fakeNode) Ready() bool { return false }
+func (f *fakeNode) Report(context.Context, *api.Report, []byte) (int, any) {
+	return 421, api.Redirect{Node: "n1"}
+}
+func (f *fakeNode) Handle(_ context.Context, r peer.Request, _ bool) peer.Answer {
+	f.got = r
+	return peer.Answer{Status: 503, Body: []byte(`{"error":"later"}`), RetryAfterS: 1}
+}
+
+func TestAnswers(t *testing.T) {
+	n := &fakeNode{}
+	h := New(n)
+	for _, c := range []struct {
+		method, path, body string
+		status             int
+		text               string
+	}{
+		{"POST", "/submissions", "{}", 503, "later"},
+		{"POST", "/submissions", strings.Repeat("x", 65<<10), 400, "body"},
+		{"GET", "/submissions/run-1", "", 503, "later"},
+		{"GET", "/ready", "", 503, ""},
+		{"POST", "/v1/report", "{", 400, "error"},
+		{"POST", "/v1/report", `{"watch":1}`, 400, "host"},
+		{"POST", "/v1/report", `{"host":"m","watch":1}`, 421, `"harbor":"n1"`},
+		{"GET", "/elsewhere", "", 404, "error"},
+		{"DELETE", "/submissions/run-1", "", 405, "error"},
+	} {
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, httptest.NewRequest(c.method, c.path, strings.NewReader(c.body)))
+		if w.Code != c.status || !strings.Contains(w.Body.String(), c.text) {
+			t.Errorf("%s %s: %d %s", c.method, c.path, w.Code, w.Body)
+		}
+		// Who is told to come back is told when.
+		if retry := w.Header().Get("Retry-After"); (c.text == "later") != (retry == "1") {
+			t.Errorf("%s %s: Retry-After %q", c.method, c.path, retry)
+		}
+	}
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, httptest.NewRequest("POST", "/submissions/run-7/cancel", nil))
+	if n.got.Verb != "cancel" || n.got.Job != "run-7" {
+		t.Errorf("passed on %+v", n.got)
+	}
+}
--- /dev/null
+++ b/peer/peer_test.go
@@ -0,0 +1,89 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"math/rand/v2"
+	"net"
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+
+	"switchferry/peer/wire"
+	"switchferry/settings"
+)
+
+func TestFrameRoundTrip(t *testing.T) {
+	f := frame{kind: wire.KindRequest, seq: 7, verb: "submit", job: "run-1", body: []byte(`{"a":1}`), member: "n0", term: 9, stateOK: true, status: 503, retry: 2}
+	got, err := readFrame(bytes.NewReader(encode(f)))
+	if err != nil || got.seq != 7 || got.verb != "submit" || got.job != "run-1" || string(got.body) != `{"a":1}` || got.term != 9 || !got.stateOK || got.status != 503 || got.retry != 2 || got.member != "n0" {
+		t.Errorf("%+v, %v", got, err)
+	}
+}
+
+// Damaged frames are errors, never panics: FlatBuffers checks nothing itself.
+func TestDamagedFrames(t *testing.T) {
+	rnd := rand.New(rand.NewPCG(3, 4))
+	good := encode(frame{kind: wire.KindReply, seq: 1, body: make([]byte, 300), verb: "x"})
+	for range 5000 {
+		raw := bytes.Clone(good)
+		for range 1 + rnd.IntN(8) {
+			raw[4+rnd.IntN(len(raw)-4)] = byte(rnd.Uint32())
+		}
+		_, _ = readFrame(bytes.NewReader(raw))
+	}
+	huge := binary.LittleEndian.AppendUint32(nil, 1<<31)
+	for _, raw := range [][]byte{huge, {4, 0, 0, 0, 1, 2, 3, 4}, good[:20], {0xff}} {
+		if _, err := readFrame(bytes.NewReader(raw)); err == nil {
+			t.Errorf("%d bytes of garbage were taken", len(raw))
+		}
+	}
+}
+
+// Garbage on the back port closes that connection and nothing else, and a
+// request gets its answer.
+func TestGarbageAndRequests(t *testing.T) {
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	clock := clockwork.NewFakeClock()
+	self := func() Hello { return Hello{Member: "n0", Term: 5, StateOK: true} }
+	server := New(nil, clock, self, func(_ context.Context, r Request) Answer {
+		return Answer{Status: 200, Body: append([]byte(r.Verb+" "), r.Body...), RetryAfterS: 3}
+	})
+	go func() { _ = server.Serve(ctx, l) }()
+
+	bad, err := net.Dial("tcp4", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = bad.Write(bytes.Repeat([]byte("GET / HTTP/1.1\r\n"), 20))
+	if _, err := bad.Read(make([]byte, 1)); err == nil {
+		t.Error("garbage was answered")
+	}
+
+	one := New([]settings.Sibling{{Member: "n0", Address: l.Addr().String()}}, clock, func() Hello { return Hello{Member: "n1"} }, nil)
+	s := one.siblings["n0"]
+	c, err := net.Dial("tcp4", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	go one.talk(ctx, s, c)
+	for !one.Reaches("n0") {
+		// The first greeting is on its way.
+	}
+	if h := one.Alive(); len(h) != 1 || h[0].Term != 5 || !h[0].StateOK || one.CutOff() {
+		t.Errorf("alive %+v", h)
+	}
+	a, err := one.Ask(ctx, "n0", Request{Verb: "status", Body: []byte("x")})
+	if err != nil || a.Status != 200 || string(a.Body) != "status x" || a.RetryAfterS != 3 {
+		t.Errorf("%+v, %v", a, err)
+	}
+	if _, err := one.Ask(ctx, "n9", Request{}); err == nil {
+		t.Error("an unknown sibling answered")
+	}
+}
