--- a/controller/core.go
+++ b/controller/core.go
@@ -51,8 +51,8 @@
 	// stands under its own key, and the other records can go.
 	stored, filed bool
 	told          []func()
-	// place orders it among those of its rank.
-	place int64
+	// latest orders it among those of its rank.
+	latest int64
 	// arrived is when this leader got to know it.
 	arrived time.Time
 }
@@ -213,11 +213,11 @@
 }
 
 // before is the order of the queues: rank, then the jobs that can still be in
-// time, the least work left first, then arrival.
+// time by their latest start, then arrival.
 func before(a, b *job) int {
 	return cmp.Or(
 		cmp.Compare(b.Job.RankLevel(), a.Job.RankLevel()),
-		cmp.Compare(a.place, b.place),
+		cmp.Compare(a.latest, b.latest),
 		cmp.Compare(a.At, b.At),
 		strings.Compare(a.id, b.id))
 }
@@ -226,7 +226,7 @@
 func (c *Core) sortQueues() {
 	now := c.clock.Now().UnixMilli()
 	for _, j := range c.order {
-		j.place = c.place(j, now)
+		j.latest = c.latestStart(j, now)
 	}
 	slices.SortFunc(c.order, before)
 	for _, m := range c.machines {
@@ -234,15 +234,13 @@
 	}
 }
 
-// place is a job's place among those of its rank: the work left, in processor
-// milliseconds, while it can still be in time. One that cannot yields to those
-// that can. Under a backlog, work in order of arrival or of deadlines makes
-// every job a little late; the shortest first makes few of them late.
-func (c *Core) place(j *job, now int64) int64 {
-	run := estimate(j) * 1000
+// latestStart is when the rest of a job must start to be in time, in ms. A job
+// that can no longer be in time yields to those that can.
+func (c *Core) latestStart(j *job, now int64) int64 {
+	run := int64(estimate(j) * 1000)
 	for _, due := range c.dues(j) {
-		if j.At+int64(due*1000)-int64(run) >= now {
-			return int64(run * float64(len(j.pending)+j.queued) * math.Max(j.need.CPUs, 0.01))
+		if t := j.At + int64(due*1000) - run; t >= now {
+			return t
 		}
 	}
 	return math.MaxInt64
