--- a/controller/node.go
+++ b/controller/node.go
@@ -452,11 +452,7 @@
 		return n.judge(core, r)
 	}
 	leader, term := n.elector.Leader()
-	for _, h := range n.peers.Alive() {
-		if h.Term > 0 {
-			leader, term = h.Member, max(term, h.Term)
-		}
-	}
+	leader, term, there := whoLeads(leader, term, n.peers.Alive())
 	if !n.stateOK() && n.peers.CutOff() && n.bounce(r.Machine) {
 		// Reaching neither the state service nor any sibling, we are the one
 		// that is cut off, or all of our zone is. A worker that comes back
@@ -472,7 +468,7 @@
 		// away, a worker might try nodes beyond a cut until its lease ends.
 		return http.StatusOK, api.Orders{Helm: last, Commands: []api.Command{}}
 	}
-	if n.peers.Reaches(leader) {
+	if there {
 		to := leader
 		if home := n.home(r.Zone); home != "" && n.zoneOf(leader) != r.Zone {
 			to = home
@@ -480,7 +476,7 @@
 		if to != n.set.Member && n.bounce(r.Machine) {
 			return http.StatusMisdirectedRequest, api.Redirect{Node: to}
 		}
-		if a, err := n.peers.Ask(ctx, leader, peer.Request{Verb: verbReport, Body: raw}); err == nil {
+		if a, err := n.peers.Ask(ctx, leader, peer.Request{Verb: verbReport, Body: raw}); err == nil && a.Status != http.StatusMisdirectedRequest {
 			return a.Status, json.RawMessage(a.Body)
 		}
 		// Whatever the leader answered, this report's answer is ours now: it
@@ -528,6 +524,20 @@
 	return true
 }
 
+// whoLeads is the leader by the siblings' own word, or else as last read; there:
+// a sibling within reach says that it leads. A former leader that came back
+// without its term leads nothing, even while its key still stands because the
+// state service is out.
+func whoLeads(leader string, term uint64, alive []peer.Hello) (string, uint64, bool) {
+	there := false
+	for _, h := range alive {
+		if h.Term > 0 && h.Term >= term {
+			leader, term, there = h.Member, h.Term, true
+		}
+	}
+	return leader, term, there
+}
+
 // judge answers a report as the leader.
 func (n *Node) judge(core *Core, r *api.Report) (status int, body any) {
 	o, deposed, refused := core.Report(r)
@@ -569,7 +579,7 @@
 	core := n.leading()
 	var r api.Report
 	if err := json.Unmarshal(raw, &r); err != nil || r.Check() != nil || core == nil {
-		return answer(http.StatusServiceUnavailable, api.Error{Error: "not the leader"})
+		return answer(http.StatusMisdirectedRequest, api.Redirect{})
 	}
 	return answer(n.judge(core, &r))
 }
@@ -592,13 +602,9 @@
 	if forwarded {
 		return later("not the leader")
 	}
-	leader, _ := n.elector.Leader()
-	for _, h := range n.peers.Alive() {
-		if h.Term > 0 {
-			leader = h.Member
-		}
-	}
-	if n.peers.Reaches(leader) {
+	leader, term := n.elector.Leader()
+	leader, _, there := whoLeads(leader, term, n.peers.Alive())
+	if there {
 		if a, err := n.peers.Ask(ctx, leader, r); err == nil {
 			return a
 		}
--- a/controller/relay_test.go
+++ b/controller/relay_test.go
@@ -9,6 +9,7 @@
 
 	"switchferry/api"
 	"switchferry/internal/standin"
+	"switchferry/peer"
 	"switchferry/policy"
 	"switchferry/settings"
 	"switchferry/store"
@@ -89,3 +90,23 @@
 		t.Errorf("report of a worker that came back: %d %+v", status, body)
 	}
 }
+
+// A leader that crashed in an outage of the state service and came back leads
+// nothing, though its key still stands: workers sent there would be refused by
+// all nodes in turn until their leases end.
+func TestReturnedLeaderLeadsNothing(t *testing.T) {
+	for _, c := range []struct {
+		alive  []peer.Hello
+		leader string
+		there  bool
+	}{
+		{[]peer.Hello{{Member: "n2"}, {Member: "n1"}}, "n2", false},
+		{[]peer.Hello{{Member: "n2", Term: 7}, {Member: "n1"}}, "n2", true},
+		{[]peer.Hello{{Member: "n2", Term: 7}, {Member: "n1", Term: 9}}, "n1", true},
+		{[]peer.Hello{{Member: "n1", Term: 5}}, "n2", false},
+	} {
+		if leader, _, there := whoLeads("n2", 7, c.alive); leader != c.leader || there != c.there {
+			t.Errorf("%+v: %s %v", c.alive, leader, there)
+		}
+	}
+}
