Rent for missing machines at once, also while the state service is out

Ruled out: returning silent machines in an outage (another node may lead and use them). Conclusion: kept for outages; a rental's name is unique to its term anyway.

--- a/controller/core.go
+++ b/controller/core.go
@@ -103,9 +103,11 @@
 	// relay is the sibling that its reports come through; empty: directly.
 	relay     string
 	returning bool
-	drain     bool
-	idle      time.Time
-	refused   time.Time
+	// running: the cloud lists it as up, though it has not reported yet.
+	running bool
+	drain   bool
+	idle    time.Time
+	refused time.Time
 }
 
 type ended struct {
--- a/controller/rent.go
+++ b/controller/rent.go
@@ -145,10 +145,19 @@
 	return all, ordinary
 }
 
+// missing tells whether a machine should have reported by now. It may yet come
+// back, but others are rented in the meantime: they take long to boot.
+func (c *Core) missing(m *machine) bool {
+	if m.Up {
+		return c.clock.Since(m.Heard) > 2*c.quiet(m)
+	}
+	return m.running && c.clock.Since(c.started) > 2*c.quiet(m)
+}
+
 // supply is the processors that are up or coming.
 func (c *Core) supply() (all, spot float64) {
 	for _, m := range c.machines {
-		if m.returning || m.drain || !m.TakenAt.IsZero() || m.Spec == nil {
+		if m.returning || m.drain || !m.TakenAt.IsZero() || m.Spec == nil || c.missing(m) {
 			continue
 		}
 		all += m.Spec.CPUs
@@ -174,7 +183,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.clock.Now()
-	if !c.loaded || !c.hooks.Valid() || c.renting > 0 || now.Sub(c.started) < seconds(2*c.set.Facts.Workers.ReportS) {
+	// This goes on while the state service is out: the names of rentals are
+	// this term's own, and the machines will be needed whoever leads.
+	if !c.loaded || c.renting > 0 || now.Sub(c.started) < seconds(2*c.set.Facts.Workers.ReportS) {
 		return nil
 	}
 	want, ordWant := c.wanted()
@@ -282,6 +293,7 @@
 			slog.Info("machine listed", "machine", l.Name, "type", l.Type, "zone", l.Zone, "state", l.State)
 		}
 		if !m.Up {
+			m.running = l.State == "running"
 			m.Address, m.Type, m.Zone, m.Spot, m.Spec = l.Address, l.Type, l.Zone, l.Spot, c.types[l.Type]
 		}
 		if l.State == "failed" && !m.returning {
