--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -8,6 +8,8 @@
 	"path/filepath"
 	"strings"
 	"testing"
+
+	"switchferry/policy"
 )
 
 // call runs the program with arguments and returns its exit code and output.
@@ -67,6 +69,14 @@
 	}
 }
 
+// What the program prints as the default policy is a valid policy file.
+func TestPrintedPolicyIsValid(t *testing.T) {
+	code, out := call("policy")
+	if _, err := policy.Parse(out); code != 0 || err != nil || !strings.Contains(out, "slot_s = 2") {
+		t.Errorf("exit %d, %v:\n%s", code, err, out)
+	}
+}
+
 // A wrong policy and wrong settings are all reported before anything starts.
 func TestCheckReportsEverything(t *testing.T) {
 	dir := t.TempDir()
--- a/cli/serve.go
+++ b/cli/serve.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strings"
 	"syscall"
 
 	"github.com/jonboulle/clockwork"
@@ -65,7 +66,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(serveCommand(), checkCommand(), versionCommand(), submitCommand(),
+	root.AddCommand(serveCommand(), checkCommand(), versionCommand(), policyCommand(), submitCommand(),
 		jobCommand("status", "Show a job's state", http.MethodGet, ""),
 		jobCommand("cancel", "Cancel a job", http.MethodPost, "/cancel"))
 	return root
@@ -76,6 +77,23 @@
 		Run: func(cmd *cobra.Command, _ []string) { fmt.Fprintln(cmd.OutOrStdout(), "switchferry", Version) }}
 }
 
+func policyCommand() *cobra.Command {
+	return &cobra.Command{Use: "policy", Short: "Print the policy settings with their defaults, as a policy file", Args: cobra.NoArgs,
+		Example: "  switchferry policy > night.policy",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			for _, name := range policy.Names() {
+				doc, fallback, vars := policy.Describe(name)
+				if len(vars) > 0 {
+					doc += "; variables: " + strings.Join(vars, ", ")
+				}
+				if _, err := fmt.Fprintf(cmd.OutOrStdout(), "# %s\n%s = %s\n", doc, name, fallback); err != nil {
+					return err
+				}
+			}
+			return nil
+		}}
+}
+
 type files struct{ config, policy string }
 
 func (f *files) flags(cmd *cobra.Command) {
--- a/controller/core.go
+++ b/controller/core.go
@@ -105,7 +105,6 @@
 	returning bool
 	// running: the cloud lists it as up, though it has not reported yet.
 	running bool
-	drain   bool
 	idle    time.Time
 	refused time.Time
 }
@@ -359,7 +358,6 @@
 	if j.Final == "" && !j.bits.Has(task) {
 		j.bits.Set(task)
 		j.done++
-		c.takeOut(j, task)
 		if a := j.live[task]; a != nil {
 			c.stopTask(a, 0, "done elsewhere")
 		}
--- a/controller/node.go
+++ b/controller/node.go
@@ -115,19 +115,20 @@
 	return n.clock.Since(n.born) > tuning.PeerDead && n.peers.CutOff()
 }
 
-// Ready tells whether users should come here.
+// Ready tells whether users should come here: not to a node without the state
+// service while a sibling has it, and not to one that is cut off. In an outage
+// every node is as good, and the load balancer would take seconds to come back
+// to nodes that it had given up.
 func (n *Node) Ready() bool {
 	if n.stateOK() {
 		return true
 	}
-	alive := n.peers.Alive()
-	for _, h := range alive {
+	for _, h := range n.peers.Alive() {
 		if h.StateOK {
 			return false
 		}
 	}
-	// Nobody has the state service: an outage, and no node is better.
-	return len(alive) > 0 && !n.served.IsZero()
+	return !n.peers.CutOff()
 }
 
 func (n *Node) leading() *Core {
--- a/controller/place.go
+++ b/controller/place.go
@@ -26,7 +26,7 @@
 
 // usable tells whether a machine may get new work.
 func (c *Core) usable(m *machine) bool {
-	return m.Up && m.Spec != nil && !m.returning && !m.drain && m.TakenAt.IsZero() && !m.Suspect() &&
+	return m.Up && m.Spec != nil && !m.returning && m.TakenAt.IsZero() && !m.Suspect() &&
 		c.clock.Now().After(m.refused) && c.clock.Since(m.Heard) < c.quiet(m)
 }
 
--- a/controller/rent.go
+++ b/controller/rent.go
@@ -157,7 +157,7 @@
 // supply is the processors that are up or coming.
 func (c *Core) supply() (all, spot float64) {
 	for _, m := range c.machines {
-		if m.returning || m.drain || !m.TakenAt.IsZero() || m.Spec == nil || c.missing(m) {
+		if m.returning || !m.TakenAt.IsZero() || m.Spec == nil || c.missing(m) {
 			continue
 		}
 		all += m.Spec.CPUs
--- a/controller/report.go
+++ b/controller/report.go
@@ -243,6 +243,7 @@
 		e := &ended{attempt: t.Attempt, stored: t.Cause != api.CauseDone}
 		m.ended[key] = e
 		if t.Cause == api.CauseDone {
+			c.takeOut(j, task)
 			c.markDone(j, task, func() {
 				e.stored = true
 				c.toPush[m] = true
