--- a/controller/core.go
+++ b/controller/core.go
@@ -53,6 +53,8 @@
 	told          []func()
 	// latest orders it among those of its rank.
 	latest int64
+	// beyond is 1 unless the job is within its team's guarantee.
+	beyond int
 	// arrived is when this leader got to know it.
 	arrived time.Time
 }
@@ -213,11 +215,13 @@
 	return id, n, err == nil && n >= 0
 }
 
-// before is the order of the queues: rank, then the jobs that can still be in
-// time by their latest start, then arrival.
+// before is the order of the queues: rank, then jobs within their team's
+// guarantee, then the jobs that can still be in time by their latest start, then
+// arrival.
 func before(a, b *job) int {
 	return cmp.Or(
 		cmp.Compare(b.Job.RankLevel(), a.Job.RankLevel()),
+		cmp.Compare(a.beyond, b.beyond),
 		cmp.Compare(a.latest, b.latest),
 		cmp.Compare(a.At, b.At),
 		strings.Compare(a.id, b.id))
@@ -225,6 +229,7 @@
 
 // sortQueues brings jobs and queues into order as of now.
 func (c *Core) sortQueues() {
+	c.markGuaranteed()
 	now := c.clock.Now().UnixMilli()
 	for _, j := range c.order {
 		j.latest = c.latestStart(j, now)
@@ -235,6 +240,26 @@
 	}
 }
 
+// markGuaranteed tells the jobs that fit into their team's guarantee together
+// with the team's earlier unfinished ones: these need not wait for other teams.
+func (c *Core) markGuaranteed() {
+	slices.SortFunc(c.order, func(a, b *job) int { return cmp.Compare(a.At, b.At) })
+	sum := map[string]fleet.Room{}
+	for _, j := range c.order {
+		if j.Final != "" {
+			continue
+		}
+		n := float64(j.total - j.done)
+		u := sum[j.Job.Team].Add(fleet.Room{CPUs: n * j.need.CPUs, Cards: n * j.need.Cards})
+		sum[j.Job.Team] = u
+		t, _ := c.set.Team(j.Job.Team)
+		j.beyond = 1
+		if t.CPUs > 0 && u.CPUs <= t.CPUs+tuning.RoomSlack && u.Cards <= t.Cards+tuning.RoomSlack {
+			j.beyond = 0
+		}
+	}
+}
+
 // latestStart is when the rest of a job must start to be in time, in ms. A job
 // that can no longer be in time yields to those that can.
 func (c *Core) latestStart(j *job, now int64) int64 {
--- a/controller/core_test.go
+++ b/controller/core_test.go
@@ -49,7 +49,7 @@
 	set := &settings.Settings{Member: "x"}
 	set.Facts.Workers = settings.Workers{ReportS: 1, LeaseS: 10, CancelS: 40}
 	set.Facts.State = settings.State{RPS: 200, WriteRPS: 5000, ValueKB: 16, TxnOps: 12}
-	set.Facts.Teams = []settings.Team{{Name: "t", CPUsMax: 400}, {Name: "small", CPUsMax: 8}}
+	set.Facts.Teams = []settings.Team{{Name: "t", CPUsMax: 400}, {Name: "small", CPUsMax: 8}, {Name: "sure", CPUs: 16}}
 	term := s.state.Put(store.LeaderKey, store.Leader{Member: "x"})
 	client := store.NewClient("state:1", s.state)
 	s.valid, s.sent, s.answered, s.finals = true, nil, 0, map[string]store.FinalRecord{}
@@ -724,3 +724,21 @@
 		t.Error("nothing rented for machines that are gone")
 	}
 }
+
+// A job within its team's guarantee goes before another team's that came first.
+func TestGuaranteedJobsGoFirst(t *testing.T) {
+	s := newStage(t)
+	s.submit("run-000001", 4, nil)
+	s.clock.Advance(time.Second)
+	s.submit("run-000002", 2, func(x *api.Submission) { x.Team = "sure" })
+	s.submit("run-000003", 3, func(x *api.Submission) { x.Team = "sure" })
+	s.report("a1", 1)
+	s.Place()
+	if live := len(s.jobs["run-000002"].live); live != 2 {
+		t.Errorf("%d of 2 guaranteed tasks placed", live)
+	}
+	// The third does not fit into the guarantee with the second.
+	if s.jobs["run-000003"].beyond != 1 || s.jobs["run-000001"].beyond != 1 {
+		t.Error("counted as guaranteed")
+	}
+}
