Guaranteed jobs that wait 6 s stop work that other teams borrowed

Cause: a team over its guarantee could keep another team's guaranteed jobs waiting for as long as its tasks ran. Production is never stopped for it.

--- a/controller/core_test.go
+++ b/controller/core_test.go
@@ -742,3 +742,37 @@
 		t.Error("counted as guaranteed")
 	}
 }
+
+// For a job that waits within its team's guarantee, work of the same rank that
+// another team runs beyond its own is stopped, but not at once and never
+// production.
+func TestGuaranteeStopsBorrowedWork(t *testing.T) {
+	s := newStage(t)
+	s.report("a1", 1)
+	s.submit("run-000001", 1, nil)
+	s.submit("run-000002", 1, func(x *api.Submission) { x.Shape, x.Rank = api.Service, "prod" })
+	s.Place()
+	s.commit()
+	s.answerAll()
+	var run []api.TaskReport
+	for _, k := range []string{"run-000001/0", "run-000002/0"} {
+		run = append(run, task(k, s.starts(k)[0].o.Commands[0].Attempt, api.TaskRunning, ""))
+	}
+	s.report("a1", 1, run...)
+	s.submit("run-000003", 2, func(x *api.Submission) { x.Team = "sure" })
+	s.Place()
+	if s.jobs["run-000001"].live[0].stop {
+		t.Fatal("stopped at once")
+	}
+	for range 7 {
+		s.clock.Advance(time.Second)
+		s.report("a1", 1, run...)
+	}
+	s.Place()
+	if !s.jobs["run-000001"].live[0].stop || len(s.jobs["run-000003"].live) != 1 {
+		t.Error("no room for guaranteed work")
+	}
+	if s.jobs["run-000002"].live[0].stop {
+		t.Error("production was stopped")
+	}
+}
--- a/controller/place.go
+++ b/controller/place.go
@@ -124,7 +124,7 @@
 		c.pull(m, ms)
 	}
 	for _, j := range c.order {
-		if j.Job.RankLevel() > 0 && j.Job.Shape == api.Array && len(j.pending)+j.queued > 0 {
+		if (j.Job.RankLevel() > 0 || j.beyond == 0) && j.Job.Shape == api.Array && len(j.pending)+j.queued > 0 {
 			c.preempt(j, ms)
 		}
 	}
@@ -316,8 +316,24 @@
 	return free, leaving
 }
 
-// makeRoom finds what to stop so that one task fits: work of lower rank only,
-// and of that what has run the shortest. False: it cannot be done.
+// mayStop tells whether a task may be stopped for a job: work of lower rank, or,
+// for a job that waits within its team's guarantee, what another team runs
+// beyond its own. Production is left alone.
+func (c *Core) mayStop(a *assign, j *job) bool {
+	o := a.job
+	if o.Job.RankLevel() < j.Job.RankLevel() {
+		return true
+	}
+	if j.beyond != 0 || o.beyond == 0 || o.Job.Team == j.Job.Team || o.Job.RankLevel() == api.RankProduction ||
+		c.clock.Since(j.arrived) < tuning.GuaranteePatience {
+		return false
+	}
+	t, _ := c.set.Team(o.Job.Team)
+	return c.use[t.Name].CPUs-o.need.CPUs >= t.CPUs && c.use[t.Name].Cards-o.need.Cards >= t.Cards
+}
+
+// makeRoom finds what to stop so that one task fits, and of that what loses the
+// least. False: it cannot be done.
 func (c *Core) makeRoom(j *job, m *machine) (leaving, victims []*assign, ok bool) {
 	free, leaving := m.roomSoon()
 	if free.Holds(j.need) {
@@ -325,7 +341,7 @@
 	}
 	var can []*assign
 	for _, a := range m.assigns {
-		if !a.stop && a.seen && a.job.Job.RankLevel() < j.Job.RankLevel() {
+		if !a.stop && a.seen && c.mayStop(a, j) {
 			can = append(can, a)
 		}
 	}
--- a/tuning/tuning.go
+++ b/tuning/tuning.go
@@ -166,6 +166,10 @@
 	// PullPatience is the share of its fetch that an idle machine waits before
 	// it takes a task off the queue of a machine that holds the image.
 	PullPatience = 0.5
+	// GuaranteePatience is how long a job within its guarantee waits for room
+	// before other teams' work beyond theirs is stopped for it: most waits are
+	// shorter, and what is stopped may have no checkpoint.
+	GuaranteePatience = 6 * time.Second
 	// RoomSlack absorbs the rounding of decimal amounts.
 	RoomSlack = 1e-6
 )
