--- a/controller/rent.go
+++ b/controller/rent.go
@@ -175,7 +175,7 @@
 		guaranteed += t.CPUs
 	}
 	head := c.policy.Value(policy.HeadroomCPUs, policy.Vars{"demand_cpus": all, "guaranteed_cpus": guaranteed})
-	return all + head, 1.3*ord + 8
+	return all + head, tuning.ServiceSpare * ord
 }
 
 // Rentals says what to rent now.
--- a/tuning/tuning.go
+++ b/tuning/tuning.go
@@ -112,6 +112,9 @@
 	ListEvery = 5 * time.Second
 	// CatalogEvery paces the catalog.
 	CatalogEvery = 60 * time.Second
+	// ServiceSpare times what may not run on spot machines is kept on ordinary
+	// ones, so that replicas of a lost machine find room.
+	ServiceSpare = 1.3
 	// RentBatch is the cloud's limit for one rental.
 	RentBatch = 50
 	// ReturnBatch is the cloud's limit for one return.
