--- /dev/null
+++ b/cloud/cloud_test.go
@@ -0,0 +1,60 @@
+package cloud
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"switchferry/api"
+)
+
+type scripted func(r *http.Request) (int, string)
+
+func (s scripted) RoundTrip(r *http.Request) (*http.Response, error) {
+	status, body := s(r)
+	return &http.Response{StatusCode: status, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(body))}, nil
+}
+
+// Refusals, outages and malformed answers are told apart and survived.
+func TestAnswers(t *testing.T) {
+	ctx := context.Background()
+	for _, c := range []struct {
+		status int
+		body   string
+		want   error
+		n      int
+	}{
+		{200, `{"hosts":["n-1","n-2"]}`, nil, 2},
+		{503, `{"error":"no capacity"}`, ErrNoCapacity, 0},
+		{503, `{"error":"trouble"}`, ErrTrouble, 0},
+		{503, `<html>`, ErrTrouble, 0},
+		{200, `{"hosts":`, errors.New("malformed"), 0},
+		{429, ``, errors.New("status"), 0},
+	} {
+		cl := New("x:1", 100, scripted(func(*http.Request) (int, string) { return c.status, c.body }))
+		got, err := cl.Rent(ctx, api.Rental{Charter: "t1-1"})
+		if len(got) != c.n || (err == nil) != (c.want == nil) || c.want == ErrNoCapacity && !errors.Is(err, ErrNoCapacity) || c.want == ErrTrouble && !errors.Is(err, ErrTrouble) {
+			t.Errorf("%d %s: %v, %v", c.status, c.body, got, err)
+		}
+	}
+	empty := New("x:1", 100, scripted(func(*http.Request) (int, string) { return 200, `{}` }))
+	if _, err := empty.Catalog(ctx); err == nil {
+		t.Error("an empty catalog was taken")
+	}
+}
+
+func TestListPages(t *testing.T) {
+	cl := New("x:1", 100, scripted(func(r *http.Request) (int, string) {
+		if r.URL.Query().Get("after") == "" {
+			return 200, `{"hosts":[{"name_id":"n-1"},{"name_id":"n-2"}],"more":true}`
+		}
+		return 200, `{"hosts":[{"name_id":"n-3"}],"more":false}`
+	}))
+	list, err := cl.List(context.Background())
+	if err != nil || len(list) != 3 || list[2].Name != "n-3" {
+		t.Errorf("%+v %v", list, err)
+	}
+}
--- a/controller/core_test.go
+++ b/controller/core_test.go
@@ -776,3 +776,20 @@
 		t.Error("production was stopped")
 	}
 }
+
+// An accept whose answer from the state service is lost: the job is there once,
+// and the user's retry gets 200.
+func TestAcceptWithLostAnswer(t *testing.T) {
+	s := newStage(t)
+	sub := &api.Submission{ID: "run-000001", Team: "t", Shape: api.Array, Rank: "normal", Tasks: 2, CPUs: 1}
+	s.state.LoseAnswer = true
+	s.Submit(gaveUp(), sub, s.clock.Now())
+	s.com.Step(context.Background())
+	s.commit()
+	if a, ok := s.Submit(context.Background(), sub, s.clock.Now()); !ok || a.Status != 200 {
+		t.Errorf("retry: %+v", a)
+	}
+	if n := len(s.jobs["run-000001"].pending); n != 2 {
+		t.Errorf("%d tasks wait", n)
+	}
+}
--- a/controller/relay_test.go
+++ b/controller/relay_test.go
@@ -110,3 +110,54 @@
 		}
 	}
 }
+
+// A known id is never answered 400, 404 or 422, whatever the retry's body; an
+// unknown one is told what is wrong, at once.
+func TestKnownIDIsNeverRefused(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	st := standin.NewState(clock)
+	n := NewNode(context.Background(), &settings.Settings{Member: "y"}, policy.Default(), clock, st)
+	n.types = testTypes
+	ask := func(body string) int {
+		return n.serve(context.Background(), nil, peer.Request{Verb: VerbSubmit, Body: []byte(body)}).Status
+	}
+	bad := `{"name_id":"run-000001","parts":-4}`
+	if got := ask(bad); got != 400 {
+		t.Errorf("unknown id: %d", got)
+	}
+	st.Put(store.JobKey("run-000001"), store.JobRecord{Job: api.Submission{ID: "run-000001", Tasks: 1}})
+	if got := ask(bad); got != 200 {
+		t.Errorf("known id: %d", got)
+	}
+	st.Put(store.FinalKey("run-000002"), store.FinalRecord{State: api.Done, Tasks: 3})
+	if got := ask(`{"name_id":"run-000002"}`); got != 200 {
+		t.Errorf("id of a job that is over: %d", got)
+	}
+	st.Down = true
+	if got := ask(`{"name_id":"run-000003"}`); got != 503 {
+		t.Errorf("while nobody can tell: %d", got)
+	}
+}
+
+// A job that a node accepts without the leader is there once, and stays over
+// once it is over.
+func TestSubmitAlone(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	st := standin.NewState(clock)
+	n := NewNode(context.Background(), &settings.Settings{Member: "y"}, policy.Default(), clock, st)
+	s := &api.Submission{ID: "run-000001", Tasks: 1}
+	if got := n.submitAlone(context.Background(), s).Status; got != 201 {
+		t.Fatalf("first: %d", got)
+	}
+	if got := n.submitAlone(context.Background(), s).Status; got != 200 || st.Get(store.InboxKey("run-000001")) == nil {
+		t.Errorf("again: %d", got)
+	}
+	// With a leader's key standing, only the leader cancels; it is told.
+	st.Put(store.LeaderKey, store.Leader{Member: "x"})
+	if got := n.cancelAlone(context.Background(), "run-000001").Status; got != 503 {
+		t.Errorf("cancelled beside a leader: %d", got)
+	}
+	if string(st.Get(store.InboxKey("run-000001"))) != `{"cancel":true}` {
+		t.Errorf("inbox %s", st.Get(store.InboxKey("run-000001")))
+	}
+}
