A replica on a machine of unknown zone counts in every zone

Found by reading: after a change of leaders a record names a machine that has neither reported nor been listed; its zone was taken for none, and a spread service could have got more than half of its replicas into one zone. Test: TestSpreadCountsMachinesOfUnknownZone, which fails without the change. Final states no longer stay in the committer's memory.

--- a/controller/core_test.go
+++ b/controller/core_test.go
@@ -793,3 +793,38 @@
 		t.Errorf("%d tasks wait", n)
 	}
 }
+
+// After a change of leaders a replica may be known from its record alone. Until
+// its machine's zone is known, it counts in every zone.
+func TestSpreadCountsMachinesOfUnknownZone(t *testing.T) {
+	s := newStage(t)
+	s.report("a1", 1)
+	s.report("b1", 1)
+	s.submit("run-000001", 2, func(x *api.Submission) { x.Shape, x.Spread, x.Rank = api.Service, true, "prod" })
+	s.Place()
+	s.commit()
+	s.answerAll()
+	at := s.starts("run-000001/0")[0]
+	other := map[string]string{"a1": "b", "b1": "a"}[at.name]
+	s.elect()
+	// One machine reports without its replica, the other is not heard.
+	if other == "b" {
+		s.report("b1", 1)
+	} else {
+		s.report("a1", 1)
+	}
+	s.report(other+"2", 1)
+	same := map[string]string{"a": "b", "b": "a"}[other]
+	s.report(same+"2", 1)
+	s.Place()
+	for _, a := range s.jobs["run-000001"].live {
+		if a.task == 1 {
+			t.Errorf("a replica was placed on %s while the other's zone was unknown", a.machine.Name)
+		}
+	}
+	s.Listed([]api.CloudMachine{{Name: at.name, Type: "m8", Zone: same, State: "running"}})
+	s.Place()
+	if a := s.jobs["run-000001"].live[1]; a == nil || a.machine.Zone != other {
+		t.Errorf("not placed in the other zone: %+v", a)
+	}
+}
--- a/controller/place.go
+++ b/controller/place.go
@@ -60,10 +60,14 @@
 	}
 	here := 0
 	for _, a := range j.live {
-		if a.machine.Zone == m.Zone {
+		switch {
+		case a.machine.Zone == m.Zone:
 			here++
-		} else if j.Job.OneZone {
+		case j.Job.OneZone:
 			return false
+		case a.machine.Zone == "":
+			// Known from a record only, it may be in this zone.
+			here++
 		}
 	}
 	return !j.Job.Spread || here < (j.total+1)/2
--- a/store/commit.go
+++ b/store/commit.go
@@ -6,6 +6,7 @@
 	"errors"
 	"log/slog"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -187,7 +188,9 @@
 		for _, op := range ops {
 			if op.Delete != "" {
 				delete(c.stamps, op.Delete)
-			} else {
+			} else if !strings.HasPrefix(op.Set, FinalPrefix) {
+				// Final states are written once; remembering them all would
+				// take ever more memory.
 				c.stamps[op.Set] = epoch
 			}
 		}
