--- a/controller/core_test.go
+++ b/controller/core_test.go
@@ -705,7 +705,7 @@
 	for i := range 12 {
 		s.report(fmt.Sprintf("a%02d", i), 1)
 	}
-	s.submit("run-000001", 8, nil)
+	s.submit("run-000001", 14, nil)
 	s.clock.Advance(5 * time.Second)
 	for i := range 12 {
 		s.report(fmt.Sprintf("a%02d", i), 1)
@@ -828,3 +828,25 @@
 		t.Errorf("not placed in the other zone: %+v", a)
 	}
 }
+
+// With nothing to do, machines go back, also of teams that have a guarantee.
+func TestIdleMachinesAreReturned(t *testing.T) {
+	s := newStage(t)
+	left := map[string]bool{}
+	for i := range 4 {
+		left[fmt.Sprintf("a%d", i)] = true
+	}
+	for range 8 * 30 * 2 {
+		s.clock.Advance(time.Second)
+		for m := range left {
+			s.report(m, 1)
+		}
+		for _, n := range s.Tend() {
+			delete(left, n)
+			s.Returned([]string{n}, nil)
+		}
+	}
+	if len(left) > 0 || len(s.Rentals()) > 0 {
+		t.Errorf("%d machines kept with nothing to do", len(left))
+	}
+}
--- a/controller/rent.go
+++ b/controller/rent.go
@@ -170,9 +170,18 @@
 
 func (c *Core) wanted() (want, ordinary float64) {
 	all, ord := c.demand()
+	// A team without work is not kept room for: its machines would be idle.
+	busy := map[string]bool{}
+	for _, j := range c.order {
+		if j.Final == "" {
+			busy[j.Job.Team] = true
+		}
+	}
 	guaranteed := 0.0
 	for _, t := range c.set.Facts.Teams {
-		guaranteed += t.CPUs
+		if busy[t.Name] {
+			guaranteed += t.CPUs
+		}
 	}
 	head := c.policy.Value(policy.HeadroomCPUs, policy.Vars{"demand_cpus": all, "guaranteed_cpus": guaranteed})
 	return all + head, tuning.ServiceSpare * ord
