--- a/cloud/cloud.go
+++ b/cloud/cloud.go
@@ -2,18 +2,17 @@
 package cloud
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 
 	"golang.org/x/time/rate"
 
 	"switchferry/api"
+	"switchferry/internal/rest"
 	"switchferry/tuning"
 )
 
@@ -42,28 +41,11 @@
 	}
 	ctx, stop := context.WithTimeout(ctx, tuning.CloudTimeout)
 	defer stop()
-	var rd io.Reader
-	if body != nil {
-		raw, err := json.Marshal(body)
-		if err != nil {
-			return err
-		}
-		rd = bytes.NewReader(raw)
-	}
-	req, err := http.NewRequestWithContext(ctx, method, c.base+path, rd)
-	if err != nil {
-		return err
-	}
-	resp, err := c.http.Do(req)
-	if err != nil {
-		return err
-	}
-	defer resp.Body.Close()
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, tuning.AnswerLimit))
+	status, raw, err := rest.Do(ctx, c.http, method, c.base+path, body)
 	if err != nil {
 		return err
 	}
-	switch resp.StatusCode {
+	switch status {
 	case http.StatusOK:
 		if into == nil {
 			return nil
@@ -79,7 +61,7 @@
 		}
 		return ErrTrouble
 	}
-	return fmt.Errorf("status %d: %.100s", resp.StatusCode, raw)
+	return fmt.Errorf("status %d: %.100s", status, raw)
 }
 
 // Catalog reads the types of machines.
--- a/controller/node.go
+++ b/controller/node.go
@@ -458,7 +458,7 @@
 		// Reaching neither the state service nor any sibling, we are the one
 		// that is cut off, or all of our zone is. A worker that comes back
 		// reaches nobody else either, and stays.
-		return http.StatusMisdirectedRequest, api.Redirect{Node: n.before()}
+		return http.StatusMisdirectedRequest, api.Redirect{Node: n.previous()}
 	}
 	if leader == "" || leader == n.set.Member {
 		last, since := n.elector.Vacant()
@@ -489,9 +489,9 @@
 	return http.StatusOK, n.relay.report(r, term)
 }
 
-// before is the sibling that comes before us in the order in which workers try
+// previous is the sibling that comes before us in the order in which workers try
 // nodes: one that finds nobody there comes straight back.
-func (n *Node) before() string {
+func (n *Node) previous() string {
 	prev, last := "", ""
 	for _, s := range n.set.Siblings {
 		last = max(last, s.Member)
--- a/store/client.go
+++ b/store/client.go
@@ -2,17 +2,16 @@
 package store
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
 	"time"
 
+	"switchferry/internal/rest"
 	"switchferry/tuning"
 )
 
@@ -72,43 +71,25 @@
 func (c *Client) call(ctx context.Context, method, path string, body, into any, timeout time.Duration) (int, error) {
 	ctx, stop := context.WithTimeout(ctx, timeout)
 	defer stop()
-	var rd io.Reader
-	if body != nil {
-		raw, err := json.Marshal(body)
-		if err != nil {
-			return 0, err
-		}
-		rd = bytes.NewReader(raw)
-	}
-	req, err := http.NewRequestWithContext(ctx, method, c.base+path, rd)
-	if err != nil {
-		return 0, err
-	}
-	resp, err := c.http.Do(req)
-	if err != nil {
-		c.Seen(false)
-		return 0, fmt.Errorf("%w: %v", ErrUnknown, err)
-	}
-	defer resp.Body.Close()
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, tuning.AnswerLimit))
+	status, raw, err := rest.Do(ctx, c.http, method, c.base+path, body)
 	if err != nil {
 		c.Seen(false)
 		return 0, fmt.Errorf("%w: %v", ErrUnknown, err)
 	}
-	switch resp.StatusCode {
+	switch status {
 	case http.StatusServiceUnavailable:
 		c.Seen(false)
-		return resp.StatusCode, fmt.Errorf("%w: status 503", ErrBusy)
+		return status, fmt.Errorf("%w: status 503", ErrBusy)
 	case http.StatusTooManyRequests:
-		return resp.StatusCode, fmt.Errorf("%w: status 429", ErrBusy)
+		return status, fmt.Errorf("%w: status 429", ErrBusy)
 	}
 	c.Seen(true)
 	if into != nil && len(raw) > 0 {
 		if err := json.Unmarshal(raw, into); err != nil {
-			return resp.StatusCode, fmt.Errorf("%w: malformed answer: %v", ErrUnknown, err)
+			return status, fmt.Errorf("%w: malformed answer: %v", ErrUnknown, err)
 		}
 	}
-	return resp.StatusCode, nil
+	return status, nil
 }
 
 func unexpected(status int) error { return fmt.Errorf("%w: status %d", ErrUnknown, status) }
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -2,16 +2,15 @@
 package worker
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 
 	"switchferry/api"
+	"switchferry/internal/rest"
 	"switchferry/tuning"
 )
 
@@ -31,34 +30,20 @@
 func (c *Client) Send(ctx context.Context, addr string, o api.Orders) (*api.Report, bool, error) {
 	ctx, stop := context.WithTimeout(ctx, tuning.WorkerTimeout)
 	defer stop()
-	raw, err := json.Marshal(o)
-	if err != nil {
+	status, body, err := rest.Do(ctx, c.http, http.MethodPost, "http://"+addr+"/orders", o)
+	var op *net.OpError
+	switch {
+	case errors.As(err, &op) && op.Op == "dial":
+		// A connection attempt that was given up does not complete later.
 		return nil, false, fmt.Errorf("%w: %v", ErrNotSent, err)
-	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/orders", bytes.NewReader(raw))
-	if err != nil {
-		return nil, false, fmt.Errorf("%w: %v", ErrNotSent, err)
-	}
-	resp, err := c.http.Do(req)
-	if err != nil {
-		var op *net.OpError
-		if errors.As(err, &op) && op.Op == "dial" {
-			// A connection attempt that was given up does not complete later.
-			return nil, false, fmt.Errorf("%w: %v", ErrNotSent, err)
-		}
+	case err != nil:
 		return nil, false, err
-	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, tuning.AnswerLimit))
-	if err != nil {
-		return nil, false, err
-	}
-	if resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusConflict {
-		return nil, false, fmt.Errorf("status %d", resp.StatusCode)
+	case status != http.StatusOK && status != http.StatusConflict:
+		return nil, false, fmt.Errorf("status %d", status)
 	}
 	var r api.Report
 	if err := json.Unmarshal(body, &r); err != nil {
 		return nil, false, fmt.Errorf("malformed report: %w", err)
 	}
-	return &r, resp.StatusCode == http.StatusOK, r.Check()
+	return &r, status == http.StatusOK, r.Check()
 }
