The placer passes over full machines and jobs nothing may be stopped for

Cause: a profile of BenchmarkPlace (40 machines, 60 jobs, a 100,000-task array): pull and preempt looked at every queue and task although nothing could start. Ruled out: sorting the queues and the water-filling (under 2% of the time).

--- a/controller/place.go
+++ b/controller/place.go
@@ -121,19 +121,47 @@
 		}
 	}
 	ms := c.byName()
+	// Most machines are full most of the time: those without room for the
+	// smallest queued task are passed over.
+	least := math.Inf(1)
+	for _, j := range c.order {
+		if j.queued > 0 {
+			least = math.Min(least, j.need.CPUs)
+		}
+	}
 	for _, m := range ms {
-		c.dispatch(m)
+		if m.free().CPUs+tuning.RoomSlack >= least {
+			c.dispatch(m)
+		}
 	}
 	for _, m := range ms {
-		c.pull(m, ms)
+		if m.free().CPUs+tuning.RoomSlack >= least {
+			c.pull(m, ms)
+		}
 	}
+	lowest := c.lowestRank()
 	for _, j := range c.order {
-		if (j.Job.RankLevel() > 0 || j.beyond == 0) && j.Job.Shape == api.Array && len(j.pending)+j.queued > 0 {
+		if j.Job.RankLevel() <= lowest && (j.beyond != 0 || c.clock.Since(j.arrived) < tuning.GuaranteePatience) {
+			// Nothing may be stopped for it.
+			continue
+		}
+		if j.Job.Shape == api.Array && len(j.pending)+j.queued > 0 {
 			c.preempt(j, ms)
 		}
 	}
 }
 
+// lowestRank is the least rank of what is on machines.
+func (c *Core) lowestRank() int {
+	lowest := api.RankProduction
+	for _, j := range c.order {
+		if len(j.live) > 0 {
+			lowest = min(lowest, j.Job.RankLevel())
+		}
+	}
+	return lowest
+}
+
 func (c *Core) byName() []*machine {
 	out := make([]*machine, 0, len(c.machines))
 	for _, m := range c.machines {
