--- a/controller/core.go
+++ b/controller/core.go
@@ -53,11 +53,6 @@
 	told          []func()
 	// latest orders it among those of its rank.
 	latest int64
-	// ran and timed are the run time in seconds and the number of its tasks
-	// that completed under this leader; bias is its class's.
-	ran   float64
-	timed int
-	bias  *bias
 	// beyond is 1 unless the job is within its team's guarantee.
 	beyond int
 	// arrived is when this leader got to know it.
@@ -159,8 +154,6 @@
 	use      map[string]fleet.Room
 	attempts uint64
 	charters uint64
-	// biases are the classes' ratios of run time to estimate so far.
-	biases map[string]*bias
 	// aims are the classes' times of completion, sooner first.
 	aims map[string][]float64
 	// toPush are machines with commands that a commit has set free.
@@ -178,7 +171,7 @@
 		gone: map[string]time.Time{}, toPush: map[*machine]bool{}, use: map[string]fleet.Room{}, refusals: map[pool]time.Time{},
 		wake: make(chan struct{}, 1), started: clock.Now()}
 	c.heard = c.started
-	c.aims, c.biases = map[string][]float64{}, map[string]*bias{}
+	c.aims = map[string][]float64{}
 	for _, o := range set.Facts.Objectives {
 		if o.Kind == "finished" && o.WithinS > 0 {
 			c.aims[o.Class] = append(c.aims[o.Class], o.WithinS)
@@ -291,10 +284,6 @@
 func (c *Core) addJob(rec store.JobRecord, accepted bool) *job {
 	j := &job{JobRecord: rec, id: rec.Job.ID, total: rec.Job.Tasks, need: fleet.Of(&rec.Job), accepted: accepted, changed: make(chan struct{}),
 		bits: store.NewBits(rec.Job.Tasks), live: map[int]*assign{}, shards: map[int]bool{}, avoid: map[string]time.Time{}, arrived: c.clock.Now()}
-	if c.biases[rec.Job.Class] == nil {
-		c.biases[rec.Job.Class] = &bias{}
-	}
-	j.bias = c.biases[rec.Job.Class]
 	c.jobs[j.id] = j
 	c.order = append(c.order, j)
 	return j
--- a/controller/place.go
+++ b/controller/place.go
@@ -87,23 +87,8 @@
 	return j.accepted && j.Final == "" && !c.clock.Now().Before(j.pause)
 }
 
-// bias is how far a class's estimates are off on this day.
-type bias struct{ ran, said float64 }
-
-func (b *bias) factor() float64 {
-	// A few tasks' worth of faith in the owner steadies the start.
-	return (b.ran + tuning.BiasFaith) / (b.said + tuning.BiasFaith)
-}
-
-// estimate is how long a task of the job runs, in seconds: by its own tasks that
-// have completed, else by the owner's estimate and how far off those are today.
-func estimate(j *job) float64 {
-	e := j.Job.EstimateS * j.bias.factor()
-	if j.timed > 0 {
-		e = (e + j.ran) / float64(1+j.timed)
-	}
-	return math.Max(tuning.MinRun, e)
-}
+// estimate is how long a task of the job runs, in seconds.
+func estimate(j *job) float64 { return math.Max(tuning.MinRun, j.Job.EstimateS) }
 
 // Place gives work to machines. It is the only place where tasks get one.
 func (c *Core) Place() {
--- a/controller/report.go
+++ b/controller/report.go
@@ -166,11 +166,6 @@
 		// worker knows that the task is done.
 		m.Worked()
 		m.Used(j.Job.Image, j.Job.ImageGB)
-		if !a.running.IsZero() && j.Job.EstimateS > 0 {
-			run := now.Sub(a.running).Seconds()
-			j.ran, j.timed = j.ran+run, j.timed+1
-			j.bias.ran, j.bias.said = j.bias.ran+run, j.bias.said+j.Job.EstimateS
-		}
 		c.release(a)
 		c.markDone(j, a.task, func() {
 			e.stored = true
--- a/tuning/tuning.go
+++ b/tuning/tuning.go
@@ -173,9 +173,6 @@
 	// before other teams' work beyond theirs is stopped for it: most waits are
 	// shorter, and what is stopped may have no checkpoint.
 	GuaranteePatience = 6 * time.Second
-	// BiasFaith is the run time, in seconds, over which a class's estimates
-	// count as right before what was measured outweighs them.
-	BiasFaith = 600.0
 	// RoomSlack absorbs the rounding of decimal amounts.
 	RoomSlack = 1e-6
 )
