--- a/tuning/tuning.go
+++ b/tuning/tuning.go
@@ -90,7 +90,7 @@
 const (
 	// SilentReports: a machine unheard for so many report intervals is given
 	// up and returned, which proves that its tasks are gone.
-	SilentReports = 2.6
+	SilentReports = 3.2
 	// SilentMin is the least such time: loss and resending take a second.
 	SilentMin = 3500 * time.Millisecond
 	// CutLeases times the workers' lease: so long a machine that may be behind
