--- a/controller/core.go
+++ b/controller/core.go
@@ -42,6 +42,8 @@
 	// pending holds tasks that no queue has.
 	pending []int32
 	queued  int
+	// moved counts how often a task was stopped to make room.
+	moved map[int]int
 	// shards that have a record.
 	shards map[int]bool
 	errors int
@@ -283,7 +285,7 @@
 
 func (c *Core) addJob(rec store.JobRecord, accepted bool) *job {
 	j := &job{JobRecord: rec, id: rec.Job.ID, total: rec.Job.Tasks, need: fleet.Of(&rec.Job), accepted: accepted, changed: make(chan struct{}),
-		bits: store.NewBits(rec.Job.Tasks), live: map[int]*assign{}, shards: map[int]bool{}, avoid: map[string]time.Time{}, arrived: c.clock.Now()}
+		bits: store.NewBits(rec.Job.Tasks), live: map[int]*assign{}, shards: map[int]bool{}, avoid: map[string]time.Time{}, moved: map[int]int{}, arrived: c.clock.Now()}
 	c.jobs[j.id] = j
 	c.order = append(c.order, j)
 	return j
--- a/controller/core_test.go
+++ b/controller/core_test.go
@@ -850,3 +850,33 @@
 		t.Errorf("%d machines kept with nothing to do", len(left))
 	}
 }
+
+// A task that made room once is not stopped again while others would do, though
+// it has run the shortest each time.
+func TestSameTaskDoesNotMakeRoomAgain(t *testing.T) {
+	s := newStage(t)
+	s.report("a1", 1)
+	s.submit("run-000001", 2, nil)
+	s.Place()
+	s.commit()
+	s.answerAll()
+	var run []api.TaskReport
+	for i := range 2 {
+		k := taskKey("run-000001", i)
+		run = append(run, task(k, s.starts(k)[0].o.Commands[0].Attempt, api.TaskRunning, ""))
+	}
+	s.report("a1", 1, run[0])
+	s.clock.Advance(5 * time.Second)
+	s.report("a1", 1, run...)
+	j := s.jobs["run-000001"]
+	older, younger := j.live[0], j.live[1]
+	if s.loss(older) <= s.loss(younger) {
+		t.Fatal("task 1 is not the younger one")
+	}
+	j.moved[1] = 1
+	s.submit("run-000002", 1, func(x *api.Submission) { x.Shape, x.Rank = api.Service, "prod" })
+	s.Place()
+	if !older.stop || younger.stop {
+		t.Errorf("stopped: older %v, younger %v", older.stop, younger.stop)
+	}
+}
--- a/controller/place.go
+++ b/controller/place.go
@@ -393,16 +393,26 @@
 	return nil, nil, false
 }
 
-// loss is the work, in ms, that stopping a task at once throws away.
+// moveAside stops tasks to make room for a job.
+func (c *Core) moveAside(victims []*assign, j *job) {
+	for _, v := range victims {
+		v.job.moved[v.task]++
+		c.stopTask(v, 0, "room for "+j.id)
+	}
+}
+
+// loss is the work, in ms, that stopping a task at once throws away. A task that
+// made room before counts for more: it is the youngest again each time.
 func (c *Core) loss(a *assign) int64 {
+	before := int64(a.job.moved[a.task]) * tuning.MovedLoss.Milliseconds()
 	if a.running.IsZero() {
-		return 0
+		return before
 	}
 	run := c.clock.Since(a.running)
 	if cp := seconds(a.job.Job.Checkpoint); cp > 0 {
 		run = run % cp
 	}
-	return run.Milliseconds()
+	return before + run.Milliseconds()
 }
 
 // placeService starts replicas at once: they skip the water-filling, since
@@ -445,9 +455,7 @@
 		}
 		task := int(j.pending[0])
 		j.pending = j.pending[1:]
-		for _, v := range bestVictims {
-			c.stopTask(v, 0, "room for "+j.id)
-		}
+		c.moveAside(bestVictims, j)
 		c.start(j, task, best, append(bestOut, bestVictims...), "service")
 	}
 }
@@ -536,9 +544,7 @@
 		if task < 0 {
 			return
 		}
-		for _, v := range victims {
-			c.stopTask(v, 0, "room for "+j.id)
-		}
+		c.moveAside(victims, j)
 		c.start(j, task, best, append(out, victims...), "preempting")
 	}
 }
--- a/tuning/tuning.go
+++ b/tuning/tuning.go
@@ -173,6 +173,9 @@
 	// before other teams' work beyond theirs is stopped for it: most waits are
 	// shorter, and what is stopped may have no checkpoint.
 	GuaranteePatience = 6 * time.Second
+	// MovedLoss is what each earlier stop adds to the loss of stopping a task
+	// again: about a task's run time, so that it is some other's turn.
+	MovedLoss = 30 * time.Second
 	// RoomSlack absorbs the rounding of decimal amounts.
 	RoomSlack = 1e-6
 )
