--- a/controller/core_test.go
+++ b/controller/core_test.go
@@ -880,3 +880,31 @@
 		t.Errorf("stopped: older %v, younger %v", older.stop, younger.stop)
 	}
 }
+
+// A guaranteed job must not stop work of a higher rank, which would stop its
+// tasks in turn: on a drawn day the two did so over a thousand times.
+func TestGuaranteeAndRankDoNotStopEachOther(t *testing.T) {
+	s := newStage(t)
+	s.report("a1", 1)
+	s.submit("run-000001", 2, func(x *api.Submission) { x.Rank = "high" })
+	s.Place()
+	s.commit()
+	s.answerAll()
+	var run []api.TaskReport
+	for i := range 2 {
+		k := taskKey("run-000001", i)
+		run = append(run, task(k, s.starts(k)[0].o.Commands[0].Attempt, api.TaskRunning, ""))
+	}
+	s.submit("run-000002", 2, func(x *api.Submission) { x.Team = "sure" })
+	for range 12 {
+		s.clock.Advance(time.Second)
+		s.report("a1", 1, run...)
+		s.Place()
+		s.commit()
+	}
+	for _, a := range s.jobs["run-000001"].live {
+		if a.stop {
+			t.Errorf("%s was stopped by work of lower rank", a.key)
+		}
+	}
+}
--- a/controller/place.go
+++ b/controller/place.go
@@ -349,14 +349,16 @@
 }
 
 // mayStop tells whether a task may be stopped for a job: work of lower rank, or,
-// for a job that waits within its team's guarantee, what another team runs
-// beyond its own. Production is left alone.
+// for a job that waits within its team's guarantee, work of the same rank that
+// another team runs beyond its own. Were higher ranks stopped as well, which is
+// allowed, they would stop the job's tasks in turn, and so on without end.
+// Production is left alone.
 func (c *Core) mayStop(a *assign, j *job) bool {
 	o := a.job
 	if o.Job.RankLevel() < j.Job.RankLevel() {
 		return true
 	}
-	if j.beyond != 0 || o.beyond == 0 || o.Job.Team == j.Job.Team || o.Job.RankLevel() == api.RankProduction ||
+	if o.Job.RankLevel() > j.Job.RankLevel() || j.beyond != 0 || o.beyond == 0 || o.Job.Team == j.Job.Team || o.Job.RankLevel() == api.RankProduction ||
 		c.clock.Since(j.arrived) < tuning.GuaranteePatience {
 		return false
 	}
