--- a/controller/bench_test.go
+++ b/controller/bench_test.go
@@ -26,6 +26,68 @@
 	}
 }
 
+// fullFleet is a leader with many machines, all busy, and a backlog of two teams
+// with guarantees: normal arrays, and urgent ones of many small tasks.
+func fullFleet(t *testing.T, machines int) *stage {
+	s := newStage(t)
+	for i := range machines {
+		s.report(fmt.Sprintf("a%03d", i), 1)
+	}
+	team := func(i int) func(*api.Submission) {
+		return func(x *api.Submission) {
+			x.Team = []string{"left", "right"}[i%2]
+			x.Image = fmt.Sprintf("img-%d", i%8)
+		}
+	}
+	for i := range machines / 7 {
+		s.submit(fmt.Sprintf("run-%06d", i), 16, team(i))
+	}
+	s.settleStarts()
+	for i := range machines / 5 {
+		s.submit(fmt.Sprintf("run-1%05d", i), 12, team(i))
+	}
+	for i := range 4 {
+		s.submit(fmt.Sprintf("run-2%05d", i), 50, func(x *api.Submission) {
+			team(i)(x)
+			x.Rank, x.CPUs = "high", 1
+		})
+	}
+	return s
+}
+
+// settleStarts places what waits, and the workers report it as running.
+func (s *stage) settleStarts() {
+	s.Place()
+	s.commit()
+	on := map[string][]api.TaskReport{}
+	for _, o := range s.sent {
+		for _, c := range o.o.Commands {
+			if c.Verb == api.Start {
+				on[o.name] = append(on[o.name], task(c.Task, c.Attempt, api.TaskRunning, ""))
+			}
+		}
+	}
+	sent := s.sent
+	s.sent = nil
+	for _, o := range sent {
+		s.Answered(o.name, o.o, nil, true)
+	}
+	for name, tasks := range on {
+		s.report(name, 1, tasks...)
+	}
+}
+
+// BenchmarkPlaceFull is one run of the placer on a fleet of 280 busy machines.
+func BenchmarkPlaceFull(b *testing.B) {
+	s := fullFleet(&testing.T{}, 280)
+	s.Place()
+	s.commit()
+	b.ReportAllocs()
+	for b.Loop() {
+		s.Place()
+	}
+}
+
 // BenchmarkReport is one worker's report with ten tasks.
 func BenchmarkReport(b *testing.B) {
 	s := newStage(&testing.T{})
--- a/controller/core.go
+++ b/controller/core.go
@@ -29,6 +29,7 @@
 	store.JobRecord
 	id    string
 	total int
+	rank  int
 	need  fleet.Room
 	// accepted: its record is stored; before that nobody may be told of it.
 	accepted bool
@@ -152,6 +153,8 @@
 	jobs     map[string]*job
 	order    []*job
 	machines map[string]*machine
+	// sorted is the list of byName; nil once machines came or went.
+	sorted   []*machine
 	gone     map[string]time.Time
 	use      map[string]fleet.Room
 	attempts uint64
@@ -164,6 +167,8 @@
 	renting  int
 	wake     chan struct{}
 	heard    time.Time
+	// searched counts the machines that were searched for something to stop.
+	searched int
 }
 
 // NewCore makes the state of a term.
@@ -222,7 +227,7 @@
 // arrival.
 func before(a, b *job) int {
 	return cmp.Or(
-		cmp.Compare(b.Job.RankLevel(), a.Job.RankLevel()),
+		cmp.Compare(b.rank, a.rank),
 		cmp.Compare(a.beyond, b.beyond),
 		cmp.Compare(a.latest, b.latest),
 		cmp.Compare(a.At, b.At),
@@ -284,7 +289,7 @@
 }
 
 func (c *Core) addJob(rec store.JobRecord, accepted bool) *job {
-	j := &job{JobRecord: rec, id: rec.Job.ID, total: rec.Job.Tasks, need: fleet.Of(&rec.Job), accepted: accepted, changed: make(chan struct{}),
+	j := &job{JobRecord: rec, id: rec.Job.ID, total: rec.Job.Tasks, rank: rec.Job.RankLevel(), need: fleet.Of(&rec.Job), accepted: accepted, changed: make(chan struct{}),
 		bits: store.NewBits(rec.Job.Tasks), live: map[int]*assign{}, shards: map[int]bool{}, avoid: map[string]time.Time{}, moved: map[int]int{}, arrived: c.clock.Now()}
 	c.jobs[j.id] = j
 	c.order = append(c.order, j)
@@ -317,6 +322,7 @@
 		m = &machine{Machine: &fleet.Machine{Name: name, Heard: c.clock.Now(), Rented: c.clock.Now()},
 			assigns: map[string]*assign{}, ended: map[string]*ended{}, idle: c.clock.Now()}
 		c.machines[name] = m
+		c.sorted = nil
 	}
 	return m
 }
--- a/controller/core_test.go
+++ b/controller/core_test.go
@@ -49,7 +49,8 @@
 	set := &settings.Settings{Member: "x"}
 	set.Facts.Workers = settings.Workers{ReportS: 1, LeaseS: 10, CancelS: 40}
 	set.Facts.State = settings.State{RPS: 200, WriteRPS: 5000, ValueKB: 16, TxnOps: 12}
-	set.Facts.Teams = []settings.Team{{Name: "t", CPUsMax: 400}, {Name: "small", CPUsMax: 8}, {Name: "sure", CPUs: 16}}
+	set.Facts.Teams = []settings.Team{{Name: "t", CPUsMax: 400}, {Name: "small", CPUsMax: 8}, {Name: "sure", CPUs: 16},
+		{Name: "left", CPUs: 900, CPUsMax: 3000}, {Name: "right", CPUs: 1200, CPUsMax: 3000}}
 	term := s.state.Put(store.LeaderKey, store.Leader{Member: "x"})
 	client := store.NewClient("state:1", s.state)
 	s.valid, s.sent, s.answered, s.finals = true, nil, 0, map[string]store.FinalRecord{}
--- a/controller/place.go
+++ b/controller/place.go
@@ -1,9 +1,12 @@
 package controller
 
 import (
+	"cmp"
+	"container/heap"
 	"log/slog"
 	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"switchferry/api"
@@ -141,7 +144,7 @@
 	}
 	lowest := c.lowestRank()
 	for _, j := range c.order {
-		if j.Job.RankLevel() <= lowest && (j.beyond != 0 || c.clock.Since(j.arrived) < tuning.GuaranteePatience) {
+		if j.rank <= lowest && (j.beyond != 0 || c.clock.Since(j.arrived) < tuning.GuaranteePatience) {
 			// Nothing may be stopped for it.
 			continue
 		}
@@ -156,24 +159,22 @@
 	lowest := api.RankProduction
 	for _, j := range c.order {
 		if len(j.live) > 0 {
-			lowest = min(lowest, j.Job.RankLevel())
+			lowest = min(lowest, j.rank)
 		}
 	}
 	return lowest
 }
 
+// byName lists the machines by name. The list is shared and must not be changed.
 func (c *Core) byName() []*machine {
-	out := make([]*machine, 0, len(c.machines))
-	for _, m := range c.machines {
-		out = append(out, m)
-	}
-	slices.SortFunc(out, func(a, b *machine) int {
-		if a.Name < b.Name {
-			return -1
+	if c.sorted == nil {
+		c.sorted = make([]*machine, 0, len(c.machines))
+		for _, m := range c.machines {
+			c.sorted = append(c.sorted, m)
 		}
-		return 1
-	})
-	return out
+		slices.SortFunc(c.sorted, func(a, b *machine) int { return strings.Compare(a.Name, b.Name) })
+	}
+	return c.sorted
 }
 
 // ahead is what a machine has outstanding for jobs up to and with j in the
@@ -355,10 +356,10 @@
 // Production is left alone.
 func (c *Core) mayStop(a *assign, j *job) bool {
 	o := a.job
-	if o.Job.RankLevel() < j.Job.RankLevel() {
+	if o.rank < j.rank {
 		return true
 	}
-	if o.Job.RankLevel() > j.Job.RankLevel() || j.beyond != 0 || o.beyond == 0 || o.Job.Team == j.Job.Team || o.Job.RankLevel() == api.RankProduction ||
+	if o.rank > j.rank || j.beyond != 0 || o.beyond == 0 || o.Job.Team == j.Job.Team || o.rank == api.RankProduction ||
 		c.clock.Since(j.arrived) < tuning.GuaranteePatience {
 		return false
 	}
@@ -369,21 +370,24 @@
 // makeRoom finds what to stop so that one task fits, and of that what loses the
 // least. False: it cannot be done.
 func (c *Core) makeRoom(j *job, m *machine) (leaving, victims []*assign, ok bool) {
+	c.searched++
 	free, leaving := m.roomSoon()
 	if free.Holds(j.need) {
 		return leaving, nil, true
 	}
 	var can []*assign
+	most := free
 	for _, a := range m.assigns {
 		if !a.stop && a.seen && c.mayStop(a, j) {
 			can = append(can, a)
+			most = most.Add(a.job.need)
 		}
 	}
+	if !most.Holds(j.need) {
+		return nil, nil, false
+	}
 	slices.SortFunc(can, func(a, b *assign) int {
-		if ra, rb := a.job.Job.RankLevel(), b.job.Job.RankLevel(); ra != rb {
-			return ra - rb
-		}
-		return int(c.loss(a) - c.loss(b))
+		return cmp.Or(cmp.Compare(a.job.rank, b.job.rank), cmp.Compare(c.loss(a), c.loss(b)), strings.Compare(a.key, b.key))
 	})
 	for _, a := range can {
 		free = free.Add(a.job.need)
@@ -469,7 +473,7 @@
 		// The rest of an earlier try ends by itself, for want of its mates.
 		return
 	}
-	ms := c.byName()
+	ms := slices.Clone(c.byName())
 	holders := func(a, b *machine) int {
 		return int(a.FetchS(j.Job.Image, j.Job.ImageGB) - b.FetchS(j.Job.Image, j.Job.ImageGB))
 	}
@@ -505,50 +509,137 @@
 	}
 }
 
+// option is a machine where room can be made, and what that costs.
+type option struct {
+	m               *machine
+	leaving, victim []*assign
+	score           float64
+}
+
+// options are the machines where room can be made for a job, cheapest first.
+// They are looked at once for the job, not once for each of its tasks: a fleet
+// of hundreds of machines and an array of hundreds of tasks would otherwise take
+// the leader's whole processor. That is exact, since what is done on one machine
+// makes no other one cheaper.
+type options []option
+
+func (o options) Len() int { return len(o) }
+func (o options) Less(a, b int) bool {
+	return cmp.Or(cmp.Compare(o[a].score, o[b].score), strings.Compare(o[a].m.Name, o[b].m.Name)) < 0
+}
+func (o options) Swap(a, b int) { o[a], o[b] = o[b], o[a] }
+func (o *options) Push(x any)   { *o = append(*o, x.(option)) }
+func (o *options) Pop() any {
+	last := len(*o) - 1
+	x := (*o)[last]
+	*o = (*o)[:last]
+	return x
+}
+
+// optionOn is what room for one task of a job costs on a machine.
+func (c *Core) optionOn(j *job, m *machine) (option, bool) {
+	if !c.eligible(j, m) || !zoneOK(j, m) {
+		return option{}, false
+	}
+	out, victims, ok := c.makeRoom(j, m)
+	if !ok {
+		return option{}, false
+	}
+	score := m.FetchS(j.Job.Image, j.Job.ImageGB)
+	for _, a := range victims {
+		score += float64(c.loss(a)) / 1000
+	}
+	return option{m, out, victims, score}, true
+}
+
+func (c *Core) options(j *job, all []*machine) *options {
+	o := &options{}
+	for _, m := range all {
+		if x, ok := c.optionOn(j, m); ok {
+			*o = append(*o, x)
+		}
+	}
+	heap.Init(o)
+	return o
+}
+
+// best takes the cheapest option that still stands. The caller puts the machine
+// back once it has used it.
+func (c *Core) best(j *job, o *options) (option, bool) {
+	for o.Len() > 0 {
+		x := heap.Pop(o).(option)
+		now, ok := c.optionOn(j, x.m)
+		if !ok {
+			continue
+		}
+		if now.score <= x.score || o.Len() == 0 || now.score <= (*o)[0].score {
+			return now, true
+		}
+		heap.Push(o, now)
+	}
+	return option{}, false
+}
+
+// pushOption puts a machine back after its use.
+func (c *Core) pushOption(j *job, m *machine, o *options) {
+	if x, ok := c.optionOn(j, m); ok {
+		heap.Push(o, x)
+	}
+}
+
 // preempt makes room for an array of higher rank that found none.
 func (c *Core) preempt(j *job, all []*machine) {
-	for len(j.pending)+j.queued > 0 && c.ready(j) && c.withinLimit(j) {
-		var best *machine
-		var out, victims []*assign
-		bestScore := math.Inf(1)
-		for _, m := range all {
-			if !c.eligible(j, m) || !zoneOK(j, m) {
-				continue
-			}
-			o, v, ok := c.makeRoom(j, m)
-			if !ok {
-				continue
-			}
-			score := m.FetchS(j.Job.Image, j.Job.ImageGB)
-			for _, a := range v {
-				score += float64(c.loss(a)) / 1000
-			}
-			if score < bestScore {
-				best, out, victims, bestScore = m, o, v, score
+	if !c.ready(j) || !c.withinLimit(j) || !c.stopsAny(j) {
+		return
+	}
+	opts := c.options(j, all)
+	var queues []*queue
+	for _, m := range all {
+		for _, q := range m.queue {
+			if q.job == j {
+				queues = append(queues, q)
 			}
 		}
-		if best == nil {
-			return
+	}
+	for len(j.pending)+j.queued > 0 && c.withinLimit(j) {
+		x, ok := c.best(j, opts)
+		if !ok {
+			break
 		}
 		task := -1
 		if len(j.pending) > 0 {
 			task = int(j.pending[0])
 			j.pending = j.pending[1:]
-		}
-		for _, m := range all {
-			for _, q := range m.queue {
-				if task < 0 && q.job == j && len(q.tasks) > 0 {
-					task = q.pop()
-				}
+		} else {
+			for len(queues) > 0 && len(queues[0].tasks) == 0 {
+				queues = queues[1:]
 			}
-			m.trim()
+			if len(queues) == 0 {
+				break
+			}
+			task = queues[0].pop()
 		}
-		if task < 0 {
-			return
+		c.moveAside(x.victim, j)
+		c.start(j, task, x.m, append(x.leaving, x.victim...), "preempting")
+		c.pushOption(j, x.m, opts)
+	}
+	for _, m := range all {
+		m.trim()
+	}
+}
+
+// stopsAny tells whether anything may be stopped for a job at all. Most jobs
+// that wait are of the lowest rank, and need not search the fleet.
+func (c *Core) stopsAny(j *job) bool {
+	for _, o := range c.order {
+		for _, a := range o.live {
+			if c.mayStop(a, j) {
+				return true
+			}
+			break // what a job's tasks may be stopped for is the same for all
 		}
-		c.moveAside(victims, j)
-		c.start(j, task, best, append(out, victims...), "preempting")
 	}
+	return false
 }
 
 // Conflict takes in a job record that another node, or a lost answer of ours,
--- a/controller/rent.go
+++ b/controller/rent.go
@@ -347,6 +347,7 @@
 			q.job.queued -= len(q.tasks)
 		}
 		delete(c.machines, n)
+		c.sorted = nil
 	}
 	c.kick()
 }
--- /dev/null
+++ b/controller/scale_test.go
@@ -0,0 +1,102 @@
+package controller
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"switchferry/api"
+	"switchferry/fleet"
+)
+
+// Tests of scale count work, never time. fullFleet is in bench_test.go.
+
+// On a full fleet, an array that may stop other work looks at each machine once
+// and then at those that it uses. Looking at all of them for each task took most
+// of the leader's processor, and submissions and reports waited.
+func TestPreemptionSearchesTheFleetOnceForAJob(t *testing.T) {
+	s := fullFleet(t, 280)
+	s.searched = 0
+	s.Place()
+	started := 0
+	for _, j := range s.order {
+		if j.rank == 2 {
+			started += len(j.live)
+		}
+	}
+	if started < 150 {
+		t.Fatalf("%d urgent tasks started, want nearly all of 200", started)
+	}
+	if most := 4*280 + 3*started; s.searched > most {
+		t.Errorf("%d machines searched for 4 jobs, want %d at most", s.searched, most)
+	}
+}
+
+// The options kept in order give what a plain search of the whole fleet for
+// each task gives.
+func TestOptionsAgreeWithPlainSearch(t *testing.T) {
+	for seed := range uint64(20) {
+		rnd := rand.New(rand.NewPCG(seed, 7))
+		s := newStage(t)
+		for i := range 25 {
+			s.report(fmt.Sprintf("a%03d", i), 1)
+		}
+		for i := range 12 {
+			s.submit(fmt.Sprintf("run-%06d", i), 1+rnd.IntN(12), func(x *api.Submission) {
+				x.Team, x.Rank = "left", []string{"low", "normal"}[rnd.IntN(2)]
+				x.CPUs = float64(1 + rnd.IntN(4))
+				x.MemoryGB = float64(1 + rnd.IntN(8))
+			})
+			s.settleStarts()
+			s.clock.Advance(time.Duration(rnd.IntN(1900)) * time.Millisecond)
+			for k := range 25 {
+				s.again(fmt.Sprintf("a%03d", k))
+			}
+		}
+		s.submit("run-900000", 30, func(x *api.Submission) { x.Team, x.Rank, x.CPUs, x.MemoryGB = "left", "high", 2, 3 })
+		j := s.jobs["run-900000"]
+		opts := s.options(j, s.byName())
+		for {
+			plain := math.Inf(1)
+			for _, m := range s.byName() {
+				if x, ok := s.optionOn(j, m); ok {
+					plain = math.Min(plain, x.score)
+				}
+			}
+			x, ok := s.best(j, opts)
+			if !ok || len(j.pending) == 0 {
+				if !math.IsInf(plain, 1) && len(j.pending) > 0 {
+					t.Fatalf("seed %d: nothing found, a plain search finds %v", seed, plain)
+				}
+				break
+			}
+			if x.score != plain {
+				t.Fatalf("seed %d: found %v, a plain search %v", seed, x.score, plain)
+			}
+			task := int(j.pending[0])
+			j.pending = j.pending[1:]
+			s.moveAside(x.victim, j)
+			s.start(j, task, x.m, append(x.leaving, x.victim...), "preempting")
+			s.pushOption(j, x.m, opts)
+		}
+		if len(j.live) == 0 {
+			t.Fatalf("seed %d: nothing was started", seed)
+		}
+		for _, m := range s.machines {
+			if free, _ := m.roomSoon(); !free.Holds(fleet.Room{}) {
+				t.Fatalf("seed %d: %s holds more than its room", seed, m.Name)
+			}
+		}
+	}
+}
+
+// again repeats a worker's last report.
+func (s *stage) again(name string) {
+	var tasks []api.TaskReport
+	for _, t := range s.machines[name].Tasks {
+		tasks = append(tasks, t)
+	}
+	s.report(name, 1, tasks...)
+}
