--- a/controller/core.go
+++ b/controller/core.go
@@ -154,9 +154,12 @@
 	order    []*job
 	machines map[string]*machine
 	// sorted is the list of byName; nil once machines came or went.
-	sorted   []*machine
-	gone     map[string]time.Time
+	sorted []*machine
+	gone   map[string]time.Time
+	// use is what each team's tasks take; leaving is the part of it that tasks
+	// take which are being stopped.
 	use      map[string]fleet.Room
+	leaving  map[string]fleet.Room
 	attempts uint64
 	charters uint64
 	// aims are the classes' times of completion, sooner first.
@@ -175,7 +178,7 @@
 func NewCore(term uint64, clock clockwork.Clock, set *settings.Settings, pol *policy.Policy, types []api.MachineType, hooks Hooks) *Core {
 	c := &Core{term: term, clock: clock, set: set, policy: pol, hooks: hooks,
 		types: map[string]*api.MachineType{}, jobs: map[string]*job{}, machines: map[string]*machine{},
-		gone: map[string]time.Time{}, toPush: map[*machine]bool{}, use: map[string]fleet.Room{}, refusals: map[pool]time.Time{},
+		gone: map[string]time.Time{}, toPush: map[*machine]bool{}, use: map[string]fleet.Room{}, leaving: map[string]fleet.Room{}, refusals: map[pool]time.Time{},
 		wake: make(chan struct{}, 1), started: clock.Now()}
 	c.heard = c.started
 	c.aims = map[string][]float64{}
@@ -358,6 +361,9 @@
 	delete(a.machine.assigns, a.key)
 	a.machine.used = a.machine.used.Sub(a.job.need)
 	c.use[a.job.Job.Team] = c.use[a.job.Job.Team].Sub(a.job.need)
+	if a.stop {
+		c.leaving[a.job.Job.Team] = c.leaving[a.job.Job.Team].Sub(a.job.need)
+	}
 	if len(a.machine.assigns) == 0 {
 		a.machine.idle = c.clock.Now()
 		a.machine.used = fleet.Room{}
--- a/controller/core_test.go
+++ b/controller/core_test.go
@@ -49,7 +49,7 @@
 	set := &settings.Settings{Member: "x"}
 	set.Facts.Workers = settings.Workers{ReportS: 1, LeaseS: 10, CancelS: 40}
 	set.Facts.State = settings.State{RPS: 200, WriteRPS: 5000, ValueKB: 16, TxnOps: 12}
-	set.Facts.Teams = []settings.Team{{Name: "t", CPUsMax: 400}, {Name: "small", CPUsMax: 8}, {Name: "sure", CPUs: 16},
+	set.Facts.Teams = []settings.Team{{Name: "t", CPUsMax: 400}, {Name: "small", CPUsMax: 8}, {Name: "sure", CPUs: 16}, {Name: "lent", CPUs: 16},
 		{Name: "left", CPUs: 900, CPUsMax: 3000}, {Name: "right", CPUs: 1200, CPUsMax: 3000}}
 	term := s.state.Put(store.LeaderKey, store.Leader{Member: "x"})
 	client := store.NewClient("state:1", s.state)
@@ -778,6 +778,35 @@
 	}
 }
 
+// Guaranteed work takes from another team no more than that one borrowed, also
+// when many tasks wait at once and none of those being stopped is gone yet.
+func TestGuaranteeTakesNoMoreThanWasBorrowed(t *testing.T) {
+	s := newStage(t)
+	for i := range 3 {
+		s.report(fmt.Sprintf("a%d", i), 1)
+	}
+	// "lent" runs 24 processors; 16 of them are its own.
+	s.submit("run-000001", 6, func(x *api.Submission) { x.Team = "lent" })
+	s.settleStarts()
+	s.submit("run-000002", 4, func(x *api.Submission) { x.Team = "sure" })
+	for range 8 {
+		s.clock.Advance(time.Second)
+		for i := range 3 {
+			s.again(fmt.Sprintf("a%d", i))
+		}
+		s.Place()
+	}
+	stopped := 0
+	for _, a := range s.jobs["run-000001"].live {
+		if a.stop {
+			stopped++
+		}
+	}
+	if stopped != 2 {
+		t.Errorf("%d tasks stopped, want the 2 that were borrowed", stopped)
+	}
+}
+
 // An accept whose answer from the state service is lost: the job is there once,
 // and the user's retry gets 200.
 func TestAcceptWithLostAnswer(t *testing.T) {
--- a/controller/place.go
+++ b/controller/place.go
@@ -363,8 +363,12 @@
 		c.clock.Since(j.arrived) < tuning.GuaranteePatience {
 		return false
 	}
+	// What is being stopped already is not there to be stopped again: counted as
+	// use, it made the other team lose far more than it had borrowed, and that
+	// one then took as much back, all over again.
 	t, _ := c.set.Team(o.Job.Team)
-	return c.use[t.Name].CPUs-o.need.CPUs >= t.CPUs && c.use[t.Name].Cards-o.need.Cards >= t.Cards
+	stays := c.use[t.Name].Sub(c.leaving[t.Name]).Sub(o.need)
+	return stays.CPUs+tuning.RoomSlack >= t.CPUs && stays.Cards+tuning.RoomSlack >= t.Cards
 }
 
 // makeRoom finds what to stop so that one task fits, and of that what loses the
--- a/controller/report.go
+++ b/controller/report.go
@@ -272,6 +272,9 @@
 		return
 	}
 	slog.Info("stopping task", "task", a.key, "machine", a.machine.Name, "why", why, "wind_down_s", grace)
+	if !a.stop {
+		c.leaving[a.job.Job.Team] = c.leaving[a.job.Job.Team].Add(a.job.need)
+	}
 	a.stop, a.grace = true, grace
 	if !a.sent {
 		// Never sent by anyone, so it is nowhere.
