--- a/controller/core.go
+++ b/controller/core.go
@@ -58,6 +58,11 @@
 	latest int64
 	// beyond is 1 unless the job is within its team's guarantee.
 	beyond int
+	// entitled: it was within the guarantee when this leader first looked, so it
+	// need not wait for other teams. One that comes within as others end goes
+	// first in the queues, but nothing is stopped for it. judged: that was
+	// looked at.
+	entitled, judged bool
 	// arrived is when this leader got to know it.
 	arrived time.Time
 }
@@ -267,6 +272,9 @@
 		if t.CPUs > 0 && u.CPUs <= t.CPUs+tuning.RoomSlack && u.Cards <= t.Cards+tuning.RoomSlack {
 			j.beyond = 0
 		}
+		if !j.judged {
+			j.judged, j.entitled = true, j.beyond == 0
+		}
 	}
 }
 
--- a/controller/place.go
+++ b/controller/place.go
@@ -144,7 +144,7 @@
 	}
 	lowest := c.lowestRank()
 	for _, j := range c.order {
-		if j.rank <= lowest && (j.beyond != 0 || c.clock.Since(j.arrived) < tuning.GuaranteePatience) {
+		if j.rank <= lowest && (!j.entitled || c.clock.Since(j.arrived) < tuning.GuaranteePatience) {
 			// Nothing may be stopped for it.
 			continue
 		}
@@ -359,7 +359,7 @@
 	if o.rank < j.rank {
 		return true
 	}
-	if o.rank > j.rank || j.beyond != 0 || o.beyond == 0 || o.Job.Team == j.Job.Team || o.rank == api.RankProduction ||
+	if o.rank > j.rank || !j.entitled || o.beyond == 0 || o.Job.Team == j.Job.Team || o.rank == api.RankProduction ||
 		c.clock.Since(j.arrived) < tuning.GuaranteePatience {
 		return false
 	}
