Queued tasks start in the order of jobs over all machines

Ruled out: lost work (halved before, without effect), the processor (the same without it charged), the order of jobs itself (remaining work first: noise).

--- a/controller/core_test.go
+++ b/controller/core_test.go
@@ -778,6 +778,47 @@
 	}
 }
 
+// A machine with work of its own queue first serves an earlier job that waits
+// elsewhere: on the grown deployments a job's last task waited up to 160 s in the
+// queue of one machine while later jobs started on others.
+func TestEarlierJobIsServedBeforeOwnQueue(t *testing.T) {
+	s := newStage(t)
+	for _, m := range []string{"a1", "a2"} {
+		s.report(m, 1)
+	}
+	s.submit("run-000001", 4, nil)
+	s.settleStarts()
+	s.clock.Advance(time.Second)
+	s.submit("run-000002", 1, nil)
+	s.clock.Advance(time.Second)
+	s.submit("run-000003", 1, nil)
+	// The earlier job's task waits at one machine, the later one's at the other.
+	for i, id := range []string{"run-000002", "run-000003"} {
+		j := s.jobs[id]
+		s.machines[[]string{"a1", "a2"}[i]].enqueue(j, j.pending)
+		j.pending, j.queued = nil, 1
+	}
+	var ended []api.TaskReport
+	for _, r := range s.machines["a2"].Tasks {
+		ended = append(ended, task(r.Task, r.Attempt, api.TaskEnded, api.CauseDone))
+		break
+	}
+	for _, r := range s.machines["a2"].Tasks {
+		if r.Task != ended[0].Task {
+			ended = append(ended, r)
+		}
+	}
+	s.again("a1")
+	s.report("a2", 1, ended...)
+	s.Place()
+	if a := s.jobs["run-000002"].live[0]; a == nil || a.machine.Name != "a2" {
+		t.Errorf("the earlier job did not start on the machine with room: %+v", a)
+	}
+	if len(s.jobs["run-000003"].live) != 0 {
+		t.Error("the later job went first")
+	}
+}
+
 // Guaranteed work takes from another team no more than that one borrowed, also
 // when many tasks wait at once and none of those being stopped is gone yet.
 func TestGuaranteeTakesNoMoreThanWasBorrowed(t *testing.T) {
--- a/controller/place.go
+++ b/controller/place.go
@@ -124,24 +124,7 @@
 		}
 	}
 	ms := c.byName()
-	// Most machines are full most of the time: those without room for the
-	// smallest queued task are passed over.
-	least := math.Inf(1)
-	for _, j := range c.order {
-		if j.queued > 0 {
-			least = math.Min(least, j.need.CPUs)
-		}
-	}
-	for _, m := range ms {
-		if m.free().CPUs+tuning.RoomSlack >= least {
-			c.dispatch(m)
-		}
-	}
-	for _, m := range ms {
-		if m.free().CPUs+tuning.RoomSlack >= least {
-			c.pull(m, ms)
-		}
-	}
+	c.serve(ms)
 	lowest := c.lowestRank()
 	for _, j := range c.order {
 		if j.rank <= lowest && (!j.entitled || c.clock.Since(j.arrived) < tuning.GuaranteePatience) {
@@ -264,51 +247,82 @@
 	return c.ready(j) && m.free().Holds(j.need) && c.eligible(j, m) && zoneOK(j, m) && c.withinLimit(j)
 }
 
-// dispatch starts what a machine has queued and has room for.
-func (c *Core) dispatch(m *machine) {
-	if len(m.queue) == 0 {
-		return
+// serve starts queued tasks, job by job in the order of the queues: first where
+// they are queued, then on other machines with room, out of the longest queue
+// that holds the job. A machine does not start a later job of its own queue while
+// it could serve an earlier one that waits elsewhere: one task left behind a long
+// one, on one machine, keeps its whole job from being done.
+func (c *Core) serve(ms []*machine) {
+	type place struct {
+		m *machine
+		q *queue
 	}
-	for _, q := range m.queue {
-		for len(q.tasks) > 0 && c.startable(q.job, m) {
-			c.start(q.job, q.pop(), m, nil, "queued here")
+	where := map[*job][]place{}
+	length := map[*machine]int{}
+	least := math.Inf(1)
+	for _, m := range ms {
+		for _, q := range m.queue {
+			where[q.job] = append(where[q.job], place{m, q})
+			length[m] += len(q.tasks)
+			least = math.Min(least, q.job.need.CPUs)
 		}
 	}
-	m.trim()
-}
-
-// pull gives a machine with room unstarted tasks of the oldest job from the
-// longest queue that it can serve.
-func (c *Core) pull(m *machine, all []*machine) {
-	if !c.usable(m) {
+	if len(where) == 0 {
 		return
 	}
-	for {
-		var from *queue
-		longest := 0
-		for _, o := range all {
-			if o == m || len(o.queue) == 0 {
-				continue
-			}
-			n := 0
-			for _, q := range o.queue {
-				n += len(q.tasks)
-			}
-			if n <= longest {
-				continue
+	// Most machines are full most of the time: those without room for the
+	// smallest queued task are passed over.
+	var roomy []*machine
+	for _, m := range ms {
+		if m.free().CPUs+tuning.RoomSlack >= least && c.usable(m) {
+			roomy = append(roomy, m)
+		}
+	}
+	for _, j := range c.order {
+		if j.queued == 0 || len(roomy) == 0 || !c.ready(j) {
+			continue
+		}
+		at := where[j]
+		for _, p := range at {
+			for len(p.q.tasks) > 0 && c.startable(j, p.m) {
+				c.start(j, p.q.pop(), p.m, nil, "queued here")
+				length[p.m]--
 			}
-			for _, q := range o.queue {
-				if len(q.tasks) > 0 && c.startable(q.job, m) && c.worthPulling(q.job, m) {
-					from, longest = q, n
-					break
+		}
+		if j.queued > 0 {
+			for _, m := range c.pullers(j, roomy) {
+				for j.queued > 0 && c.startable(j, m) {
+					from := -1
+					for i, p := range at {
+						if len(p.q.tasks) > 0 && (from < 0 || length[p.m] > length[at[from].m]) {
+							from = i
+						}
+					}
+					c.start(j, at[from].q.pop(), m, nil, "pulled")
+					length[at[from].m]--
 				}
 			}
 		}
-		if from == nil {
-			return
+		roomy = slices.DeleteFunc(roomy, func(m *machine) bool { return m.free().CPUs+tuning.RoomSlack < least })
+	}
+	for m := range length {
+		m.trim()
+	}
+}
+
+// pullers are the machines that may take a job's task off another's queue, those
+// that hold the image first.
+func (c *Core) pullers(j *job, roomy []*machine) []*machine {
+	var out []*machine
+	for _, m := range roomy {
+		if c.startable(j, m) && c.worthPulling(j, m) {
+			out = append(out, m)
 		}
-		c.start(from.job, from.pop(), m, nil, "pulled")
 	}
+	slices.SortStableFunc(out, func(a, b *machine) int {
+		return cmp.Compare(a.FetchS(j.Job.Image, j.Job.ImageGB), b.FetchS(j.Job.Image, j.Job.ImageGB))
+	})
+	return out
 }
 
 // worthPulling tells whether a machine without the image should take a job's
