The placer rests three times as long as it took

Cause: in a burst, and on a controller that is three times slower, the placer took up to 40% of the leader's processor (timed inside), while submissions waited behind it. It also read the clock for every machine and task.

--- a/controller/core.go
+++ b/controller/core.go
@@ -177,6 +177,8 @@
 	heard    time.Time
 	// searched counts the machines that were searched for something to stop.
 	searched int
+	// at is the time during a run of the placer; zero outside of it.
+	at time.Time
 }
 
 // NewCore makes the state of a term.
@@ -217,6 +219,17 @@
 	}
 }
 
+// now is the time, which stands still during one run of the placer: it asks for
+// every machine and task.
+func (c *Core) now() time.Time {
+	if !c.at.IsZero() {
+		return c.at
+	}
+	return c.clock.Now()
+}
+
+func (c *Core) since(t time.Time) time.Duration { return c.now().Sub(t) }
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 func taskKey(id string, task int) string { return id + "/" + strconv.Itoa(task) }
@@ -245,7 +258,7 @@
 // sortQueues brings jobs and queues into order as of now.
 func (c *Core) sortQueues() {
 	c.markGuaranteed()
-	now := c.clock.Now().UnixMilli()
+	now := c.now().UnixMilli()
 	for _, j := range c.order {
 		j.latest = c.latestStart(j, now)
 	}
@@ -301,7 +314,7 @@
 
 func (c *Core) addJob(rec store.JobRecord, accepted bool) *job {
 	j := &job{JobRecord: rec, id: rec.Job.ID, total: rec.Job.Tasks, rank: rec.Job.RankLevel(), need: fleet.Of(&rec.Job), accepted: accepted, changed: make(chan struct{}),
-		bits: store.NewBits(rec.Job.Tasks), live: map[int]*assign{}, shards: map[int]bool{}, avoid: map[string]time.Time{}, moved: map[int]int{}, arrived: c.clock.Now()}
+		bits: store.NewBits(rec.Job.Tasks), live: map[int]*assign{}, shards: map[int]bool{}, avoid: map[string]time.Time{}, moved: map[int]int{}, arrived: c.now()}
 	c.jobs[j.id] = j
 	c.order = append(c.order, j)
 	return j
@@ -330,8 +343,8 @@
 func (c *Core) machine(name string) *machine {
 	m := c.machines[name]
 	if m == nil {
-		m = &machine{Machine: &fleet.Machine{Name: name, Heard: c.clock.Now(), Rented: c.clock.Now()},
-			assigns: map[string]*assign{}, ended: map[string]*ended{}, idle: c.clock.Now()}
+		m = &machine{Machine: &fleet.Machine{Name: name, Heard: c.now(), Rented: c.now()},
+			assigns: map[string]*assign{}, ended: map[string]*ended{}, idle: c.now()}
 		c.machines[name] = m
 		c.sorted = nil
 	}
@@ -345,7 +358,7 @@
 
 // hold makes an assignment count.
 func (c *Core) hold(j *job, task int, m *machine, attempt uint64) *assign {
-	a := &assign{job: j, task: task, key: taskKey(j.id, task), machine: m, attempt: attempt, since: c.clock.Now()}
+	a := &assign{job: j, task: task, key: taskKey(j.id, task), machine: m, attempt: attempt, since: c.now()}
 	j.live[task] = a
 	m.assigns[a.key] = a
 	m.used = m.used.Add(j.need)
@@ -373,7 +386,7 @@
 		c.leaving[a.job.Job.Team] = c.leaving[a.job.Job.Team].Sub(a.job.need)
 	}
 	if len(a.machine.assigns) == 0 {
-		a.machine.idle = c.clock.Now()
+		a.machine.idle = c.now()
 		a.machine.used = fleet.Room{}
 	}
 }
@@ -456,7 +469,7 @@
 	}
 	j.Final = state
 	c.unqueue(j)
-	slog.Info("job over", "job", j.id, "class", j.Job.Class, "state", state, "after", c.clock.Since(time.UnixMilli(j.At)).Round(time.Millisecond))
+	slog.Info("job over", "job", j.id, "class", j.Job.Class, "state", state, "after", c.since(time.UnixMilli(j.At)).Round(time.Millisecond))
 	c.hooks.Touch(store.JobKey(j.id), store.Urgent, c.locked(func() {
 		j.stored = true
 		c.hooks.Final(j.id, c.final(j))
--- a/controller/node.go
+++ b/controller/node.go
@@ -279,11 +279,13 @@
 		case <-core.wake:
 		case <-n.clock.After(tuning.Tick):
 		}
+		began := n.clock.Now()
 		core.Place()
+		took := n.clock.Since(began)
 		if why := n.unfit(core); why != "" {
 			n.elector.Resign(why)
 		}
-		n.sleep(ctx, tuning.PlaceGap)
+		n.sleep(ctx, max(tuning.PlaceGap, tuning.PlaceRest*took))
 	}
 }
 
--- a/controller/place.go
+++ b/controller/place.go
@@ -30,7 +30,7 @@
 // usable tells whether a machine may get new work.
 func (c *Core) usable(m *machine) bool {
 	return m.Up && m.Spec != nil && !m.returning && m.TakenAt.IsZero() && !m.Suspect() &&
-		c.clock.Now().After(m.refused) && c.clock.Since(m.Heard) < c.quiet(m)
+		c.now().After(m.refused) && c.since(m.Heard) < c.quiet(m)
 }
 
 // quiet is how long a machine may be unheard and still get work.
@@ -52,7 +52,7 @@
 		return false
 	}
 	until, ok := j.avoid[m.Name]
-	return !ok || c.clock.Now().After(until)
+	return !ok || c.now().After(until)
 }
 
 // zoneOK tells whether one more task may start in a machine's zone, given
@@ -87,7 +87,7 @@
 }
 
 func (c *Core) ready(j *job) bool {
-	return j.accepted && j.Final == "" && !c.clock.Now().Before(j.pause)
+	return j.accepted && j.Final == "" && !c.now().Before(j.pause)
 }
 
 // estimate is how long a task of the job runs, in seconds.
@@ -100,6 +100,8 @@
 	if !c.loaded || !c.hooks.Valid() {
 		return
 	}
+	c.at = c.clock.Now()
+	defer func() { c.at = time.Time{} }()
 	c.sortQueues()
 	for _, m := range c.machines {
 		if len(m.queue) > 0 && !c.usable(m) {
@@ -127,7 +129,7 @@
 	c.serve(ms)
 	lowest := c.lowestRank()
 	for _, j := range c.order {
-		if j.rank <= lowest && (!j.entitled || c.clock.Since(j.arrived) < tuning.GuaranteePatience) {
+		if j.rank <= lowest && (!j.entitled || c.since(j.arrived) < tuning.GuaranteePatience) {
 			// Nothing may be stopped for it.
 			continue
 		}
@@ -330,7 +332,7 @@
 // so that at worst it waits twice what was best.
 func (c *Core) worthPulling(j *job, m *machine) bool {
 	f := m.FetchS(j.Job.Image, j.Job.ImageGB)
-	return f <= tuning.FreeFetch || c.clock.Since(j.arrived).Seconds() >= tuning.PullPatience*f
+	return f <= tuning.FreeFetch || c.since(j.arrived).Seconds() >= tuning.PullPatience*f
 }
 
 // start records a task's machine; the command goes out once that is stored.
@@ -374,7 +376,7 @@
 		return true
 	}
 	if o.rank > j.rank || !j.entitled || o.beyond == 0 || o.Job.Team == j.Job.Team || o.rank == api.RankProduction ||
-		c.clock.Since(j.arrived) < tuning.GuaranteePatience {
+		c.since(j.arrived) < tuning.GuaranteePatience {
 		return false
 	}
 	// What is being stopped already is not there to be stopped again: counted as
@@ -432,7 +434,7 @@
 	if a.running.IsZero() {
 		return before
 	}
-	run := c.clock.Since(a.running)
+	run := c.since(a.running)
 	if cp := seconds(a.job.Job.Checkpoint); cp > 0 {
 		run = run % cp
 	}
--- a/controller/rent.go
+++ b/controller/rent.go
@@ -37,7 +37,7 @@
 	if !c.loaded || !c.hooks.Valid() {
 		return nil
 	}
-	now := c.clock.Now()
+	now := c.now()
 	var out []string
 	giveUp := func(m *machine, why string) {
 		slog.Info("returning machine", "machine", m.Name, "why", why, "tasks", len(m.assigns))
@@ -101,7 +101,7 @@
 
 // evacuate saves what can be saved of a machine that is about to be taken.
 func (c *Core) evacuate(m *machine) {
-	left := m.TakenAt.Sub(c.clock.Now()).Seconds()
+	left := m.TakenAt.Sub(c.now()).Seconds()
 	for _, a := range m.assigns {
 		if a.stop || !a.seen {
 			continue
@@ -109,7 +109,7 @@
 		j := &a.job.Job
 		ran := 0.0
 		if !a.running.IsZero() {
-			ran = c.clock.Since(a.running).Seconds()
+			ran = c.since(a.running).Seconds()
 		}
 		finishes := j.Shape == api.Array && estimate(a.job)-ran < left
 		switch {
@@ -149,9 +149,9 @@
 // back, but others are rented in the meantime: they take long to boot.
 func (c *Core) missing(m *machine) bool {
 	if m.Up {
-		return c.clock.Since(m.Heard) > 2*c.quiet(m)
+		return c.since(m.Heard) > 2*c.quiet(m)
 	}
-	return m.running && c.clock.Since(c.started) > 2*c.quiet(m)
+	return m.running && c.since(c.started) > 2*c.quiet(m)
 }
 
 // supply is the processors that are up or coming.
@@ -191,7 +191,7 @@
 func (c *Core) Rentals() []api.Rental {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := c.clock.Now()
+	now := c.now()
 	// This goes on while the state service is out: the names of rentals are
 	// this term's own, and the machines will be needed whoever leads.
 	if !c.loaded || c.renting > 0 || now.Sub(c.started) < seconds(2*c.set.Facts.Workers.ReportS) {
@@ -268,7 +268,7 @@
 	defer c.mu.Unlock()
 	c.renting--
 	if err != nil || len(names) < r.Count {
-		c.refusals[pool{r.Type, r.Zone, r.Spot}] = c.clock.Now().Add(tuning.RefusedPause)
+		c.refusals[pool{r.Type, r.Zone, r.Spot}] = c.now().Add(tuning.RefusedPause)
 	}
 	if err != nil {
 		slog.Info("rental refused", "type", r.Type, "zone", r.Zone, "spot", r.Spot, "count", r.Count, "err", err)
@@ -290,7 +290,7 @@
 func (c *Core) Listed(list []api.CloudMachine) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := c.clock.Now()
+	now := c.now()
 	for _, l := range list {
 		if _, gone := c.gone[l.Name]; gone {
 			continue
@@ -338,7 +338,7 @@
 			m.returning = false
 			continue
 		}
-		c.gone[n] = c.clock.Now()
+		c.gone[n] = c.now()
 		for _, a := range m.assigns {
 			c.lost(a, "its machine is gone")
 		}
--- a/controller/report.go
+++ b/controller/report.go
@@ -18,7 +18,7 @@
 	if r.Helm > c.term {
 		return o, true, false
 	}
-	c.heard = c.clock.Now()
+	c.heard = c.now()
 	m, ok := c.hear(r)
 	if m == nil {
 		return o, false, true
@@ -39,7 +39,7 @@
 		return nil, false
 	}
 	m := c.machine(r.Machine)
-	m.Heard = c.clock.Now()
+	m.Heard = c.now()
 	// A report that was held up on the way is not newer: its task list is
 	// old. Before the records are read only the lease is kept.
 	return m, m.Newer(r) && c.loaded
@@ -97,7 +97,7 @@
 
 // take works a newer report into the state.
 func (c *Core) take(m *machine, r *api.Report, by way) {
-	now := c.clock.Now()
+	now := c.now()
 	if !m.Up {
 		slog.Info("machine up", "machine", r.Machine, "type", r.Type, "zone", r.Zone, "spot", r.Spot, "after", now.Sub(m.Rented).Round(time.Second))
 		m.idle = now
@@ -137,7 +137,7 @@
 
 // progress notes the state of a task that is where it should be.
 func (c *Core) progress(m *machine, a *assign, t api.TaskReport) {
-	now := c.clock.Now()
+	now := c.now()
 	a.seen, a.sent = true, true
 	if a.session == 0 {
 		a.session = m.Session
@@ -157,7 +157,7 @@
 // ended handles an exit.
 func (c *Core) ended(m *machine, a *assign, t api.TaskReport) {
 	j := a.job
-	now := c.clock.Now()
+	now := c.now()
 	e := &ended{attempt: a.attempt, open: a.open, stored: t.Cause != api.CauseDone}
 	m.ended[a.key] = e
 	slog.Debug("task ended", "task", a.key, "machine", m.Name, "cause", t.Cause)
@@ -396,7 +396,7 @@
 	}
 	if r != nil {
 		// A worker that answers shows that our own network works.
-		c.heard = c.clock.Now()
+		c.heard = c.now()
 	}
 	// A machine that has not reported in this term has its whole lease to find
 	// us; only its own report makes it count as heard.
--- a/tuning/tuning.go
+++ b/tuning/tuning.go
@@ -151,6 +151,10 @@
 	// PlaceGap is the least time between two runs of the placer, so that a
 	// burst of reports costs one run.
 	PlaceGap = 15 * time.Millisecond
+	// PlaceRest is how many times its own duration the placer rests, so that it
+	// takes a quarter of the processor at the most: on a slow machine or in a
+	// burst, renewals, reports and submissions come before it.
+	PlaceRest = 3
 	// TendEvery is the pace of renting and returning.
 	TendEvery = 500 * time.Millisecond
 	// BackoffBase and BackoffMax pace a job that fails across machines.
