--- a/httpapi/httpapi.go
+++ b/httpapi/httpapi.go
@@ -51,11 +51,12 @@
 				}
 				r.Body = body
 			}
+			began := time.Now()
 			a := n.Handle(c.Request().Context(), r, false)
 			if a.RetryAfterS > 0 {
 				c.Response().Header().Set("Retry-After", strconv.Itoa(a.RetryAfterS))
 			}
-			slog.Debug("answered", "verb", verb, "job", r.Job, "status", a.Status)
+			slog.Debug("answered", "verb", verb, "job", r.Job, "status", a.Status, "took", time.Since(began).Round(time.Millisecond), "body", string(a.Body))
 			return c.JSONBlob(a.Status, a.Body)
 		}
 	}
