--- a/controller/place.go
+++ b/controller/place.go
@@ -609,7 +609,7 @@
 
 // preempt makes room for an array of higher rank that found none.
 func (c *Core) preempt(j *job, all []*machine) {
-	if c.since(j.arrived) < c.patience(j) || !c.ready(j) || !c.withinLimit(j) || !c.stopsAny(j) {
+	if !c.ready(j) || !c.withinLimit(j) || !c.stopsAny(j) {
 		return
 	}
 	opts := c.options(j, all)
@@ -648,16 +648,6 @@
 	}
 }
 
-// patience is how long an array waits before anything is stopped for it. On a
-// large fleet enough ends by itself in that time, and what is stopped may lose
-// all its work.
-func (c *Core) patience(j *job) time.Duration {
-	if within, ok := c.startAims[j.Job.Class]; ok {
-		return seconds(tuning.StartPatience * within)
-	}
-	return 0
-}
-
 // stopsAny tells whether anything may be stopped for a job at all. Most jobs
 // that wait are of the lowest rank, and need not search the fleet.
 func (c *Core) stopsAny(j *job) bool {
--- a/tuning/tuning.go
+++ b/tuning/tuning.go
@@ -177,9 +177,6 @@
 	// before other teams' work beyond theirs is stopped for it: most waits are
 	// shorter, and what is stopped may have no checkpoint.
 	GuaranteePatience = 6 * time.Second
-	// StartPatience is the share of the time that a class's tasks may take to
-	// start that an array waits before other work is stopped for it.
-	StartPatience = 0.4
 	// MovedLoss is what each earlier stop adds to the loss of stopping a task
 	// again: about a task's run time, so that it is some other's turn.
 	MovedLoss = 30 * time.Second
