--- a/controller/core.go
+++ b/controller/core.go
@@ -175,6 +175,8 @@
 	renting  int
 	wake     chan struct{}
 	heard    time.Time
+	// told is when the fleet was last logged.
+	told time.Time
 	// searched counts the machines that were searched for something to stop.
 	searched int
 	// at is the time during a run of the placer; zero outside of it.
--- a/controller/rent.go
+++ b/controller/rent.go
@@ -91,6 +91,10 @@
 		}
 	}
 	out = append(out, c.spare(now)...)
+	if now.Sub(c.told) >= tuning.FleetLogEvery {
+		c.told = now
+		c.logFleet()
+	}
 	for name, at := range c.gone {
 		if now.Sub(at) > 10*time.Minute {
 			delete(c.gone, name)
@@ -99,6 +103,39 @@
 	return out
 }
 
+// logFleet writes how full the fleet is: processors that are up, taken by tasks
+// that run, that fetch or are about to start, and that are being stopped; and
+// what waits.
+func (c *Core) logFleet() {
+	var up, running, starting, stopping float64
+	machines := 0
+	for _, m := range c.machines {
+		if !m.Up || m.Spec == nil || m.returning {
+			continue
+		}
+		machines++
+		up += m.Spec.CPUs
+		for _, a := range m.assigns {
+			switch {
+			case a.stop:
+				stopping += a.job.need.CPUs
+			case a.state == api.TaskRunning:
+				running += a.job.need.CPUs
+			default:
+				starting += a.job.need.CPUs
+			}
+		}
+	}
+	jobs, waiting := 0, 0.0
+	for _, j := range c.order {
+		if n := len(j.pending) + j.queued; n > 0 && j.Final == "" {
+			jobs++
+			waiting += float64(n) * j.need.CPUs
+		}
+	}
+	slog.Info("fleet", "machines", machines, "cpus", up, "running", running, "starting", starting, "stopping", stopping, "waiting_jobs", jobs, "waiting_cpus", waiting)
+}
+
 // evacuate saves what can be saved of a machine that is about to be taken.
 func (c *Core) evacuate(m *machine) {
 	left := m.TakenAt.Sub(c.now()).Seconds()
--- a/tuning/tuning.go
+++ b/tuning/tuning.go
@@ -155,6 +155,8 @@
 	// takes a quarter of the processor at the most: on a slow machine or in a
 	// burst, renewals, reports and submissions come before it.
 	PlaceRest = 3
+	// FleetLogEvery is the pace of the log line that tells how full the fleet is.
+	FleetLogEvery = 10 * time.Second
 	// TendEvery is the pace of renting and returning.
 	TendEvery = 500 * time.Millisecond
 	// BackoffBase and BackoffMax pace a job that fails across machines.
