Small tasks of a job are packed onto few machines

Change: a share is at least what the machine has room for at once; among machines that are as busy or fetch as long, the one with the least room left goes first.

--- a/controller/place.go
+++ b/controller/place.go
@@ -192,21 +192,34 @@
 // image take part with the fetch added to their busy time.
 func (c *Core) waterFill(j *job) {
 	slot := c.policy.Value(policy.SlotS, nil)
-	var ms []*machine
-	var servers []placement.Server
+	type candidate struct {
+		m    *machine
+		s    placement.Server
+		free float64
+	}
+	var all []candidate
 	for _, m := range c.byName() {
 		if !c.eligible(j, m) {
 			continue
 		}
 		queued, room := c.ahead(m, j, slot)
-		s := placement.Server{Busy: placement.Busy(queued), Mu: placement.Mu(room.Times(j.need), slot, estimate(j))}
+		free := m.free()
+		s := placement.Server{Busy: placement.Busy(queued), Mu: placement.Mu(room.Times(j.need), slot, estimate(j)), Now: free.Times(j.need)}
 		if s.Mu <= 0 {
 			continue
 		}
 		if f := m.FetchS(j.Job.Image, j.Job.ImageGB); f > 0 {
 			s.Busy += int(c.policy.Value(policy.FetchPenalty, policy.Vars{"fetch_s": f, "slot_s": slot}))
 		}
-		ms, servers = append(ms, m), append(servers, s)
+		all = append(all, candidate{m, s, free.CPUs})
+	}
+	// Of machines that are as busy, those with the least room left come first.
+	slices.SortStableFunc(all, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.s.Busy, b.s.Busy), cmp.Compare(a.free, b.free))
+	})
+	ms, servers := make([]*machine, len(all)), make([]placement.Server, len(all))
+	for i, x := range all {
+		ms[i], servers[i] = x.m, x.s
 	}
 	share := placement.Fill(servers, len(j.pending))
 	if share == nil {
@@ -313,7 +326,7 @@
 }
 
 // pullers are the machines that may take a job's task off another's queue, those
-// that hold the image first.
+// that hold the image first, and of those the ones with the least room left.
 func (c *Core) pullers(j *job, roomy []*machine) []*machine {
 	var out []*machine
 	for _, m := range roomy {
@@ -322,7 +335,8 @@
 		}
 	}
 	slices.SortStableFunc(out, func(a, b *machine) int {
-		return cmp.Compare(a.FetchS(j.Job.Image, j.Job.ImageGB), b.FetchS(j.Job.Image, j.Job.ImageGB))
+		return cmp.Or(cmp.Compare(a.FetchS(j.Job.Image, j.Job.ImageGB), b.FetchS(j.Job.Image, j.Job.ImageGB)),
+			cmp.Compare(a.free().CPUs, b.free().CPUs))
 	})
 	return out
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -11,6 +11,8 @@
 	Busy int
 	// Mu is how many of the job's tasks the machine finishes in a slot.
 	Mu float64
+	// Now is how many of the job's tasks it has room for at once.
+	Now int
 }
 
 // Queued is what one job has outstanding on a machine.
@@ -82,8 +84,11 @@
 }
 
 // Fill gives each server below the level (level-b)*mu tasks, and the last
-// taking part the rest, and raises b to the level, as in (10). It returns the
-// tasks of each server, or nil if none can take them.
+// taking part the rest, and raises b to the level, as in (10). A server with room
+// for more at once takes them: a task lasts many slots, so that shares of one
+// task would scatter a job of small tasks over as many servers, each of which
+// then has no room for a large one. It returns the tasks of each server, or nil
+// if none can take them.
 func Fill(servers []Server, tasks int) []int {
 	level, ok := Level(servers, tasks)
 	if !ok {
@@ -97,7 +102,7 @@
 			continue
 		}
 		last = i
-		n := min(left, ceil(float64(level-s.Busy)*s.Mu))
+		n := min(left, max(s.Now, ceil(float64(level-s.Busy)*s.Mu)))
 		out[i] = n
 		left -= n
 	}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -9,7 +9,7 @@
 // Worked by hand: b = 0, 2, 5 and mu = 2, 1, 4; ten tasks. At level 3 the
 // servers cover 6+1+0 = 7, at level 4 8+2 = 10.
 func TestFillByHand(t *testing.T) {
-	s := []Server{{0, 2}, {2, 1}, {5, 4}}
+	s := []Server{{Mu: 2}, {Busy: 2, Mu: 1}, {Busy: 5, Mu: 4}}
 	if l, ok := Level(s, 10); !ok || l != 4 {
 		t.Fatalf("level %d, want 4", l)
 	}
@@ -21,7 +21,21 @@
 		t.Errorf("busy times %v", s)
 	}
 	// The last taking part gets the rest only: 9 tasks need level 4 as well.
-	if got := Fill([]Server{{0, 2}, {2, 1}, {5, 4}}, 9); !slices.Equal(got, []int{8, 1, 0}) {
+	if got := Fill([]Server{{Mu: 2}, {Busy: 2, Mu: 1}, {Busy: 5, Mu: 4}}, 9); !slices.Equal(got, []int{8, 1, 0}) {
+		t.Errorf("shares %v", got)
+	}
+}
+
+// Ten tasks that last 12 slots go to three idle machines with room for four at
+// once, not one each to ten: a machine with one small task has no room for a
+// large one. A machine above the level gets none all the same.
+func TestFillUsesRoomAtOnce(t *testing.T) {
+	var s []Server
+	for range 12 {
+		s = append(s, Server{Mu: 4.0 / 12, Now: 4})
+	}
+	s[0] = Server{Busy: 9, Mu: 4.0 / 12, Now: 4}
+	if got := Fill(s, 10); !slices.Equal(got[:4], []int{0, 4, 4, 2}) {
 		t.Errorf("shares %v", got)
 	}
 }
@@ -33,7 +47,7 @@
 }
 
 func TestNobodyCanServe(t *testing.T) {
-	if Fill([]Server{{0, 0}}, 3) != nil || Fill(nil, 1) != nil {
+	if Fill([]Server{{}}, 3) != nil || Fill(nil, 1) != nil {
 		t.Error("a share without a server")
 	}
 }
@@ -45,7 +59,7 @@
 	for range 3000 {
 		var s []Server
 		for range 1 + rnd.IntN(8) {
-			s = append(s, Server{rnd.IntN(20), float64(rnd.IntN(9)) / 4})
+			s = append(s, Server{Busy: rnd.IntN(20), Mu: float64(rnd.IntN(9)) / 4})
 		}
 		tasks := 1 + rnd.IntN(60)
 		want := -1
