An image that is on its way counts as held

Cause: a machine that already fetches an image for one task counted as without it for the next: it waited half a fetch before it took a second task off another's queue, and water-filling and preemption went elsewhere, where the image was fetched once more while processors stood reserved.

--- a/controller/core.go
+++ b/controller/core.go
@@ -105,7 +105,10 @@
 	*fleet.Machine
 	assigns map[string]*assign
 	used    fleet.Room
-	queue   []*queue
+	// images counts its tasks by their image: one that a task is waiting for
+	// is on its way, and costs the next task less than a fetch.
+	images map[string]int
+	queue  []*queue
 	// ended holds exited tasks still reported; true: they can be cleared.
 	ended map[string]*ended
 	// sending: a direct command is under way; again: another is wanted.
@@ -346,7 +349,7 @@
 	m := c.machines[name]
 	if m == nil {
 		m = &machine{Machine: &fleet.Machine{Name: name, Heard: c.now(), Rented: c.now()},
-			assigns: map[string]*assign{}, ended: map[string]*ended{}, idle: c.now()}
+			assigns: map[string]*assign{}, images: map[string]int{}, ended: map[string]*ended{}, idle: c.now()}
 		c.machines[name] = m
 		c.sorted = nil
 	}
@@ -364,6 +367,7 @@
 	j.live[task] = a
 	m.assigns[a.key] = a
 	m.used = m.used.Add(j.need)
+	m.images[j.Job.Image]++
 	c.use[j.Job.Team] = c.use[j.Job.Team].Add(j.need)
 	return a
 }
@@ -383,6 +387,9 @@
 	delete(a.job.live, a.task)
 	delete(a.machine.assigns, a.key)
 	a.machine.used = a.machine.used.Sub(a.job.need)
+	if a.machine.images[a.job.Job.Image]--; a.machine.images[a.job.Job.Image] == 0 {
+		delete(a.machine.images, a.job.Job.Image)
+	}
 	c.use[a.job.Job.Team] = c.use[a.job.Job.Team].Sub(a.job.need)
 	if a.stop {
 		c.leaving[a.job.Job.Team] = c.leaving[a.job.Job.Team].Sub(a.job.need)
--- a/controller/core_test.go
+++ b/controller/core_test.go
@@ -819,6 +819,38 @@
 	}
 }
 
+// Where a task waits for an image already, the next task of that image does not
+// fetch it again: the machine takes it from another's queue at once.
+func TestImageOnItsWayCountsAsHeld(t *testing.T) {
+	s := newStage(t)
+	for _, m := range []string{"a1", "a2"} {
+		s.report(m, 1)
+	}
+	s.submit("run-000001", 2, func(x *api.Submission) { x.CPUs, x.ImageGB = 4, 5 })
+	j := s.jobs["run-000001"]
+	s.machines["a1"].enqueue(j, j.pending)
+	j.pending, j.queued = nil, 2
+	s.submit("run-000002", 1, func(x *api.Submission) { x.CPUs, x.Image = 4, "other" })
+	k := s.jobs["run-000002"]
+	k.pending = nil
+	s.hold(k, 0, s.machines["a1"], 1)
+	s.hold(j, 1, s.machines["a2"], 2)
+	j.queued, s.machines["a1"].queue[0].tasks = 1, []int32{0}
+	if !s.worthPulling(j, s.machines["a2"]) {
+		t.Fatal("a machine that gets the image anyway must not wait")
+	}
+	s.machines["a1"].used.CPUs = 8
+	s.Place()
+	if a := j.live[0]; a == nil || a.machine.Name != "a2" {
+		t.Errorf("not taken by the machine that fetches the image: %+v", a)
+	}
+	s.drop(j.live[0])
+	s.drop(j.live[1])
+	if len(s.machines["a2"].images) != 0 || s.machines["a2"].fetchS(j) == 0 {
+		t.Error("counted as held after its tasks are gone")
+	}
+}
+
 // Guaranteed work takes from another team no more than that one borrowed, also
 // when many tasks wait at once and none of those being stopped is gone yet.
 func TestGuaranteeTakesNoMoreThanWasBorrowed(t *testing.T) {
--- a/controller/place.go
+++ b/controller/place.go
@@ -25,6 +25,15 @@
 	return fleet.Room{CPUs: m.Spec.CPUs, Cards: m.Spec.Cards, MemoryGB: m.Spec.MemoryGB}
 }
 
+// fetchS is the time to get a job's image: none where it is held or, as far as
+// the choice of a machine goes, already on its way.
+func (m *machine) fetchS(j *job) float64 {
+	if m.images[j.Job.Image] > 0 {
+		return 0
+	}
+	return m.FetchS(j.Job.Image, j.Job.ImageGB)
+}
+
 func (m *machine) free() fleet.Room { return m.total().Sub(m.used) }
 
 // usable tells whether a machine may get new work.
@@ -208,7 +217,7 @@
 		if s.Mu <= 0 {
 			continue
 		}
-		if f := m.FetchS(j.Job.Image, j.Job.ImageGB); f > 0 {
+		if f := m.fetchS(j); f > 0 {
 			s.Busy += int(c.policy.Value(policy.FetchPenalty, policy.Vars{"fetch_s": f, "slot_s": slot}))
 		}
 		all = append(all, candidate{m, s, free.CPUs})
@@ -335,7 +344,7 @@
 		}
 	}
 	slices.SortStableFunc(out, func(a, b *machine) int {
-		return cmp.Or(cmp.Compare(a.FetchS(j.Job.Image, j.Job.ImageGB), b.FetchS(j.Job.Image, j.Job.ImageGB)),
+		return cmp.Or(cmp.Compare(a.fetchS(j), b.fetchS(j)),
 			cmp.Compare(a.free().CPUs, b.free().CPUs))
 	})
 	return out
@@ -345,7 +354,7 @@
 // task off a holder's queue: once the job has waited as long as the fetch takes,
 // so that at worst it waits twice what was best.
 func (c *Core) worthPulling(j *job, m *machine) bool {
-	f := m.FetchS(j.Job.Image, j.Job.ImageGB)
+	f := m.fetchS(j)
 	return f <= tuning.FreeFetch || c.since(j.arrived).Seconds() >= tuning.PullPatience*f
 }
 
@@ -579,7 +588,7 @@
 	if !ok {
 		return option{}, false
 	}
-	score := m.FetchS(j.Job.Image, j.Job.ImageGB)
+	score := m.fetchS(j)
 	for _, a := range victims {
 		score += float64(c.loss(a)) / 1000
 	}
