--- a/controller/report.go
+++ b/controller/report.go
@@ -146,6 +146,7 @@
 		a.state = t.State
 		if t.State == api.TaskRunning {
 			a.running = now
+			slog.Debug("task running", "task", a.key, "machine", m.Name, "after", now.Sub(a.since).Round(time.Millisecond), "fetched", !m.Has(a.job.Job.Image))
 			m.Used(a.job.Job.Image, a.job.Job.ImageGB)
 		}
 	}
