--- a/controller/core.go
+++ b/controller/core.go
@@ -172,8 +172,6 @@
 	charters uint64
 	// aims are the classes' times of completion, sooner first.
 	aims map[string][]float64
-	// startAims are the classes' times by which their tasks should start.
-	startAims map[string]float64
 	// toPush are machines with commands that a commit has set free.
 	toPush   map[*machine]bool
 	refusals map[pool]time.Time
@@ -195,15 +193,12 @@
 		gone: map[string]time.Time{}, toPush: map[*machine]bool{}, use: map[string]fleet.Room{}, leaving: map[string]fleet.Room{}, refusals: map[pool]time.Time{},
 		wake: make(chan struct{}, 1), started: clock.Now()}
 	c.heard = c.started
-	c.aims, c.startAims = map[string][]float64{}, map[string]float64{}
+	c.aims = map[string][]float64{}
 	for _, o := range set.Facts.Objectives {
 		if o.Kind == "finished" && o.WithinS > 0 {
 			c.aims[o.Class] = append(c.aims[o.Class], o.WithinS)
 			slices.Sort(c.aims[o.Class])
 		}
-		if o.Kind == "wait" && o.WithinS > 0 {
-			c.startAims[o.Class] = o.WithinS
-		}
 	}
 	c.SetTypes(types)
 	return c
--- a/controller/place.go
+++ b/controller/place.go
@@ -468,7 +468,6 @@
 // they run until they are cancelled. A machine that holds the image is worth
 // more than one that must fetch it, and worth stopping lower work for.
 func (c *Core) placeService(j *job) {
-	within, aimed := c.startAims[j.Job.Class]
 	for len(j.pending) > 0 && c.withinLimit(j) {
 		var best *machine
 		var bestOut, bestVictims []*assign
@@ -478,11 +477,6 @@
 				continue
 			}
 			score := m.FetchS(j.Job.Image, j.Job.ImageGB)
-			if aimed && score > within-tuning.StartSlack {
-				// Too late for its users: rather a machine with others of
-				// this job, or one where room must be made.
-				score += tuning.LateStart
-			}
 			// Replicas on one machine are lost together.
 			for _, a := range m.assigns {
 				if a.job == j {
--- a/tuning/tuning.go
+++ b/tuning/tuning.go
@@ -179,12 +179,6 @@
 	// before other teams' work beyond theirs is stopped for it: most waits are
 	// shorter, and what is stopped may have no checkpoint.
 	GuaranteePatience = 6 * time.Second
-	// StartSlack is what a start takes beside its fetch, in seconds: the record,
-	// the command and the report.
-	StartSlack = 0.3
-	// LateStart is added, in seconds of fetching, to a machine where a replica
-	// would start later than its class should.
-	LateStart = 2.0
 	// MovedLoss is what each earlier stop adds to the loss of stopping a task
 	// again: about a task's run time, so that it is some other's turn.
 	MovedLoss = 30 * time.Second
