--- a/controller/core.go
+++ b/controller/core.go
@@ -172,6 +172,9 @@
 	charters uint64
 	// aims are the classes' times of completion, sooner first.
 	aims map[string][]float64
+	// grace are the multiples of their deadlines, above one, by which most
+	// jobs of a class should be complete; smaller first.
+	grace map[string][]float64
 	// toPush are machines with commands that a commit has set free.
 	toPush   map[*machine]bool
 	refusals map[pool]time.Time
@@ -193,12 +196,16 @@
 		gone: map[string]time.Time{}, toPush: map[*machine]bool{}, use: map[string]fleet.Room{}, leaving: map[string]fleet.Room{}, refusals: map[pool]time.Time{},
 		wake: make(chan struct{}, 1), started: clock.Now()}
 	c.heard = c.started
-	c.aims = map[string][]float64{}
+	c.aims, c.grace = map[string][]float64{}, map[string][]float64{}
 	for _, o := range set.Facts.Objectives {
 		if o.Kind == "finished" && o.WithinS > 0 {
 			c.aims[o.Class] = append(c.aims[o.Class], o.WithinS)
 			slices.Sort(c.aims[o.Class])
 		}
+		if o.Kind == "deadline" && o.Times > 1 {
+			c.grace[o.Class] = append(c.grace[o.Class], o.Times)
+			slices.Sort(c.grace[o.Class])
+		}
 	}
 	c.SetTypes(types)
 	return c
@@ -308,13 +315,19 @@
 	return math.MaxInt64
 }
 
-// dues are the times from its arrival by which a job should be complete: its
-// own deadline or, without one, the aims of its class.
+// dues are the times from its arrival by which a job should be complete, sooner
+// first: its own deadline, and the multiples of it that its class has aims for,
+// or, without a deadline, the aims of its class. A job that missed the first one
+// still has the next to meet.
 func (c *Core) dues(j *job) []float64 {
-	if j.Job.DeadlineS > 0 {
-		return []float64{j.Job.DeadlineS}
+	if j.Job.DeadlineS <= 0 {
+		return c.aims[j.Job.Class]
+	}
+	out := []float64{j.Job.DeadlineS}
+	for _, times := range c.grace[j.Job.Class] {
+		out = append(out, times*j.Job.DeadlineS)
 	}
-	return c.aims[j.Job.Class]
+	return out
 }
 
 func (c *Core) addJob(rec store.JobRecord, accepted bool) *job {
--- a/controller/core_test.go
+++ b/controller/core_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -819,6 +820,20 @@
 	}
 }
 
+// A job that missed its deadline does not wait behind all others while it can
+// still meet the multiple of it that its class has an aim for.
+func TestLateJobHasItsNextAim(t *testing.T) {
+	s := newStage(t)
+	s.grace["c"] = []float64{2}
+	due := func(x *api.Submission) { x.DeadlineS = 60 }
+	s.submit("run-000001", 1, due)
+	j := s.jobs["run-000001"]
+	at := func(after float64) int64 { return s.latestStart(j, j.At+int64(after*1000)) - j.At }
+	if at(0) != 30_000 || at(31) != 90_000 || at(91) != math.MaxInt64-j.At {
+		t.Errorf("latest starts %d, %d, %d", at(0), at(31), at(91))
+	}
+}
+
 // Where a task waits for an image already, the next task of that image does not
 // fetch it again: the machine takes it from another's queue at once.
 func TestImageOnItsWayCountsAsHeld(t *testing.T) {
