A leader that computes several times slower than a sibling hands over

Ruled out: the placer (at most a quarter of the processor since it rests); load alone, which slows every leader alike: controllers compare the time of a fixed piece of work, the least of six tries.

--- a/controller/node.go
+++ b/controller/node.go
@@ -50,6 +50,9 @@
 	bounced map[string]time.Time
 
 	relay *relay
+	pace  pace
+	// slow is used by the loop of a term alone.
+	slow handover
 }
 
 // NewNode makes a controller. Transport carries its calls to other services.
@@ -62,6 +65,7 @@
 	n.peers = peer.New(set.Siblings, clock, n.hello, func(ctx context.Context, r peer.Request) peer.Answer { return n.Handle(ctx, r, true) })
 	n.elector = election.New(set.Member, n.client, clock, n)
 	n.relay = newRelay(n)
+	n.pace.clock = clock
 	return n
 }
 
@@ -86,6 +90,7 @@
 	n.peers.Run(n.ctx)
 	go n.catalog()
 	go n.relay.run(n.ctx)
+	go n.pace.run(n.ctx)
 	n.elector.Run(n.ctx)
 }
 
@@ -107,7 +112,7 @@
 
 func (n *Node) hello() peer.Hello {
 	term, _ := n.elector.Term()
-	return peer.Hello{Member: n.set.Member, Term: term, StateOK: n.stateOK()}
+	return peer.Hello{Member: n.set.Member, Term: term, StateOK: n.stateOK(), PaceUS: n.pace.us()}
 }
 
 // Alone is for the elector: we reach no sibling in any way.
@@ -296,6 +301,9 @@
 			return "a sibling has a higher term"
 		}
 	}
+	if core.hooks.Valid() && n.slow.due(n.clock.Now(), core.started, n.pace.us(), n.peers.Alive()) {
+		return "computes slower than a sibling"
+	}
 	if !n.peers.CutOff() {
 		return ""
 	}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -42,6 +42,9 @@
 	Member  string
 	Term    uint64
 	StateOK bool
+	// PaceUS is how long a fixed piece of work takes it, in microseconds; 0: it
+	// does not say.
+	PaceUS uint32
 }
 
 // ErrUnreachable: the request may or may not have been handled.
@@ -169,7 +172,7 @@
 
 func (n *Net) helloFrame() frame {
 	h := n.self()
-	return frame{kind: wire.KindHello, member: h.Member, term: h.Term, stateOK: h.StateOK}
+	return frame{kind: wire.KindHello, member: h.Member, term: h.Term, stateOK: h.StateOK, pace: h.PaceUS}
 }
 
 // Run keeps a connection to every sibling.
@@ -237,7 +240,7 @@
 		s.heard = n.clock.Now()
 		switch f.kind {
 		case wire.KindHello:
-			s.hello = Hello{s.Member, f.term, f.stateOK}
+			s.hello = Hello{s.Member, f.term, f.stateOK, f.pace}
 		case wire.KindReply:
 			if w := s.waits[f.seq]; w != nil {
 				w <- Answer{f.status, f.body, f.retry}
@@ -300,6 +303,7 @@
 	body      []byte
 	status    int
 	retry     int
+	pace      uint32
 }
 
 func encode(f frame) []byte {
@@ -326,6 +330,7 @@
 	wire.FrameAddBody(b, body)
 	wire.FrameAddStatus(b, uint16(f.status))
 	wire.FrameAddRetryAfterS(b, uint16(f.retry))
+	wire.FrameAddPaceUs(b, f.pace)
 	b.FinishSizePrefixed(wire.FrameEnd(b))
 	return b.FinishedBytes()
 }
@@ -363,7 +368,7 @@
 	}()
 	w := wire.GetRootAsFrame(raw, 0)
 	f = frame{kind: w.Kind(), seq: w.Seq(), term: w.Term(), member: string(w.Member()), stateOK: w.StateOk(),
-		verb: string(w.Verb()), job: string(w.Job()), body: w.BodyBytes(), status: int(w.Status()), retry: int(w.RetryAfterS())}
+		verb: string(w.Verb()), job: string(w.Job()), body: w.BodyBytes(), status: int(w.Status()), retry: int(w.RetryAfterS()), pace: w.PaceUs()}
 	if f.kind > wire.KindReply {
 		return f, fmt.Errorf("unknown kind %d", f.kind)
 	}
--- a/peer/wire/Frame.go
+++ b/peer/wire/Frame.go
@@ -163,8 +163,20 @@
 	return rcv._tab.MutateUint16Slot(22, n)
 }
 
+func (rcv *Frame) PaceUs() uint32 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(24))
+	if o != 0 {
+		return rcv._tab.GetUint32(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *Frame) MutatePaceUs(n uint32) bool {
+	return rcv._tab.MutateUint32Slot(24, n)
+}
+
 func FrameStart(builder *flatbuffers.Builder) {
-	builder.StartObject(10)
+	builder.StartObject(11)
 }
 func FrameAddKind(builder *flatbuffers.Builder, kind Kind) {
 	builder.PrependByteSlot(0, byte(kind), 0)
@@ -199,6 +211,9 @@
 func FrameAddRetryAfterS(builder *flatbuffers.Builder, retryAfterS uint16) {
 	builder.PrependUint16Slot(9, retryAfterS, 0)
 }
+func FrameAddPaceUs(builder *flatbuffers.Builder, paceUs uint32) {
+	builder.PrependUint32Slot(10, paceUs, 0)
+}
 func FrameEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
--- a/tuning/tuning.go
+++ b/tuning/tuning.go
@@ -32,6 +32,26 @@
 	ElectRetry = 250 * time.Millisecond
 )
 
+// Pace of computing, which controllers compare.
+const (
+	// PaceBytes is what is hashed to measure it: well above the clock's steps,
+	// little against the processor.
+	PaceBytes = 16 << 10
+	// PaceEvery and PaceTries: the least of so many tries counts, so that one
+	// that was interrupted does not.
+	PaceEvery = 250 * time.Millisecond
+	PaceTries = 6
+	// SlowPace is how many times slower than a sibling a leader may compute.
+	// Machines of one kind differ by a tenth or so.
+	SlowPace = 2.0
+	// SlowFor is how long that must last: a change of leader costs a second or
+	// two of starts.
+	SlowFor = 1500 * time.Millisecond
+	// SlowTerm is the least length of a term that ends for this reason, so
+	// that two slow controllers do not pass it back and forth.
+	SlowTerm = 20 * time.Second
+)
+
 // Calls.
 const (
 	// StateTimeout bounds one state call; slow answers take a few hundred ms.
