Which machines hold which images is on record for the next leader

Cause: holders are inferred from what ran, by one leader; after a crash or a handover the next one saw no holders: placements counted fetches that were none, and machines waited half a fetch before they took tasks off queues.

--- a/controller/core.go
+++ b/controller/core.go
@@ -181,6 +181,12 @@
 	renting  int
 	wake     chan struct{}
 	heard    time.Time
+	// hints are the images of machines that have not reported yet, as the last
+	// leader knew them; imagesNew: there is more to put on record since
+	// imagesAt.
+	hints     map[string][]fleet.Image
+	imagesNew bool
+	imagesAt  time.Time
 	// told is when the fleet was last logged.
 	told time.Time
 	// searched counts the machines that were searched for something to stop.
@@ -193,7 +199,7 @@
 func NewCore(term uint64, clock clockwork.Clock, set *settings.Settings, pol *policy.Policy, types []api.MachineType, hooks Hooks) *Core {
 	c := &Core{term: term, clock: clock, set: set, policy: pol, hooks: hooks,
 		types: map[string]*api.MachineType{}, jobs: map[string]*job{}, machines: map[string]*machine{},
-		gone: map[string]time.Time{}, toPush: map[*machine]bool{}, use: map[string]fleet.Room{}, leaving: map[string]fleet.Room{}, refusals: map[pool]time.Time{},
+		gone: map[string]time.Time{}, toPush: map[*machine]bool{}, use: map[string]fleet.Room{}, leaving: map[string]fleet.Room{}, hints: map[string][]fleet.Image{}, refusals: map[pool]time.Time{},
 		wake: make(chan struct{}, 1), started: clock.Now()}
 	c.heard = c.started
 	c.aims, c.grace = map[string][]float64{}, map[string][]float64{}
@@ -548,6 +554,9 @@
 			return nil, false, nil
 		}
 		return c.final(j), true, nil
+	case strings.HasPrefix(key, store.ImagesPrefix):
+		rec, ok := c.imagesRecord(key)
+		return rec, ok, nil
 	case strings.HasPrefix(key, store.MailPrefix):
 		return c.mail(strings.TrimPrefix(key, store.MailPrefix)), true, nil
 	case strings.HasPrefix(key, store.ShardPrefix):
--- a/controller/core_test.go
+++ b/controller/core_test.go
@@ -73,7 +73,12 @@
 	if err != nil {
 		s.Fatal(err)
 	}
-	for _, it := range append(jobs, shards...) {
+	images, _, err := client.List(ctx, store.ImagesPrefix)
+	if err != nil {
+		s.Fatal(err)
+	}
+	s.Hint(images)
+	for _, it := range append(append(jobs, shards...), images...) {
 		s.com.Know(it.Key, it.Stamp)
 	}
 	if err := s.Load(jobs, shards); err != nil {
--- /dev/null
+++ b/controller/images.go
@@ -0,0 +1,103 @@
+package controller
+
+import (
+	"encoding/json"
+	"log/slog"
+	"strconv"
+	"strings"
+	"time"
+
+	"switchferry/fleet"
+	"switchferry/store"
+	"switchferry/tuning"
+)
+
+// A leader infers the images that machines hold from what ran on them. The next
+// leader would begin without that, would see no holders, and on a large fleet
+// each of hundreds of machines would fetch again or wait as if it had to. So what
+// is known is put on record now and then, as a hint.
+
+// used notes that a task ran on a machine.
+func (c *Core) used(m *machine, j *job) {
+	if m.Used(j.Job.Image, j.Job.ImageGB) {
+		c.imagesNew = true
+	}
+}
+
+// keepImages asks for the images to be stored if something is new.
+func (c *Core) keepImages(now time.Time) {
+	if !c.imagesNew || now.Sub(c.imagesAt) < tuning.ImagesEvery {
+		return
+	}
+	c.imagesNew, c.imagesAt = false, now
+	for i := range (len(c.machines) + tuning.ImagesMachines - 1) / tuning.ImagesMachines {
+		c.hooks.Touch(store.ImagesKey(i), store.Lazy, nil)
+	}
+}
+
+// imagesRecord is one part of the record. The parts are cut by the machines'
+// order, which shifts as machines come and go; one that stands in two parts does
+// no harm.
+func (c *Core) imagesRecord(key string) (store.ImagesRecord, bool) {
+	rec := store.ImagesRecord{On: map[string][]int{}}
+	part, err := strconv.Atoi(strings.TrimPrefix(key, store.ImagesPrefix))
+	ms := c.byName()
+	if err != nil || part < 0 || part*tuning.ImagesMachines >= len(ms) {
+		return rec, false
+	}
+	index := map[string]int{}
+	for _, m := range ms[part*tuning.ImagesMachines : min(len(ms), (part+1)*tuning.ImagesMachines)] {
+		var on []int
+		for _, im := range m.Images() {
+			i, ok := index[im.Name]
+			if !ok {
+				raw, err := json.Marshal(im.Name)
+				if err != nil || len(raw) > tuning.ImagesNameBytes || len(index) >= tuning.ImagesNames {
+					continue
+				}
+				i = len(index)
+				index[im.Name] = i
+				rec.Names, rec.GB = append(rec.Names, im.Name), append(rec.GB, im.GB)
+			}
+			if on = append(on, i); len(on) >= tuning.ImagesEach {
+				break
+			}
+		}
+		if len(on) > 0 {
+			rec.On[m.Name] = on
+		}
+	}
+	return rec, true
+}
+
+// Hint takes in what an earlier leader knew of images.
+func (c *Core) Hint(items []store.Item) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, it := range items {
+		var rec store.ImagesRecord
+		if err := json.Unmarshal(it.Value, &rec); err != nil || len(rec.Names) != len(rec.GB) {
+			slog.Error("a record of images is damaged", "key", it.Key, "err", err)
+			continue
+		}
+		for name, on := range rec.On {
+			var images []fleet.Image
+			for _, i := range on {
+				if i >= 0 && i < len(rec.Names) {
+					images = append(images, fleet.Image{Name: rec.Names[i], GB: rec.GB[i]})
+				}
+			}
+			c.hints[name] = images
+		}
+	}
+}
+
+// recall gives a machine that reports for the first time in this term the images
+// that it held before, unless it began anew since.
+func (c *Core) recall(m *machine) {
+	images := c.hints[m.Name]
+	delete(c.hints, m.Name)
+	for i := len(images) - 1; i >= 0; i-- {
+		m.Used(images[i].Name, images[i].GB)
+	}
+}
--- /dev/null
+++ b/controller/images_test.go
@@ -0,0 +1,69 @@
+package controller
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+
+	"switchferry/store"
+	"switchferry/tuning"
+)
+
+// The next leader knows the images of machines from the last one's record, in
+// order of use; without it, it saw no holders and every placement waited for
+// fetches that were none.
+func TestNextLeaderKnowsImages(t *testing.T) {
+	s := newStage(t)
+	for i := range tuning.ImagesMachines + 1 {
+		s.report(fmt.Sprintf("a%03d", i), 1)
+	}
+	last := s.machines[fmt.Sprintf("a%03d", tuning.ImagesMachines)]
+	s.submit("run-000001", 1, nil)
+	j := s.jobs["run-000001"]
+	j.Job.ImageGB = 9
+	for _, image := range []string{"one", "two", "three"} {
+		j.Job.Image = image
+		s.used(last, j)
+	}
+	s.Tend()
+	s.commit()
+	if s.state.Get(store.ImagesKey(1)) == nil {
+		t.Fatal("nothing on record")
+	}
+	s.elect()
+	s.report(last.Name, 1)
+	m := s.machines[last.Name]
+	if !m.Has("three") || !m.Has("two") || m.Has("one") {
+		t.Errorf("known images: %+v", m.Images())
+	}
+	// Nothing new is nothing to write.
+	s.clock.Advance(2 * tuning.ImagesEvery)
+	before := s.com.Waiting()
+	s.keepImages(s.clock.Now())
+	if s.com.Waiting() != before {
+		t.Error("written again without a change")
+	}
+	s.Hint([]store.Item{{Key: store.ImagesKey(0), Value: json.RawMessage(`{"i":["x"],"g":[1],"m":{"a000":[7,-1,0]}}`)}, {Key: store.ImagesKey(1), Value: json.RawMessage(`[`)}})
+	s.report("a000", 1)
+	if !s.machines["a000"].Has("x") {
+		t.Error("a record with indices out of range was dropped whole")
+	}
+}
+
+// The largest record stays within a value of the state service.
+func TestImagesRecordFitsAValue(t *testing.T) {
+	s := newStage(t)
+	for i := range tuning.ImagesMachines {
+		m := s.machine(fmt.Sprintf("n-%06d", i))
+		for k := range 40 {
+			m.Used(strings.Repeat("<", 2)+strings.Repeat("x", 30)+fmt.Sprint(i*40+k), 1234.567891234567)
+		}
+		m.Used(strings.Repeat("<", 5000), 1)
+	}
+	rec, ok := s.imagesRecord(store.ImagesKey(0))
+	raw, err := json.Marshal(rec)
+	if !ok || err != nil || len(raw) > 16<<10 || len(rec.Names) != tuning.ImagesNames {
+		t.Errorf("%d bytes, %d names, %v", len(raw), len(rec.Names), err)
+	}
+}
--- a/controller/node.go
+++ b/controller/node.go
@@ -260,6 +260,12 @@
 			shards, _, err = n.client.List(ctx, store.ShardPrefix)
 		}
 		if err == nil {
+			if images, _, ierr := n.client.List(ctx, store.ImagesPrefix); ierr == nil {
+				core.Hint(images)
+				for _, it := range images {
+					com.Know(it.Key, it.Stamp)
+				}
+			}
 			for _, it := range append(jobs, shards...) {
 				com.Know(it.Key, it.Stamp)
 			}
--- a/controller/rent.go
+++ b/controller/rent.go
@@ -91,6 +91,7 @@
 		}
 	}
 	out = append(out, c.spare(now)...)
+	c.keepImages(now)
 	if now.Sub(c.told) >= tuning.FleetLogEvery {
 		c.told = now
 		c.logFleet()
--- a/controller/report.go
+++ b/controller/report.go
@@ -98,7 +98,8 @@
 // take works a newer report into the state.
 func (c *Core) take(m *machine, r *api.Report, by way) {
 	now := c.now()
-	if !m.Up {
+	first := !m.Up
+	if first {
 		slog.Info("machine up", "machine", r.Machine, "type", r.Type, "zone", r.Zone, "spot", r.Spot, "after", now.Sub(m.Rented).Round(time.Second))
 		m.idle = now
 		c.kick()
@@ -111,6 +112,9 @@
 	if m.Spec == nil {
 		m.Spec = c.types[m.Type]
 	}
+	if first {
+		c.recall(m)
+	}
 	for key, a := range m.assigns {
 		t, ok := m.Tasks[key]
 		if ok && t.Attempt == a.attempt {
@@ -147,7 +151,7 @@
 		if t.State == api.TaskRunning {
 			a.running = now
 			slog.Debug("task running", "task", a.key, "machine", m.Name, "after", now.Sub(a.since).Round(time.Millisecond), "fetched", !m.Has(a.job.Job.Image))
-			m.Used(a.job.Job.Image, a.job.Job.ImageGB)
+			c.used(m, a.job)
 		}
 	}
 	if t.State == api.TaskEnded {
@@ -166,7 +170,7 @@
 		// The clear waits for the record: until it is stored, only the
 		// worker knows that the task is done.
 		m.Worked()
-		m.Used(j.Job.Image, j.Job.ImageGB)
+		c.used(m, j)
 		c.release(a)
 		c.markDone(j, a.task, func() {
 			e.stored = true
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -111,13 +111,31 @@
 	return m.Errors >= tuning.SickErrors && len(m.ErrorJobs) >= 2
 }
 
-// Used notes that a task with this image ran here.
-func (m *Machine) Used(image string, gb float64) {
+// Used notes that a task with this image ran here; it tells whether the image is
+// new here.
+func (m *Machine) Used(image string, gb float64) bool {
 	limit := 0.0
 	if m.Spec != nil {
 		limit = m.Spec.CacheGB
 	}
+	known := m.cache.has(image)
 	m.cache.use(image, gb, limit)
+	return !known
+}
+
+// Image is an image that a machine likely holds.
+type Image struct {
+	Name string
+	GB   float64
+}
+
+// Images are what the machine likely holds, the most recently used first.
+func (m *Machine) Images() []Image {
+	out := make([]Image, len(m.cache.names))
+	for i, n := range m.cache.names {
+		out[i] = Image{n, m.cache.gb[i]}
+	}
+	return out
 }
 
 // Has tells whether the machine likely holds an image.
--- a/store/records.go
+++ b/store/records.go
@@ -27,6 +27,9 @@
 	// is out of its reach; MailPrefix what the leader has for their senders.
 	RelayPrefix = "sf/relay/"
 	MailPrefix  = "sf/mail/"
+	// ImagesPrefix holds which machines likely hold which images, for the
+	// next leader. It is a hint: nothing breaks when it is old or missing.
+	ImagesPrefix = "sf/images/"
 )
 
 // JobKey, FinalKey and InboxKey are the keys of a job.
@@ -38,6 +41,17 @@
 func RelayKey(member string, n int) string { return fmt.Sprintf("%s%s/%d", RelayPrefix, member, n) }
 func MailKey(member string) string         { return MailPrefix + member }
 
+// ImagesKey is the key of one part of the images.
+func ImagesKey(n int) string { return ImagesPrefix + strconv.Itoa(n) }
+
+// ImagesRecord says what some machines likely hold: for each, indices into Names
+// and GB, the most recently used first.
+type ImagesRecord struct {
+	Names []string         `json:"i"`
+	GB    []float64        `json:"g"`
+	On    map[string][]int `json:"m"`
+}
+
 // InboxRecord tells the leader of a job: a new one, or one to be cancelled.
 type InboxRecord struct {
 	Cancel bool `json:"cancel,omitempty"`
--- a/tuning/tuning.go
+++ b/tuning/tuning.go
@@ -99,6 +99,17 @@
 	ShardTasks = 400
 	// FinalCache is how many final jobs a controller keeps in memory.
 	FinalCache = 4000
+	// ImagesEvery is the pace of storing which machines hold which images: a
+	// hint for the next leader, worth few writes.
+	ImagesEvery = 8 * time.Second
+	// ImagesMachines, ImagesEach, ImagesNames and ImagesNameBytes bound one such
+	// record: so many machines, images of each, names in all, and bytes of a
+	// name, at under 4 bytes an index, 20 a machine and 20 a size, stay within
+	// 16 KiB.
+	ImagesMachines  = 64
+	ImagesEach      = 24
+	ImagesNames     = 100
+	ImagesNameBytes = 48
 	// AttemptBits of an attempt number count within a term; the rest is the term.
 	AttemptBits = 24
 	// QuotaShare is the share of the write limit that the leader uses; the
