--- a/controller/core.go
+++ b/controller/core.go
@@ -191,8 +191,6 @@
 	told time.Time
 	// searched counts the machines that were searched for something to stop.
 	searched int
-	// coarse is the most processors that a task of an unfinished job takes.
-	coarse float64
 	// at is the time during a run of the placer; zero outside of it.
 	at time.Time
 }
--- a/controller/place.go
+++ b/controller/place.go
@@ -112,12 +112,6 @@
 	c.at = c.clock.Now()
 	defer func() { c.at = time.Time{} }()
 	c.sortQueues()
-	c.coarse = 0
-	for _, j := range c.order {
-		if j.Final == "" && len(j.pending)+j.queued+len(j.live) > 0 {
-			c.coarse = math.Max(c.coarse, j.need.CPUs)
-		}
-	}
 	for _, m := range c.machines {
 		if len(m.queue) > 0 && !c.usable(m) {
 			for _, q := range m.queue {
@@ -208,10 +202,9 @@
 func (c *Core) waterFill(j *job) {
 	slot := c.policy.Value(policy.SlotS, nil)
 	type candidate struct {
-		m      *machine
-		s      placement.Server
-		splits float64
-		free   float64
+		m    *machine
+		s    placement.Server
+		free float64
 	}
 	var all []candidate
 	for _, m := range c.byName() {
@@ -227,11 +220,11 @@
 		if f := m.fetchS(j); f > 0 {
 			s.Busy += int(c.policy.Value(policy.FetchPenalty, policy.Vars{"fetch_s": f, "slot_s": slot}))
 		}
-		all = append(all, candidate{m, s, c.splits(j, m), free.CPUs})
+		all = append(all, candidate{m, s, free.CPUs})
 	}
 	// Of machines that are as busy, those with the least room left come first.
 	slices.SortStableFunc(all, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.s.Busy, b.s.Busy), cmp.Compare(a.splits, b.splits), cmp.Compare(a.free, b.free))
+		return cmp.Or(cmp.Compare(a.s.Busy, b.s.Busy), cmp.Compare(a.free, b.free))
 	})
 	ms, servers := make([]*machine, len(all)), make([]placement.Server, len(all))
 	for i, x := range all {
@@ -352,7 +345,7 @@
 	}
 	slices.SortStableFunc(out, func(a, b *machine) int {
 		return cmp.Or(cmp.Compare(a.fetchS(j), b.fetchS(j)),
-			cmp.Compare(c.splits(j, a), c.splits(j, b)), cmp.Compare(a.free().CPUs, b.free().CPUs))
+			cmp.Compare(a.free().CPUs, b.free().CPUs))
 	})
 	return out
 }
@@ -586,29 +579,6 @@
 	return x
 }
 
-// splits is the share of a machine's places for tasks of the largest kind that
-// one more task of a job takes: none where smaller tasks have broken up a place
-// already. A last small task keeps a whole small machine from taking large ones,
-// but little of a large machine.
-func (c *Core) splits(j *job, m *machine) float64 {
-	if j.need.CPUs >= c.coarse || c.coarse <= 0 {
-		return 0
-	}
-	small := 0.0
-	for _, a := range m.assigns {
-		if a.job.need.CPUs < c.coarse {
-			small += a.job.need.CPUs
-		}
-	}
-	places := math.Floor((m.Spec.CPUs + tuning.RoomSlack) / c.coarse)
-	before := math.Floor((m.Spec.CPUs - small + tuning.RoomSlack) / c.coarse)
-	after := math.Floor((m.Spec.CPUs - small - j.need.CPUs + tuning.RoomSlack) / c.coarse)
-	if places <= 0 || before <= after {
-		return 0
-	}
-	return (before - after) / places
-}
-
 // optionOn is what room for one task of a job costs on a machine.
 func (c *Core) optionOn(j *job, m *machine) (option, bool) {
 	if !c.eligible(j, m) || !zoneOK(j, m) {
@@ -618,7 +588,7 @@
 	if !ok {
 		return option{}, false
 	}
-	score := m.fetchS(j) + tuning.SplitLoss*c.splits(j, m)
+	score := m.fetchS(j)
 	for _, a := range victims {
 		score += float64(c.loss(a)) / 1000
 	}
--- a/tuning/tuning.go
+++ b/tuning/tuning.go
@@ -210,10 +210,6 @@
 	// before other teams' work beyond theirs is stopped for it: most waits are
 	// shorter, and what is stopped may have no checkpoint.
 	GuaranteePatience = 6 * time.Second
-	// SplitLoss is what breaking up all of a machine's room for large tasks adds
-	// to the loss of stopping work there, in seconds: about half a task, for as
-	// long as the last small one outlasts the others.
-	SplitLoss = 10.0
 	// MovedLoss is what each earlier stop adds to the loss of stopping a task
 	// again: about a task's run time, so that it is some other's turn.
 	MovedLoss = 30 * time.Second
