--- a/controller/core.go
+++ b/controller/core.go
@@ -277,8 +277,20 @@
 func (c *Core) sortQueues() {
 	c.markGuaranteed()
 	now := c.now().UnixMilli()
+	fleet := 0.0
+	for _, m := range c.machines {
+		if m.Up && m.Spec != nil {
+			fleet += m.Spec.CPUs
+		}
+	}
 	for _, j := range c.order {
 		j.latest = c.latestStart(j, now)
+		if j.latest < math.MaxInt64 && fleet > 0 {
+			// Of two jobs that are as urgent, the one that takes less of the
+			// fleet goes first: when not all can be in time, more are.
+			work := float64(j.total-j.done) * estimate(j) * j.need.CPUs / fleet
+			j.latest += int64(tuning.WorkWeight * work * 1000)
+		}
 	}
 	slices.SortFunc(c.order, before)
 	for _, m := range c.machines {
--- a/tuning/tuning.go
+++ b/tuning/tuning.go
@@ -210,6 +210,9 @@
 	// before other teams' work beyond theirs is stopped for it: most waits are
 	// shorter, and what is stopped may have no checkpoint.
 	GuaranteePatience = 6 * time.Second
+	// WorkWeight is by how many times the time that a job's rest would take the
+	// whole fleet its latest start counts as later.
+	WorkWeight = 10.0
 	// MovedLoss is what each earlier stop adds to the loss of stopping a task
 	// again: about a task's run time, so that it is some other's turn.
 	MovedLoss = 30 * time.Second
