--- a/controller/core.go
+++ b/controller/core.go
@@ -289,7 +289,7 @@
 			// Of two jobs that are as urgent, the one that takes less of the
 			// fleet goes first: when not all can be in time, more are.
 			work := float64(j.total-j.done) * estimate(j) * j.need.CPUs / fleet
-			j.latest += int64(tuning.WorkWeight * work * 1000)
+			j.latest += int64(tuning.WorkWeight * math.Min(work, tuning.WorkMost) * 1000)
 		}
 	}
 	slices.SortFunc(c.order, before)
--- a/controller/core_test.go
+++ b/controller/core_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -825,6 +826,29 @@
 	}
 }
 
+// Of two jobs as urgent the one that takes less of the fleet goes first, but one
+// that is much more urgent goes before it: on overloaded days one job of 70 tasks
+// made several small ones late.
+func TestSmallJobsGoFirstWhenAsUrgent(t *testing.T) {
+	s := newStage(t)
+	s.report("a1", 1)
+	due := func(d float64) func(*api.Submission) {
+		return func(x *api.Submission) { x.DeadlineS = d }
+	}
+	s.submit("run-000001", 30, due(4000))
+	s.submit("run-000002", 2, due(4000))
+	s.submit("run-000003", 30, due(400))
+	s.submit("run-000004", api.MaxTasks, func(x *api.Submission) { x.DeadlineS, x.EstimateS = 1e15, 1e14 })
+	s.sortQueues()
+	var got []string
+	for _, j := range s.order {
+		got = append(got, j.id)
+	}
+	if want := []string{"run-000002", "run-000003", "run-000001", "run-000004"}; !slices.Equal(got, want) {
+		t.Errorf("order %v", got)
+	}
+}
+
 // A job that missed its deadline does not wait behind all others while it can
 // still meet the multiple of it that its class has an aim for.
 func TestLateJobHasItsNextAim(t *testing.T) {
--- a/tuning/tuning.go
+++ b/tuning/tuning.go
@@ -213,6 +213,8 @@
 	// WorkWeight is by how many times the time that a job's rest would take the
 	// whole fleet its latest start counts as later.
 	WorkWeight = 10.0
+	// WorkMost bounds that time, in seconds, against absurd estimates.
+	WorkMost = 1e6
 	// MovedLoss is what each earlier stop adds to the loss of stopping a task
 	// again: about a task's run time, so that it is some other's turn.
 	MovedLoss = 30 * time.Second
