--- a/controller/place.go
+++ b/controller/place.go
@@ -454,10 +454,6 @@
 // made room before counts for more: it is the youngest again each time.
 func (c *Core) loss(a *assign) int64 {
 	before := int64(a.job.moved[a.task]) * tuning.MovedLoss.Milliseconds()
-	if a.job.latest < math.MaxInt64 {
-		// Its job can still be in time.
-		before += tuning.InTimeLoss.Milliseconds()
-	}
 	if a.running.IsZero() {
 		return before
 	}
--- a/tuning/tuning.go
+++ b/tuning/tuning.go
@@ -215,9 +215,6 @@
 	WorkWeight = 10.0
 	// WorkMost bounds that time, in seconds, against absurd estimates.
 	WorkMost = 1e6
-	// InTimeLoss is added to the loss of stopping a task whose job can still be in
-	// time: one that is late already loses its users nothing more.
-	InTimeLoss = 10 * time.Second
 	// MovedLoss is what each earlier stop adds to the loss of stopping a task
 	// again: about a task's run time, so that it is some other's turn.
 	MovedLoss = 30 * time.Second
