--- a/controller/place.go
+++ b/controller/place.go
@@ -222,10 +222,9 @@
 		}
 		all = append(all, candidate{m, s, free.CPUs})
 	}
-	// Of machines that are as busy, those come first that nobody takes back, and
-	// then those with the least room left.
+	// Of machines that are as busy, those with the least room left come first.
 	slices.SortStableFunc(all, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.s.Busy, b.s.Busy), spotLast(a.m, b.m), cmp.Compare(a.free, b.free))
+		return cmp.Or(cmp.Compare(a.s.Busy, b.s.Busy), cmp.Compare(a.free, b.free))
 	})
 	ms, servers := make([]*machine, len(all)), make([]placement.Server, len(all))
 	for i, x := range all {
@@ -336,8 +335,7 @@
 }
 
 // pullers are the machines that may take a job's task off another's queue, those
-// that hold the image first, of those the ones that nobody takes back, and then
-// the ones with the least room left.
+// that hold the image first, and of those the ones with the least room left.
 func (c *Core) pullers(j *job, roomy []*machine) []*machine {
 	var out []*machine
 	for _, m := range roomy {
@@ -347,22 +345,11 @@
 	}
 	slices.SortStableFunc(out, func(a, b *machine) int {
 		return cmp.Or(cmp.Compare(a.fetchS(j), b.fetchS(j)),
-			spotLast(a, b), cmp.Compare(a.free().CPUs, b.free().CPUs))
+			cmp.Compare(a.free().CPUs, b.free().CPUs))
 	})
 	return out
 }
 
-// spotLast orders spot machines behind others.
-func spotLast(a, b *machine) int {
-	switch {
-	case a.Spot == b.Spot:
-		return 0
-	case a.Spot:
-		return 1
-	}
-	return -1
-}
-
 // worthPulling tells whether a machine without the image should take a job's
 // task off a holder's queue: once the job has waited as long as the fetch takes,
 // so that at worst it waits twice what was best.
