--- a/controller/core.go
+++ b/controller/core.go
@@ -267,23 +267,12 @@
 func before(a, b *job) int {
 	return cmp.Or(
 		cmp.Compare(b.rank, a.rank),
-		boolCompare(b.entitled, a.entitled),
+		cmp.Compare(a.beyond, b.beyond),
 		cmp.Compare(a.latest, b.latest),
 		cmp.Compare(a.At, b.At),
 		strings.Compare(a.id, b.id))
 }
 
-// boolCompare orders false before true.
-func boolCompare(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case a:
-		return 1
-	}
-	return -1
-}
-
 // sortQueues brings jobs and queues into order as of now.
 func (c *Core) sortQueues() {
 	c.markGuaranteed()
