--- a/store/commit.go
+++ b/store/commit.go
@@ -131,7 +131,13 @@
 
 // Step tries one transaction. It returns how long to wait before the next.
 func (c *Committer) Step(ctx context.Context) time.Duration {
-	batch := c.take()
+	// No more is taken than the limit allows now: an accept must not wait until
+	// there is room for all that is behind it.
+	room := c.limiter.TokensAt(c.clock.Now())
+	if room < 1 {
+		return max(time.Millisecond, time.Duration((1-room)/float64(c.limiter.Limit())*float64(time.Second)))
+	}
+	batch := c.take(int(room))
 	if len(batch) == 0 {
 		return 0
 	}
@@ -172,13 +178,7 @@
 		used = append(used, e)
 	}
 	if len(ops) > 0 {
-		now := c.clock.Now()
-		res := c.limiter.ReserveN(now, len(ops))
-		if d := res.DelayFrom(now); d > 0 {
-			res.CancelAt(now)
-			c.putBack(used)
-			return d
-		}
+		c.limiter.AllowN(c.clock.Now(), len(ops))
 		epoch, failed, err := c.client.Multi(ctx, conds, ops)
 		if err != nil {
 			c.putBack(used)
@@ -252,7 +252,7 @@
 	}
 }
 
-func (c *Committer) take() []*entry {
+func (c *Committer) take(most int) []*entry {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	all := make([]*entry, 0, len(c.dirty))
@@ -265,7 +265,7 @@
 		}
 		return 1
 	})
-	all = all[:min(len(all), c.ops)]
+	all = all[:min(len(all), c.ops, most)]
 	for _, e := range all {
 		delete(c.dirty, e.key)
 	}
--- a/store/commit_test.go
+++ b/store/commit_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"testing"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 
@@ -28,7 +29,10 @@
 func (s *scripted) Deposed()                     { s.deposed = true }
 
 func setUp() (*standin.State, *scripted, *Committer) {
-	clock := clockwork.NewFakeClock()
+	return setUpAt(clockwork.NewFakeClock())
+}
+
+func setUpAt(clock clockwork.Clock) (*standin.State, *scripted, *Committer) {
 	st := standin.NewState(clock)
 	src := &scripted{values: map[string]any{}}
 	src.lead = Cond{LeaderKey, st.Put(LeaderKey, Leader{Member: "a"})}
@@ -44,6 +48,36 @@
 	return v
 }
 
+// With the limit of writes used up, an accept goes out as soon as there is room
+// for one change, and not when there is room for all that waits with it.
+func TestAcceptNeedsRoomForItselfOnly(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	st, src, c := setUpAt(clock)
+	for i := range 200 {
+		key := ShardKey("run-1", i)
+		src.values[key] = "x"
+		c.Touch(key, Ordinary, nil)
+	}
+	ctx := context.Background()
+	for range 20 {
+		c.Step(ctx)
+	}
+	if left := c.Waiting(); left != 200-48 {
+		t.Fatalf("%d records wait, want all but a second's worth", left)
+	}
+	src.values[JobKey("run-2")] = "job"
+	c.Touch(JobKey("run-2"), Urgent, nil)
+	wait := c.Step(ctx)
+	if wait <= 0 || wait > time.Second/40 {
+		t.Fatalf("waits %v for one change", wait)
+	}
+	clock.Advance(wait + time.Millisecond)
+	c.Step(ctx)
+	if st.Get(JobKey("run-2")) == nil {
+		t.Error("the accept waits behind ordinary records")
+	}
+}
+
 // A leader that wakes up late must not write: its transactions are conditional
 // on the leader's key.
 func TestOldLeaderCannotCommit(t *testing.T) {
