Submissions beyond what can be stored in time are refused at once

Cause, from reading: with the write limit used up, a submission waited 1.5 s for its record, was told to come back after 1 s however long the backlog, and stayed in memory. Change: the leader knows how long a new accept would wait for the limit; over 1.5 s it refuses at once, keeps nothing, and tells that time (1-30 s). Test: TestOverloadIsRefusedAtOnce.

--- a/controller/core.go
+++ b/controller/core.go
@@ -140,6 +140,8 @@
 	Touch func(key string, urgency int, after func())
 	Send  func(name, addr string, o api.Orders)
 	Valid func() bool
+	// Delay is how long a new accept would wait for the state service's limit.
+	Delay func() time.Duration
 	// Cut tells whether no controller in a zone can be reached.
 	Cut func(zone string) bool
 	// Final tells that a job is over for good.
--- a/controller/core_test.go
+++ b/controller/core_test.go
@@ -15,6 +15,7 @@
 	"switchferry/policy"
 	"switchferry/settings"
 	"switchferry/store"
+	"switchferry/tuning"
 )
 
 // stage is a leader on a fake clock with a scripted state service; the test
@@ -60,6 +61,7 @@
 		Touch: func(k string, u int, f func()) { s.com.Touch(k, u, f) },
 		Send:  func(n, _ string, o api.Orders) { s.sent = append(s.sent, sentOrders{n, o}) },
 		Valid: func() bool { return s.valid },
+		Delay: func() time.Duration { return s.com.Delay() },
 		Cut:   func(zone string) bool { return zone == s.cutZone },
 		Final: func(id string, f store.FinalRecord) { s.finals[id] = f },
 	}
@@ -924,6 +926,38 @@
 	}
 }
 
+// More submissions than can be stored in time are refused at once, and told when
+// their turn may come; the leader does not keep what it cannot take.
+func TestOverloadIsRefusedAtOnce(t *testing.T) {
+	s := newStage(t)
+	s.com = store.NewCommitter(store.NewClient("state:1", s.state), stageSource{s.Core, s}, s.clock, 25, 12, map[string]uint64{})
+	refused, longest := 0, 0
+	for i := range 500 {
+		sub := &api.Submission{ID: fmt.Sprintf("run-%06d", i), Team: "t", Shape: api.Array, Rank: "normal", Tasks: 1, CPUs: 1}
+		if a, _ := s.Submit(gaveUp(), sub, s.clock.Now()); s.jobs[sub.ID] == nil {
+			refused++
+			longest = max(longest, a.RetryAfterS)
+			if a.Status != 503 || a.RetryAfterS < 2 {
+				t.Fatalf("refused with %d, come back after %d s", a.Status, a.RetryAfterS)
+			}
+		}
+	}
+	// A second's worth, and what is written within the time that users wait.
+	if kept := 500 - refused; kept < 40 || kept > 60 {
+		t.Errorf("%d of 500 taken at 20 writes a second", kept)
+	}
+	if longest > tuning.RetryAfterMost {
+		t.Errorf("told to come back after %d s", longest)
+	}
+	for range 200 {
+		s.com.Step(context.Background())
+		s.clock.Advance(50 * time.Millisecond)
+	}
+	if d := s.com.Delay(); d > 0 {
+		t.Errorf("still %v behind", d)
+	}
+}
+
 // An accept whose answer from the state service is lost: the job is there once,
 // and the user's retry gets 200.
 func TestAcceptWithLostAnswer(t *testing.T) {
--- a/controller/node.go
+++ b/controller/node.go
@@ -212,6 +212,7 @@
 			t, valid := n.elector.Term()
 			return valid && t == term
 		},
+		Delay: func() time.Duration { return com.Delay() },
 		Cut:   n.cut,
 		Final: n.final,
 	}
--- a/controller/user.go
+++ b/controller/user.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"math"
 	"net/http"
 	"strings"
 	"time"
@@ -38,6 +39,13 @@
 	return a
 }
 
+// laterBy is the same with the time that it will take.
+func laterBy(why string, after time.Duration) peer.Answer {
+	a := later(why)
+	a.RetryAfterS = min(tuning.RetryAfterMost, max(a.RetryAfterS, int(math.Ceil(after.Seconds()))))
+	return a
+}
+
 func refusal(status int, err error) peer.Answer {
 	e := api.Error{Error: err.Error()}
 	if fe, ok := err.(*api.FieldError); ok {
@@ -108,6 +116,12 @@
 	c.mu.Lock()
 	j := c.jobs[s.ID]
 	fresh := j == nil
+	if delay := c.hooks.Delay(); fresh && delay > tuning.AcceptWait {
+		// Its user would have been told to come back by the time it is stored:
+		// better now, and when the backlog is written.
+		c.mu.Unlock()
+		return laterBy("more jobs come in than can be stored", delay), true
+	}
 	if fresh {
 		j = c.addJob(store.JobRecord{Job: *s, At: now.UnixMilli()}, false)
 		c.hooks.Touch(store.JobKey(s.ID), store.Urgent, c.locked(func() { c.accept(s.ID) }))
@@ -120,7 +134,7 @@
 	changed := j.changed
 	c.mu.Unlock()
 	if !c.wait(ctx, changed) {
-		return later("the record is not stored yet"), true
+		return laterBy("the record is not stored yet", c.hooks.Delay()), true
 	}
 	st, ok := c.Known(s.ID)
 	if !ok {
--- a/store/commit.go
+++ b/store/commit.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"log/slog"
+	"math"
 	"slices"
 	"strings"
 	"sync"
@@ -61,6 +62,9 @@
 	Lazy
 )
 
+// orderBits of an entry's order count; above them stands its urgency.
+const orderBits = 56
+
 // NewCommitter makes a committer for one term. Stamps are the revisions of
 // the keys as loaded.
 func NewCommitter(client *Client, src Source, clock clockwork.Clock, writeRPS float64, ops int, stamps map[string]uint64) *Committer {
@@ -77,7 +81,7 @@
 	defer c.mu.Unlock()
 	e := c.dirty[key]
 	c.next++
-	order := uint64(urgency)<<56 | c.next
+	order := uint64(urgency)<<orderBits | c.next
 	if e == nil {
 		e = &entry{key: key, order: order}
 		c.dirty[key] = e
@@ -106,6 +110,20 @@
 	return len(c.dirty)
 }
 
+// Delay is about how long one more urgent record would wait for the write limit.
+func (c *Committer) Delay() time.Duration {
+	c.mu.Lock()
+	urgent := 1.0
+	for _, e := range c.dirty {
+		if e.order>>orderBits == Urgent {
+			urgent++
+		}
+	}
+	c.mu.Unlock()
+	missing := urgent - math.Max(0, c.limiter.TokensAt(c.clock.Now()))
+	return time.Duration(math.Max(0, missing) / float64(c.limiter.Limit()) * float64(time.Second))
+}
+
 // Run commits until the context ends.
 func (c *Committer) Run(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/tuning/tuning.go
+++ b/tuning/tuning.go
@@ -92,6 +92,9 @@
 // RetryAfterS is what a user is told to wait, in seconds.
 const RetryAfterS = 1
 
+// RetryAfterMost is the longest that users heed, in seconds.
+const RetryAfterMost = 30
+
 // Records.
 const (
 	// ShardTasks is how many tasks share one record: with all of them on
