--- a/controller/place.go
+++ b/controller/place.go
@@ -302,17 +302,10 @@
 			roomy = append(roomy, m)
 		}
 	}
-	var queued []*job
 	for _, j := range c.order {
-		if j.queued > 0 && c.ready(j) {
-			queued = append(queued, j)
-		}
-	}
-	for i, j := range queued {
-		if len(roomy) == 0 {
-			break
+		if j.queued == 0 || len(roomy) == 0 || !c.ready(j) {
+			continue
 		}
-		queued := queued[i+1:]
 		at := where[j]
 		for _, p := range at {
 			for len(p.q.tasks) > 0 && c.startable(j, p.m) {
@@ -321,7 +314,7 @@
 			}
 		}
 		if j.queued > 0 {
-			for _, m := range c.pullers(j, roomy, queued) {
+			for _, m := range c.pullers(j, roomy) {
 				for j.queued > 0 && c.startable(j, m) {
 					from := -1
 					for i, p := range at {
@@ -343,10 +336,10 @@
 
 // pullers are the machines that may take a job's task off another's queue, those
 // that hold the image first, and of those the ones with the least room left.
-func (c *Core) pullers(j *job, roomy []*machine, later []*job) []*machine {
+func (c *Core) pullers(j *job, roomy []*machine) []*machine {
 	var out []*machine
 	for _, m := range roomy {
-		if c.startable(j, m) && c.worthPulling(j, m) && !c.yields(j, m, later) {
+		if c.startable(j, m) && c.worthPulling(j, m) {
 			out = append(out, m)
 		}
 	}
@@ -357,25 +350,6 @@
 	return out
 }
 
-// yields tells whether a job that a machine would have to fetch for leaves it to
-// a later job of its rank whose image is there: for a while, so that another
-// machine may take it that holds its own.
-func (c *Core) yields(j *job, m *machine, later []*job) bool {
-	f := m.fetchS(j)
-	if f <= tuning.FreeFetch || c.since(j.arrived).Seconds() >= tuning.YieldPatience*f {
-		return false
-	}
-	for _, k := range later {
-		if k.rank < j.rank {
-			break
-		}
-		if m.fetchS(k) == 0 && k.entitled == j.entitled && k.latest < math.MaxInt64 && c.startable(k, m) {
-			return true
-		}
-	}
-	return false
-}
-
 // worthPulling tells whether a machine without the image should take a job's
 // task off a holder's queue: once the job has waited as long as the fetch takes,
 // so that at worst it waits twice what was best.
--- a/tuning/tuning.go
+++ b/tuning/tuning.go
@@ -209,9 +209,6 @@
 	// PullPatience is the share of its fetch that an idle machine waits before
 	// it takes a task off the queue of a machine that holds the image.
 	PullPatience = 0.5
-	// YieldPatience is how many times its fetch a job waits for a machine that
-	// holds its image while later jobs can use those that do not.
-	YieldPatience = 3.0
 	// GuaranteePatience is how long a job within its guarantee waits for room
 	// before other teams' work beyond theirs is stopped for it: most waits are
 	// shorter, and what is stopped may have no checkpoint.
