Demand is counted in processors also before the catalog is read

Without the catalog, memory was turned into processors at a thousand to one. Ruled out: rentals went wrong, since there are none without the catalog.

--- a/controller/core_test.go
+++ b/controller/core_test.go
@@ -897,6 +897,50 @@
 	}
 }
 
+// A job that comes within its team's guarantee only as earlier ones end goes
+// first in the queues, but nothing is stopped for it: two teams above their
+// guarantees stopped each other's arrays over and over.
+func TestNothingIsStoppedForJobsThatCameBeyond(t *testing.T) {
+	s := newStage(t)
+	for i := range 3 {
+		s.report(fmt.Sprintf("a%d", i), 1)
+	}
+	s.submit("run-000001", 6, func(x *api.Submission) { x.Team = "lent" })
+	s.settleStarts()
+	s.submit("run-000002", 4, func(x *api.Submission) { x.Team = "sure" })
+	s.submit("run-000003", 4, func(x *api.Submission) { x.Team = "sure" })
+	s.sortQueues()
+	// The first one ends somewhere else: the second now fits.
+	s.finish(s.jobs["run-000002"], api.Withdrawn)
+	s.commit()
+	for range 8 {
+		s.clock.Advance(time.Second)
+		for i := range 3 {
+			s.again(fmt.Sprintf("a%d", i))
+		}
+		s.Place()
+	}
+	j := s.jobs["run-000003"]
+	if j.beyond != 0 || j.entitled {
+		t.Fatalf("beyond %d, entitled %v", j.beyond, j.entitled)
+	}
+	for _, a := range s.jobs["run-000001"].live {
+		if a.stop {
+			t.Errorf("%s was stopped", a.key)
+		}
+	}
+}
+
+// What jobs ask for is counted in processors, also before the catalog is read.
+func TestDemandWithoutCatalog(t *testing.T) {
+	s := newStage(t)
+	s.submit("run-000001", 3, func(x *api.Submission) { x.CPUs, x.MemoryGB = 4, 8 })
+	s.Core.types = map[string]*api.MachineType{}
+	if all, _ := s.demand(); all != 12 {
+		t.Errorf("%v processors for 3 tasks of 4", all)
+	}
+}
+
 // Guaranteed work takes from another team no more than that one borrowed, also
 // when many tasks wait at once and none of those being stopped is gone yet.
 func TestGuaranteeTakesNoMoreThanWasBorrowed(t *testing.T) {
--- a/controller/rent.go
+++ b/controller/rent.go
@@ -170,7 +170,12 @@
 		if !j.accepted || j.Final != "" {
 			continue
 		}
-		one := math.Max(j.need.CPUs, j.need.MemoryGB/math.Max(perCPU, 1e-3))
+		one := j.need.CPUs
+		if perCPU > 0 {
+			// Until the catalog is read, memory says nothing of processors: a
+			// new leader took it for a thousandfold demand.
+			one = math.Max(one, j.need.MemoryGB/perCPU)
+		}
 		n := float64(j.total - j.done)
 		if t, ok := c.set.Team(j.Job.Team); ok && t.CPUsMax > 0 && j.need.CPUs > 0 {
 			n = math.Min(n, t.CPUsMax/j.need.CPUs)
