--- a/controller/node.go
+++ b/controller/node.go
@@ -45,9 +45,9 @@
 	refused time.Time
 	finals  map[string]store.FinalRecord
 	ring    []string
-	// bounced is when a worker was last sent to another node. One that comes
-	// back soon could not reach that node.
-	bounced map[string]time.Time
+	// hearing is when a worker last reported to this node itself.
+	hearing time.Time
+	bounces bounces
 
 	relay *relay
 	pace  pace
@@ -57,7 +57,7 @@
 
 // NewNode makes a controller. Transport carries its calls to other services.
 func NewNode(ctx context.Context, set *settings.Settings, pol *policy.Policy, clock clockwork.Clock, transport http.RoundTripper) *Node {
-	n := &Node{set: set, policy: pol, clock: clock, ctx: ctx, born: clock.Now(), bounced: map[string]time.Time{}, finals: map[string]store.FinalRecord{}}
+	n := &Node{set: set, policy: pol, clock: clock, ctx: ctx, born: clock.Now(), bounces: newBounces(), finals: map[string]store.FinalRecord{}}
 	n.client = store.NewClient(set.External.State, transport)
 	n.client.Seen = n.stateSeen
 	n.cloud = cloud.New(set.External.Cloud, set.Facts.Cloud.RPS, transport)
@@ -112,7 +112,14 @@
 
 func (n *Node) hello() peer.Hello {
 	term, _ := n.elector.Term()
-	return peer.Hello{Member: n.set.Member, Term: term, StateOK: n.stateOK(), PaceUS: n.pace.us()}
+	return peer.Hello{Member: n.set.Member, Term: term, StateOK: n.stateOK(), PaceUS: n.pace.us(), HearsWorkers: n.hears()}
+}
+
+// hears tells whether a worker reported to this node itself a moment ago.
+func (n *Node) hears() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !n.hearing.IsZero() && n.clock.Since(n.hearing) < seconds(tuning.HearsReports*n.set.Facts.Workers.ReportS)
 }
 
 // Alone is for the elector: we reach no sibling in any way.
@@ -463,19 +470,22 @@
 // between zones does not take its answers away: that one passes reports on to
 // the leader, and relays them once it cannot.
 func (n *Node) Report(ctx context.Context, r *api.Report, raw []byte) (status int, body any) {
+	n.mu.Lock()
+	n.hearing = n.clock.Now()
+	n.mu.Unlock()
 	if core := n.leading(); core != nil {
-		if home := n.home(r.Zone); home != "" && home != n.set.Member && n.bounce(r.Machine) {
+		if home := n.home(r.Zone); home != "" && home != n.set.Member && n.bounce(r.Machine, home) {
 			return http.StatusMisdirectedRequest, api.Redirect{Node: home}
 		}
 		return n.judge(core, r)
 	}
 	leader, term := n.elector.Leader()
 	leader, term, there := whoLeads(leader, term, n.peers.Alive())
-	if !n.stateOK() && n.peers.CutOff() && n.bounce(r.Machine) {
+	if prev := n.previous(); !n.stateOK() && n.peers.CutOff() && n.bounce(r.Machine, prev) {
 		// Reaching neither the state service nor any sibling, we are the one
 		// that is cut off, or all of our zone is. A worker that comes back
 		// reaches nobody else either, and stays.
-		return http.StatusMisdirectedRequest, api.Redirect{Node: n.previous()}
+		return http.StatusMisdirectedRequest, api.Redirect{Node: prev}
 	}
 	if leader == "" || leader == n.set.Member {
 		last, since := n.elector.Vacant()
@@ -491,7 +501,7 @@
 		if home := n.home(r.Zone); home != "" && n.zoneOf(leader) != r.Zone {
 			to = home
 		}
-		if to != n.set.Member && n.bounce(r.Machine) {
+		if to != n.set.Member && n.bounce(r.Machine, to) {
 			return http.StatusMisdirectedRequest, api.Redirect{Node: to}
 		}
 		if a, err := n.peers.Ask(ctx, leader, peer.Request{Verb: verbReport, Body: raw}); err == nil && a.Status != http.StatusMisdirectedRequest {
@@ -522,24 +532,18 @@
 	return prev
 }
 
-// bounce tells whether a worker may be sent to another node: not if it came
-// back from there a moment ago.
-func (n *Node) bounce(name string) bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	now := n.clock.Now()
-	if at, ok := n.bounced[name]; ok && now.Sub(at) < tuning.BounceKeep && now.Sub(at) > tuning.BounceTrip {
-		return false
-	}
-	for k, at := range n.bounced {
-		if now.Sub(at) >= tuning.BounceKeep {
-			delete(n.bounced, k)
+// bounce tells whether a worker may be sent to another node.
+func (n *Node) bounce(worker, to string) bool {
+	// One that greets nobody is judged by nothing but whether workers come back.
+	hears := true
+	for _, h := range n.peers.Alive() {
+		if h.Member == to {
+			hears = h.HearsWorkers
 		}
 	}
-	if _, ok := n.bounced[name]; !ok {
-		n.bounced[name] = now
-	}
-	return true
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.bounces.allow(n.clock.Now(), worker, to, hears)
 }
 
 // whoLeads is the leader by the siblings' own word, or else as last read; there:
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -45,6 +45,9 @@
 	// PaceUS is how long a fixed piece of work takes it, in microseconds; 0: it
 	// does not say.
 	PaceUS uint32
+	// HearsWorkers: a worker reported to it a moment ago. That two controllers
+	// reach each other does not show that workers reach both.
+	HearsWorkers bool
 }
 
 // ErrUnreachable: the request may or may not have been handled.
@@ -172,7 +175,7 @@
 
 func (n *Net) helloFrame() frame {
 	h := n.self()
-	return frame{kind: wire.KindHello, member: h.Member, term: h.Term, stateOK: h.StateOK, pace: h.PaceUS}
+	return frame{kind: wire.KindHello, member: h.Member, term: h.Term, stateOK: h.StateOK, pace: h.PaceUS, hears: h.HearsWorkers}
 }
 
 // Run keeps a connection to every sibling.
@@ -240,7 +243,7 @@
 		s.heard = n.clock.Now()
 		switch f.kind {
 		case wire.KindHello:
-			s.hello = Hello{s.Member, f.term, f.stateOK, f.pace}
+			s.hello = Hello{s.Member, f.term, f.stateOK, f.pace, f.hears}
 		case wire.KindReply:
 			if w := s.waits[f.seq]; w != nil {
 				w <- Answer{f.status, f.body, f.retry}
@@ -304,6 +307,7 @@
 	status    int
 	retry     int
 	pace      uint32
+	hears     bool
 }
 
 func encode(f frame) []byte {
@@ -331,6 +335,7 @@
 	wire.FrameAddStatus(b, uint16(f.status))
 	wire.FrameAddRetryAfterS(b, uint16(f.retry))
 	wire.FrameAddPaceUs(b, f.pace)
+	wire.FrameAddHearsWorkers(b, f.hears)
 	b.FinishSizePrefixed(wire.FrameEnd(b))
 	return b.FinishedBytes()
 }
@@ -368,7 +373,7 @@
 	}()
 	w := wire.GetRootAsFrame(raw, 0)
 	f = frame{kind: w.Kind(), seq: w.Seq(), term: w.Term(), member: string(w.Member()), stateOK: w.StateOk(),
-		verb: string(w.Verb()), job: string(w.Job()), body: w.BodyBytes(), status: int(w.Status()), retry: int(w.RetryAfterS()), pace: w.PaceUs()}
+		verb: string(w.Verb()), job: string(w.Job()), body: w.BodyBytes(), status: int(w.Status()), retry: int(w.RetryAfterS()), pace: w.PaceUs(), hears: w.HearsWorkers()}
 	if f.kind > wire.KindReply {
 		return f, fmt.Errorf("unknown kind %d", f.kind)
 	}
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -15,9 +15,9 @@
 )
 
 func TestFrameRoundTrip(t *testing.T) {
-	f := frame{kind: wire.KindRequest, seq: 7, verb: "submit", job: "run-1", body: []byte(`{"a":1}`), member: "n0", term: 9, stateOK: true, status: 503, retry: 2, pace: 70}
+	f := frame{kind: wire.KindRequest, seq: 7, verb: "submit", job: "run-1", body: []byte(`{"a":1}`), member: "n0", term: 9, stateOK: true, status: 503, retry: 2, pace: 70, hears: true}
 	got, err := readFrame(bytes.NewReader(encode(f)))
-	if err != nil || got.seq != 7 || got.verb != "submit" || got.job != "run-1" || string(got.body) != `{"a":1}` || got.term != 9 || !got.stateOK || got.status != 503 || got.retry != 2 || got.pace != 70 || got.member != "n0" {
+	if err != nil || got.seq != 7 || got.verb != "submit" || got.job != "run-1" || string(got.body) != `{"a":1}` || got.term != 9 || !got.stateOK || got.status != 503 || got.retry != 2 || got.pace != 70 || !got.hears || got.member != "n0" {
 		t.Errorf("%+v, %v", got, err)
 	}
 }
--- a/peer/wire/Frame.go
+++ b/peer/wire/Frame.go
@@ -175,8 +175,20 @@
 	return rcv._tab.MutateUint32Slot(24, n)
 }
 
+func (rcv *Frame) HearsWorkers() bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(26))
+	if o != 0 {
+		return rcv._tab.GetBool(o + rcv._tab.Pos)
+	}
+	return false
+}
+
+func (rcv *Frame) MutateHearsWorkers(n bool) bool {
+	return rcv._tab.MutateBoolSlot(26, n)
+}
+
 func FrameStart(builder *flatbuffers.Builder) {
-	builder.StartObject(11)
+	builder.StartObject(12)
 }
 func FrameAddKind(builder *flatbuffers.Builder, kind Kind) {
 	builder.PrependByteSlot(0, byte(kind), 0)
@@ -214,6 +226,9 @@
 func FrameAddPaceUs(builder *flatbuffers.Builder, paceUs uint32) {
 	builder.PrependUint32Slot(10, paceUs, 0)
 }
+func FrameAddHearsWorkers(builder *flatbuffers.Builder, hearsWorkers bool) {
+	builder.PrependBoolSlot(11, hearsWorkers, false)
+}
 func FrameEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
--- a/tuning/tuning.go
+++ b/tuning/tuning.go
@@ -164,6 +164,12 @@
 	BounceTrip = 2 * time.Second
 	// BounceKeep is how long a worker that came back is not sent there again.
 	BounceKeep = 30 * time.Second
+	// BounceProbe is how often one worker may be sent to a controller that hears
+	// none. It loses half its lease if that one is deaf.
+	BounceProbe = 10 * time.Second
+	// HearsReports: a controller hears workers if one reported to it within so
+	// many report intervals.
+	HearsReports = 2.5
 )
 
 // Relay of reports through the state service, while a sibling does not reach
