Silence counts against machines by the way their reports come, not through a standstill

Cause: where a controller falls silent, its workers take 4-5 s to turn to another one; they are less than half of their zone, so the rule for cut zones left them to be given up after 3.5 s. The same befell the machines that had not reported yet when others had, after the leader itself stood still.

--- a/controller/core.go
+++ b/controller/core.go
@@ -114,7 +114,9 @@
 	// sending: a direct command is under way; again: another is wanted.
 	sending, again bool
 	// relay is the sibling that its reports come through; empty: directly.
-	relay     string
+	relay string
+	// via is the sibling that its last report came through in any way.
+	via       string
 	returning bool
 	// running: the cloud lists it as up, though it has not reported yet.
 	running bool
@@ -183,6 +185,7 @@
 	renting  int
 	wake     chan struct{}
 	heard    time.Time
+	silence  silence
 	// hints are the images of machines that have not reported yet, as the last
 	// leader knew them; imagesNew: there is more to put on record since
 	// imagesAt.
@@ -204,6 +207,7 @@
 		gone: map[string]time.Time{}, toPush: map[*machine]bool{}, use: map[string]fleet.Room{}, leaving: map[string]fleet.Room{}, hints: map[string][]fleet.Image{}, refusals: map[pool]time.Time{},
 		wake: make(chan struct{}, 1), started: clock.Now()}
 	c.heard = c.started
+	c.silence = newSilence(c.started)
 	c.aims, c.grace = map[string][]float64{}, map[string][]float64{}
 	for _, o := range set.Facts.Objectives {
 		if o.Kind == "finished" && o.WithinS > 0 {
--- a/controller/core_test.go
+++ b/controller/core_test.go
@@ -130,7 +130,7 @@
 }
 
 func (s *stage) reportAt(name string, session, seq, helm uint64, tasks ...api.TaskReport) api.Orders {
-	o, _, _ := s.Report(&api.Report{Machine: name, Address: name + ":1", Type: "m8", Zone: zoneOf(name), Session: session, Seq: seq, Helm: helm, Tasks: tasks})
+	o, _, _ := s.Report(&api.Report{Machine: name, Address: name + ":1", Type: "m8", Zone: zoneOf(name), Session: session, Seq: seq, Helm: helm, Tasks: tasks}, "")
 	return o
 }
 
@@ -284,7 +284,7 @@
 		t.Errorf("starts %+v", got)
 	}
 	// What the machine said before, held up on the way, brings nothing back.
-	if _, _, refused := s.Report(&api.Report{Machine: "a1", Session: 1, Seq: 900, Helm: s.term}); !refused {
+	if _, _, refused := s.Report(&api.Report{Machine: "a1", Session: 1, Seq: 900, Helm: s.term}, ""); !refused {
 		t.Error("a returned machine was taken back")
 	}
 }
@@ -294,12 +294,7 @@
 	s := newStage(t)
 	s.report("b1", 1)
 	s.report("b2", 1)
-	for range 15 {
-		s.clock.Advance(time.Second)
-		s.report("a1", 1)
-		s.report("a2", 1)
-	}
-	if names := s.Tend(); len(names) != 0 {
+	if names := s.rounds(15*time.Second, func() { s.report("a1", 1); s.report("a2", 1) }); len(names) != 0 {
 		t.Errorf("returned %v", names)
 	}
 	// The same with most of the zone already relayed, while its controllers
@@ -309,16 +304,15 @@
 		s.report(m, 1)
 	}
 	s.cutZone = "b"
-	for range 15 {
-		s.clock.Advance(time.Second)
+	rest := func() {
 		s.report("a1", 1)
 		s.Relayed("sib", store.RelayRecord{Term: s.term, Reports: s.relayedReports("b2", "b3")})
 	}
-	if names := s.Tend(); len(names) != 0 {
+	if names := s.rounds(15*time.Second, rest); len(names) != 0 {
 		t.Errorf("returned %v", names)
 	}
 	s.cutZone = ""
-	if names := s.Tend(); len(names) != 1 || names[0] != "b1" {
+	if names := s.rounds(5*time.Second, rest); len(names) != 1 || names[0] != "b1" {
 		t.Errorf("returned %v, want b1", names)
 	}
 }
@@ -488,7 +482,7 @@
 // A worker that has seen a higher term has another leader.
 func TestHigherTermDeposes(t *testing.T) {
 	s := newStage(t)
-	_, deposed, _ := s.Report(&api.Report{Machine: "a1", Session: 1, Seq: 1, Helm: s.term + 5})
+	_, deposed, _ := s.Report(&api.Report{Machine: "a1", Session: 1, Seq: 1, Helm: s.term + 5}, "")
 	if !deposed {
 		t.Error("still leads")
 	}
--- a/controller/node.go
+++ b/controller/node.go
@@ -321,11 +321,8 @@
 	if !n.peers.CutOff() {
 		return ""
 	}
-	core.mu.Lock()
-	heard := core.heard
-	core.mu.Unlock()
 	switch {
-	case n.clock.Since(heard) > tuning.DeafAfter:
+	case n.clock.Since(core.listening()) > tuning.DeafAfter:
 		return "hears neither workers nor siblings"
 	case n.elector.Overdue() > tuning.DeafAfter:
 		// With the siblings answering this would be an outage, in which
@@ -477,7 +474,7 @@
 		if home := n.home(r.Zone); home != "" && home != n.set.Member && n.bounce(r.Machine, home) {
 			return http.StatusMisdirectedRequest, api.Redirect{Node: home}
 		}
-		return n.judge(core, r)
+		return n.judge(core, r, "")
 	}
 	leader, term := n.elector.Leader()
 	leader, term, there := whoLeads(leader, term, n.peers.Alive())
@@ -504,7 +501,7 @@
 		if to != n.set.Member && n.bounce(r.Machine, to) {
 			return http.StatusMisdirectedRequest, api.Redirect{Node: to}
 		}
-		if a, err := n.peers.Ask(ctx, leader, peer.Request{Verb: verbReport, Body: raw}); err == nil && a.Status != http.StatusMisdirectedRequest {
+		if a, err := n.peers.Ask(ctx, leader, peer.Request{Verb: verbReport, Body: raw, From: n.set.Member}); err == nil && a.Status != http.StatusMisdirectedRequest {
 			return a.Status, json.RawMessage(a.Body)
 		}
 		// Whatever the leader answered, this report's answer is ours now: it
@@ -560,9 +557,9 @@
 	return leader, term, there
 }
 
-// judge answers a report as the leader.
-func (n *Node) judge(core *Core, r *api.Report) (status int, body any) {
-	o, deposed, refused := core.Report(r)
+// judge answers a report as the leader. Via is the sibling that passes it on.
+func (n *Node) judge(core *Core, r *api.Report, via string) (status int, body any) {
+	o, deposed, refused := core.Report(r, via)
 	switch {
 	case deposed:
 		n.elector.Resign("a worker has seen a higher term")
@@ -597,20 +594,20 @@
 }
 
 // passedOn serves a report that a sibling passes on.
-func (n *Node) passedOn(raw []byte) peer.Answer {
+func (n *Node) passedOn(from string, raw []byte) peer.Answer {
 	core := n.leading()
 	var r api.Report
 	if err := json.Unmarshal(raw, &r); err != nil || r.Check() != nil || core == nil {
 		return answer(http.StatusMisdirectedRequest, api.Redirect{})
 	}
-	return answer(n.judge(core, &r))
+	return answer(n.judge(core, &r, from))
 }
 
 // Handle serves a user's request, here or at the leader. Forwarded: it comes
 // from a sibling and is not passed on.
 func (n *Node) Handle(ctx context.Context, r peer.Request, forwarded bool) peer.Answer {
 	if forwarded && r.Verb == verbReport {
-		return n.passedOn(r.Body)
+		return n.passedOn(r.From, r.Body)
 	}
 	if f, ok := n.finalOf(r.Job); ok && r.Verb != VerbSubmit {
 		return answer(http.StatusOK, finalStatus(r.Job, f))
--- a/controller/place.go
+++ b/controller/place.go
@@ -106,6 +106,7 @@
 func (c *Core) Place() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.beat(c.now())
 	if !c.loaded || !c.hooks.Valid() {
 		return
 	}
--- a/controller/rent.go
+++ b/controller/rent.go
@@ -18,26 +18,15 @@
 	spot      bool
 }
 
-// silent is how long a machine may be unheard before it is given up.
-func (c *Core) silent() time.Duration {
-	return max(tuning.SilentMin, seconds(tuning.SilentReports*c.set.Facts.Workers.ReportS))
-}
-
-func relayDelay(m *machine) time.Duration {
-	if m.relay != "" {
-		return tuning.RelayKeep
-	}
-	return 0
-}
-
 // Tend looks after machines: it returns the names to give back.
 func (c *Core) Tend() []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	now := c.now()
+	c.beat(now)
 	if !c.loaded || !c.hooks.Valid() {
 		return nil
 	}
-	now := c.now()
 	var out []string
 	giveUp := func(m *machine, why string) {
 		slog.Info("returning machine", "machine", m.Name, "why", why, "tasks", len(m.assigns))
@@ -45,21 +34,7 @@
 		out = append(out, m.Name)
 	}
 	grace := seconds(c.set.Facts.Workers.LeaseS) + tuning.NewTermGrace
-	up, heard := map[string]int{}, map[string]int{}
-	for _, m := range c.machines {
-		if m.Up {
-			up[m.Zone]++
-			if now.Sub(m.Heard) < c.quiet(m) {
-				heard[m.Zone]++
-			}
-		}
-	}
-	// Where most of a zone, or its controllers, cannot be heard, more likely
-	// the way there is cut than the machines are gone: they need time to find
-	// a sibling that relays for them.
-	cut := func(m *machine) bool {
-		return up[m.Zone] > 1 && (2*heard[m.Zone] < up[m.Zone] || c.hooks.Cut(m.Zone))
-	}
+	c.noteBlindness(now)
 	for _, m := range c.byName() {
 		if m.returning {
 			continue
@@ -76,12 +51,12 @@
 				limit = max(grace, seconds(boot*tuning.BootFactor))
 				since = now.Sub(m.Rented)
 			}
-			if since > limit && now.Sub(c.started) > grace {
+			if since > limit && now.Sub(c.started) > grace && now.Sub(c.silence.woke) > grace {
 				giveUp(m, "never reported")
 			}
-		case !m.TakenAt.IsZero() && now.After(m.TakenAt.Add(time.Second)) && since > c.quiet(m):
+		case !m.TakenAt.IsZero() && now.After(m.TakenAt.Add(time.Second)) && c.unheard(m, now) > c.quiet(m):
 			giveUp(m, "taken back")
-		case since > c.silent()+relayDelay(m) && (!cut(m) || since > tuning.CutLeases*seconds(c.set.Facts.Workers.LeaseS)):
+		case c.unheard(m, now) > c.silent()+relayDelay(m):
 			// Its return proves that its tasks are gone.
 			giveUp(m, "silent")
 		case m.Suspect():
--- a/controller/report.go
+++ b/controller/report.go
@@ -9,9 +9,10 @@
 	"switchferry/tuning"
 )
 
-// Report takes in a worker's report and returns the answer. Deposed: the
-// worker has seen a higher term, and we no longer lead.
-func (c *Core) Report(r *api.Report) (o api.Orders, deposed, refused bool) {
+// Report takes in a worker's report and returns the answer. Via is the sibling that
+// passed it on; empty: it came directly. Deposed: the worker has seen a higher
+// term, and we no longer lead.
+func (c *Core) Report(r *api.Report, via string) (o api.Orders, deposed, refused bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	o = api.Orders{Helm: c.term, Commands: []api.Command{}}
@@ -23,7 +24,7 @@
 	if m == nil {
 		return o, false, true
 	}
-	m.relay = ""
+	m.relay, m.via = "", via
 	if !ok {
 		return o, false, false
 	}
@@ -67,7 +68,7 @@
 		if m.relay != member {
 			slog.Info("machine reports through a sibling", "machine", r.Machine, "sibling", member)
 		}
-		m.relay = member
+		m.relay, m.via = member, member
 		c.take(m, r, byRelay)
 		c.hooks.Touch(store.MailKey(member), store.Ordinary, nil)
 	}
--- /dev/null
+++ b/controller/silence_test.go
@@ -0,0 +1,92 @@
+package controller
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"switchferry/api"
+	"switchferry/tuning"
+)
+
+// through plays a report that comes through a sibling.
+func (s *stage) through(via, name string) {
+	s.seq++
+	s.Report(&api.Report{Machine: name, Address: name + ":1", Type: "m8", Zone: zoneOf(name), Session: 1, Seq: s.seq, Helm: s.term}, via)
+}
+
+// rounds lets time pass with the leader at work: each step the named machines
+// report, then it looks after machines.
+func (s *stage) rounds(d time.Duration, reports func()) (returned []string) {
+	for ; d > 0; d -= tuning.TendEvery {
+		s.clock.Advance(tuning.TendEvery)
+		reports()
+		returned = append(returned, s.Tend()...)
+	}
+	return returned
+}
+
+// A leader that stood still heard nobody meanwhile: it gave machines up for that, the
+// half of them that had not reported yet when the others had.
+func TestStandstillIsNoEvidenceAgainstMachines(t *testing.T) {
+	s := newStage(t)
+	all := []string{"a1", "a2", "a3", "a4", "a5", "a6"}
+	for _, n := range all {
+		s.report(n, 1)
+	}
+	s.rounds(13*time.Second, func() {
+		for _, n := range all {
+			s.report(n, 1)
+		}
+	})
+	s.clock.Advance(8 * time.Second)
+	for _, n := range all[:4] {
+		s.report(n, 1)
+	}
+	if gone := s.Tend(); len(gone) > 0 {
+		t.Fatalf("%v given up for the time in which the leader stood still", gone)
+	}
+	gone := s.rounds(5*time.Second, func() {
+		for _, n := range all[:5] {
+			s.report(n, 1)
+		}
+	})
+	if !slices.Equal(gone, []string{"a6"}) {
+		t.Errorf("%v given up after the standstill, want the one that stays silent", gone)
+	}
+}
+
+// Workers of a controller that fell silent take half a lease to turn to the next one.
+// Where they were less than half of their zone they were given up before.
+func TestMachinesOfASilentControllerAreLeftTime(t *testing.T) {
+	s := newStage(t)
+	var there, here []string
+	for i := range 8 {
+		here = append(here, fmt.Sprintf("a1%d", i))
+		if i < 4 {
+			there = append(there, fmt.Sprintf("a2%d", i))
+		}
+	}
+	others := func() {
+		for _, n := range here[1:] {
+			s.report(n, 1)
+		}
+	}
+	all := func() {
+		others()
+		s.report(here[0], 1)
+		for _, n := range there {
+			s.through("n1", n)
+		}
+	}
+	all()
+	s.rounds(13*time.Second, all)
+	gone := s.rounds(6*time.Second, others)
+	if !slices.Equal(gone, here[:1]) {
+		t.Fatalf("%v given up, want the one that is silent among many that came the same way", gone)
+	}
+	if gone = s.rounds(5*time.Second, others); len(gone) != len(there) {
+		t.Errorf("%v given up after a whole lease, want all of %v", gone, there)
+	}
+}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -28,6 +28,8 @@
 	Verb string
 	Job  string
 	Body []byte
+	// From is the member that passes the request on.
+	From string
 }
 
 // Answer goes back to the user.
@@ -166,7 +168,7 @@
 			}
 		case wire.KindRequest:
 			go func() {
-				a := n.handle(ctx, Request{f.verb, f.job, f.body})
+				a := n.handle(ctx, Request{f.verb, f.job, f.body, f.member})
 				_ = write(c, &wmu, frame{kind: wire.KindReply, seq: f.seq, status: a.Status, body: a.Body, retry: a.RetryAfterS})
 			}()
 		}
@@ -281,7 +283,7 @@
 		delete(s.waits, seq)
 		n.mu.Unlock()
 	}()
-	if err := write(c, &s.wmu, frame{kind: wire.KindRequest, seq: seq, verb: r.Verb, job: r.Job, body: r.Body}); err != nil {
+	if err := write(c, &s.wmu, frame{kind: wire.KindRequest, seq: seq, member: r.From, verb: r.Verb, job: r.Job, body: r.Body}); err != nil {
 		return Answer{}, ErrUnreachable
 	}
 	select {
--- a/tuning/tuning.go
+++ b/tuning/tuning.go
@@ -127,6 +127,9 @@
 	SilentReports = 3.2
 	// SilentMin is the least such time: loss and resending take a second.
 	SilentMin = 3500 * time.Millisecond
+	// StandstillMin is the least gap between a leader's rounds, of which there are
+	// two a second or more, that is a standstill and not load.
+	StandstillMin = 1500 * time.Millisecond
 	// CutLeases times the workers' lease: so long a machine that may be behind
 	// a cut is left alone. Its zone's controllers may be keeping its tasks
 	// alive; replicas that are spread could not run elsewhere anyway.
