A lone leader gives workers a lease's time to find it

Cause: with both siblings silent workers come one dead end of 5 s after the other; the last controller resigned after 3.5 s without a report and led again 6 s later. Ruled out: the election; the poll storm. Tasks are still lost to two dead ends in a row.

--- /dev/null
+++ b/controller/lone_test.go
@@ -0,0 +1,42 @@
+package controller
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"switchferry/internal/standin"
+	"switchferry/policy"
+	"switchferry/settings"
+)
+
+// threeNodes is n1 of n0, n1 and n2, whose siblings are silent.
+func threeNodes(t *testing.T) (*Node, *clockwork.FakeClock) {
+	clock := clockwork.NewFakeClock()
+	set := &settings.Settings{Member: "n1", Zone: "b", Siblings: []settings.Sibling{{Member: "n0", Zone: "a", Address: "127.0.0.1:1"}, {Member: "n2", Zone: "a", Address: "127.0.0.1:1"}}}
+	set.Facts.Workers = settings.Workers{ReportS: 1, LeaseS: 10}
+	return NewNode(context.Background(), set, policy.Default(), clock, standin.NewState(clock)), clock
+}
+
+// With both siblings silent, workers come to the last controller one dead end after
+// the other. It resigned after 3.5 s without a report, and they found nobody.
+func TestLoneLeaderGivesWorkersTimeToCome(t *testing.T) {
+	n, clock := threeNodes(t)
+	core := NewCore(7, clock, n.set, n.policy, testTypes, Hooks{Valid: func() bool { return true }})
+	step := func(d time.Duration) (deaf bool) {
+		for ; d > 0 && !deaf; d -= 500 * time.Millisecond {
+			clock.Advance(500 * time.Millisecond)
+			core.Place()
+			deaf = n.deaf(core)
+		}
+		return deaf
+	}
+	if step(9 * time.Second) {
+		t.Fatal("resigns while workers are on their way")
+	}
+	if !step(3 * time.Second) {
+		t.Error("leads on though nobody came")
+	}
+}
--- a/controller/node.go
+++ b/controller/node.go
@@ -322,7 +322,7 @@
 		return ""
 	}
 	switch {
-	case n.clock.Since(core.listening()) > tuning.DeafAfter:
+	case n.deaf(core):
 		return "hears neither workers nor siblings"
 	case n.elector.Overdue() > tuning.DeafAfter:
 		// With the siblings answering this would be an outage, in which
@@ -332,6 +332,13 @@
 	return ""
 }
 
+// deaf tells whether nobody is heard for long. The workers of silent siblings try one
+// dead end after the other: whoever leads alone must give them a lease's time, or
+// they find nobody when they come.
+func (n *Node) deaf(core *Core) bool {
+	return n.clock.Since(core.started) > seconds(n.set.Facts.Workers.LeaseS) && n.clock.Since(core.listening()) > tuning.DeafAfter
+}
+
 // inbox takes in jobs that siblings accepted while they did not reach us.
 func (n *Node) inbox(ctx context.Context, core *Core, com *store.Committer, after uint64) {
 	take := func(key string) {
