Workers wait behind a silent controller, not in front of it

Cause: workers try nodes in the order of their names, 5 s for one that does not answer. When the second of three controllers fell silent, its workers tried the first one next and lost their leases (10 s) though the last controller led by then.

--- a/controller/bounce.go
+++ b/controller/bounce.go
@@ -1,8 +1,11 @@
 package controller
 
 import (
+	"slices"
+	"strings"
 	"time"
 
+	"switchferry/settings"
 	"switchferry/tuning"
 )
 
@@ -45,3 +48,29 @@
 	}
 	return true
 }
+
+// shelter is where workers should report that belong to a controller, given those that
+// are silent. Workers try the nodes in the order of their names. Those of the node
+// before a silent one would, should theirs fall silent too, run into two dead ends in a
+// row and lose their leases: they go to a node with a living one behind it, of their
+// own zone if there is one.
+func shelter(ring []settings.Sibling, to, zone string, silent func(string) bool) string {
+	ring = slices.Clone(ring)
+	slices.SortFunc(ring, func(a, b settings.Sibling) int { return strings.Compare(a.Member, b.Member) })
+	best := ""
+	for i, s := range ring {
+		if silent(s.Member) || silent(ring[(i+1)%len(ring)].Member) {
+			continue
+		}
+		if s.Member == to {
+			return to
+		}
+		if best == "" || s.Zone == zone {
+			best = s.Member
+		}
+	}
+	if best == "" {
+		return to
+	}
+	return best
+}
--- a/controller/bounce_test.go
+++ b/controller/bounce_test.go
@@ -1,11 +1,13 @@
 package controller
 
 import (
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 
+	"switchferry/settings"
 	"switchferry/tuning"
 )
 
@@ -42,3 +44,22 @@
 		t.Error("a worker that came back was sent again")
 	}
 }
+
+// Two controllers out of three fell silent, one after the other: workers of the second
+// tried the first next, and their leases ended in the second dead end.
+func TestWorkersWaitBehindASilentController(t *testing.T) {
+	ring := []settings.Sibling{{Member: "n1", Zone: "b"}, {Member: "n0", Zone: "a"}, {Member: "n2", Zone: "a"}}
+	for _, c := range []struct{ silent, to, zone, want string }{
+		{"", "n0", "a", "n0"},
+		{"n1", "n0", "a", "n2"}, // n0's workers would try n1 next
+		{"n1", "n2", "a", "n2"},
+		{"n2", "n1", "b", "n0"}, // n1's would try n2
+		{"n0", "n2", "a", "n1"}, // n2's would try n0
+		{"n0 n2", "n1", "b", "n1"},
+	} {
+		silent := func(m string) bool { return strings.Contains(c.silent, m) }
+		if got := shelter(ring, c.to, c.zone, silent); got != c.want {
+			t.Errorf("%q silent, workers of %s: %s, want %s", c.silent, c.to, got, c.want)
+		}
+	}
+}
--- a/controller/node.go
+++ b/controller/node.go
@@ -478,8 +478,8 @@
 	n.hearing = n.clock.Now()
 	n.mu.Unlock()
 	if core := n.leading(); core != nil {
-		if home := n.home(r.Zone); home != "" && home != n.set.Member && n.bounce(r.Machine, home) {
-			return http.StatusMisdirectedRequest, api.Redirect{Node: home}
+		if to := n.nodeFor(r.Zone, n.set.Member); to != n.set.Member && n.bounce(r.Machine, to) {
+			return http.StatusMisdirectedRequest, api.Redirect{Node: to}
 		}
 		return n.judge(core, r, "")
 	}
@@ -501,11 +501,7 @@
 		return http.StatusOK, api.Orders{Helm: last, Commands: []api.Command{}}
 	}
 	if there {
-		to := leader
-		if home := n.home(r.Zone); home != "" && n.zoneOf(leader) != r.Zone {
-			to = home
-		}
-		if to != n.set.Member && n.bounce(r.Machine, to) {
+		if to := n.nodeFor(r.Zone, leader); to != n.set.Member && n.bounce(r.Machine, to) {
 			return http.StatusMisdirectedRequest, api.Redirect{Node: to}
 		}
 		if a, err := n.peers.Ask(ctx, leader, peer.Request{Verb: verbReport, Body: raw, From: n.set.Member}); err == nil && a.Status != http.StatusMisdirectedRequest {
@@ -577,6 +573,21 @@
 	return http.StatusOK, o
 }
 
+// nodeFor is the controller that a zone's workers should report to: the leader if it
+// is there, else their home, or, next to a silent controller, the one behind it.
+func (n *Node) nodeFor(zone, leader string) string {
+	to := leader
+	if n.zoneOf(leader) != zone {
+		if home := n.home(zone); home != "" {
+			to = home
+		}
+	}
+	ring := append([]settings.Sibling{{Member: n.set.Member, Zone: n.set.Zone}}, n.set.Siblings...)
+	return shelter(ring, to, zone, func(m string) bool {
+		return m != n.set.Member && n.clock.Since(n.born) > tuning.PeerDead+tuning.PeerHello && n.peers.Silent(m)
+	})
+}
+
 // home is the controller that a zone's workers report to: this one if it is
 // there, else the first within reach that is; none if no one is.
 func (n *Node) home(zone string) string {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -63,6 +63,8 @@
 	conn  net.Conn
 	wmu   sync.Mutex
 	heard time.Time
+	// sign is when it last gave any sign of life, as of Silent.
+	sign time.Time
 	// refused is when it last refused a connection: it is down or full, but
 	// the way to it is open.
 	refused time.Time
@@ -120,6 +122,15 @@
 	return len(n.siblings) > 0
 }
 
+// Silent tells whether a sibling gives no sign of life at all: it answers nothing and
+// refuses nothing, so that whoever tries it waits in vain.
+func (n *Net) Silent(member string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	s := n.siblings[member]
+	return s != nil && n.clock.Since(s.sign) > tuning.PeerDead+tuning.PeerHello
+}
+
 // Reaches tells whether a sibling answered lately.
 func (n *Net) Reaches(member string) bool {
 	for _, h := range n.Alive() {
@@ -196,6 +207,7 @@
 		} else if errors.Is(err, syscall.ECONNREFUSED) {
 			n.mu.Lock()
 			s.refused = n.clock.Now()
+			s.sign = s.refused
 			n.mu.Unlock()
 		}
 		select {
@@ -243,6 +255,7 @@
 		}
 		n.mu.Lock()
 		s.heard = n.clock.Now()
+		s.sign = s.heard
 		switch f.kind {
 		case wire.KindHello:
 			s.hello = Hello{s.Member, f.term, f.stateOK, f.pace, f.hears}
