Jobs that fail everywhere do not condemn machines, and retry with one task at a time

A retry started all tasks again, and their whole demand stayed in the rentals. Ruled out: a higher count of errors (mistaken jobs of 36 tasks reach any). Now a job that failed on three machines, with nothing done and nothing running for 3 s, does not count against machines, asks for one task's room, stops nobody's work and retries with one task.

--- a/controller/core.go
+++ b/controller/core.go
@@ -47,9 +47,12 @@
 	moved map[int]int
 	// shards that have a record.
 	shards map[int]bool
-	errors int
-	pause  time.Time
-	avoid  map[string]time.Time
+	// errors counts machines on which it failed since a task of it completed, and
+	// paces it; failedOn are all of them; avoid is until when they get no task of it.
+	errors   int
+	pause    time.Time
+	avoid    map[string]time.Time
+	failedOn map[string]bool
 	// stored: the final state is on record and users may be told; filed: it
 	// stands under its own key, and the other records can go.
 	stored, filed bool
@@ -118,6 +121,8 @@
 	// via is the sibling that its last report came through in any way.
 	via       string
 	returning bool
+	// noted: that it is suspect was logged.
+	noted bool
 	// running: the cloud lists it as up, though it has not reported yet.
 	running bool
 	idle    time.Time
@@ -356,7 +361,7 @@
 
 func (c *Core) addJob(rec store.JobRecord, accepted bool) *job {
 	j := &job{JobRecord: rec, id: rec.Job.ID, total: rec.Job.Tasks, rank: rec.Job.RankLevel(), need: fleet.Of(&rec.Job), accepted: accepted, changed: make(chan struct{}),
-		bits: store.NewBits(rec.Job.Tasks), live: map[int]*assign{}, shards: map[int]bool{}, avoid: map[string]time.Time{}, moved: map[int]int{}, arrived: c.now()}
+		bits: store.NewBits(rec.Job.Tasks), live: map[int]*assign{}, shards: map[int]bool{}, avoid: map[string]time.Time{}, failedOn: map[string]bool{}, moved: map[int]int{}, arrived: c.now()}
 	c.jobs[j.id] = j
 	c.order = append(c.order, j)
 	return j
@@ -515,6 +520,7 @@
 	}
 	j.Final = state
 	c.unqueue(j)
+	c.forgive(j)
 	slog.Info("job over", "job", j.id, "class", j.Job.Class, "state", state, "after", c.since(time.UnixMilli(j.At)).Round(time.Millisecond))
 	c.hooks.Touch(store.JobKey(j.id), store.Urgent, c.locked(func() {
 		j.stored = true
--- a/controller/place.go
+++ b/controller/place.go
@@ -38,7 +38,7 @@
 
 // usable tells whether a machine may get new work.
 func (c *Core) usable(m *machine) bool {
-	return m.Up && m.Spec != nil && !m.returning && m.TakenAt.IsZero() && !m.Suspect() &&
+	return m.Up && m.Spec != nil && !m.returning && m.TakenAt.IsZero() && !c.suspect(m) &&
 		c.now().After(m.refused) && c.since(m.Heard) < c.quiet(m)
 }
 
@@ -96,7 +96,7 @@
 }
 
 func (c *Core) ready(j *job) bool {
-	return j.accepted && j.Final == "" && !c.now().Before(j.pause)
+	return j.accepted && j.Final == "" && !c.now().Before(j.pause) && (len(j.live) == 0 || j.Job.Shape == api.Gang || !c.mistaken(j))
 }
 
 // estimate is how long a task of the job runs, in seconds.
@@ -231,7 +231,7 @@
 	for i, x := range all {
 		ms[i], servers[i] = x.m, x.s
 	}
-	share := placement.Fill(servers, len(j.pending))
+	share := placement.Fill(servers, c.open(j))
 	if share == nil {
 		return
 	}
@@ -469,7 +469,7 @@
 // they run until they are cancelled. A machine that holds the image is worth
 // more than one that must fetch it, and worth stopping lower work for.
 func (c *Core) placeService(j *job) {
-	for len(j.pending) > 0 && c.withinLimit(j) {
+	for len(j.pending) > 0 && c.withinLimit(j) && c.ready(j) {
 		var best *machine
 		var bestOut, bestVictims []*assign
 		bestScore := math.Inf(1)
@@ -489,8 +489,10 @@
 			score += 0.1 * m.used.CPUs / m.Spec.CPUs
 			var out, victims []*assign
 			if !m.free().Holds(j.need) {
-				var ok bool
-				out, victims, ok = c.makeRoom(j, m)
+				ok := false
+				if !c.mistaken(j) {
+					out, victims, ok = c.makeRoom(j, m)
+				}
 				if !ok {
 					continue
 				}
@@ -633,7 +635,7 @@
 
 // preempt makes room for an array of higher rank that found none.
 func (c *Core) preempt(j *job, all []*machine) {
-	if !c.ready(j) || !c.withinLimit(j) || !c.stopsAny(j) {
+	if !c.ready(j) || c.mistaken(j) || !c.withinLimit(j) || !c.stopsAny(j) {
 		return
 	}
 	opts := c.options(j, all)
--- a/controller/rent.go
+++ b/controller/rent.go
@@ -59,7 +59,7 @@
 		case c.unheard(m, now) > c.silent()+relayDelay(m):
 			// Its return proves that its tasks are gone.
 			giveUp(m, "silent")
-		case m.Suspect():
+		case c.suspect(m):
 			giveUp(m, "suspect")
 		case !m.TakenAt.IsZero():
 			c.evacuate(m)
@@ -151,7 +151,7 @@
 			// new leader took it for a thousandfold demand.
 			one = math.Max(one, j.need.MemoryGB/perCPU)
 		}
-		n := float64(j.total - j.done)
+		n := float64(c.asks(j))
 		if t, ok := c.set.Team(j.Job.Team); ok && t.CPUsMax > 0 && j.need.CPUs > 0 {
 			n = math.Min(n, t.CPUsMax/j.need.CPUs)
 		}
@@ -167,7 +167,11 @@
 // back, but others are rented in the meantime: they take long to boot.
 func (c *Core) missing(m *machine) bool {
 	if m.Up {
-		return c.since(m.Heard) > 2*c.quiet(m)
+		heard := latest(m.Heard, c.silence.woke)
+		if c.since(m.Heard) <= seconds(c.set.Facts.Workers.LeaseS) {
+			heard = latest(heard, c.silence.ways[m.via])
+		}
+		return c.since(heard) > 2*c.quiet(m)
 	}
 	return m.running && c.since(c.started) > 2*c.quiet(m)
 }
--- a/controller/report.go
+++ b/controller/report.go
@@ -171,6 +171,8 @@
 		// The clear waits for the record: until it is stored, only the
 		// worker knows that the task is done.
 		m.Worked()
+		m.noted = false
+		j.worked()
 		c.used(m, j)
 		c.release(a)
 		c.markDone(j, a.task, func() {
@@ -181,17 +183,7 @@
 	}
 	switch t.Cause {
 	case api.CauseError:
-		was := m.Suspect()
-		if m.Failed(j.id) && !was {
-			slog.Info("machine suspect", "machine", m.Name, "errors", m.Errors)
-		}
-		j.errors++
-		j.avoid[m.Name] = now.Add(tuning.BackoffMax)
-		if j.errors >= tuning.BackoffErrors {
-			d := min(tuning.BackoffMax, tuning.BackoffBase<<min(j.errors-tuning.BackoffErrors, 6))
-			j.pause = now.Add(d)
-			slog.Info("job paused", "job", j.id, "errors", j.errors, "for", d)
-		}
+		c.failed(j, m, now)
 	case api.CauseNoRoom, api.CauseBusy, api.CauseUnknown:
 		slog.Info("start refused", "task", a.key, "machine", m.Name, "cause", t.Cause)
 		m.refused = now.Add(tuning.BackoffBase)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -64,9 +64,8 @@
 	Tasks   map[string]api.TaskReport
 
 	cache images
-	// Errors counts failures in a row; ErrorJobs whose they were.
-	Errors    int
-	ErrorJobs map[string]bool
+	// Errors counts failures in a row by job.
+	Errors map[string]int
 }
 
 // Newer tells whether a report is newer than the last one taken in. A late
@@ -91,24 +90,35 @@
 	}
 }
 
-// Failed counts a task that failed here; it tells whether the machine is now
-// suspect: several failures in a row, and not all of one job, whose own mistake
-// they may be.
-func (m *Machine) Failed(job string) bool {
-	if m.ErrorJobs == nil {
-		m.ErrorJobs = map[string]bool{}
+// Failed counts a task that failed here.
+func (m *Machine) Failed(job string) {
+	if m.Errors == nil {
+		m.Errors = map[string]int{}
 	}
-	m.Errors++
-	m.ErrorJobs[job] = true
-	return m.Suspect()
+	m.Errors[job]++
 }
 
 // Worked forgets failures: the machine completes tasks.
-func (m *Machine) Worked() { m.Errors, m.ErrorJobs = 0, nil }
+func (m *Machine) Worked() { m.Errors = nil }
 
-// Suspect tells whether the machine should get no more work.
-func (m *Machine) Suspect() bool {
-	return m.Errors >= tuning.SickErrors && len(m.ErrorJobs) >= 2
+// Forgive forgets the failures of one job.
+func (m *Machine) Forgive(job string) { delete(m.Errors, job) }
+
+// Suspect tells whether the machine should get no more work: several failures in a
+// row, and not all of one job, whose own mistake they may be. Counts says whether a
+// job's failures speak against machines at all.
+func (m *Machine) Suspect(counts func(job string) bool) bool {
+	if len(m.Errors) < 2 {
+		return false
+	}
+	jobs, errors := 0, 0
+	for job, n := range m.Errors {
+		if counts(job) {
+			jobs++
+			errors += n
+		}
+	}
+	return errors >= tuning.SickErrors && jobs >= 2
 }
 
 // Used notes that a task with this image ran here; it tells whether the image is
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -26,20 +26,29 @@
 	}
 }
 
-// A machine is suspect after failures of several jobs in a row, not of one job,
-// whose own mistake they may be; a task that works clears it.
+// A machine is suspect after failures of several jobs in a row, not of one job, whose
+// own mistake they may be, nor of jobs that fail everywhere; a task that works clears it.
 func TestSuspect(t *testing.T) {
 	m := &Machine{}
+	counts := func(job string) bool { return job != "mistaken" }
 	for range 5 {
-		if m.Failed("one") {
+		m.Failed("one")
+		m.Failed("mistaken")
+		if m.Suspect(counts) {
 			t.Fatal("suspect for one job's failures")
 		}
 	}
-	if !m.Failed("two") {
+	m.Failed("two")
+	if !m.Suspect(counts) {
 		t.Error("not suspect after failures of two jobs")
 	}
+	m.Forgive("two")
+	if m.Suspect(counts) {
+		t.Error("suspect for failures that were forgiven")
+	}
+	m.Failed("two")
 	m.Worked()
-	if m.Suspect() {
+	if m.Suspect(counts) {
 		t.Error("suspect after a task that worked")
 	}
 }
--- a/tuning/tuning.go
+++ b/tuning/tuning.go
@@ -142,6 +142,12 @@
 	// SickErrors: so many errors in a row, of two jobs or more, and the
 	// machine is suspect.
 	SickErrors = 3
+	// MistakeMachines: a job that failed on so many machines, with nothing of it
+	// working, more likely has a mistake than bad luck.
+	MistakeMachines = 3
+	// MistakeRun is how long a task runs that is not failing: mistakes and faulty
+	// machines show at once.
+	MistakeRun = 3 * time.Second
 	// RefusedPause: after a 503 this kind of machine is not asked for again
 	// for a while.
 	RefusedPause = 12 * time.Second
@@ -205,7 +211,7 @@
 	// BackoffBase and BackoffMax pace a job that fails across machines.
 	BackoffBase = time.Second
 	BackoffMax  = 60 * time.Second
-	// BackoffErrors is how many errors a job may have before it is paced.
+	// BackoffErrors is on how many machines a job may fail before it is paced.
 	BackoffErrors = 3
 	// CancelKill is the wind-down of a cancelled task: its work is of no use.
 	CancelKill = 0.0
