A leader that does not answer is passed by; no answers from an old term's memory

Cause: while the leader stood still, siblings took it for the leader for 1.6 s more and held submissions and questions back for 1.5 s, then refused them. Now a submission is stored without the leader after 150 ms, and a question answered from the state service after 700 ms; questions take half of the service's limit at most, and the rest of them is refused at once. A leader past its term answers nothing from memory.

--- a/controller/node.go
+++ b/controller/node.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"golang.org/x/time/rate"
 
 	"switchferry/api"
 	"switchferry/cloud"
@@ -49,6 +50,9 @@
 	hearing time.Time
 	bounces bounces
 
+	// reads limits what questions of users take of the state service.
+	reads *rate.Limiter
+
 	relay *relay
 	pace  pace
 	// slow is used by the loop of a term alone.
@@ -64,6 +68,8 @@
 	n.worker = worker.New(transport)
 	n.peers = peer.New(set.Siblings, clock, n.hello, func(ctx context.Context, r peer.Request) peer.Answer { return n.Handle(ctx, r, true) })
 	n.elector = election.New(set.Member, n.client, clock, n)
+	share := tuning.ReadShare * set.Facts.State.RPS / float64(1+len(set.Siblings))
+	n.reads = rate.NewLimiter(rate.Limit(share), max(1, int(share)))
 	n.relay = newRelay(n)
 	n.pace.clock = clock
 	return n
@@ -504,7 +510,7 @@
 		if to := n.nodeFor(r.Zone, leader); to != n.set.Member && n.bounce(r.Machine, to) {
 			return http.StatusMisdirectedRequest, api.Redirect{Node: to}
 		}
-		if a, err := n.peers.Ask(ctx, leader, peer.Request{Verb: verbReport, Body: raw, From: n.set.Member}); err == nil && a.Status != http.StatusMisdirectedRequest {
+		if a, err := n.peers.Ask(ctx, leader, peer.Request{Verb: verbReport, Body: raw, From: n.set.Member}, tuning.PeerTimeout); err == nil && a.Status != http.StatusMisdirectedRequest {
 			return a.Status, json.RawMessage(a.Body)
 		}
 		// Whatever the leader answered, this report's answer is ours now: it
@@ -631,10 +637,15 @@
 		return answer(http.StatusOK, finalStatus(r.Job, f))
 	}
 	if core := n.leading(); core != nil {
-		if !core.hooks.Valid() || !core.Loaded() {
+		switch {
+		case core.hooks.Valid() && core.Loaded():
+			return n.serve(ctx, core, r)
+		case !n.stateOK():
 			return later("the state service is out of reach")
 		}
-		return n.serve(ctx, core, r)
+		// Not the leader yet, or no more, and the state service answers: whatever
+		// is read and written there is as good from us as from any node.
+		return n.serve(ctx, nil, r)
 	}
 	if forwarded {
 		return later("not the leader")
@@ -642,14 +653,27 @@
 	leader, term := n.elector.Leader()
 	leader, _, there := whoLeads(leader, term, n.peers.Alive())
 	if there {
-		if a, err := n.peers.Ask(ctx, leader, r); err == nil {
+		if a, err := n.peers.Ask(ctx, leader, r, patience(r.Verb)); err == nil {
 			return a
 		}
-		return later("the leader does not answer")
+		// It may have fallen silent: what it was asked is stored or read without
+		// it, as conditions on the keys allow whether it goes on or not.
+		slog.Info("the leader does not answer", "leader", leader, "verb", r.Verb, "job", r.Job)
 	}
 	return n.serve(ctx, nil, r)
 }
 
+// patience is how long the leader is waited for.
+func patience(verb string) time.Duration {
+	switch verb {
+	case VerbSubmit:
+		return tuning.AcceptPatience
+	case VerbStatus:
+		return tuning.PollPatience
+	}
+	return tuning.PeerTimeout
+}
+
 // serve answers as the leader (core) or, while the leader is out of reach,
 // from the state service itself.
 func (n *Node) serve(ctx context.Context, core *Core, r peer.Request) peer.Answer {
@@ -744,6 +768,10 @@
 	if !api.ValidID(id) {
 		return api.JobStatus{}, false, nil
 	}
+	if !n.reads.AllowN(n.clock.Now(), 1) {
+		// Questions must not take the requests that leading needs.
+		return api.JobStatus{}, false, store.ErrBusy
+	}
 	it, err := n.client.Get(ctx, store.JobKey(id))
 	if err == nil {
 		var rec store.JobRecord
--- a/controller/relay_test.go
+++ b/controller/relay_test.go
@@ -44,7 +44,7 @@
 func TestUnknownID(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	st := standin.NewState(clock)
-	n := NewNode(context.Background(), &settings.Settings{Member: "y"}, policy.Default(), clock, st)
+	n := NewNode(context.Background(), userSettings(), policy.Default(), clock, st)
 	ask := func() int {
 		return n.told(context.Background(), nil, "run-000404").Status
 	}
@@ -116,7 +116,7 @@
 func TestKnownIDIsNeverRefused(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	st := standin.NewState(clock)
-	n := NewNode(context.Background(), &settings.Settings{Member: "y"}, policy.Default(), clock, st)
+	n := NewNode(context.Background(), userSettings(), policy.Default(), clock, st)
 	n.types = testTypes
 	ask := func(body string) int {
 		return n.serve(context.Background(), nil, peer.Request{Verb: VerbSubmit, Body: []byte(body)}).Status
@@ -161,3 +161,9 @@
 		t.Errorf("inbox %s", st.Get(store.InboxKey("run-000001")))
 	}
 }
+
+func userSettings() *settings.Settings {
+	set := &settings.Settings{Member: "y"}
+	set.Facts.State = settings.State{RPS: 120, WriteRPS: 30, ValueKB: 16, TxnOps: 24}
+	return set
+}
--- a/controller/user.go
+++ b/controller/user.go
@@ -100,7 +100,9 @@
 	return &api.FieldError{Field: "cores", Want: "a task fits no allowed machine type"}, false
 }
 
-// Known answers for a job in memory; false: it is not here.
+// Known answers for a job in memory; false: it is not here, or what is here may be
+// old. That is looked at last: this process can stand still between any two steps,
+// while another one leads and cancels the job.
 func (c *Core) Known(id string) (api.JobStatus, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -108,7 +110,8 @@
 	if j == nil || !j.accepted {
 		return api.JobStatus{}, false
 	}
-	return c.status(j), true
+	st := c.status(j)
+	return st, j.stored || c.hooks.Valid()
 }
 
 // Submit stores a new job and waits until it is stored. False: look again.
@@ -127,9 +130,9 @@
 		c.hooks.Touch(store.JobKey(s.ID), store.Urgent, c.locked(func() { c.accept(s.ID) }))
 	}
 	if j.accepted {
-		st := c.status(j)
 		c.mu.Unlock()
-		return answer(http.StatusOK, st), true
+		st, ok := c.Known(s.ID)
+		return answer(http.StatusOK, st), ok
 	}
 	changed := j.changed
 	c.mu.Unlock()
--- /dev/null
+++ b/controller/user_test.go
@@ -0,0 +1,122 @@
+package controller
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"switchferry/api"
+	"switchferry/internal/standin"
+	"switchferry/peer"
+	"switchferry/policy"
+	"switchferry/settings"
+	"switchferry/store"
+	"switchferry/tuning"
+)
+
+const aJob = `{"name_id":"run-000001","jobclass":"c","owner":"t","shape":"sweep","rank":"normal","parts":1,"cores":1,"cards":0,"ram_gb":1,
+ "hulls":null,"berth":null,"together":false,"apart":false,"standby":true,"bundle":"i","size_gb":1,"expect_s":1,"snapshot_s":0,"stow_s":0,"due_s":null}`
+
+// A leader that greets and never answers held submissions and questions back until
+// their users had given up: they are served without it, in time.
+func TestSilentLeaderHoldsNobodyUp(t *testing.T) {
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	clock := clockwork.NewFakeClock()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	silent := peer.New(nil, clock, func() peer.Hello { return peer.Hello{Member: "n0", Term: 5, StateOK: true} },
+		func(ctx context.Context, _ peer.Request) peer.Answer { <-ctx.Done(); return peer.Answer{} })
+	go func() { _ = silent.Serve(ctx, l) }()
+
+	set := userSettings()
+	set.Facts.Teams = []settings.Team{{Name: "t"}}
+	set.Siblings = []settings.Sibling{{Member: "n0", Address: l.Addr().String()}}
+	st := standin.NewState(clock)
+	n := NewNode(ctx, set, policy.Default(), clock, st)
+	n.types = testTypes
+	n.peers.Run(ctx)
+	for !n.peers.Reaches("n0") {
+		// The greeting is on its way.
+	}
+	for _, c := range []struct {
+		r       peer.Request
+		within  time.Duration
+		status  int
+		patient time.Duration
+	}{
+		{peer.Request{Verb: VerbSubmit, Body: []byte(aJob)}, 200 * time.Millisecond, 201, tuning.AcceptPatience},
+		{peer.Request{Verb: VerbStatus, Job: "run-000001"}, 2*time.Second - tuning.StateTimeout, 200, tuning.PollPatience},
+	} {
+		if c.patient > c.within {
+			t.Errorf("%s waits %v for the leader, its user %v", c.r.Verb, c.patient, c.within)
+		}
+		got := make(chan peer.Answer, 1)
+		go func() { got <- n.Handle(ctx, c.r, false) }()
+		// Waiting: the greetings' pace and the question.
+		if err := clock.BlockUntilContext(ctx, 2); err != nil {
+			t.Fatal(err)
+		}
+		clock.Advance(c.patient)
+		if a := <-got; a.Status != c.status {
+			t.Errorf("%s: %d %s, want %d", c.r.Verb, a.Status, a.Body, c.status)
+		}
+	}
+	if st.Get(store.InboxKey("run-000001")) == nil {
+		t.Error("the leader is not told of the job when it goes on")
+	}
+}
+
+// A leader that stood still past its term answers from the state service, where its
+// successor has cancelled the job, and not from its memory.
+func TestDeposedLeaderDoesNotAnswerFromMemory(t *testing.T) {
+	s := newStage(t)
+	s.submit("run-000001", 1, nil)
+	n := NewNode(context.Background(), userSettings(), policy.Default(), s.clock, s.state)
+	n.core = s.Core
+	ask := func() peer.Answer {
+		return n.Handle(context.Background(), peer.Request{Verb: VerbStatus, Job: "run-000001"}, false)
+	}
+	if a := ask(); a.Status != 200 || !strings.Contains(string(a.Body), api.Pending) {
+		t.Fatalf("%d %s", a.Status, a.Body)
+	}
+	if _, err := n.client.Get(context.Background(), store.LeaderKey); err != nil {
+		t.Fatal(err)
+	}
+	s.valid = false
+	s.state.Put(store.JobKey("run-000001"), store.JobRecord{Job: s.jobs["run-000001"].Job, Final: api.Withdrawn})
+	if _, ok := s.Known("run-000001"); ok {
+		t.Error("memory answers without a term")
+	}
+	if a := ask(); a.Status != 200 || !strings.Contains(string(a.Body), api.Withdrawn) {
+		t.Errorf("%d %s, want what the state service holds", a.Status, a.Body)
+	}
+}
+
+// Users who ask for jobs that nobody knows, again and again, do not take the requests
+// that renewals and records need; what cannot be read is refused at once.
+func TestQuestionsLeaveRequestsForLeading(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	st := standin.NewState(clock)
+	set := userSettings()
+	n := NewNode(context.Background(), set, policy.Default(), clock, st)
+	count := map[int]int{}
+	for i := range 1000 {
+		a := n.Handle(context.Background(), peer.Request{Verb: VerbStatus, Job: fmt.Sprintf("run-%06d", i%20)}, false)
+		count[a.Status]++
+		if a.Status == 503 && a.RetryAfterS == 0 {
+			t.Fatal("refused without a word on when to come back")
+		}
+	}
+	// One controller alone has half of the limit; an unknown id takes two reads.
+	if most := int(2 * tuning.ReadShare * set.Facts.State.RPS); st.Requests > most || count[404] == 0 || count[404]+count[503] != 1000 {
+		t.Errorf("%d requests, want %d at most; answers %v", st.Requests, most, count)
+	}
+}
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -55,6 +55,8 @@
 	// Largest is the largest transaction so far: its changes, its bytes, and
 	// the bytes of its largest value.
 	Largest struct{ Ops, Bytes, Value int }
+	// Requests counts all requests.
+	Requests int
 }
 
 // NewState makes an empty service.
@@ -81,6 +83,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
+	s.Requests++
 	if s.Down {
 		return reply(503, map[string]any{})
 	}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -278,8 +278,8 @@
 	n.mu.Unlock()
 }
 
-// Ask passes a request to a sibling.
-func (n *Net) Ask(ctx context.Context, member string, r Request) (Answer, error) {
+// Ask passes a request to a sibling and waits so long for the answer.
+func (n *Net) Ask(ctx context.Context, member string, r Request, patience time.Duration) (Answer, error) {
 	n.mu.Lock()
 	s := n.siblings[member]
 	if s == nil || s.conn == nil || n.clock.Since(s.heard) > tuning.PeerDead {
@@ -306,7 +306,7 @@
 		}
 		return a, nil
 	case <-ctx.Done():
-	case <-n.clock.After(tuning.PeerTimeout):
+	case <-n.clock.After(patience):
 	}
 	return Answer{}, ErrUnreachable
 }
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 
@@ -79,11 +80,11 @@
 	if h := one.Alive(); len(h) != 1 || h[0].Term != 5 || !h[0].StateOK || one.CutOff() {
 		t.Errorf("alive %+v", h)
 	}
-	a, err := one.Ask(ctx, "n0", Request{Verb: "status", Body: []byte("x")})
+	a, err := one.Ask(ctx, "n0", Request{Verb: "status", Body: []byte("x")}, time.Second)
 	if err != nil || a.Status != 200 || string(a.Body) != "status x" || a.RetryAfterS != 3 {
 		t.Errorf("%+v, %v", a, err)
 	}
-	if _, err := one.Ask(ctx, "n9", Request{}); err == nil {
+	if _, err := one.Ask(ctx, "n9", Request{}, time.Second); err == nil {
 		t.Error("an unknown sibling answered")
 	}
 }
--- a/tuning/tuning.go
+++ b/tuning/tuning.go
@@ -71,8 +71,14 @@
 	WorkerTimeout = 2 * time.Second
 	// CloudTimeout bounds a cloud call.
 	CloudTimeout = 5 * time.Second
-	// PeerTimeout bounds a forwarded request; the user waits 2 s for a poll.
+	// PeerTimeout bounds a request that is passed on to a sibling.
 	PeerTimeout = 1500 * time.Millisecond
+	// PollPatience is the same for a user's question, who waits 2 s in all: a read
+	// of the state service must fit behind it.
+	PollPatience = 700 * time.Millisecond
+	// AcceptPatience is the same for a submission. The leader answers within some
+	// 30 ms; past several times that, the job is stored without it.
+	AcceptPatience = 150 * time.Millisecond
 	// PeerHello is the interval of greetings between controllers.
 	PeerHello = 500 * time.Millisecond
 	// PeerDead: a sibling silent for so long counts as unreachable.
@@ -120,6 +126,10 @@
 	QuotaShare = 0.8
 )
 
+// ReadShare is the share of the state service's limit of requests that all
+// controllers together use to answer users: renewals, records and elections come first.
+const ReadShare = 0.5
+
 // Machines.
 const (
 	// SilentReports: a machine unheard for so many report intervals is given
