Records of owners' jobs are written before those of guests' jobs

Ruled out: the rentals (room was there), the processor alone (0.3 of its share). Ordinary records now go by rank; a low-ranked job's end is ordinary too. Ends that wait longer to be cleared fill reports: a machine with 160 tasks and ends gets no more. Guests' own aims are met as before.

--- a/api/api.go
+++ b/api/api.go
@@ -49,8 +49,11 @@
 
 var ranks = map[string]int{"low": 0, "normal": 1, "high": 2, "prod": 3}
 
-// RankProduction is the highest rank.
-const RankProduction = 3
+// RankProduction is the highest rank, RankLow the lowest.
+const (
+	RankLow        = 0
+	RankProduction = 3
+)
 
 // Submission is a job as its user describes it.
 type Submission struct {
--- a/controller/core.go
+++ b/controller/core.go
@@ -461,9 +461,14 @@
 func (c *Core) touchShard(j *job, task int, after func()) {
 	shard := task / tuning.ShardTasks
 	j.shards[shard] = true
-	c.hooks.Touch(store.ShardKey(j.id, shard), store.Ordinary, after)
+	c.hooks.Touch(store.ShardKey(j.id, shard), j.urgency(), after)
 }
 
+// urgency is how urgent the records of a job's tasks are. A guest's array of 25,000
+// short tasks has something to write all the time: in the order of their coming the
+// starts of all others waited for seconds behind it.
+func (j *job) urgency() int { return store.Ordinary + api.RankProduction - j.rank }
+
 // markDone notes a completed task; stored runs once that is on record.
 func (c *Core) markDone(j *job, task int, stored func()) {
 	if j.Final == "" && !j.bits.Has(task) {
@@ -522,7 +527,11 @@
 	c.unqueue(j)
 	c.forgive(j)
 	slog.Info("job over", "job", j.id, "class", j.Job.Class, "state", state, "after", c.since(time.UnixMilli(j.At)).Round(time.Millisecond))
-	c.hooks.Touch(store.JobKey(j.id), store.Urgent, c.locked(func() {
+	urgency := store.Urgent
+	if state == api.Done && j.rank == api.RankLow {
+		urgency = j.urgency()
+	}
+	c.hooks.Touch(store.JobKey(j.id), urgency, c.locked(func() {
 		j.stored = true
 		c.hooks.Final(j.id, c.final(j))
 		j.notify()
--- /dev/null
+++ b/controller/guest_test.go
@@ -0,0 +1,74 @@
+package controller
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"switchferry/api"
+	"switchferry/store"
+	"switchferry/tuning"
+)
+
+// A guest's array of thousands of short tasks keeps dozens of records waiting to be
+// written; an owner's start waited behind all of them. The limit of writes allows one
+// transaction here.
+func TestOwnersRecordsGoBeforeGuests(t *testing.T) {
+	s := newStage(t)
+	for i := range 12 {
+		s.report("a1"+string(rune('a'+i)), 1)
+	}
+	s.submit("run-000001", 40*tuning.ShardTasks, func(x *api.Submission) { x.Rank, x.CPUs, x.MemoryGB = "low", 0.1, 0.1 })
+	guest := s.jobs["run-000001"]
+	for shard := range 40 {
+		s.touchShard(guest, shard*tuning.ShardTasks, nil)
+	}
+	s.submit("run-000002", 1, func(x *api.Submission) { x.Rank = "prod" })
+	for s.com.Waiting() > 0 {
+		s.commit()
+	}
+	for shard := range 40 {
+		s.touchShard(guest, shard*tuning.ShardTasks, nil)
+	}
+	owner := s.jobs["run-000002"]
+	stored := false
+	s.touchShard(owner, 0, func() { stored = true })
+	accepted := false
+	s.com.Touch(store.JobKey("run-000002"), store.Urgent, func() { accepted = true })
+	s.com.Step(context.Background())
+	if !stored || !accepted {
+		t.Errorf("after one of many transactions the owner's start is stored: %v, the accept: %v", stored, accepted)
+	}
+}
+
+// What a machine reports must fit a record, however small the tasks are and however
+// long their ends wait to be stored and cleared.
+func TestSmallTasksDoNotOverfillAReport(t *testing.T) {
+	s := newStage(t)
+	s.report("a1", 1)
+	s.submit("run-000001", 5000, func(x *api.Submission) { x.Rank, x.CPUs, x.MemoryGB, x.EstimateS = "low", 0.1, 0.1, 1 })
+	most := 0
+	for range 12 {
+		s.Place()
+		for s.com.Waiting() > 0 {
+			s.commit()
+		}
+		var tasks []api.TaskReport
+		m := s.machines["a1"]
+		for key, a := range m.assigns {
+			if a.sent {
+				tasks = append(tasks, task(key, a.attempt, api.TaskEnded, api.CauseDone))
+			}
+		}
+		for key, e := range m.ended {
+			tasks = append(tasks, task(key, e.attempt, api.TaskEnded, api.CauseDone))
+		}
+		most = max(most, len(tasks))
+		// The worker does not hear what to clear; the ends stay in its reports.
+		s.clock.Advance(time.Second)
+		s.report("a1", 1, tasks...)
+	}
+	if most == 0 || most > tuning.ReportTasks {
+		t.Errorf("a report of %d tasks, want some and %d at most", most, tuning.ReportTasks)
+	}
+}
--- a/controller/place.go
+++ b/controller/place.go
@@ -269,7 +269,7 @@
 
 // startable tells whether a task of the job can start on the machine now.
 func (c *Core) startable(j *job, m *machine) bool {
-	return c.ready(j) && m.free().Holds(j.need) && c.eligible(j, m) && zoneOK(j, m) && c.withinLimit(j)
+	return c.ready(j) && m.free().Holds(j.need) && len(m.assigns)+len(m.ended) < tuning.ReportTasks && c.eligible(j, m) && zoneOK(j, m) && c.withinLimit(j)
 }
 
 // serve starts queued tasks, job by job in the order of the queues: first where
--- a/store/commit.go
+++ b/store/commit.go
@@ -55,11 +55,12 @@
 	after []func()
 }
 
-// Urgent records (accepts) go before others.
+// Urgencies: accepts and what users wait for go first, then ordinary records, those of
+// jobs of a lower rank each a step later, then what nobody waits for.
 const (
-	Urgent = iota
-	Ordinary
-	Lazy
+	Urgent   = 0
+	Ordinary = 1
+	Lazy     = 8
 )
 
 // orderBits of an entry's order count; above them stands its urgency.
--- a/tuning/tuning.go
+++ b/tuning/tuning.go
@@ -246,6 +246,10 @@
 	// MovedLoss is what each earlier stop adds to the loss of stopping a task
 	// again: about a task's run time, so that it is some other's turn.
 	MovedLoss = 30 * time.Second
+	// ReportTasks is how many tasks, ended ones that are not cleared included, a
+	// machine may have and still get more: at some 75 bytes each, its report fits
+	// a relay's record of 16 KiB, and a body of 64 KiB with ease.
+	ReportTasks = 160
 	// RoomSlack absorbs the rounding of decimal amounts.
 	RoomSlack = 1e-6
 )
