Jobs of rank low leave a tenth of what others use free

Ruled out: the write limit (owners' records go first by now). New policy reserve_cpus, 0.1 * owned_cpus; nothing is left free when low rank is alone.

--- a/controller/bench_test.go
+++ b/controller/bench_test.go
@@ -101,3 +101,33 @@
 		s.report("a1", 1, tasks...)
 	}
 }
+
+// guestFleet is a fleet that a guest has filled with tiny tasks of one array and of
+// many jobs, with more of them waiting, and owners' jobs beside.
+func guestFleet(t *testing.T, machines int) *stage {
+	s := newStage(t)
+	for i := range machines {
+		s.report(fmt.Sprintf("a%03d", i), 1)
+	}
+	tiny := func(x *api.Submission) { x.Team, x.Rank, x.CPUs, x.MemoryGB, x.EstimateS = "lent", "low", 0.25, 0.9, 4 }
+	for i := range machines / 7 {
+		s.submit(fmt.Sprintf("run-%06d", i), 4, func(x *api.Submission) { x.Team, x.Image = "left", fmt.Sprintf("img-%d", i%8) })
+	}
+	s.submit("run-900000", 25000, tiny)
+	for i := range 400 {
+		s.submit(fmt.Sprintf("run-8%05d", i), 1, tiny)
+	}
+	for range 3 {
+		s.settleStarts()
+	}
+	return s
+}
+
+// BenchmarkPlaceGuests is one run of the placer on such a fleet.
+func BenchmarkPlaceGuests(b *testing.B) {
+	s := guestFleet(&testing.T{}, 280)
+	b.ReportAllocs()
+	for b.Loop() {
+		s.Place()
+	}
+}
--- a/controller/guest_test.go
+++ b/controller/guest_test.go
@@ -72,3 +72,30 @@
 		t.Errorf("a report of %d tasks, want some and %d at most", most, tuning.ReportTasks)
 	}
 }
+
+// Jobs of rank low filled every gap, and each task of the owners had dozens of theirs
+// stopped first: they leave a tenth of what the others use, and nothing when alone.
+func TestLowRankLeavesAReserve(t *testing.T) {
+	fill := func(owned int) (free float64) {
+		s := newStage(t)
+		for i := range 10 {
+			s.report("a1"+string(rune('a'+i)), 1)
+		}
+		if owned > 0 {
+			s.submit("run-000002", owned, nil)
+			s.settleStarts()
+		}
+		s.submit("run-000001", 1000, func(x *api.Submission) { x.Rank, x.CPUs, x.MemoryGB = "low", 0.25, 0.1 })
+		s.settleStarts()
+		for _, m := range s.machines {
+			free += m.free().CPUs
+		}
+		return free
+	}
+	if free := fill(10); free < 4 || free > 8 {
+		t.Errorf("%v of 80 processors left free beside 40 that others use, want a tenth of these", free)
+	}
+	if free := fill(0); free > 0 {
+		t.Errorf("%v processors left free though nobody else has work", free)
+	}
+}
--- a/controller/place.go
+++ b/controller/place.go
@@ -303,20 +303,23 @@
 			roomy = append(roomy, m)
 		}
 	}
+	room, reserve := c.reserve(ms)
 	for _, j := range c.order {
-		if j.queued == 0 || len(roomy) == 0 || !c.ready(j) {
+		if j.queued == 0 || len(roomy) == 0 || !c.ready(j) || !c.withinLimit(j) {
 			continue
 		}
 		at := where[j]
+		spare := func() bool { return j.rank > api.RankLow || room-j.need.CPUs >= reserve }
 		for _, p := range at {
-			for len(p.q.tasks) > 0 && c.startable(j, p.m) {
+			for len(p.q.tasks) > 0 && spare() && c.startable(j, p.m) {
 				c.start(j, p.q.pop(), p.m, nil, "queued here")
 				length[p.m]--
+				room -= j.need.CPUs
 			}
 		}
-		if j.queued > 0 {
+		if j.queued > 0 && spare() {
 			for _, m := range c.pullers(j, roomy) {
-				for j.queued > 0 && c.startable(j, m) {
+				for j.queued > 0 && spare() && c.startable(j, m) {
 					from := -1
 					for i, p := range at {
 						if len(p.q.tasks) > 0 && (from < 0 || length[p.m] > length[at[from].m]) {
@@ -325,6 +328,7 @@
 					}
 					c.start(j, at[from].q.pop(), m, nil, "pulled")
 					length[at[from].m]--
+					room -= j.need.CPUs
 				}
 			}
 		}
@@ -335,6 +339,25 @@
 	}
 }
 
+// reserve is the room there is, and how much of it jobs of rank low leave to others.
+// Tiny tasks that filled every gap at once had to be stopped by the dozen for each of
+// the owners' tasks, and started again elsewhere.
+func (c *Core) reserve(ms []*machine) (room, reserve float64) {
+	owned := 0.0
+	for _, m := range ms {
+		if !c.usable(m) {
+			continue
+		}
+		room += m.free().CPUs
+		for _, a := range m.assigns {
+			if a.job.rank > api.RankLow {
+				owned += a.job.need.CPUs
+			}
+		}
+	}
+	return room, c.policy.Value(policy.ReserveCPUs, policy.Vars{"owned_cpus": owned})
+}
+
 // pullers are the machines that may take a job's task off another's queue, those
 // that hold the image first, and of those the ones with the least room left.
 func (c *Core) pullers(j *job, roomy []*machine) []*machine {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -24,6 +24,7 @@
 	HeadroomCPUs = "headroom_cpus"
 	IdleKeepS    = "idle_keep_s"
 	SpotShare    = "spot_share"
+	ReserveCPUs  = "reserve_cpus"
 )
 
 // Vars are the variables of an expression.
@@ -45,6 +46,8 @@
 		[]string{"demand_cpus", "guaranteed_cpus"}, 0, 1e6},
 	IdleKeepS: {"how long a machine stays without work before it is returned, in seconds", "max(20, 8 * boot_s)",
 		[]string{"boot_s"}, 0, 1e6},
+	ReserveCPUs: {"processors that jobs of rank low leave free while others have work", "0.1 * owned_cpus",
+		[]string{"owned_cpus"}, 0, 1e6},
 	SpotShare: {"largest share of all processors that spot machines may be", "1",
 		[]string{"demand_cpus"}, 0, 1},
 }
