Late boots are judged beside others: a late batch stays, an overtaken machine is replaced

Cause: every machine was returned three boot times after its rental; with all of them late a whole batch went just before it came up, and another as late one was paid for. One that never comes up was counted on for as long. Ruled out: the list's lag (rentals are timed by this leader). While none of those rented since is up, a machine has twice the time; one that is overtaken by 1.6 times is replaced early, and returned at three boot times as before.

--- a/controller/core.go
+++ b/controller/core.go
@@ -121,6 +121,8 @@
 	// via is the sibling that its last report came through in any way.
 	via       string
 	returning bool
+	// ours: this leader rented it, so it knows when.
+	ours bool
 	// noted: that it is suspect was logged.
 	noted bool
 	// running: the cloud lists it as up, though it has not reported yet.
@@ -191,6 +193,8 @@
 	wake     chan struct{}
 	heard    time.Time
 	silence  silence
+	// boots are, by type, the machines that came up of those rented last.
+	boots map[string]boot
 	// hints are the images of machines that have not reported yet, as the last
 	// leader knew them; imagesNew: there is more to put on record since
 	// imagesAt.
@@ -213,6 +217,7 @@
 		wake: make(chan struct{}, 1), started: clock.Now()}
 	c.heard = c.started
 	c.silence = newSilence(c.started)
+	c.boots = map[string]boot{}
 	c.aims, c.grace = map[string][]float64{}, map[string][]float64{}
 	for _, o := range set.Facts.Objectives {
 		if o.Kind == "finished" && o.WithinS > 0 {
--- a/controller/rent.go
+++ b/controller/rent.go
@@ -48,7 +48,7 @@
 			}
 			limit := grace
 			if len(m.assigns) == 0 {
-				limit = max(grace, seconds(boot*tuning.BootFactor))
+				limit = max(grace, c.bootLimit(m, boot))
 				since = now.Sub(m.Rented)
 			}
 			if since > limit && now.Sub(c.started) > grace && now.Sub(c.silence.woke) > grace {
@@ -179,7 +179,7 @@
 // supply is the processors that are up or coming.
 func (c *Core) supply() (all, spot float64) {
 	for _, m := range c.machines {
-		if m.returning || !m.TakenAt.IsZero() || m.Spec == nil || c.missing(m) {
+		if m.returning || !m.TakenAt.IsZero() || m.Spec == nil || c.missing(m) || c.overdue(m) {
 			continue
 		}
 		all += m.Spec.CPUs
@@ -304,6 +304,7 @@
 		m := c.machine(n)
 		if !m.Up {
 			m.Type, m.Zone, m.Spot, m.Spec = r.Type, r.Zone, r.Spot, c.types[r.Type]
+			m.ours = true
 		}
 	}
 }
--- a/controller/report.go
+++ b/controller/report.go
@@ -103,6 +103,7 @@
 	if first {
 		slog.Info("machine up", "machine", r.Machine, "type", r.Type, "zone", r.Zone, "spot", r.Spot, "after", now.Sub(m.Rented).Round(time.Second))
 		m.idle = now
+		c.cameUp(m, now)
 		c.kick()
 	}
 	if r.NoticeS != nil && m.TakenAt.IsZero() {
--- a/tuning/tuning.go
+++ b/tuning/tuning.go
@@ -147,6 +147,9 @@
 	// NewTermGrace is added to the workers' lease before a new leader gives
 	// up a machine that it has not heard yet.
 	NewTermGrace = 2 * time.Second
+	// BootUsual times the catalog's boot time, or that of machines rented later, is
+	// what a boot takes at most as a rule.
+	BootUsual = 1.6
 	// BootFactor times the catalog's boot time: later machines are replaced.
 	BootFactor = 3.0
 	// SickErrors: so many errors in a row, of two jobs or more, and the
