A leader that reaches no worker leaves the post to a sibling that hears them

Ruled out: the placer (it gave machines at once); the way of reports. It resigns after 3.5 s without any worker and five commands in a row unanswered, while a sibling says that it hears workers.

--- a/controller/core.go
+++ b/controller/core.go
@@ -193,6 +193,10 @@
 	wake     chan struct{}
 	heard    time.Time
 	silence  silence
+	// reached is when a worker last reported to us itself or answered a command;
+	// failed counts commands since that none answered.
+	reached time.Time
+	failed  int
 	// boots are, by type, the machines that came up of those rented last.
 	boots map[string]boot
 	// hints are the images of machines that have not reported yet, as the last
@@ -217,6 +221,7 @@
 		wake: make(chan struct{}, 1), started: clock.Now()}
 	c.heard = c.started
 	c.silence = newSilence(c.started)
+	c.reached = c.started
 	c.boots = map[string]boot{}
 	c.aims, c.grace = map[string][]float64{}, map[string][]float64{}
 	for _, o := range set.Facts.Objectives {
--- a/controller/mistake.go
+++ b/controller/mistake.go
@@ -35,9 +35,9 @@
 	})
 }
 
-// failed notes an error of a job's task on a machine. Several tasks that fail on one
+// erred notes an error of a job's task on a machine. Several tasks that fail on one
 // machine are one sign.
-func (c *Core) failed(j *job, m *machine, now time.Time) {
+func (c *Core) erred(j *job, m *machine, now time.Time) {
 	m.Failed(j.id)
 	if !m.noted && c.suspect(m) {
 		m.noted = true
--- a/controller/node.go
+++ b/controller/node.go
@@ -324,6 +324,9 @@
 	if core.hooks.Valid() && n.slow.due(n.clock.Now(), core.started, n.pace.us(), n.peers.Alive()) {
 		return "computes slower than a sibling"
 	}
+	if core.hooks.Valid() && core.deafened(n.peers.Alive()) {
+		return "reaches no worker, a sibling does"
+	}
 	if !n.peers.CutOff() {
 		return ""
 	}
--- a/controller/report.go
+++ b/controller/report.go
@@ -25,6 +25,9 @@
 		return o, false, true
 	}
 	m.relay, m.via = "", via
+	if via == "" {
+		c.reached, c.failed = m.Heard, 0
+	}
 	if !ok {
 		return o, false, false
 	}
@@ -184,7 +187,7 @@
 	}
 	switch t.Cause {
 	case api.CauseError:
-		c.failed(j, m, now)
+		c.erred(j, m, now)
 	case api.CauseNoRoom, api.CauseBusy, api.CauseUnknown:
 		slog.Info("start refused", "task", a.key, "machine", m.Name, "cause", t.Cause)
 		m.refused = now.Add(tuning.BackoffBase)
@@ -396,6 +399,9 @@
 	if r != nil {
 		// A worker that answers shows that our own network works.
 		c.heard = c.now()
+		c.reached, c.failed = c.heard, 0
+	} else {
+		c.failed++
 	}
 	// A machine that has not reported in this term has its whole lease to find
 	// us; only its own report makes it count as heard.
--- a/controller/silence.go
+++ b/controller/silence.go
@@ -2,8 +2,10 @@
 
 import (
 	"log/slog"
+	"slices"
 	"time"
 
+	"switchferry/peer"
 	"switchferry/tuning"
 )
 
@@ -43,6 +45,17 @@
 	return latest(c.heard, c.silence.woke)
 }
 
+// deafened tells whether this leader reaches no worker any more while a sibling hears
+// them: reports come through that one, but no command goes out at once.
+func (c *Core) deafened(siblings []peer.Hello) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.failed < tuning.DeafCommands || c.since(latest(c.reached, c.silence.woke)) < tuning.DeafAfter {
+		return false
+	}
+	return slices.ContainsFunc(siblings, func(h peer.Hello) bool { return h.HearsWorkers && h.StateOK })
+}
+
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/controller/silence_test.go
+++ b/controller/silence_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"switchferry/api"
+	"switchferry/peer"
 	"switchferry/tuning"
 )
 
@@ -90,3 +91,35 @@
 		t.Errorf("%v given up after a whole lease, want all of %v", gone, there)
 	}
 }
+
+// A leader that lost its way to the workers led on through a sibling that passed reports
+// on, and every start waited for the next report. It leaves the post to that one.
+func TestLeaderThatReachesNoWorkerResigns(t *testing.T) {
+	s := newStage(t)
+	hears := []peer.Hello{{Member: "n1", StateOK: true, HearsWorkers: true}}
+	s.report("a1", 1)
+	s.report("a2", 1)
+	miss := func(n int) {
+		for range n {
+			s.Answered("a1", api.Orders{Helm: s.term}, nil, true)
+		}
+	}
+	quiet := func() { s.through("n1", "a1"); s.through("n1", "a2") }
+	miss(tuning.DeafCommands)
+	if s.deafened(hears) {
+		t.Error("resigns for a few commands in a moment")
+	}
+	s.rounds(5*time.Second, quiet)
+	if !s.deafened(hears) {
+		t.Error("leads on although it reaches no worker and a sibling hears them")
+	}
+	if s.deafened([]peer.Hello{{Member: "n1", StateOK: true}}) {
+		t.Error("resigns although no sibling hears workers either")
+	}
+	s.report("a2", 1)
+	s.rounds(5*time.Second, quiet)
+	miss(tuning.DeafCommands - 1)
+	if s.deafened(hears) {
+		t.Error("resigns because one machine does not answer")
+	}
+}
--- a/tuning/tuning.go
+++ b/tuning/tuning.go
@@ -25,6 +25,9 @@
 	// DeafAfter: a leader that hears no worker and no sibling for so long,
 	// while machines should report, resigns.
 	DeafAfter = 3500 * time.Millisecond
+	// DeafCommands is how many commands in a row must have gone unanswered, besides,
+	// before a leader holds itself and not the machines for cut off.
+	DeafCommands = 5
 	// Interregnum is how long, with nobody leading, workers are answered with
 	// the last term's token: several elections.
 	Interregnum = 6 * time.Second
