Returns are checked against the term when they go out; questions are logged by the count

Cause: suspected from reading: a leader can stand still between deciding to return a machine and asking the cloud; the machine may work for its successor by then. A storm of questions and a silent leader could not be told from the logs. Ruled out: a broken rule by it (the cloud's answer to any return stays a proof). Test TestNothingIsReturnedAfterTheTerm.

--- a/controller/node.go
+++ b/controller/node.go
@@ -49,6 +49,7 @@
 	// hearing is when a worker last reported to this node itself.
 	hearing time.Time
 	bounces bounces
+	users   users
 
 	// reads limits what questions of users take of the state service.
 	reads *rate.Limiter
@@ -95,6 +96,7 @@
 	}()
 	n.peers.Run(n.ctx)
 	go n.catalog()
+	go n.logUsers()
 	go n.relay.run(n.ctx)
 	go n.pace.run(n.ctx)
 	n.elector.Run(n.ctx)
@@ -460,13 +462,7 @@
 			for len(names) > 0 {
 				some := names[:min(len(names), tuning.ReturnBatch)]
 				names = names[len(some):]
-				go func() {
-					err := n.cloud.Return(ctx, some)
-					if err != nil {
-						slog.Info("machines not returned", "machines", some, "err", err)
-					}
-					core.Returned(some, err)
-				}()
+				go n.giveBack(ctx, core, some)
 			}
 		}
 		for _, r := range core.Rentals() {
@@ -479,6 +475,23 @@
 	}
 }
 
+// errNoTerm: what was decided is not carried out, since the term may be over.
+var errNoTerm = errors.New("no longer certain to lead")
+
+// giveBack returns machines to the cloud. Whether we lead is looked at once more: this
+// process may have stood still since that was decided, and the machines may work for
+// another leader by now.
+func (n *Node) giveBack(ctx context.Context, core *Core, names []string) {
+	err := errNoTerm
+	if core.hooks.Valid() {
+		err = n.cloud.Return(ctx, names)
+	}
+	if err != nil {
+		slog.Info("machines not returned", "machines", names, "err", err)
+	}
+	core.Returned(names, err)
+}
+
 // Report answers a worker. Its zone's own controller is its home, so that a cut
 // between zones does not take its answers away: that one passes reports on to
 // the leader, and relays them once it cannot.
@@ -636,6 +649,48 @@
 	if forwarded && r.Verb == verbReport {
 		return n.passedOn(r.From, r.Body)
 	}
+	a := n.handle(ctx, r, forwarded)
+	if !forwarded {
+		n.count(func(u *users) {
+			if r.Verb == VerbStatus {
+				u.questions++
+			} else {
+				u.requests++
+			}
+			if a.Status == http.StatusServiceUnavailable {
+				u.refused++
+			}
+		})
+	}
+	return a
+}
+
+// users counts what users asked of this node since it was last logged; passed: how
+// often the leader did not answer and was passed by.
+type users struct{ questions, requests, refused, passed int }
+
+func (n *Node) count(add func(*users)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	add(&n.users)
+}
+
+// logUsers writes now and then what users asked, so that a storm of questions and a
+// silent leader can be told from other troubles.
+func (n *Node) logUsers() {
+	for n.ctx.Err() == nil {
+		n.sleep(n.ctx, tuning.FleetLogEvery)
+		n.mu.Lock()
+		u := n.users
+		n.users = users{}
+		n.mu.Unlock()
+		if u != (users{}) {
+			slog.Info("users", "questions", u.questions, "other_requests", u.requests, "refused", u.refused, "leader_silent", u.passed)
+		}
+	}
+}
+
+func (n *Node) handle(ctx context.Context, r peer.Request, forwarded bool) peer.Answer {
 	if f, ok := n.finalOf(r.Job); ok && r.Verb != VerbSubmit {
 		return answer(http.StatusOK, finalStatus(r.Job, f))
 	}
@@ -661,7 +716,7 @@
 		}
 		// It may have fallen silent: what it was asked is stored or read without
 		// it, as conditions on the keys allow whether it goes on or not.
-		slog.Info("the leader does not answer", "leader", leader, "verb", r.Verb, "job", r.Job)
+		n.count(func(u *users) { u.passed++ })
 	}
 	return n.serve(ctx, nil, r)
 }
--- a/controller/user_test.go
+++ b/controller/user_test.go
@@ -120,3 +120,21 @@
 		t.Errorf("%d requests, want %d at most; answers %v", st.Requests, most, count)
 	}
 }
+
+// A leader that stood still between deciding to return a machine and doing so may no
+// longer lead, and the machine may be at work for another: nothing is returned.
+func TestNothingIsReturnedAfterTheTerm(t *testing.T) {
+	s := newStage(t)
+	s.report("a1", 1)
+	n := NewNode(context.Background(), userSettings(), policy.Default(), s.clock, s.state)
+	s.valid = false
+	s.machines["a1"].returning = true
+	before := s.state.Requests
+	n.giveBack(context.Background(), s.Core, []string{"a1"})
+	if s.state.Requests != before {
+		t.Error("the cloud was asked to take the machine back")
+	}
+	if m := s.machines["a1"]; m == nil || m.returning {
+		t.Error("the machine counts as returned")
+	}
+}
