--- a/controller/node.go
+++ b/controller/node.go
@@ -358,7 +358,7 @@
 		if err != nil {
 			return
 		}
-		if _, known := core.Known(id); !known {
+		if !core.Has(id) {
 			com.Know(it.Key, it.Stamp)
 			core.Conflict(store.JobKey(id), &it)
 		}
--- a/controller/user.go
+++ b/controller/user.go
@@ -114,6 +114,14 @@
 	return st, j.stored || c.hooks.Valid()
 }
 
+// Has tells whether an accepted job is in memory, whoever leads.
+func (c *Core) Has(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	j := c.jobs[id]
+	return j != nil && j.accepted
+}
+
 // Submit stores a new job and waits until it is stored. False: look again.
 func (c *Core) Submit(ctx context.Context, s *api.Submission, now time.Time) (peer.Answer, bool) {
 	c.mu.Lock()
