--- a/controller/place.go
+++ b/controller/place.go
@@ -285,11 +285,13 @@
 	where := map[*job][]place{}
 	length := map[*machine]int{}
 	least := math.Inf(1)
+	low := false
 	for _, m := range ms {
 		for _, q := range m.queue {
 			where[q.job] = append(where[q.job], place{m, q})
 			length[m] += len(q.tasks)
 			least = math.Min(least, q.job.need.CPUs)
+			low = low || q.job.rank == api.RankLow
 		}
 	}
 	if len(where) == 0 {
@@ -303,7 +305,10 @@
 			roomy = append(roomy, m)
 		}
 	}
-	room, reserve := c.reserve(ms)
+	room, reserve := 0.0, 0.0
+	if low {
+		room, reserve = c.reserve(ms)
+	}
 	for _, j := range c.order {
 		if j.queued == 0 || len(roomy) == 0 || !c.ready(j) || !c.withinLimit(j) {
 			continue
