A busy leader is waited for; only a silent one is passed by

Ruled out: the order of records (accepts go first). A request goes out with a greeting, which a busy sibling answers at once.

--- a/controller/node.go
+++ b/controller/node.go
@@ -711,8 +711,13 @@
 	leader, term := n.elector.Leader()
 	leader, _, there := whoLeads(leader, term, n.peers.Alive())
 	if there {
-		if a, err := n.peers.Ask(ctx, leader, r, patience(r.Verb)); err == nil {
+		a, err := n.peers.Ask(ctx, leader, r, patience(r.Verb))
+		switch {
+		case err == nil:
 			return a
+		case errors.Is(err, peer.ErrBusy):
+			// To do its work beside it would only take more of what it lacks.
+			return later("the leader is busy")
 		}
 		// It may have fallen silent: what it was asked is stored or read without
 		// it, as conditions on the keys allow whether it goes on or not.
--- a/controller/user_test.go
+++ b/controller/user_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -22,20 +23,21 @@
 const aJob = `{"name_id":"run-000001","jobclass":"c","owner":"t","shape":"sweep","rank":"normal","parts":1,"cores":1,"cards":0,"ram_gb":1,
  "hulls":null,"berth":null,"together":false,"apart":false,"standby":true,"bundle":"i","size_gb":1,"expect_s":1,"snapshot_s":0,"stow_s":0,"due_s":null}`
 
-// A leader that greets and never answers held submissions and questions back until
-// their users had given up: they are served without it, in time.
-func TestSilentLeaderHoldsNobodyUp(t *testing.T) {
-	ctx, stop := context.WithCancel(context.Background())
-	defer stop()
+// follower is a controller that has greeted its leader n0. The leader falls silent once
+// mute is set: connections stand, and nothing is answered.
+func follower(t *testing.T, ctx context.Context, mute *atomic.Bool, handle peer.Handler) (*Node, *clockwork.FakeClock, *standin.State) {
 	clock := clockwork.NewFakeClock()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	silent := peer.New(nil, clock, func() peer.Hello { return peer.Hello{Member: "n0", Term: 5, StateOK: true} },
-		func(ctx context.Context, _ peer.Request) peer.Answer { <-ctx.Done(); return peer.Answer{} })
-	go func() { _ = silent.Serve(ctx, l) }()
-
+	leader := peer.New(nil, clock, func() peer.Hello {
+		if mute.Load() {
+			<-ctx.Done()
+		}
+		return peer.Hello{Member: "n0", Term: 5, StateOK: true}
+	}, handle)
+	go func() { _ = leader.Serve(ctx, l) }()
 	set := userSettings()
 	set.Facts.Teams = []settings.Team{{Name: "t"}}
 	set.Siblings = []settings.Sibling{{Member: "n0", Address: l.Addr().String()}}
@@ -46,7 +48,21 @@
 	for !n.peers.Reaches("n0") {
 		// The greeting is on its way.
 	}
-	for _, c := range []struct {
+	return n, clock, st
+}
+
+// never answers a request.
+func never(ctx context.Context, _ peer.Request) peer.Answer { <-ctx.Done(); return peer.Answer{} }
+
+// A leader that fell silent held submissions and questions back until their users had
+// given up: they are served without it, in time.
+func TestSilentLeaderHoldsNobodyUp(t *testing.T) {
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	var mute atomic.Bool
+	n, clock, st := follower(t, ctx, &mute, never)
+	mute.Store(true)
+	for i, c := range []struct {
 		r       peer.Request
 		within  time.Duration
 		status  int
@@ -60,8 +76,9 @@
 		}
 		got := make(chan peer.Answer, 1)
 		go func() { got <- n.Handle(ctx, c.r, false) }()
-		// Waiting: the greetings' pace and the question.
-		if err := clock.BlockUntilContext(ctx, 2); err != nil {
+		// Waiting: the greetings' pace, the two ends of patience, what is left of
+		// the question before.
+		if err := clock.BlockUntilContext(ctx, 3+i); err != nil {
 			t.Fatal(err)
 		}
 		clock.Advance(c.patient)
@@ -74,6 +91,35 @@
 	}
 }
 
+// A leader that is only busy, with more submissions than the limit of writes allows, had
+// each of them stored beside it as well, which took twice the writes that it lacked.
+func TestBusyLeaderIsNotPassedBy(t *testing.T) {
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	var mute atomic.Bool
+	asked := make(chan struct{})
+	n, clock, st := follower(t, ctx, &mute, func(ctx context.Context, r peer.Request) peer.Answer {
+		close(asked)
+		return never(ctx, r)
+	})
+	got := make(chan peer.Answer, 1)
+	before := st.Requests
+	go func() { got <- n.Handle(ctx, peer.Request{Verb: VerbSubmit, Body: []byte(aJob)}, false) }()
+	// The greeting went before the question, and is answered in its place.
+	<-asked
+	if err := clock.BlockUntilContext(ctx, 3); err != nil {
+		t.Fatal(err)
+	}
+	for n.peers.Signs("n0") < 2 {
+		// Its answer is on its way.
+	}
+	clock.Advance(tuning.AcceptPatience)
+	clock.Advance(tuning.PeerTimeout - tuning.AcceptPatience)
+	if a := <-got; a.Status != 503 || a.RetryAfterS == 0 || st.Requests != before {
+		t.Errorf("%d, again after %d s, %d requests to the state service", a.Status, a.RetryAfterS, st.Requests-before)
+	}
+}
+
 // A leader that stood still past its term answers from the state service, where its
 // successor has cancelled the job, and not from its memory.
 func TestDeposedLeaderDoesNotAnswerFromMemory(t *testing.T) {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -55,6 +55,9 @@
 // ErrUnreachable: the request may or may not have been handled.
 var ErrUnreachable = errors.New("sibling out of reach")
 
+// ErrBusy: the sibling is there, but has not answered in time.
+var ErrBusy = errors.New("sibling is busy")
+
 // Handler serves a sibling's requests.
 type Handler func(ctx context.Context, r Request) Answer
 
@@ -63,8 +66,10 @@
 	conn  net.Conn
 	wmu   sync.Mutex
 	heard time.Time
-	// sign is when it last gave any sign of life, as of Silent.
-	sign time.Time
+	// sign is when it last gave any sign of life, as of Silent; signs counts what
+	// it said.
+	sign  time.Time
+	signs uint64
 	// refused is when it last refused a connection: it is down or full, but
 	// the way to it is open.
 	refused time.Time
@@ -131,6 +136,16 @@
 	return s != nil && n.clock.Since(s.sign) > tuning.PeerDead+tuning.PeerHello
 }
 
+// Signs is how often a sibling said anything.
+func (n *Net) Signs(member string) uint64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if s := n.siblings[member]; s != nil {
+		return s.signs
+	}
+	return 0
+}
+
 // Reaches tells whether a sibling answered lately.
 func (n *Net) Reaches(member string) bool {
 	for _, h := range n.Alive() {
@@ -256,6 +271,7 @@
 		n.mu.Lock()
 		s.heard = n.clock.Now()
 		s.sign = s.heard
+		s.signs++
 		switch f.kind {
 		case wire.KindHello:
 			s.hello = Hello{s.Member, f.term, f.stateOK, f.pace, f.hears}
@@ -278,7 +294,9 @@
 	n.mu.Unlock()
 }
 
-// Ask passes a request to a sibling and waits so long for the answer.
+// Ask passes a request to a sibling, and a greeting with it, which is answered at once.
+// One that gives no sign within patience is silent; one that does is only busy, and is
+// waited for.
 func (n *Net) Ask(ctx context.Context, member string, r Request, patience time.Duration) (Answer, error) {
 	n.mu.Lock()
 	s := n.siblings[member]
@@ -287,7 +305,7 @@
 		return Answer{}, ErrUnreachable
 	}
 	s.seq++
-	seq, c := s.seq, s.conn
+	seq, c, signs := s.seq, s.conn, s.signs
 	wait := make(chan Answer, 1)
 	s.waits[seq] = wait
 	n.mu.Unlock()
@@ -296,19 +314,34 @@
 		delete(s.waits, seq)
 		n.mu.Unlock()
 	}()
+	if err := write(c, &s.wmu, n.helloFrame()); err != nil {
+		return Answer{}, ErrUnreachable
+	}
 	if err := write(c, &s.wmu, frame{kind: wire.KindRequest, seq: seq, member: r.From, verb: r.Verb, job: r.Job, body: r.Body}); err != nil {
 		return Answer{}, ErrUnreachable
 	}
-	select {
-	case a, ok := <-wait:
-		if !ok {
+	silent, over := n.clock.After(min(patience, tuning.PeerTimeout)), n.clock.After(tuning.PeerTimeout)
+	for {
+		select {
+		case a, ok := <-wait:
+			if !ok {
+				return Answer{}, ErrUnreachable
+			}
+			return a, nil
+		case <-silent:
+			n.mu.Lock()
+			alive := s.signs > signs
+			n.mu.Unlock()
+			if !alive {
+				return Answer{}, ErrUnreachable
+			}
+			silent = nil
+		case <-over:
+			return Answer{}, ErrBusy
+		case <-ctx.Done():
 			return Answer{}, ErrUnreachable
 		}
-		return a, nil
-	case <-ctx.Done():
-	case <-n.clock.After(patience):
 	}
-	return Answer{}, ErrUnreachable
 }
 
 // frame is a decoded wire.Frame.
--- a/tuning/tuning.go
+++ b/tuning/tuning.go
@@ -79,8 +79,8 @@
 	// PollPatience is the same for a user's question, who waits 2 s in all: a read
 	// of the state service must fit behind it.
 	PollPatience = 700 * time.Millisecond
-	// AcceptPatience is the same for a submission. The leader answers within some
-	// 30 ms; past several times that, the job is stored without it.
+	// AcceptPatience is the same for a submission: several times what a sibling
+	// needs to answer a greeting. One that answers that is busy, and is waited for.
 	AcceptPatience = 150 * time.Millisecond
 	// PeerHello is the interval of greetings between controllers.
 	PeerHello = 500 * time.Millisecond
