Datasets, who holds them, and water-filling over several groups

Need: tasks of one job shall need different data, held in different places (paper, eq. 1 and Algorithm 2 with K > 1). So far a job was one group. Nothing calls them yet.

--- /dev/null
+++ b/holdings/holdings_test.go
@@ -0,0 +1,124 @@
+package holdings
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"slices"
+	"testing"
+
+	"github.com/RoaringBitmap/roaring/v2"
+)
+
+func of(n int, parts ...uint32) Holding { return Holding{n, roaring.BitmapOf(parts...)} }
+
+// Whatever agents say in whatever order, both directions of the index agree, and a
+// snapshot taken before does not change.
+func TestBothDirectionsAgree(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	x := New()
+	truth := map[string]map[int]bool{}
+	before := x.Snapshot()
+	for range 400 {
+		name := fmt.Sprintf("n-%d", rng.IntN(12))
+		if rng.IntN(10) == 0 {
+			x.Drop(name)
+			delete(truth, name)
+			continue
+		}
+		var parts []uint32
+		truth[name] = map[int]bool{}
+		for k := range 20 {
+			if rng.IntN(3) == 0 || rng.IntN(4) == 0 && k < 15 {
+				parts = append(parts, uint32(k))
+				truth[name][k] = true
+			}
+		}
+		x.Take(name, map[string]Holding{"a": of(20, parts...)})
+		s := x.Snapshot()
+		for k := range 20 {
+			n := 0
+			for m, has := range truth {
+				id := x.Machine(m)
+				if s.Has(id, "a", k) != has[k] {
+					t.Fatalf("part %d on %s", k, m)
+				}
+				if has[k] {
+					n++
+				}
+				if s.Count(id, "a") != len(has) {
+					t.Fatalf("%s holds %d, not %d", m, s.Count(id, "a"), len(has))
+				}
+			}
+			if len(s.Holders("a", k)) != n || !slices.IsSorted(s.Holders("a", k)) {
+				t.Fatalf("holders of %d: %v, not %d", k, s.Holders("a", k), n)
+			}
+		}
+	}
+	if len(before.Datasets()) != 0 {
+		t.Fatal("an old snapshot changed")
+	}
+}
+
+func TestWholeAndWhatIsTooMuch(t *testing.T) {
+	x := New()
+	x.Take("n-1", map[string]Holding{"a": of(3, 0, 1, 2, 9)})
+	x.Take("n-2", map[string]Holding{"a": of(3, 0, 2)})
+	s := x.Snapshot()
+	if !slices.Equal(s.Whole("a"), []Machine{x.Machine("n-1")}) || s.Holders("a", 9) != nil {
+		t.Fatalf("whole: %v", s.Whole("a"))
+	}
+	x.Take("n-1", map[string]Holding{})
+	if s := x.Snapshot(); len(s.Whole("a")) != 0 || len(s.Holders("a", 0)) != 1 {
+		t.Fatal("what is gone is still there")
+	}
+}
+
+// fill is the size that docs/data.md measures at: three holders of each part.
+func fill(machines, parts int) *Index {
+	rng := rand.New(rand.NewPCG(3, uint64(machines)))
+	on := make([]*roaring.Bitmap, machines)
+	for i := range on {
+		on[i] = roaring.New()
+	}
+	for k := range parts {
+		for range 3 {
+			on[rng.IntN(machines)].Add(uint32(k))
+		}
+	}
+	x := New()
+	for i, b := range on {
+		x.Take(fmt.Sprintf("n-%06d", i), map[string]Holding{"chunks": {parts, b}})
+	}
+	return x
+}
+
+// The leader has 70 MB in all: 60,000 holdings must stay far below.
+func TestMemoryAHolding(t *testing.T) {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	x := fill(2000, 20000)
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	n := 0
+	for k := range 20000 {
+		n += len(x.Snapshot().Holders("chunks", k))
+	}
+	each := float64(after.HeapAlloc-before.HeapAlloc) / float64(n)
+	t.Logf("%d holdings, %.0f bytes each", n, each)
+	if each > 250 {
+		t.Fatalf("%.0f bytes a holding", each)
+	}
+	runtime.KeepAlive(x)
+}
+
+func BenchmarkTake(b *testing.B) {
+	x := fill(2000, 20000)
+	parts := x.Snapshot().Parts(x.Machine("n-000007"), "chunks").Clone()
+	for b.Loop() {
+		parts = parts.Clone()
+		parts.Flip(7, 8)
+		x.Take("n-000007", map[string]Holding{"chunks": {20000, parts}})
+	}
+}
--- a/tuning/tuning.go
+++ b/tuning/tuning.go
@@ -272,3 +272,26 @@
 	// ClientTotal bounds a command with its retries.
 	ClientTotal = 60 * time.Second
 )
+
+// Data: datasets, who holds them, and their staging.
+const (
+	// ManifestLimit is the largest manifest that is read, in bytes: about 160,000
+	// chunks at 100 bytes each.
+	ManifestLimit = 16 << 20
+	// ChunkLimit is the largest chunk, in bytes: it is what is thrown away when its
+	// digest is wrong.
+	ChunkLimit = 64 << 20
+	// PartsLimit is the most parts of a dataset: tasks of the largest job.
+	PartsLimit = 100_000
+	// OddParts is how many parts may have a size of their own, so that a dataset's
+	// record, at some 20 bytes each, stays within one value of the state service.
+	OddParts = 400
+	// MistakesTold bounds the mistakes in one answer.
+	MistakesTold = 20
+	// InputsLimit is the most inputs of a job.
+	InputsLimit = 16
+	// GroupsFilled is how many groups of tasks, the largest, are water-filled over the
+	// whole fleet; tasks of further groups are placed one by one, each a group by
+	// itself. It bounds a decision at so many passes over the machines.
+	GroupsFilled = 64
+)
