--- /dev/null
+++ b/api/data_test.go
@@ -0,0 +1,60 @@
+package api
+
+import (
+	"encoding/json"
+	"errors"
+	"testing"
+
+	"github.com/RoaringBitmap/roaring/v2"
+)
+
+func TestInputsNameTheFieldThatIsWrong(t *testing.T) {
+	for body, want := range map[string]string{
+		`{}`: "", `{"inputs":null}`: "", `{"inputs":[]}`: "",
+		`{"inputs":[{"dataset":"a","use":"own"},{"dataset":"b","use":"all"}]}`: "",
+		`{"inputs":"a"}`:               "inputs",
+		`{"inputs":[{"use":"all"}]}`:   "inputs[0].dataset",
+		`{"inputs":[{"dataset":"a"}]}`: "inputs[0].use",
+		`{"inputs":[{"dataset":"a","use":"all"},{"dataset":"a","use":"own"}]}`: "inputs[1].dataset",
+	} {
+		_, err := ParseInputs([]byte(body), 4)
+		var fe *FieldError
+		if got := errors.As(err, &fe); got != (want != "") || got && fe.Field != want {
+			t.Errorf("%s: %v, want %q", body, err, want)
+		}
+	}
+}
+
+// An agent's report comes from outside; whatever passes the check must not break who
+// works with it.
+func FuzzStageReport(f *testing.F) {
+	r := StageReport{Machine: "n-1", Address: "10.0.0.1:9100", Session: 1, All: true,
+		Holds:  []StageHeld{{Dataset: "a", Of: 9, Parts: PartSet{roaring.BitmapOf(1, 2, 8)}}},
+		Copies: []StageProgress{{Dataset: "a", Part: 3, Got: 5, Of: 9, Failed: []StageFailure{{Why: "503"}}}}}
+	raw, err := json.Marshal(r)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(raw)
+	f.Add([]byte(`{"host":"a","address":"b","session":1,"holds":[{"dataset":"a","of":3,"parts":"OzAAAA"}]}`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		var r StageReport
+		if json.Unmarshal(raw, &r) != nil || r.Check() != nil {
+			return
+		}
+		for _, h := range append(r.Holds, r.Pinned...) {
+			n := 0
+			for itr := h.Parts.Iterator(); itr.HasNext() && n < 1000; n++ {
+				itr.Next()
+			}
+			c := h.Parts.Clone()
+			c.RemoveRange(uint64(max(0, h.Of)), 1<<32)
+			_ = roaring.AndNot(c, h.Parts.Bitmap).GetCardinality()
+		}
+		again, err := json.Marshal(r)
+		var back StageReport
+		if err != nil || json.Unmarshal(again, &back) != nil {
+			t.Fatalf("%v: %s", err, again)
+		}
+	})
+}
--- a/tuning/tuning.go
+++ b/tuning/tuning.go
@@ -295,3 +295,32 @@
 	// itself. It bounds a decision at so many passes over the machines.
 	GroupsFilled = 64
 )
+
+// Staging: the agents' side.
+const (
+	// StageBlock is what a transfer writes at once, in bytes: at most so much of one is
+	// copied again after a crash.
+	StageBlock = 256 << 10
+	// StageStall is how long one block may take: slower is a drip that holds a copy's
+	// place, and another source is tried.
+	StageStall = 10 * time.Second
+	// StageBackoff and StageBackoffMax pace a copy all of whose sources failed.
+	StageBackoff    = 250 * time.Millisecond
+	StageBackoffMax = 15 * time.Second
+	// StageAtOnce is how many parts an agent copies, and how many it serves, at once.
+	StageAtOnce = 4
+	// StageReportMin is the least time between two of an agent's reports.
+	StageReportMin = 100 * time.Millisecond
+	// StageReportEvery is their usual interval.
+	StageReportEvery = 2 * time.Second
+	// StageCallTimeout bounds a report's call, as a worker's.
+	StageCallTimeout = 4 * time.Second
+	// PackSample is how much of a chunk is packed to find out whether it pays, in
+	// bytes, and PackPays the share of its size that it must shrink to.
+	PackSample = 64 << 10
+	PackPays   = 0.9
+	// PackMemory bounds what unpacking a peer's answer may take, in bytes.
+	PackMemory = 16 << 20
+	// OrderLimit is the largest order or report of staging, in bytes.
+	OrderLimit = 1 << 20
+)
