--- /dev/null
+++ b/staging/staging.go
@@ -0,0 +1,573 @@
+// Package staging plans which parts of datasets are copied where, from whom, and in which
+// order. It is a step function: agents' reports and what is wanted go in, orders come out;
+// it does no I/O, has no lock and no clock. It does not know jobs, or why a part is wanted.
+//
+// For each machine there is one order, which names all that the machine shall have. It
+// carries the leader's term and a number that grows, and an agent refuses an older one.
+// That a part is pinned is proved by a report that keeps an order of this term no older
+// than the one which asked for the part without a break since: from then on it stays, until
+// the leader itself takes it out of the order. No proof rests on time.
+package staging
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/RoaringBitmap/roaring/v2"
+
+	"switchferry/api"
+	"switchferry/cost"
+	"switchferry/dataset"
+	"switchferry/holdings"
+	"switchferry/tuning"
+)
+
+// Limits are those of links and store.
+type Limits struct {
+	// LinkRate is what a machine's link carries each way, StoreRate what the store
+	// gives, in bytes a second; 0: not known, and not weighed.
+	LinkRate, StoreRate float64
+	// PerLink is how many copies one machine takes in, and gives out, at once; AtStore
+	// how many the store gives at once.
+	PerLink, AtStore int
+	// Peers: machines copy from one another. Without, all comes from the store.
+	Peers bool
+}
+
+// Want is one part that a machine shall have. Wants come in the order in which they are
+// to be met.
+type Want struct {
+	Machine string
+	Set     *dataset.Summary
+	Part    int
+}
+
+// Desk is the state of one term.
+type Desk struct {
+	term   uint64
+	limits Limits
+	index  *holdings.Index
+	agents map[string]*agent
+	byAddr map[string]*agent
+	ids    map[holdings.Machine]*agent
+	// atStore are copies under way from the store, toCome their bytes.
+	atStore int
+	storeTo float64
+	// lied are peers that gave wrong bytes; they are no source any more.
+	lied map[string]bool
+	// coming counts the machines that a part is being copied to, over any link.
+	coming map[piece]int
+	// Counters since the term began.
+	Planned, Failed int
+}
+
+type piece struct {
+	set  string
+	part int
+}
+
+type agent struct {
+	name, addr   string
+	id           holdings.Machine
+	session, seq uint64
+	heard        time.Time
+	version      uint64
+	quota, used  int64
+	// order is the number of its newest order, sent when that last went out; applied is
+	// the newest that it keeps. The first one goes out even if it asks for nothing: an
+	// earlier leader's must not keep parts for ever.
+	order, applied uint64
+	sent           time.Time
+	wants          map[string]*want
+	down, up       int
+	// toCome are the bytes of copies to it that are under way or wait.
+	toCome float64
+	total  float64
+	full   bool
+}
+
+// want is what an order says of one dataset.
+type want struct {
+	set   *dataset.Summary
+	parts *roaring.Bitmap
+	// added is the order that last added a part.
+	added  uint64
+	pinned *roaring.Bitmap
+	copies map[int]*transfer
+}
+
+// transfer is one copy in an order.
+type transfer struct {
+	from  []api.StageSource
+	since time.Time
+	got   int64
+	moved time.Time
+	// failed are sources that it failed with.
+	failed map[api.StageSource]string
+}
+
+// New makes the desk of a term.
+func New(term uint64, limits Limits, index *holdings.Index) *Desk {
+	return &Desk{term: term, limits: limits, index: index, agents: map[string]*agent{}, byAddr: map[string]*agent{},
+		ids: map[holdings.Machine]*agent{}, lied: map[string]bool{}, coming: map[piece]int{}}
+}
+
+// Heard takes in a report. False: it is older than one that was, and tells nothing.
+func (d *Desk) Heard(r *api.StageReport, now time.Time) bool {
+	a := d.agents[r.Machine]
+	if a == nil {
+		a = &agent{name: r.Machine, id: d.index.Machine(r.Machine), order: 1, wants: map[string]*want{}}
+		d.agents[r.Machine], d.ids[a.id] = a, a
+	}
+	a.heard = now
+	if r.Session < a.session || r.Session == a.session && r.Seq <= a.seq {
+		return false
+	}
+	if r.Session != a.session {
+		// The agent began anew: it copies nothing now, and its order comes again.
+		for _, w := range a.wants {
+			for k := range w.copies {
+				d.drop(a, w, k)
+			}
+		}
+		a.sent, a.version = time.Time{}, 0
+	}
+	if a.addr != r.Address {
+		delete(d.byAddr, a.addr)
+		a.addr = r.Address
+		d.byAddr[a.addr] = a
+	}
+	a.session, a.seq, a.quota, a.used = r.Session, r.Seq, r.Quota, r.Used
+	a.applied = 0
+	if r.Helm == d.term {
+		a.applied = r.Order
+	}
+	if r.All {
+		all := map[string]holdings.Holding{}
+		for _, h := range r.Holds {
+			all[h.Dataset] = holdings.Holding{Of: h.Of, Parts: h.Parts.Bitmap}
+		}
+		d.index.Take(r.Machine, all)
+		a.version = r.Version
+	}
+	for _, w := range a.wants {
+		w.pinned = roaring.New()
+	}
+	for _, h := range r.Pinned {
+		if w := a.wants[h.Dataset]; w != nil && w.set.Manifest.String() == h.Manifest {
+			w.pinned = h.Parts.Bitmap
+			for k := range w.copies {
+				if w.pinned.Contains(uint32(k)) {
+					d.drop(a, w, k)
+				}
+			}
+		}
+	}
+	a.full = false
+	for _, p := range r.Copies {
+		a.full = a.full || p.Full
+		w := a.wants[p.Dataset]
+		if w == nil || w.copies[p.Part] == nil {
+			continue
+		}
+		t := w.copies[p.Part]
+		if p.Got != t.got {
+			t.got, t.moved = p.Got, now
+		}
+		for _, f := range p.Failed {
+			if _, ok := t.failed[f.From]; !ok {
+				d.Failed++
+				t.failed[f.From] = f.Why
+			}
+			if f.Lied && f.From.Peer != "" {
+				d.lied[f.From.Peer] = true
+			}
+		}
+	}
+	return true
+}
+
+// Gone forgets a machine that no longer exists.
+func (d *Desk) Gone(machine string) {
+	a := d.agents[machine]
+	if a == nil {
+		return
+	}
+	for _, w := range a.wants {
+		for k := range w.copies {
+			d.drop(a, w, k)
+		}
+	}
+	delete(d.agents, machine)
+	delete(d.ids, a.id)
+	delete(d.byAddr, a.addr)
+	d.index.Drop(machine)
+}
+
+// Alive tells whether a machine's agent was heard within so long: only such machines are
+// chosen for tasks with inputs. It is a choice, and no proof of anything.
+func (d *Desk) Alive(machine string, now time.Time, within time.Duration) bool {
+	a := d.agents[machine]
+	return a != nil && now.Sub(a.heard) < within
+}
+
+// Quota is the size of a machine's cache, in bytes; 0: not known.
+func (d *Desk) Quota(machine string) int64 {
+	if a := d.agents[machine]; a != nil {
+		return a.quota
+	}
+	return 0
+}
+
+// Full tells whether a machine's cache has no room for what it was to copy.
+func (d *Desk) Full(machine string) bool {
+	a := d.agents[machine]
+	return a != nil && a.full
+}
+
+// Proved tells whether a part is proved whole, checked and pinned on a machine.
+func (d *Desk) Proved(machine string, set *dataset.Summary, part int) bool {
+	a := d.agents[machine]
+	if a == nil {
+		return false
+	}
+	w := a.wants[set.Name]
+	return w != nil && a.applied >= w.added && a.applied > 0 && w.pinned.Contains(uint32(part)) && w.parts.Contains(uint32(part))
+}
+
+// ProvedAll is the same for all parts of a dataset.
+func (d *Desk) ProvedAll(machine string, set *dataset.Summary) bool {
+	a := d.agents[machine]
+	if a == nil {
+		return false
+	}
+	w := a.wants[set.Name]
+	return w != nil && a.applied >= w.added && a.applied > 0 && int(w.parts.GetCardinality()) == set.Parts &&
+		int(w.pinned.AndCardinality(w.parts)) == set.Parts
+}
+
+// Delay is how long it takes to bring so many bytes to a machine as links are loaded now,
+// in seconds. StoreOnly: no machine holds them.
+func (d *Desk) Delay(machine string, bytes float64, storeOnly bool) float64 {
+	backlog := 0.0
+	if a := d.agents[machine]; a != nil {
+		backlog = a.toCome
+	}
+	return cost.Copy(bytes, backlog, d.limits.LinkRate, d.storeTo, d.limits.StoreRate, storeOnly || !d.limits.Peers)
+}
+
+func (d *Desk) drop(a *agent, w *want, part int) {
+	t := w.copies[part]
+	if t == nil {
+		return
+	}
+	delete(w.copies, part)
+	a.down--
+	if d.coming[piece{w.set.Name, part}]--; d.coming[piece{w.set.Name, part}] <= 0 {
+		delete(d.coming, piece{w.set.Name, part})
+	}
+	if src := t.from[0]; src.Store {
+		d.atStore--
+	} else if p := d.byAddr[src.Peer]; p != nil {
+		p.up--
+	}
+}
+
+// Round takes in all that is wanted, the most urgent first, and decides what is copied.
+// What no longer stands in it may be evicted. It gives the machines whose order must go
+// out now, in the order of their names.
+func (d *Desk) Round(wants []Want, now time.Time) []string {
+	d.setWants(wants)
+	d.recount()
+	snap := d.index.Snapshot()
+	d.storeTo = 0
+	for _, a := range d.agents {
+		a.toCome = 0
+	}
+	changed := map[*agent]bool{}
+	for _, x := range wants {
+		a := d.agents[x.Machine]
+		if a == nil {
+			continue
+		}
+		w := a.wants[x.Set.Name]
+		if w == nil || !w.parts.Contains(uint32(x.Part)) || w.pinned.Contains(uint32(x.Part)) || snap.Has(a.id, x.Set.Name, x.Part) {
+			continue
+		}
+		size := float64(x.Set.PartBytes(x.Part))
+		if t := w.copies[x.Part]; t != nil {
+			size -= float64(t.got)
+			if d.better(a, w, x.Part, t, snap, now) {
+				changed[a] = true
+			}
+		} else if from := d.sources(a, x, snap, now, nil); from != nil {
+			w.copies[x.Part] = &transfer{from: from, since: now, moved: now, failed: map[api.StageSource]string{}}
+			d.take(a, x.Set.Name, x.Part, from[0])
+			changed[a] = true
+		}
+		a.toCome += size
+		if !d.limits.Peers || len(snap.Holders(x.Set.Name, x.Part)) == 0 {
+			d.storeTo += size
+		}
+	}
+	var out []string
+	for _, a := range d.agents {
+		if changed[a] {
+			a.order++
+		}
+		if changed[a] || a.applied != a.order && now.Sub(a.sent) >= tuning.StageResend {
+			a.sent = now
+			out = append(out, a.name)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// recount counts what is on each link anew: agents that went and came in between may have
+// been counted under an address that another has now.
+func (d *Desk) recount() {
+	clear(d.coming)
+	d.atStore = 0
+	for _, a := range d.agents {
+		a.down, a.up = 0, 0
+	}
+	planned := d.Planned
+	for _, a := range d.agents {
+		for name, w := range a.wants {
+			for k, t := range w.copies {
+				d.take(a, name, k, t.from[0])
+			}
+		}
+	}
+	d.Planned = planned
+}
+
+func (d *Desk) take(a *agent, set string, part int, from api.StageSource) {
+	d.Planned++
+	a.down++
+	d.coming[piece{set, part}]++
+	if from.Store {
+		d.atStore++
+	} else if p := d.byAddr[from.Peer]; p != nil {
+		p.up++
+	}
+}
+
+// setWants brings the orders in line with what is wanted, as far as each cache can hold
+// it; what is more urgent comes first.
+func (d *Desk) setWants(wants []Want) {
+	next := map[*agent]map[string]*roaring.Bitmap{}
+	sets := map[string]*dataset.Summary{}
+	for _, a := range d.agents {
+		a.total = 0
+	}
+	for _, x := range wants {
+		a := d.agents[x.Machine]
+		if a == nil {
+			continue
+		}
+		sets[x.Set.Name] = x.Set
+		if next[a] == nil {
+			next[a] = map[string]*roaring.Bitmap{}
+		}
+		b := next[a][x.Set.Name]
+		if b == nil {
+			b = roaring.New()
+			next[a][x.Set.Name] = b
+		}
+		size := float64(x.Set.PartBytes(x.Part))
+		if b.Contains(uint32(x.Part)) || a.quota > 0 && a.total > 0 && a.total+size > float64(a.quota) {
+			continue
+		}
+		a.total += size
+		b.Add(uint32(x.Part))
+	}
+	for _, a := range d.agents {
+		different := false
+		for name, w := range a.wants {
+			if b := next[a][name]; b == nil || b.IsEmpty() {
+				for k := range w.copies {
+					d.drop(a, w, k)
+				}
+				delete(a.wants, name)
+				different = true
+			}
+		}
+		for name, b := range next[a] {
+			if b.IsEmpty() {
+				continue
+			}
+			w := a.wants[name]
+			if w == nil {
+				w = &want{set: sets[name], parts: roaring.New(), pinned: roaring.New(), copies: map[int]*transfer{}}
+				a.wants[name] = w
+			}
+			if b.Equals(w.parts) {
+				continue
+			}
+			different = true
+			if !roaring.AndNot(b, w.parts).IsEmpty() {
+				w.added = a.order + 1
+			}
+			for k := range w.copies {
+				if !b.Contains(uint32(k)) {
+					d.drop(a, w, k)
+				}
+			}
+			w.parts = b
+		}
+		if different {
+			a.order++
+			a.sent = time.Time{}
+		}
+	}
+}
+
+// sources are where a part comes from, best first; nil: it has to wait. Peers that hold
+// it come first, those that give out least, then the store. While another machine gets it
+// from the store, it is waited for: each part shall leave the store once.
+func (d *Desk) sources(a *agent, x Want, snap *holdings.Snapshot, now time.Time, not map[api.StageSource]string) []api.StageSource {
+	if a.down >= d.limits.PerLink {
+		return nil
+	}
+	var peers []*agent
+	busy := false
+	if d.limits.Peers {
+		for _, m := range snap.Holders(x.Set.Name, x.Part) {
+			p := d.byID(m)
+			if p == nil || p == a || d.lied[p.addr] || now.Sub(p.heard) > tuning.StageSilent {
+				continue
+			}
+			if _, failed := not[api.StageSource{Peer: p.addr}]; failed {
+				continue
+			}
+			if p.up >= d.limits.PerLink {
+				busy = true
+				continue
+			}
+			peers = append(peers, p)
+		}
+	}
+	slices.SortFunc(peers, func(p, q *agent) int { return cmp.Or(cmp.Compare(p.up, q.up), cmp.Compare(p.name, q.name)) })
+	var out []api.StageSource
+	for _, p := range peers[:min(len(peers), tuning.StageSources)] {
+		out = append(out, api.StageSource{Peer: p.addr})
+	}
+	if len(out) > 0 {
+		return out
+	}
+	if busy || d.atStore >= d.limits.AtStore || d.limits.Peers && d.onItsWay(x.Set.Name, x.Part, now) {
+		return nil
+	}
+	return []api.StageSource{{Store: true}}
+}
+
+// onItsWay tells whether a part comes to some machine, and gets on.
+func (d *Desk) onItsWay(set string, part int, now time.Time) bool {
+	if d.coming[piece{set, part}] == 0 {
+		return false
+	}
+	for _, a := range d.agents {
+		if w := a.wants[set]; w != nil {
+			if t := w.copies[part]; t != nil && len(t.failed) < len(t.from) && now.Sub(t.moved) < tuning.StageGiveUp {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// better gives a copy whose sources all failed others, if there are any.
+func (d *Desk) better(a *agent, w *want, part int, t *transfer, snap *holdings.Snapshot, now time.Time) bool {
+	for _, s := range t.from {
+		if _, failed := t.failed[s]; !failed && !(s.Peer != "" && d.lied[s.Peer]) {
+			return false
+		}
+	}
+	failed := maps.Clone(t.failed)
+	d.drop(a, w, part)
+	from := d.sources(a, Want{a.name, w.set, part}, snap, now, failed)
+	if from == nil || slices.Equal(from, t.from) {
+		// Nothing better: it stays, and the agent tries again with growing pauses.
+		from = t.from
+	}
+	same := slices.Equal(from, t.from)
+	w.copies[part] = &transfer{from: from, since: t.since, got: t.got, moved: t.moved, failed: map[api.StageSource]string{}}
+	if same {
+		w.copies[part].failed = failed
+	}
+	d.take(a, w.set.Name, part, from[0])
+	d.Planned--
+	return !same
+}
+
+func (d *Desk) byID(m holdings.Machine) *agent { return d.ids[m] }
+
+// Order is a machine's order as it stands; false: its agent is not known.
+func (d *Desk) Order(machine string) (o api.StageOrder, addr string, ok bool) {
+	a := d.agents[machine]
+	if a == nil {
+		return o, "", false
+	}
+	o = api.StageOrder{Helm: d.term, Session: a.session, Order: a.order, Known: a.version, Sets: []api.StageSet{}}
+	for _, name := range slices.Sorted(maps.Keys(a.wants)) {
+		w := a.wants[name]
+		set := api.StageSet{Dataset: name, Manifest: w.set.Manifest.String(), Parts: api.PartSet{Bitmap: w.parts}}
+		for _, k := range slices.Sorted(maps.Keys(w.copies)) {
+			set.Copies = append(set.Copies, api.StageCopy{Part: k, From: w.copies[k].from})
+		}
+		o.Sets = append(o.Sets, set)
+	}
+	return o, a.addr, true
+}
+
+// Copying is one copy as operators see it.
+type Copying struct {
+	Machine, Dataset string
+	Part             int
+	Got, Of          int64
+	From             []api.StageSource
+	Failed           map[string]string
+	Full             bool
+}
+
+// Copies are all copies under way, by machine, dataset and part.
+func (d *Desk) Copies() []Copying {
+	var out []Copying
+	for _, name := range slices.Sorted(maps.Keys(d.agents)) {
+		a := d.agents[name]
+		for _, set := range slices.Sorted(maps.Keys(a.wants)) {
+			w := a.wants[set]
+			for _, k := range slices.Sorted(maps.Keys(w.copies)) {
+				t := w.copies[k]
+				c := Copying{Machine: name, Dataset: set, Part: k, Got: t.got, Of: w.set.PartBytes(k), From: t.from, Full: a.full, Failed: map[string]string{}}
+				for s, why := range t.failed {
+					c.Failed[Name(s)] = why
+				}
+				out = append(out, c)
+			}
+		}
+	}
+	return out
+}
+
+// Name is a source's name for people.
+func Name(s api.StageSource) string {
+	if s.Store {
+		return "store"
+	}
+	return s.Peer
+}
+
+// Backlog is how many bytes are still to come to all machines.
+func (d *Desk) Backlog() float64 {
+	sum := 0.0
+	for _, a := range d.agents {
+		sum += a.toCome
+	}
+	return math.Max(0, sum)
+}
--- a/tuning/tuning.go
+++ b/tuning/tuning.go
@@ -324,3 +324,30 @@
 	// OrderLimit is the largest order or report of staging, in bytes.
 	OrderLimit = 1 << 20
 )
+
+// Staging: the leader's side.
+const (
+	// StageResend is how long an order may be without effect before it goes out again.
+	StageResend = time.Second
+	// StageSilent is how long an agent may be unheard and still be a source, or chosen
+	// for a task with inputs: a few of its reports.
+	StageSilent = 3 * StageReportEvery
+	// StageGiveUp is how long a copy may get on by nothing before others no longer wait
+	// for it: a stall and a retry.
+	StageGiveUp = 30 * time.Second
+	// StageSources is how many peers an order names for a part: one that fails is left
+	// for the next without asking the leader.
+	StageSources = 3
+	// StagePerLink and StageAtStore are how many copies a machine takes in, and gives
+	// out, and the store gives out, at once, unless the features file says otherwise.
+	StagePerLink = 2
+	StageAtStore = 8
+	// StageCacheGB is the size of an agent's cache, unless the features file says otherwise.
+	StageCacheGB = 50.0
+	// StageMove is how long a task's copies may make no headway, its cache full or its
+	// sources silent, before it is given to another machine.
+	StageMove = 30 * time.Second
+	// DatasetsLimit is the most datasets that controllers keep in memory: at some 300
+	// bytes each this is 3 MB.
+	DatasetsLimit = 10_000
+)
