--- a/api/api.go
+++ b/api/api.go
@@ -77,6 +77,8 @@
 	Checkpoint float64  `json:"snapshot_s"`
 	SaveS      float64  `json:"stow_s"`
 	DeadlineS  float64  `json:"due_s,omitempty"`
+	// Inputs are the datasets that tasks need; none unless that feature is on.
+	Inputs []Input `json:"inputs,omitempty"`
 }
 
 // RankLevel is the rank as a number; higher goes first.
--- /dev/null
+++ b/cli/data.go
@@ -0,0 +1,246 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"syscall"
+
+	"github.com/dustin/go-humanize"
+	"github.com/jedib0t/go-pretty/v6/table"
+	"github.com/spf13/cobra"
+
+	"switchferry/controller"
+	"switchferry/dataset"
+	"switchferry/httpapi"
+	"switchferry/stager"
+	"switchferry/tuning"
+)
+
+// stagerCommand runs the agent beside a worker.
+func stagerCommand() *cobra.Command {
+	var o stager.Options
+	var listen, cache string
+	var down, up float64
+	cmd := &cobra.Command{Use: "stager --machine NAME --address IP:PORT --dir DIR --store URL --controller NAME=IP:PORT ...",
+		Short: "Run the agent beside a worker that copies datasets to its machine", Args: cobra.NoArgs,
+		Example: "  switchferry stager --machine n-000231 --address 10.1.0.232:9100 --dir /var/cache/switchferry --cache 50GB \\\n" +
+			"    --store http://10.2.0.3:9000 --controller ferryhost-0=10.0.0.1:8080 --controller ferryhost-1=10.0.0.2:8080 --down-mb-per-s 125",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			level, err := logLevel()
+			if err != nil {
+				return err
+			}
+			slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})))
+			for flag, v := range map[string]string{"machine": o.Machine, "address": o.Address, "dir": o.Dir, "store": o.Store} {
+				if v == "" {
+					return coded(ExitUsage, fmt.Errorf("--%s is missing", flag))
+				}
+			}
+			if len(o.Controllers) == 0 {
+				return coded(ExitUsage, errors.New("--controller is missing: give each as NAME=IP:PORT"))
+			}
+			if _, _, err := net.SplitHostPort(o.Address); err != nil {
+				return coded(ExitUsage, fmt.Errorf("--address: %w", err))
+			}
+			quota, err := humanize.ParseBytes(cache)
+			if err != nil || quota == 0 {
+				return coded(ExitUsage, fmt.Errorf("--cache: %q is no size; write one like 50GB", cache))
+			}
+			o.Quota, o.DownRate, o.UpRate = int64(quota), down*1e6, up*1e6
+			o.Store = strings.TrimRight(o.Store, "/")
+			if listen == "" {
+				listen = o.Address
+			}
+			ctx, stop := signal.NotifyContext(cmd.Context(), os.Interrupt, syscall.SIGTERM)
+			defer stop()
+			return coded(ExitFailed, runStager(ctx, o, listen))
+		}}
+	f := cmd.Flags()
+	f.StringVar(&o.Machine, "machine", "", "the machine's name, as its worker reports it")
+	f.StringVar(&o.Address, "address", "", "where controllers and peers reach this agent")
+	f.StringVar(&listen, "listen", "", "where to listen; none: at --address")
+	f.StringVar(&o.Dir, "dir", "", "folder of the cache; what a task reads stands in its inputs/DATASET/part-NNNNNN/")
+	f.StringVar(&cache, "cache", "50GB", "size of the cache")
+	f.StringVar(&o.Store, "store", "", "base URL of the store of datasets")
+	f.StringToStringVar(&o.Controllers, "controller", nil, "a controller, as NAME=IP:PORT; give all of them")
+	f.Float64Var(&down, "down-mb-per-s", 0, "most that is copied in, megabytes a second; 0: no limit")
+	f.Float64Var(&up, "up-mb-per-s", 0, "most that peers are given, megabytes a second; 0: no limit")
+	f.IntVar(&o.AtOnce, "serve-at-once", tuning.StageAtOnce, "peers served at once")
+	f.BoolVar(&o.Pack, "pack", true, "let peers pack with zstd what they send, where that pays")
+	return cmd
+}
+
+func runStager(ctx context.Context, o stager.Options, listen string) error {
+	l, err := net.Listen("tcp4", listen)
+	if err != nil {
+		return err
+	}
+	a, err := stager.New(ctx, o)
+	if err != nil {
+		return err
+	}
+	slog.Info("stager starts", "machine", o.Machine, "address", o.Address, "dir", o.Dir, "version", Version)
+	go a.Run(ctx)
+	return httpapi.Serve(ctx, l, a.Handler())
+}
+
+// dataCommand shows and registers datasets.
+func dataCommand() *cobra.Command {
+	var c client
+	cmd := &cobra.Command{Use: "data", Short: "Show datasets, who holds them, and copies under way", Args: cobra.NoArgs,
+		Example: "  switchferry data --node 10.0.0.1:8080\n  switchferry data --json | jq .copies",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			status, raw, err := c.ask(cmd.Context(), http.MethodGet, "/datasets", nil)
+			switch {
+			case err != nil:
+				return err
+			case status == http.StatusNotFound:
+				return coded(ExitRefused, errors.New("datasets are off: start the controllers with --features"))
+			case status != http.StatusOK:
+				return coded(ExitRefused, fmt.Errorf("refused (status %d): %s", status, message(raw)))
+			}
+			if c.asJSON {
+				_, err = fmt.Fprintln(cmd.OutOrStdout(), string(bytes.TrimSpace(raw)))
+				return err
+			}
+			var v controller.DataView
+			if err := json.Unmarshal(raw, &v); err != nil {
+				return coded(ExitFailed, fmt.Errorf("malformed answer: %w", err))
+			}
+			showData(cmd.OutOrStdout(), &v)
+			return nil
+		}}
+	c.flags(cmd)
+	cmd.AddCommand(manifestCommand(), addCommand())
+	return cmd
+}
+
+func showData(w io.Writer, v *controller.DataView) {
+	if len(v.Datasets) == 0 {
+		fmt.Fprintln(w, "no datasets are registered; `switchferry data add` registers one")
+	}
+	draw := func(head table.Row, rows []table.Row) {
+		if len(rows) == 0 {
+			return
+		}
+		t := table.NewWriter()
+		t.SetOutputMirror(w)
+		t.SetStyle(table.StyleLight)
+		t.AppendHeader(head)
+		t.AppendRows(rows)
+		t.Render()
+	}
+	var rows []table.Row
+	for _, d := range v.Datasets {
+		rows = append(rows, table.Row{d.Name, humanize.Bytes(uint64(d.Bytes)), d.Parts, d.Whole, d.Some, d.Nowhere})
+	}
+	draw(table.Row{"dataset", "size", "parts", "machines with all", "with some", "parts nowhere"}, rows)
+	rows = nil
+	for _, x := range v.Copies {
+		trouble := ""
+		if x.Full {
+			trouble = "cache full "
+		}
+		for from, why := range x.Failed {
+			trouble += from + ": " + why + " "
+		}
+		rows = append(rows, table.Row{x.Machine, x.Dataset, x.Part, fmt.Sprintf("%3.0f%% of %s", 100*float64(x.Got)/float64(max(1, x.Of)), humanize.Bytes(uint64(x.Of))), x.From, trouble})
+	}
+	draw(table.Row{"machine", "dataset", "part", "copied", "from", "trouble"}, rows)
+	rows = nil
+	for _, x := range v.Waiting {
+		rows = append(rows, table.Row{x.Job, x.Tasks, x.Why})
+	}
+	draw(table.Row{"job", "tasks that wait", "why"}, rows)
+}
+
+func manifestCommand() *cobra.Command {
+	var name, chunk, out string
+	var part int
+	cmd := &cobra.Command{Use: "manifest --name NAME FILE", Short: "Make the manifest of a dataset, to be put into the store beside its data", Args: cobra.ExactArgs(1),
+		Example: "  switchferry data manifest --name inventory-2026-11-30 --chunk 8MB snapshot.bin > manifest.json",
+		RunE: func(cmd *cobra.Command, args []string) error {
+			size, err := humanize.ParseBytes(chunk)
+			if err != nil || size == 0 || size > tuning.ChunkLimit {
+				return coded(ExitUsage, fmt.Errorf("--chunk: %q must be a size from 1B to %s", chunk, humanize.IBytes(tuning.ChunkLimit)))
+			}
+			if !dataset.ValidName(name) {
+				return coded(ExitUsage, fmt.Errorf("--name: %q must be 1 to 64 of a-z, 0-9, '.', '_' and '-'", name))
+			}
+			f, err := os.Open(args[0])
+			if err != nil {
+				return coded(ExitUsage, err)
+			}
+			defer f.Close()
+			m, err := dataset.Build(name, f, int(size), part, nil)
+			if err != nil {
+				return coded(ExitUsage, fmt.Errorf("%s: %w", args[0], err))
+			}
+			raw, _, err := m.Encode()
+			if err != nil {
+				return coded(ExitFailed, err)
+			}
+			if out == "" || out == "-" {
+				_, err = cmd.OutOrStdout().Write(append(raw, '\n'))
+				return err
+			}
+			fmt.Fprintf(cmd.ErrOrStderr(), "%s: %d chunks in %d parts, %s\n", filepath.Base(args[0]), len(m.Chunks), m.PartCount(), humanize.Bytes(uint64(m.Bytes())))
+			return coded(ExitFailed, os.WriteFile(out, append(raw, '\n'), 0o644))
+		}}
+	cmd.Flags().StringVar(&name, "name", "", "the dataset's name; it stands for this content for ever")
+	cmd.Flags().StringVar(&chunk, "chunk", "8MB", "size of a chunk")
+	cmd.Flags().IntVar(&part, "part-chunks", 1, "chunks a part; task k of a job that takes its own part gets part k")
+	cmd.Flags().StringVar(&out, "out", "", "file to write; none: standard output")
+	return cmd
+}
+
+func addCommand() *cobra.Command {
+	var c client
+	cmd := &cobra.Command{Use: "add MANIFEST.json", Short: "Register a dataset that the store has", Args: cobra.ExactArgs(1),
+		Example: "  switchferry data add manifest.json --node 10.0.0.1:8080",
+		RunE: func(cmd *cobra.Command, args []string) error {
+			raw, err := os.ReadFile(args[0])
+			if err != nil {
+				return coded(ExitUsage, err)
+			}
+			m, err := dataset.Parse(raw)
+			var s dataset.Summary
+			if err == nil {
+				s, err = dataset.Summarize(m, raw)
+			}
+			if err != nil {
+				return coded(ExitUsage, fmt.Errorf("%s: %w", args[0], err))
+			}
+			body, err := json.Marshal(s)
+			if err != nil {
+				return coded(ExitFailed, err)
+			}
+			status, answer, err := c.ask(cmd.Context(), http.MethodPost, "/datasets", body)
+			switch {
+			case err != nil:
+				return err
+			case status == http.StatusNotFound || status == http.StatusMethodNotAllowed:
+				return coded(ExitRefused, errors.New("datasets are off: start the controllers with --features"))
+			case status != http.StatusOK && status != http.StatusCreated:
+				return coded(ExitRefused, fmt.Errorf("refused (status %d): %s", status, message(answer)))
+			case c.asJSON:
+				_, err = fmt.Fprintln(cmd.OutOrStdout(), string(bytes.TrimSpace(answer)))
+				return err
+			}
+			_, err = fmt.Fprintf(cmd.OutOrStdout(), "%s: %s in %d parts\n", s.Name, humanize.Bytes(uint64(s.Bytes)), s.Parts)
+			return err
+		}}
+	c.flags(cmd)
+	return cmd
+}
--- a/cli/serve.go
+++ b/cli/serve.go
@@ -18,6 +18,7 @@
 	"github.com/spf13/cobra"
 
 	"switchferry/controller"
+	"switchferry/features"
 	"switchferry/httpapi"
 	"switchferry/policy"
 	"switchferry/settings"
@@ -66,7 +67,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(serveCommand(), checkCommand(), versionCommand(), policyCommand(), submitCommand(),
+	root.AddCommand(stagerCommand(), dataCommand(), serveCommand(), checkCommand(), versionCommand(), policyCommand(), submitCommand(),
 		jobCommand("status", "Show a job's state", http.MethodGet, ""),
 		jobCommand("cancel", "Cancel a job", http.MethodPost, "/cancel"))
 	return root
@@ -94,28 +95,30 @@
 		}}
 }
 
-type files struct{ config, policy string }
+type files struct{ config, policy, features string }
 
 func (f *files) flags(cmd *cobra.Command) {
 	cmd.Flags().StringVar(&f.config, "config", "", "the platform's settings file (TOML)")
 	cmd.Flags().StringVar(&f.policy, "policy", "", "the operators' policy file (expressions)")
+	cmd.Flags().StringVar(&f.features, "features", "", "the features file (TOML), like deploy/features.toml; without it all are off")
 }
 
-func (f *files) load() (*settings.Settings, *policy.Policy, error) {
+func (f *files) load() (*settings.Settings, *policy.Policy, *features.Features, error) {
 	if f.config == "" {
-		return nil, nil, coded(ExitUsage, errors.New("--config is missing"))
+		return nil, nil, nil, coded(ExitUsage, errors.New("--config is missing"))
 	}
 	set, err := settings.Load(f.config)
 	pol, perr := policy.Load(f.policy)
-	return set, pol, coded(ExitUsage, errors.Join(err, perr))
+	on, ferr := features.Load(f.features)
+	return set, pol, on, coded(ExitUsage, errors.Join(err, perr, ferr))
 }
 
 func checkCommand() *cobra.Command {
 	var f files
-	cmd := &cobra.Command{Use: "check --config FILE [--policy FILE]", Short: "Check settings and policy without starting", Args: cobra.NoArgs,
-		Example: "  switchferry check --config node.toml --policy night.policy",
+	cmd := &cobra.Command{Use: "check --config FILE [--policy FILE] [--features FILE]", Short: "Check settings, policy and features without starting", Args: cobra.NoArgs,
+		Example: "  switchferry check --config node.toml --policy night.policy --features deploy/features.toml",
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			if _, _, err := f.load(); err != nil {
+			if _, _, _, err := f.load(); err != nil {
 				return err
 			}
 			if _, err := logLevel(); err != nil {
@@ -130,7 +133,7 @@
 
 func serveCommand() *cobra.Command {
 	var f files
-	cmd := &cobra.Command{Use: "serve --config FILE [--policy FILE]", Short: "Run a controller", Args: cobra.NoArgs,
+	cmd := &cobra.Command{Use: "serve --config FILE [--policy FILE] [--features FILE]", Short: "Run a controller", Args: cobra.NoArgs,
 		Example: "  LOG_LEVEL=info switchferry serve --config node.toml",
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			ctx, stop := signal.NotifyContext(cmd.Context(), os.Interrupt, syscall.SIGTERM)
@@ -160,7 +163,7 @@
 		return err
 	}
 	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})))
-	set, pol, err := f.load()
+	set, pol, on, err := f.load()
 	if err != nil {
 		return err
 	}
@@ -175,6 +178,7 @@
 	}
 	slog.Info("controller starts", "member", set.Member, "zone", set.Zone, "version", Version)
 	n := controller.NewNode(ctx, set, pol, clockwork.NewRealClock(), controller.Transport())
+	n.Enable(on)
 	go n.Run(back)
 	return coded(ExitFailed, httpapi.Serve(ctx, front, httpapi.New(n)))
 }
--- a/controller/core.go
+++ b/controller/core.go
@@ -68,6 +68,10 @@
 	entitled, judged bool
 	// arrived is when this leader got to know it.
 	arrived time.Time
+	// inputs are the datasets that its tasks need; meant are the machines that tasks of
+	// a service or a gang wait for while these are copied there.
+	inputs []input
+	meant  map[int]*machine
 }
 
 // assign puts one task on one machine. It stays until that machine is proved
@@ -148,6 +152,8 @@
 type Hooks struct {
 	Touch func(key string, urgency int, after func())
 	Send  func(name, addr string, o api.Orders)
+	// Stage sends an agent its order; it is used only with datasets on.
+	Stage func(name, addr string, o api.StageOrder)
 	Valid func() bool
 	// Delay is how long a new accept would wait for the state service's limit.
 	Delay func() time.Duration
@@ -211,6 +217,8 @@
 	searched int
 	// at is the time during a run of the placer; zero outside of it.
 	at time.Time
+	// data is nil unless datasets are on.
+	data *data
 }
 
 // NewCore makes the state of a term.
@@ -372,6 +380,7 @@
 func (c *Core) addJob(rec store.JobRecord, accepted bool) *job {
 	j := &job{JobRecord: rec, id: rec.Job.ID, total: rec.Job.Tasks, rank: rec.Job.RankLevel(), need: fleet.Of(&rec.Job), accepted: accepted, changed: make(chan struct{}),
 		bits: store.NewBits(rec.Job.Tasks), live: map[int]*assign{}, shards: map[int]bool{}, avoid: map[string]time.Time{}, failedOn: map[string]bool{}, moved: map[int]int{}, arrived: c.now()}
+	c.resolve(j)
 	c.jobs[j.id] = j
 	c.order = append(c.order, j)
 	return j
--- /dev/null
+++ b/controller/data.go
@@ -0,0 +1,630 @@
+package controller
+
+import (
+	"cmp"
+	"encoding/json"
+	"log/slog"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/RoaringBitmap/roaring/v2"
+
+	"switchferry/api"
+	"switchferry/cost"
+	"switchferry/dataset"
+	"switchferry/features"
+	"switchferry/fleet"
+	"switchferry/holdings"
+	"switchferry/placement"
+	"switchferry/policy"
+	"switchferry/staging"
+	"switchferry/store"
+	"switchferry/tuning"
+)
+
+// A task with inputs is queued like any other, but starts only once its inputs are proved
+// whole and pinned on its machine. Until then it holds no room: others take what is free.
+// What is copied where follows from the queues, anew in each round, so it needs no record:
+// a new leader builds its queues as ever and learns from the agents who holds what.
+
+// data is what one term knows of datasets.
+type data struct {
+	set   features.Data
+	index *holdings.Index
+	desk  *staging.Desk
+	sets  map[string]*dataset.Summary
+	// snap is who holds what, for one round of the placer.
+	snap *holdings.Snapshot
+	// stuck is since when a machine's cache has had no room for what it was to copy.
+	stuck map[string]time.Time
+	// waiting counts tasks that wait for bytes, by job, as of the last round.
+	waiting map[string]int
+}
+
+// input is a dataset that a job needs. Set is nil while the dataset is not known.
+type input struct {
+	name string
+	own  bool
+	set  *dataset.Summary
+}
+
+// UseData switches datasets on, before anything is loaded.
+func (c *Core) UseData(set features.Data) {
+	index := holdings.New()
+	limits := staging.Limits{LinkRate: set.LinkMBs * 1e6, StoreRate: set.StoreMBs * 1e6, PerLink: set.PerLink, AtStore: set.AtStore,
+		Peers: set.Placement == features.Local || set.Placement == features.Staged}
+	c.data = &data{set: set, index: index, desk: staging.New(c.term, limits, index), sets: map[string]*dataset.Summary{},
+		snap: index.Snapshot(), stuck: map[string]time.Time{}, waiting: map[string]int{}}
+}
+
+// weighs tells whether the placer looks at who holds what.
+func (d *data) weighs() bool {
+	return d.set.Placement == features.Local || d.set.Placement == features.Staged
+}
+
+// Learn takes in datasets that are registered.
+func (c *Core) Learn(sets ...*dataset.Summary) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.data == nil {
+		return
+	}
+	fresh := false
+	for _, s := range sets {
+		if c.data.sets[s.Name] == nil {
+			c.data.sets[s.Name] = s
+			fresh = true
+		}
+	}
+	if !fresh {
+		return
+	}
+	for _, j := range c.order {
+		c.resolve(j)
+	}
+	c.kick()
+}
+
+// resolve finds a job's datasets.
+func (c *Core) resolve(j *job) {
+	if len(j.inputs) == 0 {
+		for _, in := range j.Job.Inputs {
+			j.inputs = append(j.inputs, input{name: in.Dataset, own: in.Use == api.UseOwn})
+		}
+	}
+	for i := range j.inputs {
+		if j.inputs[i].set == nil && c.data != nil {
+			j.inputs[i].set = c.data.sets[j.inputs[i].name]
+		}
+	}
+}
+
+// dataReady tells whether a job's inputs are known here at all. A job that was accepted
+// while the feature was on must not start without its inputs now that it is off.
+func (c *Core) dataReady(j *job) bool {
+	for _, in := range j.inputs {
+		if c.data == nil || in.set == nil {
+			return false
+		}
+	}
+	return true
+}
+
+// staged tells whether a task's inputs are proved to be on a machine. Jobs without inputs
+// are always staged.
+func (c *Core) staged(j *job, task int, m *machine) bool {
+	for _, in := range j.inputs {
+		ok := false
+		switch {
+		case c.data == nil || in.set == nil:
+		case in.own:
+			ok = c.data.desk.Proved(m.Name, in.set, task)
+		default:
+			ok = c.data.desk.ProvedAll(m.Name, in.set)
+		}
+		if !ok {
+			return false
+		}
+	}
+	return true
+}
+
+// costs is what a task would wait for on a machine: the one place that says so. Joins: an
+// image that is on its way there counts as held.
+func (c *Core) costs(j *job, task int, m *machine, joins bool) cost.Wait {
+	w := cost.Wait{Image: m.FetchS(j.Job.Image, j.Job.ImageGB)}
+	if joins {
+		w.Image = m.fetchS(j)
+	}
+	d := c.data
+	if d == nil {
+		return w
+	}
+	if d.set.Placement == features.Blind {
+		w.Image = 0
+	}
+	if len(j.inputs) == 0 || !d.weighs() {
+		return w
+	}
+	id, ok := d.desk.ID(m.Name)
+	if !ok {
+		return w
+	}
+	missing, fromStore := 0.0, false
+	for _, in := range j.inputs {
+		switch {
+		case in.set == nil:
+		case in.own:
+			if !d.snap.Has(id, in.name, task) {
+				missing += float64(in.set.PartBytes(task))
+				fromStore = fromStore || len(d.snap.Holders(in.name, task)) == 0
+			}
+		default:
+			if lacks := in.set.Parts - d.snap.Count(id, in.name); lacks > 0 {
+				missing += float64(in.set.Bytes) * float64(lacks) / float64(in.set.Parts)
+				fromStore = fromStore || len(d.snap.Whole(in.name)) == 0
+			}
+		}
+	}
+	w.Data = d.desk.Delay(m.Name, missing, fromStore)
+	return w
+}
+
+// stages tells whether a machine can be given tasks of a job as far as its inputs go.
+func (c *Core) stages(j *job, m *machine) bool {
+	return len(j.inputs) == 0 || c.data != nil && c.data.desk.Alive(m.Name, c.now(), tuning.StageSilent)
+}
+
+// holders are the machines, by their numbers and in order, that hold all inputs of a task.
+func (d *data) holders(j *job, task int) (out []holdings.Machine) {
+	for i, in := range j.inputs {
+		on := d.snap.Whole(in.name)
+		if in.own {
+			on = d.snap.Holders(in.name, task)
+		}
+		if i == 0 {
+			out = on
+			continue
+		}
+		both := []holdings.Machine{}
+		for _, m := range out {
+			if _, ok := slices.BinarySearch(on, m); ok {
+				both = append(both, m)
+			}
+		}
+		out = both
+	}
+	return out
+}
+
+// dataFill is the water-filling of a job with inputs: its tasks in groups by the machines
+// that hold what they need, the others with their busy time raised by what copying the
+// rest takes as links are loaded now.
+func (c *Core) dataFill(j *job) {
+	d := c.data
+	slot := c.policy.Value(policy.SlotS, nil)
+	var ms []*machine
+	var servers []placement.Server
+	index := map[holdings.Machine]int32{}
+	for _, m := range c.byName() {
+		if !c.eligible(j, m) || !c.stages(j, m) {
+			continue
+		}
+		queued, room := c.ahead(m, j, slot)
+		free := m.free()
+		s := placement.Server{Busy: placement.Busy(queued), Mu: placement.Mu(room.Times(j.need), slot, estimate(j)), Now: free.Times(j.need)}
+		if s.Mu <= 0 {
+			continue
+		}
+		w := c.costs(j, 0, m, true)
+		s.Busy += c.penalty(w.Image, slot)
+		id, _ := d.desk.ID(m.Name)
+		index[id] = int32(len(ms))
+		ms, servers = append(ms, m), append(servers, s)
+	}
+	if len(ms) == 0 {
+		return
+	}
+	slices.Sort(j.pending)
+	open := c.open(j)
+	// Whoever does not look at inputs sees one group without holders.
+	groups := []placement.Group{{Tasks: j.pending[:open]}}
+	if d.weighs() {
+		groups = placement.Groups(j.pending[:open], func(t int32) []int32 {
+			var out []int32
+			for _, id := range d.holders(j, int(t)) {
+				if i, ok := index[id]; ok {
+					out = append(out, i)
+				}
+			}
+			slices.Sort(out)
+			return out
+		})
+	}
+	extra := &missing{c: c, j: j, groups: groups, ms: ms, slot: slot}
+	given := map[int32]bool{}
+	for _, s := range placement.FillGroups(servers, groups, extra, tuning.GroupsFilled) {
+		ms[s.Server].enqueue(j, s.Tasks)
+		j.queued += len(s.Tasks)
+		for _, t := range s.Tasks {
+			given[t] = true
+		}
+	}
+	j.pending = slices.DeleteFunc(j.pending, func(t int32) bool { return given[t] })
+	slog.Debug("job queued", "job", j.id, "machines", len(ms), "groups", len(groups), "tasks", len(given))
+}
+
+// missing prices what a group lacks on a machine.
+type missing struct {
+	c      *Core
+	j      *job
+	groups []placement.Group
+	ms     []*machine
+	slot   float64
+}
+
+func (x *missing) Slots(group, server int) int {
+	if !x.c.data.weighs() {
+		return 0
+	}
+	return x.c.penalty(x.c.costs(x.j, int(x.groups[group].Tasks[0]), x.ms[server], true).Data, x.slot)
+}
+
+// Least is 0: a machine may hold nearly everything.
+func (x *missing) Least(int) int { return 0 }
+
+// penalty is a wait in slots, as the operators' policy has it.
+func (c *Core) penalty(seconds, slot float64) int {
+	if seconds <= 0 {
+		return 0
+	}
+	return int(c.policy.Value(policy.FetchPenalty, policy.Vars{"fetch_s": seconds, "slot_s": slot}))
+}
+
+// next is the first task of a queue that may start on a machine: the first one whose
+// inputs are there; -1: none.
+func (c *Core) next(q *queue, m *machine) int {
+	if len(q.job.inputs) == 0 {
+		return 0
+	}
+	return slices.IndexFunc(q.tasks, func(t int32) bool { return c.staged(q.job, int(t), m) })
+}
+
+// take takes one task out of a queue.
+func (q *queue) take(i int) int {
+	t := q.tasks[i]
+	if i == 0 {
+		return q.pop()
+	}
+	q.tasks = slices.Delete(q.tasks, i, i+1)
+	q.job.queued--
+	return int(t)
+}
+
+// shift gives tasks that wait on machines without room to machines that have some: at
+// once where their inputs are held, and after the same patience as with images where they
+// must be copied. They start there once that is proved.
+func (c *Core) shift(j *job, roomy []*machine) {
+	for _, m := range roomy {
+		if !c.startable(j, m) || !c.stages(j, m) {
+			continue
+		}
+		room := m.free().Times(j.need)
+		for _, q := range m.queue {
+			room -= len(q.tasks)
+		}
+		for _, from := range c.byName() {
+			if room <= 0 {
+				break
+			}
+			if from == m || from.free().Holds(j.need) && c.usable(from) && c.stages(j, from) {
+				continue
+			}
+			at, ok := slices.BinarySearchFunc(from.queue, j, func(q *queue, j *job) int { return before(q.job, j) })
+			if !ok {
+				continue
+			}
+			q := from.queue[at]
+			for i := 0; i < len(q.tasks) && room > 0; {
+				w := c.costs(j, int(q.tasks[i]), m, true).Seconds()
+				if w > tuning.FreeFetch && c.since(j.arrived).Seconds() < tuning.PullPatience*w {
+					i++
+					continue
+				}
+				t := q.take(i)
+				m.enqueue(j, []int32{int32(t)})
+				j.queued++
+				room--
+			}
+		}
+	}
+}
+
+// takeStaged takes a task of the job that could start on a machine out of that machine's
+// queue; -1: none. Nothing is stopped to make room for a task that would only wait there.
+func (c *Core) takeStaged(j *job, m *machine) int {
+	for _, q := range m.queue {
+		if q.job == j {
+			if i := c.next(q, m); i >= 0 {
+				return q.take(i)
+			}
+		}
+	}
+	return -1
+}
+
+func (c *Core) hasStaged(j *job, m *machine) bool {
+	for _, q := range m.queue {
+		if q.job == j {
+			return c.next(q, m) >= 0
+		}
+	}
+	return false
+}
+
+// meant is the machine that a replica or a gang's task waits for, while its inputs are
+// copied there.
+func (c *Core) meant(j *job, task int) *machine {
+	m := j.meant[task]
+	if m == nil || c.machines[m.Name] != m || !c.eligible(j, m) || !c.stages(j, m) || !zoneOK(j, m) {
+		delete(j.meant, task)
+		return nil
+	}
+	return m
+}
+
+func (j *job) mean(task int, m *machine) {
+	if j.meant == nil {
+		j.meant = map[int]*machine{}
+	}
+	j.meant[task] = m
+}
+
+// stage decides what is to be copied, after a round of the placer, and sends out the
+// orders that changed. First stands what runs, which must stay where it is; then, job by
+// job in the order of the queues, tasks that a machine has room for, and some more.
+func (c *Core) stage() {
+	d := c.data
+	if d == nil {
+		return
+	}
+	now := c.now()
+	position := map[*job]int{}
+	for i, j := range c.order {
+		position[j] = i
+	}
+	type wanted struct {
+		at   int
+		j    *job
+		m    *machine
+		task int
+	}
+	var list []wanted
+	clear(d.waiting)
+	for _, m := range c.byName() {
+		for _, a := range m.assigns {
+			if len(a.job.inputs) > 0 {
+				list = append(list, wanted{-1, a.job, m, a.task})
+			}
+		}
+		free, ahead := m.free(), d.set.Ahead
+		if d.set.Placement != features.Staged {
+			ahead = 0
+		}
+		for _, q := range m.queue {
+			if len(q.job.inputs) == 0 {
+				free = free.Sub(fleet.Room{CPUs: q.job.need.CPUs * float64(len(q.tasks)), Cards: q.job.need.Cards * float64(len(q.tasks)),
+					MemoryGB: q.job.need.MemoryGB * float64(len(q.tasks))})
+				continue
+			}
+			for _, t := range q.tasks {
+				if !c.staged(q.job, int(t), m) {
+					d.waiting[q.job.id]++
+				}
+				if free.Holds(q.job.need) {
+					free = free.Sub(q.job.need)
+				} else if ahead--; ahead < 0 {
+					continue
+				}
+				list = append(list, wanted{position[q.job], q.job, m, int(t)})
+			}
+		}
+	}
+	for _, j := range c.order {
+		for task, m := range j.meant {
+			if j.Final != "" || j.live[task] != nil || j.bits.Has(task) {
+				delete(j.meant, task)
+				continue
+			}
+			d.waiting[j.id]++
+			list = append(list, wanted{position[j], j, m, task})
+		}
+	}
+	slices.SortStableFunc(list, func(a, b wanted) int {
+		return cmp.Or(cmp.Compare(a.at, b.at), strings.Compare(a.m.Name, b.m.Name), cmp.Compare(a.task, b.task))
+	})
+	var wants []staging.Want
+	type whole struct {
+		m   *machine
+		set string
+	}
+	seen := map[whole]bool{}
+	for _, x := range list {
+		for _, in := range x.j.inputs {
+			switch {
+			case in.set == nil:
+			case in.own:
+				wants = append(wants, staging.Want{Machine: x.m.Name, Set: in.set, Part: x.task})
+			case !seen[whole{x.m, in.name}]:
+				seen[whole{x.m, in.name}] = true
+				for k := range in.set.Parts {
+					wants = append(wants, staging.Want{Machine: x.m.Name, Set: in.set, Part: k})
+				}
+			}
+		}
+	}
+	for _, name := range d.desk.Round(wants, now) {
+		if o, addr, ok := d.desk.Order(name); ok {
+			c.hooks.Stage(name, addr, o)
+		}
+	}
+}
+
+// unstick takes tasks back from machines that cannot get their inputs: the agent is
+// silent, or the cache has been full for long of what must be kept.
+func (c *Core) unstick() {
+	d := c.data
+	for _, m := range c.byName() {
+		if !d.desk.Full(m.Name) {
+			delete(d.stuck, m.Name)
+		} else if d.stuck[m.Name].IsZero() {
+			d.stuck[m.Name] = c.now()
+		}
+		silent := !d.desk.Alive(m.Name, c.now(), tuning.StageSilent)
+		full := !d.stuck[m.Name].IsZero() && c.since(d.stuck[m.Name]) > tuning.StageMove
+		if !silent && !full {
+			continue
+		}
+		for _, q := range m.queue {
+			if len(q.job.inputs) == 0 || len(q.tasks) == 0 {
+				continue
+			}
+			slog.Info("inputs do not come", "machine", m.Name, "job", q.job.id, "tasks", len(q.tasks), "agent_silent", silent, "cache_full", full)
+			q.job.pending = append(q.job.pending, q.tasks...)
+			q.job.queued -= len(q.tasks)
+			q.tasks = nil
+			q.job.avoid[m.Name] = c.now().Add(tuning.BackoffMax)
+		}
+		m.trim()
+		delete(d.stuck, m.Name)
+	}
+}
+
+// Staging takes in an agent's report and gives its order. Deposed: the agent has seen a
+// higher term. Refused: its machine was returned.
+func (c *Core) Staging(r *api.StageReport) (o api.StageOrder, deposed, refused bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if r.Helm > c.term {
+		return o, true, false
+	}
+	if _, gone := c.gone[r.Machine]; gone || c.data == nil {
+		return o, false, true
+	}
+	if c.data.desk.Heard(r, c.now()) {
+		c.kick()
+	}
+	o, _, ok := c.data.desk.Order(r.Machine)
+	if !ok || !c.loaded || !c.hooks.Valid() {
+		// What runs there is not known yet, or we may not lead: nothing may be let go. An
+		// order of number 0 changes nothing.
+		o = api.StageOrder{Helm: r.Helm, Sets: []api.StageSet{}}
+	}
+	return o, false, false
+}
+
+// DataView is what operators see of datasets.
+type DataView struct {
+	Datasets []DatasetView `json:"datasets"`
+	Copies   []CopyView    `json:"copies"`
+	Waiting  []WaitingView `json:"waiting"`
+}
+
+// DatasetView is one dataset: how many machines hold all or some of it, and how many of
+// its parts no machine holds.
+type DatasetView struct {
+	Name    string `json:"name"`
+	Bytes   int64  `json:"bytes"`
+	Parts   int    `json:"parts"`
+	Whole   int    `json:"machines_whole"`
+	Some    int    `json:"machines_some"`
+	Nowhere int    `json:"parts_nowhere"`
+}
+
+// CopyView is one copy under way.
+type CopyView struct {
+	Machine string            `json:"machine"`
+	Dataset string            `json:"dataset"`
+	Part    int               `json:"part"`
+	Got     int64             `json:"bytes_got"`
+	Of      int64             `json:"bytes"`
+	From    string            `json:"from"`
+	Failed  map[string]string `json:"failed,omitempty"`
+	Full    bool              `json:"cache_full,omitempty"`
+}
+
+// WaitingView is a job with tasks that wait for their inputs.
+type WaitingView struct {
+	Job   string `json:"job"`
+	Tasks int    `json:"tasks"`
+	Why   string `json:"why"`
+}
+
+// Data shows datasets, who holds them, and what is copied. Who holds what is read from a
+// snapshot, without the core's lock.
+func (c *Core) Data() (v DataView, on bool) {
+	c.mu.Lock()
+	d := c.data
+	if d == nil {
+		c.mu.Unlock()
+		return v, false
+	}
+	v = DataView{Datasets: []DatasetView{}, Copies: []CopyView{}, Waiting: []WaitingView{}}
+	for _, s := range d.sets {
+		v.Datasets = append(v.Datasets, DatasetView{Name: s.Name, Bytes: s.Bytes, Parts: s.Parts})
+	}
+	for _, x := range d.desk.Copies() {
+		v.Copies = append(v.Copies, CopyView{Machine: x.Machine, Dataset: x.Dataset, Part: x.Part, Got: x.Got, Of: x.Of,
+			From: staging.Name(x.From[0]), Failed: x.Failed, Full: x.Full})
+	}
+	for _, j := range c.order {
+		switch n := d.waiting[j.id]; {
+		case !c.dataReady(j):
+			v.Waiting = append(v.Waiting, WaitingView{j.id, j.total - j.done, "a dataset is not known to this controller yet"})
+		case n > 0:
+			v.Waiting = append(v.Waiting, WaitingView{j.id, n, "inputs are not on their machines yet"})
+		}
+	}
+	snap := d.index.Snapshot()
+	c.mu.Unlock()
+	slices.SortFunc(v.Datasets, func(a, b DatasetView) int { return strings.Compare(a.Name, b.Name) })
+	for i := range v.Datasets {
+		x := &v.Datasets[i]
+		some := roaring.New()
+		for k := range x.Parts {
+			on := snap.Holders(x.Name, k)
+			if len(on) == 0 {
+				x.Nowhere++
+			}
+			for _, m := range on {
+				some.Add(uint32(m))
+			}
+		}
+		x.Whole = len(snap.Whole(x.Name))
+		x.Some = int(some.GetCardinality())
+	}
+	return v, true
+}
+
+// tellData logs how staging stands.
+func (c *Core) tellData() {
+	if c.data == nil {
+		return
+	}
+	tasks := 0
+	for _, n := range c.data.waiting {
+		tasks += n
+	}
+	slog.Info("staging", "tasks_waiting", tasks, "jobs_waiting", len(c.data.waiting), "copies", len(c.data.desk.Copies()),
+		"backlog_mb", int(c.data.desk.Backlog()/1e6), "planned", c.data.desk.Planned, "failed", c.data.desk.Failed)
+}
+
+// parseDataset reads a dataset's record.
+func parseDataset(it *store.Item) (*dataset.Summary, error) {
+	var s dataset.Summary
+	if err := json.Unmarshal(it.Value, &s); err != nil {
+		return nil, err
+	}
+	return &s, s.Check()
+}
--- /dev/null
+++ b/controller/dataport.go
@@ -0,0 +1,268 @@
+package controller
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/http"
+
+	"switchferry/api"
+	"switchferry/dataset"
+	"switchferry/features"
+	"switchferry/internal/rest"
+	"switchferry/peer"
+	"switchferry/store"
+	"switchferry/tuning"
+)
+
+// Verbs of requests about datasets, which are served only with the feature on.
+const (
+	// VerbRegister makes a dataset known.
+	VerbRegister = "register"
+	// VerbData shows datasets, holders and copies.
+	VerbData = "data"
+)
+
+// Enable switches features on; it is called before Run.
+func (n *Node) Enable(f *features.Features) {
+	n.data = f.Data
+	n.sets = map[string]*dataset.Summary{}
+}
+
+// DataOn tells whether datasets are on.
+func (n *Node) DataOn() bool { return n.data.On }
+
+// dataset finds a registered dataset, in memory or in the state service. The error is
+// store.ErrNotFound where there is none.
+func (n *Node) dataset(ctx context.Context, name string) (*dataset.Summary, error) {
+	n.mu.Lock()
+	s := n.sets[name]
+	n.mu.Unlock()
+	if s != nil {
+		return s, nil
+	}
+	if !dataset.ValidName(name) {
+		return nil, store.ErrNotFound
+	}
+	if !n.reads.AllowN(n.clock.Now(), 1) {
+		return nil, store.ErrBusy
+	}
+	it, err := n.client.Get(ctx, store.DatasetKey(name))
+	if err != nil {
+		return nil, err
+	}
+	if s, err = parseDataset(&it); err != nil {
+		return nil, fmt.Errorf("record %s is damaged: %w", it.Key, err)
+	}
+	n.keepDataset(s)
+	return s, nil
+}
+
+func (n *Node) keepDataset(s *dataset.Summary) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(n.sets) >= tuning.DatasetsLimit {
+		// Any may go: what is asked for again is read again.
+		for name := range n.sets {
+			delete(n.sets, name)
+			break
+		}
+	}
+	n.sets[s.Name] = s
+}
+
+// checkInputs reads a submission's inputs and finds out whether it can ever run with
+// them. Undecided: that cannot be told now. The error says which field is wrong; it is
+// a *api.FieldError, malformed or impossible as told by the status.
+func (n *Node) checkInputs(ctx context.Context, core *Core, s *api.Submission, body []byte) (status int, err error, undecided bool) {
+	if s.Inputs, err = api.ParseInputs(body, s.Tasks); err != nil {
+		return http.StatusBadRequest, err, false
+	}
+	bytes := int64(0)
+	var sets []*dataset.Summary
+	for i, in := range s.Inputs {
+		f := fmt.Sprintf("inputs[%d]", i)
+		set, err := n.dataset(ctx, in.Dataset)
+		if errors.Is(err, store.ErrNotFound) {
+			return http.StatusUnprocessableEntity, &api.FieldError{Field: f + ".dataset",
+				Want: fmt.Sprintf("no dataset %.80q is registered; `switchferry data add` registers one", in.Dataset)}, false
+		}
+		if err != nil {
+			return 0, nil, true
+		}
+		sets = append(sets, set)
+		if in.Use == api.UseAll {
+			bytes += set.Bytes
+			continue
+		}
+		if s.Tasks > set.Parts {
+			return http.StatusUnprocessableEntity, &api.FieldError{Field: f + ".use",
+				Want: fmt.Sprintf("the job has %d tasks, but dataset %q has %d parts, one for each", s.Tasks, in.Dataset, set.Parts)}, false
+		}
+		most := int64(0)
+		for k := range s.Tasks {
+			most = max(most, set.PartBytes(k))
+		}
+		bytes += most
+	}
+	n.mu.Lock()
+	types := n.types
+	n.mu.Unlock()
+	largest := 0.0
+	for i := range types {
+		if types[i].Fits(s) {
+			largest = max(largest, n.data.Cache(types[i].Name))
+		}
+	}
+	if len(types) > 0 && float64(bytes) > largest {
+		return http.StatusUnprocessableEntity, &api.FieldError{Field: "inputs",
+			Want: fmt.Sprintf("a task needs %.3f GB of data; the largest cache of an allowed machine type holds %.3f GB", float64(bytes)/1e9, largest/1e9)}, false
+	}
+	if core != nil {
+		core.Learn(sets...)
+	}
+	return 0, nil, false
+}
+
+// register makes a dataset known: any controller can, since nothing but its key decides.
+// Its name stands for the same content for ever.
+func (n *Node) register(ctx context.Context, body []byte) peer.Answer {
+	var s dataset.Summary
+	if err := json.Unmarshal(body, &s); err != nil {
+		return refusal(http.StatusBadRequest, &api.FieldError{Field: "body", Want: "must be a dataset's summary: " + err.Error()})
+	}
+	if err := s.Check(); err != nil {
+		return refusal(http.StatusBadRequest, err)
+	}
+	_, _, err := n.client.Multi(ctx, []store.Cond{{Key: store.DatasetKey(s.Name)}}, []store.Op{{Set: store.DatasetKey(s.Name), Value: s}})
+	switch {
+	case err == nil:
+		n.keepDataset(&s)
+		if core := n.leading(); core != nil {
+			core.Learn(&s)
+		}
+		return answer(http.StatusCreated, s)
+	case errors.Is(err, store.ErrConflict):
+		it, err := n.client.Get(ctx, store.DatasetKey(s.Name))
+		if err != nil {
+			break
+		}
+		if old, err := parseDataset(&it); err == nil && old.Equal(&s) {
+			return answer(http.StatusOK, s)
+		}
+		return answer(http.StatusConflict, api.Error{Error: "dataset " + s.Name + " is registered with other content; datasets do not change, use a new name", Field: "name"})
+	}
+	return later("the state service is out of reach")
+}
+
+// aboutData serves requests about datasets; they know no job.
+func (n *Node) aboutData(ctx context.Context, r peer.Request, forwarded bool) peer.Answer {
+	if !n.data.On {
+		return answer(http.StatusNotFound, api.Error{Error: "datasets are off"})
+	}
+	if r.Verb == VerbRegister {
+		return n.register(ctx, r.Body)
+	}
+	if core := n.leading(); core != nil {
+		if v, on := core.Data(); on {
+			return answer(http.StatusOK, v)
+		}
+	}
+	leader, _ := n.elector.Leader()
+	leader, _, there := whoLeads(leader, 0, n.peers.Alive())
+	if forwarded || !there {
+		return later("no leader answers")
+	}
+	a, err := n.peers.Ask(ctx, leader, r, tuning.PeerTimeout)
+	if err != nil {
+		return later("the leader does not answer")
+	}
+	return a
+}
+
+// Stage answers an agent's report. Agents report to the leader alone: whoever is cut off
+// from it starts no new task there, and what is pinned stays.
+func (n *Node) Stage(r *api.StageReport) (status int, body any) {
+	core := n.leading()
+	if core == nil {
+		leader, term := n.elector.Leader()
+		leader, _, there := whoLeads(leader, term, n.peers.Alive())
+		if !there || leader == n.set.Member {
+			return http.StatusServiceUnavailable, api.Error{Error: "no leader yet"}
+		}
+		return http.StatusMisdirectedRequest, api.Redirect{Node: leader}
+	}
+	o, deposed, refused := core.Staging(r)
+	switch {
+	case deposed:
+		n.elector.Resign("an agent has seen a higher term")
+		return http.StatusMisdirectedRequest, api.Redirect{}
+	case refused:
+		return http.StatusServiceUnavailable, api.Error{Error: "this machine was returned"}
+	}
+	return http.StatusOK, o
+}
+
+// order delivers an order to an agent. One that is lost is sent again, and goes out with
+// the answer to the agent's next report in any case.
+func (n *Node) order(ctx context.Context, core *Core, name, addr string, o api.StageOrder) {
+	ctx, stop := context.WithTimeout(ctx, tuning.WorkerTimeout)
+	defer stop()
+	status, body, err := rest.Do(ctx, n.agents, http.MethodPost, "http://"+addr+"/stage", o)
+	var r api.StageReport
+	if err == nil && (status == http.StatusOK || status == http.StatusConflict) {
+		if err = json.Unmarshal(body, &r); err == nil {
+			err = r.Check()
+		}
+	}
+	if err != nil || r.Machine != name {
+		slog.Debug("order not delivered", "machine", name, "status", status, "err", err)
+		return
+	}
+	if _, deposed, _ := core.Staging(&r); deposed {
+		n.elector.Resign("an agent has seen a higher term")
+	}
+}
+
+// datasets keeps a leader up to date with what is registered, by any controller.
+func (n *Node) datasets(ctx context.Context, core *Core, after uint64) {
+	for ctx.Err() == nil {
+		log, epoch, err := n.client.Watch(ctx, store.DatasetPrefix, after, tuning.InboxBlock)
+		if errors.Is(err, store.ErrTooOld) {
+			epoch, err = n.learnAll(ctx, core)
+			log = nil
+		}
+		if err != nil {
+			n.sleep(ctx, tuning.ElectRetry)
+			continue
+		}
+		for _, e := range log {
+			it := store.Item{Key: e.Set, Value: e.Value, Stamp: e.Stamp}
+			if s, err := parseDataset(&it); e.Set != "" && err == nil {
+				core.Learn(s)
+			}
+		}
+		after = max(after, epoch)
+	}
+}
+
+// learnAll reads all datasets.
+func (n *Node) learnAll(ctx context.Context, core *Core) (uint64, error) {
+	items, epoch, err := n.client.List(ctx, store.DatasetPrefix)
+	if err != nil {
+		return 0, err
+	}
+	var sets []*dataset.Summary
+	for i := range items {
+		s, err := parseDataset(&items[i])
+		if err != nil {
+			slog.Error("a dataset's record is damaged; jobs that need it wait", "key", items[i].Key, "err", err)
+			continue
+		}
+		sets = append(sets, s)
+	}
+	core.Learn(sets...)
+	return epoch, nil
+}
--- a/controller/node.go
+++ b/controller/node.go
@@ -16,7 +16,9 @@
 
 	"switchferry/api"
 	"switchferry/cloud"
+	"switchferry/dataset"
 	"switchferry/election"
+	"switchferry/features"
 	"switchferry/peer"
 	"switchferry/policy"
 	"switchferry/settings"
@@ -58,6 +60,12 @@
 	pace  pace
 	// slow is used by the loop of a term alone.
 	slow handover
+
+	// data says whether datasets are on; sets are those read lately, agents the client
+	// for orders to their agents.
+	data   features.Data
+	sets   map[string]*dataset.Summary
+	agents *http.Client
 }
 
 // NewNode makes a controller. Transport carries its calls to other services.
@@ -73,6 +81,7 @@
 	n.reads = rate.NewLimiter(rate.Limit(share), max(1, int(share)))
 	n.relay = newRelay(n)
 	n.pace.clock = clock
+	n.agents = &http.Client{Transport: transport}
 	return n
 }
 
@@ -236,6 +245,10 @@
 	n.mu.Unlock()
 	core := NewCore(term, n.clock, n.set, n.policy, types, hooks)
 	core.hooks.Send = func(name, addr string, o api.Orders) { go n.send(ctx, core, name, addr, o) }
+	if n.data.On {
+		core.hooks.Stage = func(name, addr string, o api.StageOrder) { go n.order(ctx, core, name, addr, o) }
+		core.UseData(n.data)
+	}
 	com = store.NewCommitter(n.client, source{core, n}, n.clock, n.set.Facts.State.WriteRPS, n.set.Facts.State.TxnOps, map[string]uint64{})
 	n.mu.Lock()
 	n.core, n.end = core, end
@@ -268,8 +281,16 @@
 }
 
 func (n *Node) term(ctx context.Context, core *Core, com *store.Committer) {
-	var inbox uint64
+	var inbox, known uint64
 	for ctx.Err() == nil {
+		if n.data.On {
+			var err error
+			if known, err = n.learnAll(ctx, core); err != nil {
+				slog.Error("datasets not read", "err", err)
+				n.sleep(ctx, tuning.ElectRetry)
+				continue
+			}
+		}
 		jobs, epoch, err := n.client.List(ctx, store.JobPrefix)
 		var shards []store.Item
 		if err == nil {
@@ -298,6 +319,9 @@
 	go n.inbox(ctx, core, com, inbox)
 	go n.relayed(ctx, core, com, inbox)
 	go n.machines(ctx, core)
+	if n.data.On {
+		go n.datasets(ctx, core, known)
+	}
 	go n.tend(ctx, core)
 	for ctx.Err() == nil {
 		select {
@@ -691,6 +715,9 @@
 }
 
 func (n *Node) handle(ctx context.Context, r peer.Request, forwarded bool) peer.Answer {
+	if r.Verb == VerbRegister || r.Verb == VerbData {
+		return n.aboutData(ctx, r, forwarded)
+	}
 	if f, ok := n.finalOf(r.Job); ok && r.Verb != VerbSubmit {
 		return answer(http.StatusOK, finalStatus(r.Job, f))
 	}
@@ -762,6 +789,9 @@
 			n.mu.Unlock()
 			err, undecided = canRun(s, n.limit, types)
 		}
+		if err == nil && !undecided && n.data.On {
+			status, err, undecided = n.checkInputs(ctx, core, s, r.Body)
+		}
 		if err != nil {
 			// A known id is never refused, whatever the body.
 			if id != "" {
@@ -774,6 +804,9 @@
 			return refusal(status, err)
 		}
 		if undecided {
+			if n.data.On {
+				return later("the machine types, or the job's datasets, are not known yet")
+			}
 			return later("the machine types are not known yet")
 		}
 		if core == nil {
--- a/controller/place.go
+++ b/controller/place.go
@@ -96,7 +96,7 @@
 }
 
 func (c *Core) ready(j *job) bool {
-	return j.accepted && j.Final == "" && !c.now().Before(j.pause) && (len(j.live) == 0 || j.Job.Shape == api.Gang || !c.mistaken(j))
+	return j.accepted && j.Final == "" && !c.now().Before(j.pause) && c.dataReady(j) && (len(j.live) == 0 || j.Job.Shape == api.Gang || !c.mistaken(j))
 }
 
 // estimate is how long a task of the job runs, in seconds.
@@ -122,6 +122,11 @@
 			m.queue = nil
 		}
 	}
+	if c.data != nil {
+		c.data.snap = c.data.index.Snapshot()
+		c.unstick()
+		defer c.stage()
+	}
 	for _, j := range c.order {
 		if len(j.pending) == 0 || !c.ready(j) {
 			continue
@@ -131,6 +136,8 @@
 			c.placeService(j)
 		case j.Job.Shape == api.Gang:
 			c.placeGang(j)
+		case c.withinLimit(j) && len(j.inputs) > 0:
+			c.dataFill(j)
 		case c.withinLimit(j):
 			c.waterFill(j)
 		}
@@ -218,9 +225,7 @@
 		if s.Mu <= 0 {
 			continue
 		}
-		if f := m.fetchS(j); f > 0 {
-			s.Busy += int(c.policy.Value(policy.FetchPenalty, policy.Vars{"fetch_s": f, "slot_s": slot}))
-		}
+		s.Busy += c.penalty(c.costs(j, 0, m, true).Seconds(), slot)
 		all = append(all, candidate{m, s, free.CPUs})
 	}
 	// Of machines that are as busy, those with the least room left come first.
@@ -317,12 +322,18 @@
 		spare := func() bool { return j.rank > api.RankLow || room-j.need.CPUs >= reserve }
 		for _, p := range at {
 			for len(p.q.tasks) > 0 && spare() && c.startable(j, p.m) {
-				c.start(j, p.q.pop(), p.m, nil, "queued here")
+				i := c.next(p.q, p.m)
+				if i < 0 {
+					break
+				}
+				c.start(j, p.q.take(i), p.m, nil, "queued here")
 				length[p.m]--
 				room -= j.need.CPUs
 			}
 		}
-		if j.queued > 0 && spare() {
+		if j.queued > 0 && len(j.inputs) > 0 {
+			c.shift(j, roomy)
+		} else if j.queued > 0 && spare() {
 			for _, m := range c.pullers(j, roomy) {
 				for j.queued > 0 && spare() && c.startable(j, m) {
 					from := -1
@@ -373,7 +384,7 @@
 		}
 	}
 	slices.SortStableFunc(out, func(a, b *machine) int {
-		return cmp.Or(cmp.Compare(a.fetchS(j), b.fetchS(j)),
+		return cmp.Or(cmp.Compare(c.costs(j, 0, a, true).Seconds(), c.costs(j, 0, b, true).Seconds()),
 			cmp.Compare(a.free().CPUs, b.free().CPUs))
 	})
 	return out
@@ -383,7 +394,7 @@
 // task off a holder's queue: once the job has waited as long as the fetch takes,
 // so that at worst it waits twice what was best.
 func (c *Core) worthPulling(j *job, m *machine) bool {
-	f := m.fetchS(j)
+	f := c.costs(j, 0, m, true).Seconds()
 	return f <= tuning.FreeFetch || c.since(j.arrived).Seconds() >= tuning.PullPatience*f
 }
 
@@ -497,15 +508,19 @@
 // they run until they are cancelled. A machine that holds the image is worth
 // more than one that must fetch it, and worth stopping lower work for.
 func (c *Core) placeService(j *job) {
+	var unstaged []int32
+	defer func() { j.pending = append(j.pending, unstaged...) }()
 	for len(j.pending) > 0 && c.withinLimit(j) && c.ready(j) {
+		task := int(j.pending[0])
 		var best *machine
 		var bestOut, bestVictims []*assign
 		bestScore := math.Inf(1)
+		meant := c.meant(j, task)
 		for _, m := range c.byName() {
-			if !c.eligible(j, m) || !zoneOK(j, m) {
+			if !c.eligible(j, m) || !zoneOK(j, m) || !c.stages(j, m) || meant != nil && meant != m {
 				continue
 			}
-			score := m.FetchS(j.Job.Image, j.Job.ImageGB)
+			score := c.costs(j, task, m, false).Seconds()
 			// Replicas on one machine are lost together.
 			for _, a := range m.assigns {
 				if a.job == j {
@@ -531,10 +546,21 @@
 			}
 		}
 		if best == nil {
-			return
+			if meant == nil {
+				return
+			}
+			// What it waited for has no room any more: another is looked for.
+			delete(j.meant, task)
+			j.pending, unstaged = j.pending[1:], append(unstaged, int32(task))
+			continue
 		}
-		task := int(j.pending[0])
 		j.pending = j.pending[1:]
+		if !c.staged(j, task, best) {
+			// Nothing is stopped, and no room held, while its inputs are copied there.
+			j.mean(task, best)
+			unstaged = append(unstaged, int32(task))
+			continue
+		}
 		c.moveAside(bestVictims, j)
 		c.start(j, task, best, append(bestOut, bestVictims...), "service")
 	}
@@ -549,7 +575,12 @@
 	}
 	ms := slices.Clone(c.byName())
 	holders := func(a, b *machine) int {
-		return int(a.FetchS(j.Job.Image, j.Job.ImageGB) - b.FetchS(j.Job.Image, j.Job.ImageGB))
+		return int(c.costs(j, 0, a, false).Seconds() - c.costs(j, 0, b, false).Seconds())
+	}
+	// A gang whose inputs are being copied keeps to its machines while they will do.
+	kept := len(j.meant) > 0
+	for _, t := range j.pending {
+		kept = kept && c.meant(j, int(t)) != nil
 	}
 	slices.SortStableFunc(ms, holders)
 	var held []*assign
@@ -562,10 +593,19 @@
 		}
 		zone = first.Zone
 		for _, m := range ms {
-			for len(held) < len(j.pending) && c.startable(j, m) && (!j.Job.OneZone || m.Zone == zone) {
+			for len(held) < len(j.pending) && c.startable(j, m) && c.stages(j, m) && (!j.Job.OneZone || m.Zone == zone) {
 				held = append(held, c.hold(j, int(j.pending[len(held)]), m, attempt))
 			}
 		}
+		if kept {
+			for _, a := range held {
+				c.drop(a)
+			}
+			if held = c.holdMeant(j, attempt); held == nil {
+				clear(j.meant)
+				return
+			}
+		}
 		if len(held) == len(j.pending) {
 			break
 		}
@@ -577,12 +617,38 @@
 	if held == nil {
 		return
 	}
+	for _, a := range held {
+		if !c.staged(j, a.task, a.machine) {
+			// All of it starts, or nothing: room is held by none meanwhile.
+			for _, a := range held {
+				j.mean(a.task, a.machine)
+				c.drop(a)
+			}
+			return
+		}
+	}
 	j.pending = nil
 	for _, a := range held {
 		c.commitStart(a, "gang")
 	}
 }
 
+// holdMeant makes a gang's tasks count on the machines that their inputs are copied to;
+// nil: one of them has no room.
+func (c *Core) holdMeant(j *job, attempt uint64) (held []*assign) {
+	for _, t := range j.pending {
+		m := j.meant[int(t)]
+		if m == nil || !c.startable(j, m) {
+			for _, a := range held {
+				c.drop(a)
+			}
+			return nil
+		}
+		held = append(held, c.hold(j, int(t), m, attempt))
+	}
+	return held
+}
+
 // option is a machine where room can be made, and what that costs.
 type option struct {
 	m               *machine
@@ -612,14 +678,15 @@
 
 // optionOn is what room for one task of a job costs on a machine.
 func (c *Core) optionOn(j *job, m *machine) (option, bool) {
-	if !c.eligible(j, m) || !zoneOK(j, m) {
+	if !c.eligible(j, m) || !zoneOK(j, m) || len(j.inputs) > 0 && !c.hasStaged(j, m) {
 		return option{}, false
 	}
 	out, victims, ok := c.makeRoom(j, m)
 	if !ok {
 		return option{}, false
 	}
-	score := m.fetchS(j)
+	// Only machines that have a task's inputs are looked at.
+	score := c.costs(j, 0, m, true).Image
 	for _, a := range victims {
 		score += float64(c.loss(a)) / 1000
 	}
@@ -681,7 +748,11 @@
 			break
 		}
 		task := -1
-		if len(j.pending) > 0 {
+		if len(j.inputs) > 0 {
+			if task = c.takeStaged(j, x.m); task < 0 {
+				break
+			}
+		} else if len(j.pending) > 0 {
 			task = int(j.pending[0])
 			j.pending = j.pending[1:]
 		} else {
--- a/controller/rent.go
+++ b/controller/rent.go
@@ -69,6 +69,7 @@
 	c.keepImages(now)
 	if now.Sub(c.told) >= tuning.FleetLogEvery {
 		c.told = now
+		c.tellData()
 		c.logFleet()
 	}
 	for name, at := range c.gone {
@@ -370,6 +371,9 @@
 			q.job.queued -= len(q.tasks)
 		}
 		delete(c.machines, n)
+		if c.data != nil {
+			c.data.desk.Gone(n)
+		}
 		c.sorted = nil
 	}
 	c.kick()
--- /dev/null
+++ b/features/features_test.go
@@ -0,0 +1,38 @@
+package features
+
+import (
+	"os"
+	"strings"
+	"testing"
+)
+
+// A file with many mistakes names all of them: one a try would take its writer all night.
+func TestEveryMistakeIsNamed(t *testing.T) {
+	_, err := Parse([]byte("[data]\non = true\nstore = \"ftp://x\"\nplacement = \"best\"\ncache_gb = -1\ncopies_per_link = 0\nahead = 3\n[other]\nx = 1\n"))
+	for _, want := range []string{"data.store", "data.placement", "data.cache_gb", "data.link_mb_per_s", "data.store_mb_per_s", "data.copies_per_link", "line 7: data.ahead", "other"} {
+		if err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s is not named in %v", want, err)
+		}
+	}
+}
+
+func TestOffWithoutAFile(t *testing.T) {
+	f, err := Load("")
+	if err != nil || f.Data.On {
+		t.Fatal(f, err)
+	}
+	f, err = Parse([]byte("[data]\non = true\nstore = \"http://10.0.0.9:9000/\"\nlink_mb_per_s = 100\nstore_mb_per_s = 500\ntype_cache_gb = {big = 900}\n"))
+	if err != nil || f.Data.Store != "http://10.0.0.9:9000" || f.Data.Cache("big") != 900e9 || f.Data.Cache("other") != 50e9 {
+		t.Fatalf("%+v %v", f, err)
+	}
+}
+
+func TestTheFileThatIsShippedIsValid(t *testing.T) {
+	raw, err := os.ReadFile("../deploy/features.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if f, err := Parse(raw); err != nil || !f.Data.On {
+		t.Fatal(f, err)
+	}
+}
--- a/httpapi/httpapi.go
+++ b/httpapi/httpapi.go
@@ -25,6 +25,10 @@
 	Ready() bool
 	Report(ctx context.Context, r *api.Report, raw []byte) (status int, body any)
 	Handle(ctx context.Context, r peer.Request, forwarded bool) peer.Answer
+	// DataOn tells whether datasets are on; only then their paths exist. Stage answers
+	// an agent's report.
+	DataOn() bool
+	Stage(r *api.StageReport) (status int, body any)
 }
 
 // New makes the port's handler.
@@ -44,7 +48,7 @@
 	user := func(verb string) echo.HandlerFunc {
 		return func(c echo.Context) error {
 			r := peer.Request{Verb: verb, Job: c.Param("id")}
-			if verb == controller.VerbSubmit {
+			if verb == controller.VerbSubmit || verb == controller.VerbRegister {
 				body, err := read(c)
 				if err != nil {
 					return c.JSON(http.StatusBadRequest, api.Error{Error: err.Error(), Field: "body"})
@@ -63,6 +67,29 @@
 	e.POST("/submissions", user(controller.VerbSubmit))
 	e.GET("/submissions/:id", user(controller.VerbStatus))
 	e.POST("/submissions/:id/cancel", user(controller.VerbCancel))
+	if n.DataOn() {
+		e.GET("/datasets", user(controller.VerbData))
+		e.POST("/datasets", user(controller.VerbRegister))
+		e.POST("/v1/staging", func(c echo.Context) error {
+			var r api.StageReport
+			body, err := io.ReadAll(io.LimitReader(c.Request().Body, tuning.OrderLimit+1))
+			if err == nil && len(body) > tuning.OrderLimit {
+				err = errors.New("the report is over 1 MiB")
+			}
+			if err == nil {
+				err = json.Unmarshal(body, &r)
+			}
+			if err == nil {
+				err = r.Check()
+			}
+			if err != nil {
+				slog.Error("malformed report of an agent", "from", c.Request().RemoteAddr, "err", err)
+				return c.JSON(http.StatusBadRequest, api.Error{Error: err.Error()})
+			}
+			status, ans := n.Stage(&r)
+			return c.JSON(status, ans)
+		})
+	}
 	e.GET("/ready", func(c echo.Context) error {
 		if n.Ready() {
 			return c.NoContent(http.StatusOK)
--- a/httpapi/httpapi_test.go
+++ b/httpapi/httpapi_test.go
@@ -10,7 +10,15 @@
 	"switchferry/peer"
 )
 
-type fakeNode struct{ got peer.Request }
+type fakeNode struct {
+	got  peer.Request
+	data bool
+}
+
+func (f *fakeNode) DataOn() bool { return f.data }
+func (f *fakeNode) Stage(r *api.StageReport) (int, any) {
+	return 200, api.StageOrder{Helm: 4, Order: r.Order}
+}
 
 func (f *fakeNode) Ready() bool { return false }
 func (f *fakeNode) Report(context.Context, *api.Report, []byte) (int, any) {
@@ -37,6 +45,9 @@
 		{"POST", "/v1/report", `{"watch":1}`, 400, "host"},
 		{"POST", "/v1/report", `{"host":"m","watch":1}`, 421, `"harbor":"n1"`},
 		{"GET", "/elsewhere", "", 404, "error"},
+		// Off, a feature's paths are as unknown as any.
+		{"GET", "/datasets", "", 404, "Not Found"},
+		{"POST", "/v1/staging", "{}", 404, "Not Found"},
 		{"DELETE", "/submissions/run-1", "", 405, "error"},
 	} {
 		w := httptest.NewRecorder()
@@ -55,3 +66,24 @@
 		t.Errorf("passed on %+v", n.got)
 	}
 }
+
+func TestPathsOfDatasets(t *testing.T) {
+	h := New(&fakeNode{data: true})
+	for _, c := range []struct {
+		method, path, body string
+		status             int
+		text               string
+	}{
+		{"GET", "/datasets", "", 503, "later"},
+		{"POST", "/v1/staging", "{", 400, "error"},
+		{"POST", "/v1/staging", `{"host":"m","address":"a:1"}`, 400, "session"},
+		{"POST", "/v1/staging", `{"host":"m","address":"a:1","session":1,"order":9}`, 200, `"helm":4`},
+		{"POST", "/v1/staging", strings.Repeat("x", 2<<20), 400, "1 MiB"},
+	} {
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, httptest.NewRequest(c.method, c.path, strings.NewReader(c.body)))
+		if w.Code != c.status || !strings.Contains(w.Body.String(), c.text) {
+			t.Errorf("%s %s: %d %s", c.method, c.path, w.Code, w.Body)
+		}
+	}
+}
--- a/staging/staging.go
+++ b/staging/staging.go
@@ -81,8 +81,11 @@
 	// earlier leader's must not keep parts for ever.
 	order, applied uint64
 	sent           time.Time
-	wants          map[string]*want
-	down, up       int
+	// planned: a round has looked at it. Before that its order says nothing, and sent out
+	// would let go what an earlier leader's tasks run on.
+	planned  bool
+	wants    map[string]*want
+	down, up int
 	// toCome are the bytes of copies to it that are under way or wait.
 	toCome float64
 	total  float64
@@ -214,6 +217,15 @@
 	return a != nil && now.Sub(a.heard) < within
 }
 
+// ID is a machine's number in the index of holdings; false: its agent was never heard.
+func (d *Desk) ID(machine string) (holdings.Machine, bool) {
+	a := d.agents[machine]
+	if a == nil {
+		return 0, false
+	}
+	return a.id, true
+}
+
 // Quota is the size of a machine's cache, in bytes; 0: not known.
 func (d *Desk) Quota(machine string) int64 {
 	if a := d.agents[machine]; a != nil {
@@ -315,6 +327,7 @@
 	}
 	var out []string
 	for _, a := range d.agents {
+		a.planned = true
 		if changed[a] {
 			a.order++
 		}
@@ -507,10 +520,11 @@
 
 func (d *Desk) byID(m holdings.Machine) *agent { return d.ids[m] }
 
-// Order is a machine's order as it stands; false: its agent is not known.
+// Order is a machine's order as it stands; false: its agent is not known, or no round has
+// looked at it yet.
 func (d *Desk) Order(machine string) (o api.StageOrder, addr string, ok bool) {
 	a := d.agents[machine]
-	if a == nil {
+	if a == nil || !a.planned {
 		return o, "", false
 	}
 	o = api.StageOrder{Helm: d.term, Session: a.session, Order: a.order, Known: a.version, Sets: []api.StageSet{}}
--- a/store/records.go
+++ b/store/records.go
@@ -30,6 +30,8 @@
 	// ImagesPrefix holds which machines likely hold which images, for the
 	// next leader. It is a hint: nothing breaks when it is old or missing.
 	ImagesPrefix = "sf/images/"
+	// DatasetPrefix holds what is registered of datasets, for good.
+	DatasetPrefix = "sf/d/"
 )
 
 // JobKey, FinalKey and InboxKey are the keys of a job.
@@ -37,6 +39,9 @@
 func FinalKey(id string) string { return FinalPrefix + id }
 func InboxKey(id string) string { return InboxPrefix + id }
 
+// DatasetKey is the key of a dataset.
+func DatasetKey(name string) string { return DatasetPrefix + name }
+
 // RelayKey and MailKey are the keys of a sibling's relay.
 func RelayKey(member string, n int) string { return fmt.Sprintf("%s%s/%d", RelayPrefix, member, n) }
 func MailKey(member string) string         { return MailPrefix + member }
--- a/tuning/tuning.go
+++ b/tuning/tuning.go
@@ -347,6 +347,9 @@
 	// StageMove is how long a task's copies may make no headway, its cache full or its
 	// sources silent, before it is given to another machine.
 	StageMove = 30 * time.Second
+	// StageAhead is for how many queued tasks a machine, beyond those with room, inputs
+	// are copied ahead, unless the features file says otherwise.
+	StageAhead = 4
 	// DatasetsLimit is the most datasets that controllers keep in memory: at some 300
 	// bytes each this is 3 MB.
 	DatasetsLimit = 10_000
