Who holds what outlives the leader as a packed hint; an experiment on locality

Need: a new leader hears agents one after the other and would copy inputs to whoever came first; and locality must be measured against blind placement. Change: holdings packed with zstd, 64 machines a record, at most every 10 s (sf/holds/N); nothing starts on its word. switchferry experiment locality plays the same jobs under four placements with real agents and copies over loopback and the controllers' own Core.

--- a/cli/serve.go
+++ b/cli/serve.go
@@ -67,7 +67,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(stagerCommand(), dataCommand(), serveCommand(), checkCommand(), versionCommand(), policyCommand(), submitCommand(),
+	root.AddCommand(stagerCommand(), dataCommand(), experimentCommand(), serveCommand(), checkCommand(), versionCommand(), policyCommand(), submitCommand(),
 		jobCommand("status", "Show a job's state", http.MethodGet, ""),
 		jobCommand("cancel", "Cancel a job", http.MethodPost, "/cancel"))
 	return root
--- a/controller/core.go
+++ b/controller/core.go
@@ -609,6 +609,9 @@
 	case strings.HasPrefix(key, store.ImagesPrefix):
 		rec, ok := c.imagesRecord(key)
 		return rec, ok, nil
+	case strings.HasPrefix(key, store.HoldsPrefix):
+		rec, ok := c.holdsRecord(key)
+		return rec, ok, nil
 	case strings.HasPrefix(key, store.MailPrefix):
 		return c.mail(strings.TrimPrefix(key, store.MailPrefix)), true, nil
 	case strings.HasPrefix(key, store.ShardPrefix):
--- a/controller/data.go
+++ b/controller/data.go
@@ -40,6 +40,9 @@
 	stuck map[string]time.Time
 	// waiting counts tasks that wait for bytes, by job, as of the last round.
 	waiting map[string]int
+	// hinted is the version of the index that was last put on record, at hintAt.
+	hinted uint64
+	hintAt time.Time
 }
 
 // input is a dataset that a job needs. Set is nil while the dataset is not known.
--- a/controller/data_test.go
+++ b/controller/data_test.go
@@ -405,3 +405,36 @@
 		}
 	}
 }
+
+// A new leader that has heard only one agent yet gives tasks to the machines that hold
+// their inputs, as the last leader knew them; but nothing starts there on that word.
+func TestHoldingsOutliveTheLeader(t *testing.T) {
+	s := newDataStage(t, features.Staged)
+	s.up("a1")
+	s.up("a2", 0, 1)
+	s.keepHolds(s.clock.Now().Add(tuning.HoldsEvery))
+	s.commit()
+	it := s.state.Get(store.HoldsKey(0))
+	if it == nil {
+		t.Fatal("not on record")
+	}
+	s.reelect()
+	s.HoldsHint([]store.Item{{Key: store.HoldsKey(0), Value: it}})
+	s.alive("a1")
+	s.alive("a2")
+	s.tell(s.agents["a1"])
+	s.submit("run-000001", 2, withInputs(api.UseOwn))
+	s.Place()
+	s.commit()
+	if n := len(s.machines["a2"].queue); n != 1 || len(s.machines["a1"].queue) != 0 {
+		t.Fatalf("queued on a2: %d, on a1: %d", n, len(s.machines["a1"].queue))
+	}
+	if len(s.starts("run-000001/0")) != 0 {
+		t.Fatal("started on a hint")
+	}
+	s.round()
+	s.round()
+	if st := s.starts("run-000001/0"); len(st) != 1 || st[0].name != "a2" {
+		t.Fatalf("%+v", st)
+	}
+}
--- a/controller/node.go
+++ b/controller/node.go
@@ -303,6 +303,14 @@
 					com.Know(it.Key, it.Stamp)
 				}
 			}
+			if n.data.On {
+				if holds, _, herr := n.client.List(ctx, store.HoldsPrefix); herr == nil {
+					core.HoldsHint(holds)
+					for _, it := range holds {
+						com.Know(it.Key, it.Stamp)
+					}
+				}
+			}
 			for _, it := range append(jobs, shards...) {
 				com.Know(it.Key, it.Stamp)
 			}
--- a/controller/rent.go
+++ b/controller/rent.go
@@ -67,6 +67,7 @@
 	}
 	out = append(out, c.spare(now)...)
 	c.keepImages(now)
+	c.keepHolds(now)
 	if now.Sub(c.told) >= tuning.FleetLogEvery {
 		c.told = now
 		c.tellData()
--- /dev/null
+++ b/experiment/locality.go
@@ -0,0 +1,534 @@
+// Package experiment plays workloads against the scheduler and measures them. It knows
+// the scheduler from outside, as users, workers and agents do, and nothing of how it
+// decides. All that it measures is of this machine, over loopback; see each experiment
+// for what in it is simulated.
+package experiment
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+	"github.com/jonboulle/clockwork"
+	"golang.org/x/time/rate"
+
+	"switchferry/api"
+	"switchferry/controller"
+	"switchferry/dataset"
+	"switchferry/features"
+	"switchferry/policy"
+	"switchferry/settings"
+	"switchferry/stager"
+	"switchferry/store"
+	"switchferry/tuning"
+)
+
+// Locality is an experiment: the same jobs, each of whose tasks needs a part of a dataset,
+// under four placements. Agents, store and copies are real and go over loopback, with
+// their rates limited; the leader is the controllers' own Core on the real clock; workers
+// and their image fetches are simulated in this process, and records are stored at once.
+type Locality struct {
+	Seed uint64
+	// Machines run Slots tasks each at once. Datasets have Parts parts of PartBytes.
+	Machines, Slots, Datasets, Parts, PartBytes int
+	// Jobs of Parts tasks, which run RunS seconds each, come so that they fill Load of
+	// the machines on average.
+	Jobs       int
+	RunS, Load float64
+	// LinkRate and StoreRate are in bytes a second, CachedParts what a cache holds.
+	LinkRate, StoreRate float64
+	CachedParts         int
+	// Skews are the workloads: Zipf exponents over the datasets.
+	Skews []float64
+	// AtOnce is how many runs go at the same time.
+	AtOnce int
+	// Dir is where the caches stand while it runs.
+	Dir string
+	// Progress is told what is done; may be nil.
+	Progress func(format string, a ...any)
+}
+
+// Defaults is the experiment whose table stands in docs/data.md.
+func Defaults() Locality {
+	return Locality{Seed: 1, Machines: 24, Slots: 2, Datasets: 16, Parts: 4, PartBytes: 1 << 20, Jobs: 144, RunS: 4, Load: 0.6,
+		LinkRate: 512 << 10, StoreRate: 6 << 20, CachedParts: 16, Skews: []float64{0, 1, 2}, AtOnce: 12, Dir: os.TempDir()}
+}
+
+// LocalityResult is what it found.
+type LocalityResult struct {
+	Experiment string     `json:"experiment"`
+	Measured   string     `json:"measured"`
+	Seed       uint64     `json:"seed"`
+	Machines   int        `json:"machines"`
+	Jobs       int        `json:"jobs"`
+	Workloads  []Workload `json:"workloads"`
+}
+
+// Workload is one set of jobs.
+type Workload struct {
+	Zipf       float64  `json:"zipf"`
+	Placements []Figure `json:"placements"`
+}
+
+// Figure is what one placement did with a workload.
+type Figure struct {
+	Name       string `json:"name"`
+	StoreBytes int64  `json:"store_bytes"`
+	PeerBytes  int64  `json:"peer_bytes"`
+	// LeastBytes is what must leave the store whatever the placement: each part that any
+	// task needs, once.
+	LeastBytes int64   `json:"least_bytes"`
+	StartP50   float64 `json:"start_p50_ms"`
+	StartP95   float64 `json:"start_p95_ms"`
+	StartP99   float64 `json:"start_p99_ms"`
+	MakespanS  float64 `json:"makespan_s"`
+}
+
+// placements are the four, by the name that the result uses.
+var placements = []struct{ name, mode string }{{"blind", features.Blind}, {"images", features.Images},
+	{"locality", features.Local}, {"locality+staging", features.Staged}}
+
+// arrival is one job of a workload.
+type arrival struct {
+	at      time.Duration
+	dataset int
+	image   int
+}
+
+// workload draws jobs: when they come, and whose data they need.
+func (l *Locality) workload(skew float64) []arrival {
+	rng := rand.New(rand.NewPCG(l.Seed, math.Float64bits(skew)))
+	weights := make([]float64, l.Datasets)
+	sum := 0.0
+	for i := range weights {
+		weights[i] = math.Pow(float64(i+1), -skew)
+		sum += weights[i]
+	}
+	perS := l.Load * float64(l.Machines*l.Slots) / l.RunS / float64(l.Parts)
+	at := 0.0
+	out := make([]arrival, l.Jobs)
+	for i := range out {
+		x, d := rng.Float64()*sum, 0
+		for d < l.Datasets-1 && x > weights[d] {
+			x -= weights[d]
+			d++
+		}
+		out[i] = arrival{time.Duration(at * float64(time.Second)), d, d % 8}
+		at += rng.ExpFloat64() / perS
+	}
+	return out
+}
+
+// Run plays all workloads under all placements.
+func (l *Locality) Run(ctx context.Context) (*LocalityResult, error) {
+	if l.Machines < 1 || l.Slots < 1 || l.Datasets < 1 || l.Parts < 1 || l.PartBytes < 1 || l.Jobs < 1 || l.AtOnce < 1 || l.CachedParts < l.Slots {
+		return nil, errors.New("machines, slots, datasets, parts, part bytes, jobs and runs at once must be 1 or more, and a cache must hold a part for each slot")
+	}
+	if !(l.RunS > 0) || !(l.Load > 0) || !(l.LinkRate > 0) || !(l.StoreRate > 0) {
+		return nil, errors.New("run time, load and rates must be above 0")
+	}
+	if l.Progress == nil {
+		l.Progress = func(string, ...any) {}
+	}
+	res := &LocalityResult{Experiment: "locality", Measured: "loopback; workers and image fetches simulated", Seed: l.Seed, Machines: l.Machines, Jobs: l.Jobs}
+	var wg sync.WaitGroup
+	gate := make(chan struct{}, l.AtOnce)
+	var mu sync.Mutex
+	var failed []error
+	for _, skew := range l.Skews {
+		res.Workloads = append(res.Workloads, Workload{Zipf: skew, Placements: make([]Figure, len(placements))})
+	}
+	for w, skew := range l.Skews {
+		jobs := l.workload(skew)
+		for p, place := range placements {
+			wg.Go(func() {
+				gate <- struct{}{}
+				defer func() { <-gate }()
+				f, err := l.play(ctx, jobs, place.name, place.mode)
+				mu.Lock()
+				defer mu.Unlock()
+				if err != nil {
+					failed = append(failed, fmt.Errorf("zipf %g, %s: %w", skew, place.name, err))
+					return
+				}
+				res.Workloads[w].Placements[p] = f
+				l.Progress("zipf %g, %s: done in %.0f s", skew, place.name, f.MakespanS)
+			})
+		}
+	}
+	wg.Wait()
+	return res, errors.Join(failed...)
+}
+
+// playing is one run.
+type playing struct {
+	*Locality
+	core     *controller.Core
+	machines map[string]*machine
+	store    *storeServer
+
+	mu      sync.Mutex
+	stored  []func()
+	arrived map[string]time.Time
+	delays  *hdrhistogram.Histogram
+	last    time.Time
+}
+
+func (l *Locality) play(ctx context.Context, jobs []arrival, name, mode string) (Figure, error) {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	dir, err := os.MkdirTemp(l.Dir, "switchferry-locality-")
+	if err != nil {
+		return Figure{}, err
+	}
+	defer os.RemoveAll(dir)
+	p := &playing{Locality: l, machines: map[string]*machine{}, arrived: map[string]time.Time{}, delays: hdrhistogram.New(1, 3_600_000, 3)}
+	if p.store, err = l.openStore(ctx); err != nil {
+		return Figure{}, err
+	}
+	set := &settings.Settings{Member: "experiment"}
+	set.Facts.Workers = settings.Workers{ReportS: 1, LeaseS: 10, CancelS: 40}
+	set.Facts.Teams = []settings.Team{{Name: "team"}}
+	types := []api.MachineType{{Name: "m", CPUs: float64(l.Slots), MemoryGB: 64, CacheGB: 3, PullGBs: 1, BootS: 1, Zones: []string{"z"}}}
+	p.core = controller.NewCore(1, clockwork.NewRealClock(), set, policy.Default(), types, controller.Hooks{
+		Touch: func(_ string, _ int, after func()) {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.stored = append(p.stored, after)
+		},
+		Send: func(name, _ string, o api.Orders) { go p.send(name, o) },
+		Stage: func(name, _ string, o api.StageOrder) {
+			if m := p.machines[name]; m != nil {
+				go m.order(p.core, o)
+			}
+		},
+		Valid: func() bool { return true },
+		Delay: func() time.Duration { return 0 },
+		Cut:   func(string) bool { return false },
+		Final: func(string, store.FinalRecord) {},
+	})
+	p.core.UseData(features.Data{On: true, Placement: mode, CacheGB: 1, LinkMBs: l.LinkRate / 1e6, StoreMBs: l.StoreRate / 1e6,
+		PerLink: tuning.StagePerLink, AtStore: max(tuning.StageAtStore, l.Machines/2), Ahead: tuning.StageAhead})
+	if err := p.core.Load(nil, nil); err != nil {
+		return Figure{}, err
+	}
+	for _, s := range p.store.sets {
+		p.core.Learn(s)
+	}
+	for i := range l.Machines {
+		m, err := p.machine(ctx, dir, i)
+		if err != nil {
+			return Figure{}, err
+		}
+		p.machines[m.name] = m
+	}
+	var wg sync.WaitGroup
+	for _, m := range p.machines {
+		wg.Go(func() { m.live(ctx, p) })
+	}
+	wg.Go(func() { p.lead(ctx) })
+	defer wg.Wait()
+	defer stop()
+	return p.follow(ctx, jobs, name)
+}
+
+// follow submits the jobs as they come and waits for all to be done.
+func (p *playing) follow(ctx context.Context, jobs []arrival, name string) (Figure, error) {
+	begin := time.Now()
+	touched := map[int]bool{}
+	var wg sync.WaitGroup
+	for i, j := range jobs {
+		select {
+		case <-ctx.Done():
+			return Figure{}, ctx.Err()
+		case <-time.After(time.Until(begin.Add(j.at))):
+		}
+		touched[j.dataset] = true
+		s := api.Submission{ID: fmt.Sprintf("run-%06d", i), Class: "c", Team: "team", Shape: api.Array, Rank: "normal", Tasks: p.Parts, CPUs: 1, MemoryGB: 1,
+			Image: fmt.Sprintf("image-%d", j.image), ImageGB: 0.5, Spot: true, EstimateS: p.RunS,
+			Inputs: []api.Input{{Dataset: setName(j.dataset), Use: api.UseOwn}}}
+		p.mu.Lock()
+		p.arrived[s.ID] = time.Now()
+		p.mu.Unlock()
+		wg.Go(func() { p.core.Submit(ctx, &s, time.Now()) })
+	}
+	wg.Wait()
+	for left := len(jobs); left > 0; {
+		left = 0
+		for i := range jobs {
+			if st, _ := p.core.Known(fmt.Sprintf("run-%06d", i)); st.State == api.Pending || st.State == api.Running {
+				left++
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return Figure{}, fmt.Errorf("%d jobs are not done: %w", left, ctx.Err())
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+	f := Figure{Name: name, LeastBytes: int64(len(touched)) * int64(p.Parts*p.PartBytes)}
+	for _, m := range p.machines {
+		r := m.agent.Report(false)
+		f.StoreBytes += r.FromStore
+		f.PeerBytes += r.FromPeers
+	}
+	// The manifests, which each machine gets once, are not data.
+	f.StoreBytes -= p.store.manifests.Load()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	f.MakespanS = p.last.Sub(begin).Seconds()
+	f.StartP50 = float64(p.delays.ValueAtQuantile(50))
+	f.StartP95 = float64(p.delays.ValueAtQuantile(95))
+	f.StartP99 = float64(p.delays.ValueAtQuantile(99))
+	return f, nil
+}
+
+// lead is the leader's loop: what is to be stored is stored at once.
+func (p *playing) lead(ctx context.Context) {
+	for ctx.Err() == nil {
+		p.core.Place()
+		p.mu.Lock()
+		after := p.stored
+		p.stored = nil
+		p.mu.Unlock()
+		for _, f := range after {
+			if f != nil {
+				f()
+			}
+		}
+		p.core.Committed()
+		select {
+		case <-ctx.Done():
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
+
+func (p *playing) send(name string, o api.Orders) {
+	m := p.machines[name]
+	m.do(p, o)
+	r := m.report()
+	p.core.Answered(name, o, r, true)
+}
+
+// machine is a simulated worker with a real agent beside it.
+type machine struct {
+	name, addr string
+	agent      *stager.Agent
+
+	mu     sync.Mutex
+	seq    uint64
+	helm   uint64
+	tasks  map[string]*api.TaskReport
+	images *simplelru.LRU[string, struct{}]
+	kick   chan struct{}
+}
+
+func (p *playing) machine(ctx context.Context, dir string, i int) (*machine, error) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	images, err := simplelru.NewLRU[string, struct{}](6, nil)
+	if err != nil {
+		return nil, err
+	}
+	m := &machine{name: fmt.Sprintf("n-%06d", i), addr: l.Addr().String(), tasks: map[string]*api.TaskReport{}, images: images, kick: make(chan struct{}, 1)}
+	m.agent, err = stager.New(ctx, stager.Options{Machine: m.name, Address: m.addr, Dir: filepath.Join(dir, m.name), Quota: int64(p.CachedParts * p.PartBytes),
+		Store: p.store.url, DownRate: p.LinkRate, UpRate: p.LinkRate})
+	if err != nil {
+		return nil, err
+	}
+	go m.agent.Run(ctx)
+	serve(ctx, l, m.agent.Handler())
+	return m, nil
+}
+
+func serve(ctx context.Context, l net.Listener, h http.Handler) {
+	s := &http.Server{Handler: h, ReadHeaderTimeout: tuning.HeaderTimeout}
+	go func() {
+		<-ctx.Done()
+		_ = s.Close()
+	}()
+	go func() { _ = s.Serve(l) }()
+}
+
+// live reports for worker and agent until the context ends.
+func (m *machine) live(ctx context.Context, p *playing) {
+	for ctx.Err() == nil {
+		o, _, _ := p.core.Report(m.report(), "")
+		m.do(p, o)
+		r := m.agent.Next()
+		if so, _, refused := p.core.Staging(&r); !refused {
+			_, _ = m.agent.Apply(&so)
+		}
+		select {
+		case <-ctx.Done():
+		case <-m.kick:
+		case <-time.After(100 * time.Millisecond):
+		}
+	}
+}
+
+func (m *machine) order(core *controller.Core, o api.StageOrder) {
+	_, _ = m.agent.Apply(&o)
+	r := m.agent.Next()
+	core.Staging(&r)
+}
+
+func (m *machine) report() *api.Report {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.seq++
+	r := &api.Report{Machine: m.name, Address: m.addr, Type: "m", Zone: "z", Session: 1, Seq: m.seq, Helm: m.helm}
+	for _, t := range m.tasks {
+		r.Tasks = append(r.Tasks, *t)
+	}
+	return r
+}
+
+// do carries out commands as a worker does.
+func (m *machine) do(p *playing, o api.Orders) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.helm = max(m.helm, o.Helm)
+	for _, c := range o.Commands {
+		t := m.tasks[c.Task]
+		switch {
+		case c.Verb == api.Start && t == nil:
+			t = &api.TaskReport{Task: c.Task, Attempt: c.Attempt, State: api.TaskFetching}
+			m.tasks[c.Task] = t
+			go m.run(p, t)
+		case c.Verb == api.Forget && t != nil && t.State == api.TaskEnded:
+			delete(m.tasks, c.Task)
+		}
+	}
+}
+
+func (m *machine) run(p *playing, t *api.TaskReport) {
+	id, _, _ := strings.Cut(t.Task, "/")
+	image := id[len(id)-1:]
+	p.mu.Lock()
+	came := p.arrived[id]
+	p.mu.Unlock()
+	m.mu.Lock()
+	has := m.images.Contains(image)
+	m.images.Add(image, struct{}{})
+	m.mu.Unlock()
+	if !has {
+		time.Sleep(500 * time.Millisecond)
+	}
+	p.mu.Lock()
+	_ = p.delays.RecordValue(time.Since(came).Milliseconds())
+	p.mu.Unlock()
+	m.become(t, api.TaskRunning, "")
+	time.Sleep(time.Duration(p.RunS * float64(time.Second)))
+	p.mu.Lock()
+	p.last = time.Now()
+	p.mu.Unlock()
+	m.become(t, api.TaskEnded, api.CauseDone)
+}
+
+func (m *machine) become(t *api.TaskReport, state, cause string) {
+	m.mu.Lock()
+	t.State, t.Cause = state, cause
+	m.mu.Unlock()
+	select {
+	case m.kick <- struct{}{}:
+	default:
+	}
+}
+
+func setName(i int) string { return fmt.Sprintf("set-%03d", i) }
+
+// storeServer is a store of datasets with a limited rate.
+type storeServer struct {
+	url       string
+	sets      []*dataset.Summary
+	limit     *rate.Limiter
+	data      map[string][]byte
+	manifest  map[string][]byte
+	manifests atomic.Int64
+}
+
+func (l *Locality) openStore(ctx context.Context) (*storeServer, error) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	s := &storeServer{url: "http://" + ln.Addr().String(), limit: rate.NewLimiter(rate.Limit(l.StoreRate), 64<<10),
+		data: map[string][]byte{}, manifest: map[string][]byte{}}
+	rng := rand.New(rand.NewPCG(l.Seed, 99))
+	for i := range l.Datasets {
+		raw := make([]byte, l.Parts*l.PartBytes)
+		for k := 0; k+8 <= len(raw); k += 8 {
+			v := rng.Uint64()
+			for b := range 8 {
+				raw[k+b] = byte(v >> (8 * b))
+			}
+		}
+		m, err := dataset.Build(setName(i), strings.NewReader(string(raw)), l.PartBytes, 1, nil)
+		if err != nil {
+			return nil, err
+		}
+		mr, _, err := m.Encode()
+		if err != nil {
+			return nil, err
+		}
+		sum, err := dataset.Summarize(m, mr)
+		if err != nil {
+			return nil, err
+		}
+		s.sets = append(s.sets, &sum)
+		s.data[setName(i)], s.manifest[setName(i)] = raw, mr
+	}
+	serve(ctx, ln, s)
+	return s, nil
+}
+
+func (s *storeServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	name, what, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	if what == "manifest.json" {
+		n, _ := w.Write(s.manifest[name])
+		s.manifests.Add(int64(n))
+		return
+	}
+	if s.data[name] == nil {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	http.ServeContent(&slow{w, s, r}, r, "", time.Time{}, strings.NewReader(string(s.data[name])))
+}
+
+type slow struct {
+	http.ResponseWriter
+	s *storeServer
+	r *http.Request
+}
+
+func (w *slow) Write(p []byte) (n int, err error) {
+	for some := range slices.Chunk(p, 32<<10) {
+		if err := w.s.limit.WaitN(w.r.Context(), len(some)); err != nil {
+			return n, err
+		}
+		k, err := w.ResponseWriter.Write(some)
+		n += k
+		if err != nil {
+			return n, err
+		}
+	}
+	return n, nil
+}
--- /dev/null
+++ b/holdings/hint.go
@@ -0,0 +1,106 @@
+package holdings
+
+import (
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"sync"
+
+	"github.com/RoaringBitmap/roaring/v2"
+	"github.com/klauspost/compress/zstd"
+
+	"switchferry/tuning"
+)
+
+// Hint is what some machines hold, packed for a record: a new leader starts from it until
+// agents report. It is only a hint: nothing breaks when it is old, cut short or missing.
+type Hint struct {
+	Packed string `json:"z"`
+}
+
+// packed is what is packed: for each dataset its number of parts and, by machine, which
+// of them it holds.
+type packed map[string]struct {
+	Of int               `json:"n"`
+	On map[string][]byte `json:"m"`
+}
+
+var codec = sync.OnceValues(func() (*zstd.Encoder, error) {
+	return zstd.NewWriter(nil, zstd.WithEncoderLevel(zstd.SpeedDefault), zstd.WithEncoderConcurrency(1), zstd.WithLowerEncoderMem(true), zstd.WithWindowSize(64<<10))
+})
+
+// PackHint packs what machines hold into at most so many bytes of text. Machines that do
+// not fit are left out, the last ones first; told is how many are in it.
+func PackHint(s *Snapshot, machines []string, number func(string) (Machine, bool), most int) (h Hint, told int, err error) {
+	z, err := codec()
+	if err != nil {
+		return h, 0, err
+	}
+	for n := len(machines); n > 0; n /= 2 {
+		p := packed{}
+		for _, name := range machines[:n] {
+			id, ok := number(name)
+			if !ok {
+				continue
+			}
+			mine, ok := s.machines.Get(id)
+			if !ok {
+				continue
+			}
+			for itr := mine.Iterator(); !itr.Done(); {
+				d, held, _ := itr.Next()
+				x, ok := p[d]
+				if !ok {
+					set, _ := s.sets.Get(d)
+					x.Of, x.On = set.parts, map[string][]byte{}
+				}
+				if x.On[name], err = held.parts.ToBytes(); err != nil {
+					return h, 0, err
+				}
+				p[d] = x
+			}
+		}
+		raw, err := json.Marshal(p)
+		if err != nil {
+			return h, 0, err
+		}
+		if text := base64.RawStdEncoding.EncodeToString(z.EncodeAll(raw, nil)); len(text) <= most {
+			return Hint{text}, n, nil
+		}
+	}
+	return h, 0, nil
+}
+
+// Unpack gives what each machine held.
+func (h Hint) Unpack() (map[string]map[string]Holding, error) {
+	raw, err := base64.RawStdEncoding.DecodeString(h.Packed)
+	if err != nil {
+		return nil, fmt.Errorf("hint of holdings: %w", err)
+	}
+	z, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(tuning.PackMemory))
+	if err != nil {
+		return nil, err
+	}
+	defer z.Close()
+	if raw, err = z.DecodeAll(raw, nil); err != nil {
+		return nil, fmt.Errorf("hint of holdings: %w", err)
+	}
+	var p packed
+	if err := json.Unmarshal(raw, &p); err != nil {
+		return nil, fmt.Errorf("hint of holdings: %w", err)
+	}
+	out := map[string]map[string]Holding{}
+	for d, x := range p {
+		for name, raw := range x.On {
+			b := roaring.New()
+			if err := b.UnmarshalBinary(raw); err != nil || b.Validate() != nil && !b.IsEmpty() || x.Of < 0 || x.Of > tuning.PartsLimit {
+				return nil, fmt.Errorf("hint of holdings: parts of %s on %s: %v", d, name, err)
+			}
+			if out[name] == nil {
+				out[name] = map[string]Holding{}
+			}
+			out[name][d] = Holding{x.Of, b}
+		}
+	}
+	return out, nil
+}
--- a/holdings/holdings_test.go
+++ b/holdings/holdings_test.go
@@ -122,3 +122,35 @@
 		x.Take("n-000007", map[string]Holding{"chunks": {20000, parts}})
 	}
 }
+
+// 64 machines with 30 scattered parts each fit one value of the state service, and what
+// comes out is what went in; where it cannot fit, some machines are left out.
+func TestHintKeepsWhatFits(t *testing.T) {
+	x := fill(2000, 20000)
+	s := x.Snapshot()
+	var names []string
+	for i := range 64 {
+		names = append(names, fmt.Sprintf("n-%06d", i))
+	}
+	number := func(n string) (Machine, bool) { return x.Machine(n), true }
+	h, told, err := PackHint(s, names, number, 15<<10)
+	if err != nil || told != 64 {
+		t.Fatalf("%d told, %d bytes: %v", told, len(h.Packed), err)
+	}
+	t.Logf("%d bytes for %d machines", len(h.Packed), told)
+	all, err := h.Unpack()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, n := range names {
+		if got := all[n]["chunks"]; got.Of != 20000 || !got.Parts.Equals(s.Parts(x.Machine(n), "chunks")) {
+			t.Fatalf("%s: %v", n, got)
+		}
+	}
+	if h, told, _ = PackHint(s, names, number, 2000); told == 0 || told == 64 || len(h.Packed) > 2000 {
+		t.Fatalf("%d told in %d bytes", told, len(h.Packed))
+	}
+	if _, err := (Hint{"AAAA"}).Unpack(); err == nil {
+		t.Fatal("nonsense was taken")
+	}
+}
--- a/stager/agent.go
+++ b/stager/agent.go
@@ -543,10 +543,7 @@
 	names := slices.Sorted(maps.Keys(a.opt.Controllers))
 	at := 0
 	for ctx.Err() == nil {
-		a.mu.Lock()
-		all := a.known != a.version
-		a.mu.Unlock()
-		next, err := a.call(ctx, a.opt.Controllers[names[at]], all)
+		next, err := a.call(ctx, a.opt.Controllers[names[at]])
 		switch {
 		case ctx.Err() != nil:
 			return
@@ -572,10 +569,10 @@
 }
 
 // call sends one report. Next names the controller to go to instead.
-func (a *Agent) call(ctx context.Context, addr string, all bool) (next string, err error) {
+func (a *Agent) call(ctx context.Context, addr string) (next string, err error) {
 	ctx, stop := context.WithTimeout(ctx, tuning.StageCallTimeout)
 	defer stop()
-	raw, err := json.Marshal(a.Report(all))
+	raw, err := json.Marshal(a.Next())
 	if err != nil {
 		return "", err
 	}
@@ -650,3 +647,12 @@
 	defer p.mu.Unlock()
 	return api.StageProgress{Dataset: name, Part: part, Got: max(0, min(p.got, p.of)), Of: p.of, From: p.from, Failed: slices.Clone(p.failed), Full: p.full}
 }
+
+// Next is the report that is due: with all that is held if the controllers do not know
+// the present state yet.
+func (a *Agent) Next() api.StageReport {
+	a.mu.Lock()
+	all := a.known != a.version
+	a.mu.Unlock()
+	return a.Report(all)
+}
--- a/staging/staging.go
+++ b/staging/staging.go
@@ -193,6 +193,17 @@
 	return true
 }
 
+// Hint takes in what a machine held as an earlier leader knew it. Until its agent is
+// heard it gets no order, is no source, and nothing is proved of it.
+func (d *Desk) Hint(machine string, holds map[string]holdings.Holding, now time.Time) {
+	if d.agents[machine] != nil {
+		return
+	}
+	a := &agent{name: machine, id: d.index.Machine(machine), order: 1, wants: map[string]*want{}, heard: now}
+	d.agents[machine], d.ids[a.id] = a, a
+	d.index.Take(machine, holds)
+}
+
 // Gone forgets a machine that no longer exists.
 func (d *Desk) Gone(machine string) {
 	a := d.agents[machine]
@@ -327,6 +338,9 @@
 	}
 	var out []string
 	for _, a := range d.agents {
+		if a.addr == "" {
+			continue
+		}
 		a.planned = true
 		if changed[a] {
 			a.order++
@@ -444,7 +458,7 @@
 // it come first, those that give out least, then the store. While another machine gets it
 // from the store, it is waited for: each part shall leave the store once.
 func (d *Desk) sources(a *agent, x Want, snap *holdings.Snapshot, now time.Time, not map[api.StageSource]string) []api.StageSource {
-	if a.down >= d.limits.PerLink {
+	if a.addr == "" || a.down >= d.limits.PerLink {
 		return nil
 	}
 	var peers []*agent
@@ -452,7 +466,7 @@
 	if d.limits.Peers {
 		for _, m := range snap.Holders(x.Set.Name, x.Part) {
 			p := d.byID(m)
-			if p == nil || p == a || d.lied[p.addr] || now.Sub(p.heard) > tuning.StageSilent {
+			if p == nil || p == a || p.addr == "" || d.lied[p.addr] || now.Sub(p.heard) > tuning.StageSilent {
 				continue
 			}
 			if _, failed := not[api.StageSource{Peer: p.addr}]; failed {
--- a/store/records.go
+++ b/store/records.go
@@ -32,6 +32,9 @@
 	ImagesPrefix = "sf/images/"
 	// DatasetPrefix holds what is registered of datasets, for good.
 	DatasetPrefix = "sf/d/"
+	// HoldsPrefix holds which machines hold which parts of datasets, for the next
+	// leader: a hint, as the images are.
+	HoldsPrefix = "sf/holds/"
 )
 
 // JobKey, FinalKey and InboxKey are the keys of a job.
@@ -42,6 +45,9 @@
 // DatasetKey is the key of a dataset.
 func DatasetKey(name string) string { return DatasetPrefix + name }
 
+// HoldsKey is the key of one part of who holds what.
+func HoldsKey(n int) string { return HoldsPrefix + strconv.Itoa(n) }
+
 // RelayKey and MailKey are the keys of a sibling's relay.
 func RelayKey(member string, n int) string { return fmt.Sprintf("%s%s/%d", RelayPrefix, member, n) }
 func MailKey(member string) string         { return MailPrefix + member }
--- a/tuning/tuning.go
+++ b/tuning/tuning.go
@@ -350,6 +350,10 @@
 	// StageAhead is for how many queued tasks a machine, beyond those with room, inputs
 	// are copied ahead, unless the features file says otherwise.
 	StageAhead = 4
+	// HoldsEvery is the pace of storing who holds what, a hint worth few writes;
+	// HoldsMargin is kept free in its value for the JSON around it, in bytes.
+	HoldsEvery  = 10 * time.Second
+	HoldsMargin = 64
 	// DatasetsLimit is the most datasets that controllers keep in memory: at some 300
 	// bytes each this is 3 MB.
 	DatasetsLimit = 10_000
