--- a/controller/data.go
+++ b/controller/data.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/json"
 	"log/slog"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -154,24 +155,30 @@
 	if !ok {
 		return w
 	}
-	missing, fromStore := 0.0, false
+	bytes, fromStore := d.lacks(j, task, id)
+	w.Data = d.desk.DelayBehind(d.desk.Behind(m.Name), bytes, fromStore)
+	return w
+}
+
+// lacks is how many bytes of a task's inputs a machine lacks, and whether some of them
+// are on no machine.
+func (d *data) lacks(j *job, task int, id holdings.Machine) (bytes float64, fromStore bool) {
 	for _, in := range j.inputs {
 		switch {
 		case in.set == nil:
 		case in.own:
 			if !d.snap.Has(id, in.name, task) {
-				missing += float64(in.set.PartBytes(task))
+				bytes += float64(in.set.PartBytes(task))
 				fromStore = fromStore || len(d.snap.Holders(in.name, task)) == 0
 			}
 		default:
 			if lacks := in.set.Parts - d.snap.Count(id, in.name); lacks > 0 {
-				missing += float64(in.set.Bytes) * float64(lacks) / float64(in.set.Parts)
+				bytes += float64(in.set.Bytes) * float64(lacks) / float64(in.set.Parts)
 				fromStore = fromStore || len(d.snap.Whole(in.name)) == 0
 			}
 		}
 	}
-	w.Data = d.desk.Delay(m.Name, missing, fromStore)
-	return w
+	return bytes, fromStore
 }
 
 // stages tells whether a machine can be given tasks of a job as far as its inputs go.
@@ -210,6 +217,7 @@
 	var ms []*machine
 	var servers []placement.Server
 	index := map[holdings.Machine]int32{}
+	x := &missing{c: c, j: j, slot: slot, idle: math.Inf(1), memo: map[float64]int{}, group: -1}
 	for _, m := range c.byName() {
 		if !c.eligible(j, m) || !c.stages(j, m) {
 			continue
@@ -220,10 +228,13 @@
 		if s.Mu <= 0 {
 			continue
 		}
-		w := c.costs(j, 0, m, true)
-		s.Busy += c.penalty(w.Image, slot)
+		if d.set.Placement != features.Blind {
+			s.Busy += x.slots(m.fetchS(j))
+		}
 		id, _ := d.desk.ID(m.Name)
 		index[id] = int32(len(ms))
+		behind := d.desk.Behind(m.Name)
+		x.ids, x.backlog, x.idle = append(x.ids, id), append(x.backlog, behind), min(x.idle, behind)
 		ms, servers = append(ms, m), append(servers, s)
 	}
 	if len(ms) == 0 {
@@ -245,9 +256,9 @@
 			return out
 		})
 	}
-	extra := &missing{c: c, j: j, groups: groups, ms: ms, slot: slot}
+	x.groups = groups
 	given := map[int32]bool{}
-	for _, s := range placement.FillGroups(servers, groups, extra, tuning.GroupsFilled) {
+	for _, s := range placement.FillGroups(servers, groups, x, tuning.GroupsFilled) {
 		ms[s.Server].enqueue(j, s.Tasks)
 		j.queued += len(s.Tasks)
 		for _, t := range s.Tasks {
@@ -258,24 +269,81 @@
 	slog.Debug("job queued", "job", j.id, "machines", len(ms), "groups", len(groups), "tasks", len(given))
 }
 
-// missing prices what a group lacks on a machine.
+// missing prices what a group lacks on a machine. A fleet of thousands asks for the same
+// few waits over and over, so each is worked out once.
 type missing struct {
 	c      *Core
 	j      *job
 	groups []placement.Group
-	ms     []*machine
-	slot   float64
+	ids    []holdings.Machine
+	// backlog is what each machine's link has to bring already, in bytes; idle the least.
+	backlog []float64
+	idle    float64
+	slot    float64
+	memo    map[float64]int
+	// lastS is what was asked for last, lastN the answer.
+	lastS float64
+	lastN int
+	// group is the one that was looked at last; of a single own input, bytes is its
+	// size and fromStore tells that nobody has it.
+	group     int
+	bytes     float64
+	fromStore bool
+}
+
+func (x *missing) slots(seconds float64) int {
+	if seconds == x.lastS {
+		return x.lastN
+	}
+	n, ok := x.memo[seconds]
+	if !ok {
+		n = x.c.penalty(seconds, x.slot)
+		x.memo[seconds] = n
+	}
+	x.lastS, x.lastN = seconds, n
+	return n
 }
 
+// Slots is for machines that are no holders of the group.
 func (x *missing) Slots(group, server int) int {
-	if !x.c.data.weighs() {
+	d := x.c.data
+	if !d.weighs() {
 		return 0
 	}
-	return x.c.penalty(x.c.costs(x.j, int(x.groups[group].Tasks[0]), x.ms[server], true).Data, x.slot)
+	single := len(x.j.inputs) == 1 && x.j.inputs[0].own
+	if group != x.group || !single {
+		task := int(x.groups[group].Tasks[0])
+		x.group = group
+		if single {
+			// What is no holder lacks it.
+			in := x.j.inputs[0]
+			x.bytes, x.fromStore = float64(in.set.PartBytes(task)), len(d.snap.Holders(in.name, task)) == 0
+		} else {
+			x.bytes, x.fromStore = d.lacks(x.j, task, x.ids[server])
+		}
+	}
+	return x.slots(d.desk.DelayBehind(x.backlog[server], x.bytes, x.fromStore))
 }
 
-// Least is 0: a machine may hold nearly everything.
-func (x *missing) Least(int) int { return 0 }
+// Least is what the smallest input takes on the idlest link: a machine that is no holder
+// lacks one at least.
+func (x *missing) Least(group int) int {
+	if !x.c.data.weighs() {
+		return 0
+	}
+	task, least := int(x.groups[group].Tasks[0]), math.Inf(1)
+	for _, in := range x.j.inputs {
+		if in.own {
+			least = min(least, float64(in.set.PartBytes(task)))
+		} else {
+			least = min(least, float64(in.set.Usual))
+			for _, b := range in.set.Odd {
+				least = min(least, float64(b))
+			}
+		}
+	}
+	return x.slots(x.c.data.desk.DelayBehind(x.idle, least, false))
+}
 
 // penalty is a wait in slots, as the operators' policy has it.
 func (c *Core) penalty(seconds, slot float64) int {
--- /dev/null
+++ b/controller/data_bench_test.go
@@ -0,0 +1,104 @@
+package controller
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/RoaringBitmap/roaring/v2"
+
+	"switchferry/api"
+	"switchferry/dataset"
+	"switchferry/features"
+)
+
+// scattered is a leader with so many machines, ten times as many parts of one dataset with
+// three holders each, and a job of 1,000 tasks. In kind "groups" the tasks' parts lie on 64
+// triples of machines, in kind "scattered" each on its own.
+func scattered(t *testing.T, machines int, kind string) (*dataStage, *job) {
+	rng := rand.New(rand.NewPCG(11, uint64(machines)))
+	parts := 10 * machines
+	set := &dataset.Summary{Name: "chunks", Bytes: int64(parts) * 64e6, Parts: parts, Usual: 64e6}
+	s := &dataStage{stage: newStage(t), place: features.Staged, agents: map[string]*played{}}
+	s.on()
+	s.Learn(set)
+	on := make([]*roaring.Bitmap, machines)
+	for i := range on {
+		on[i] = roaring.New()
+	}
+	triples := make([][3]int, 64)
+	for i := range triples {
+		triples[i] = [3]int{rng.IntN(machines), rng.IntN(machines), rng.IntN(machines)}
+	}
+	for k := range parts {
+		tr := [3]int{rng.IntN(machines), rng.IntN(machines), rng.IntN(machines)}
+		if kind == "groups" && k < 1000 {
+			tr = triples[k%64]
+		}
+		for _, m := range tr {
+			on[m].Add(uint32(k))
+		}
+	}
+	for i := range machines {
+		name := fmt.Sprintf("a%06d", i)
+		s.report(name, 1)
+		s.Staging(&api.StageReport{Machine: name, Address: name + ":2", Session: 1, Seq: 1, Quota: 900e9, All: true,
+			Holds: []api.StageHeld{{Dataset: "chunks", Of: parts, Parts: api.PartSet{Bitmap: on[i]}}}})
+	}
+	s.Submit(gaveUp(), &api.Submission{ID: "run-000001", Class: "c", Team: "right", Shape: api.Array, Rank: "normal", Tasks: 1000,
+		CPUs: 4, MemoryGB: 8, Image: "img", ImageGB: 1, Spot: true, EstimateS: 30, Inputs: []api.Input{{Dataset: "chunks", Use: api.UseOwn}}}, s.clock.Now())
+	s.commit()
+	j := s.jobs["run-000001"]
+	if j == nil || len(j.pending) != 1000 {
+		t.Fatal("no job")
+	}
+	s.data.snap = s.data.index.Snapshot()
+	return s, j
+}
+
+// BenchmarkDataFill is the whole decision for a job of 1,000 tasks with inputs: busy
+// times, holders, groups, water-filling and queues. Table: docs/data.md; made with
+//
+//	go test -bench DataFill -run '^$' -cpu 1 ./controller
+func BenchmarkDataFill(b *testing.B) {
+	for _, kind := range []string{"groups", "scattered"} {
+		for _, machines := range []int{250, 500, 1000, 2000} {
+			b.Run(fmt.Sprintf("%s/machines=%d", kind, machines), func(b *testing.B) {
+				s, j := scattered(&testing.T{}, machines, kind)
+				for b.Loop() {
+					s.at = s.clock.Now()
+					s.dataFill(j)
+					b.StopTimer()
+					if len(j.pending) > 0 {
+						b.Fatalf("%d tasks left", len(j.pending))
+					}
+					for _, m := range s.machines {
+						m.queue = nil
+					}
+					j.queued = 0
+					for t := range j.total {
+						j.pending = append(j.pending, int32(t))
+					}
+					b.StartTimer()
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkStage is what a round adds to the placer once the job's copies are planned and
+// nothing changes.
+func BenchmarkStage(b *testing.B) {
+	for _, machines := range []int{250, 1000, 2000} {
+		b.Run(fmt.Sprintf("machines=%d", machines), func(b *testing.B) {
+			s, j := scattered(&testing.T{}, machines, "scattered")
+			s.hooks.Stage = func(string, string, api.StageOrder) {}
+			s.at = s.clock.Now()
+			s.dataFill(j)
+			s.Core.stage()
+			for b.Loop() {
+				s.Core.stage()
+			}
+		})
+	}
+}
--- a/staging/staging.go
+++ b/staging/staging.go
@@ -272,14 +272,19 @@
 		int(w.pinned.AndCardinality(w.parts)) == set.Parts
 }
 
-// Delay is how long it takes to bring so many bytes to a machine as links are loaded now,
-// in seconds. StoreOnly: no machine holds them.
-func (d *Desk) Delay(machine string, bytes float64, storeOnly bool) float64 {
-	backlog := 0.0
+// Behind is what a machine's link has to bring already, in bytes.
+func (d *Desk) Behind(machine string) float64 {
 	if a := d.agents[machine]; a != nil {
-		backlog = a.toCome
+		return a.toCome
 	}
-	return cost.Copy(bytes, backlog, d.limits.LinkRate, d.storeTo, d.limits.StoreRate, storeOnly || !d.limits.Peers)
+	return 0
+}
+
+// DelayBehind is how long it takes to bring so many bytes over a link that has so many to
+// bring already, and from the store as that is loaded now, in seconds. StoreOnly: no
+// machine holds them.
+func (d *Desk) DelayBehind(behind, bytes float64, storeOnly bool) float64 {
+	return cost.Copy(bytes, behind, d.limits.LinkRate, d.storeTo, d.limits.StoreRate, storeOnly || !d.limits.Peers)
 }
 
 func (d *Desk) drop(a *agent, w *want, part int) {
--- a/tuning/tuning.go
+++ b/tuning/tuning.go
@@ -340,7 +340,7 @@
 	StageSources = 3
 	// StagePerLink and StageAtStore are how many copies a machine takes in, and gives
 	// out, and the store gives out, at once, unless the features file says otherwise.
-	StagePerLink = 2
+	StagePerLink = 1
 	StageAtStore = 8
 	// StageCacheGB is the size of an agent's cache, unless the features file says otherwise.
 	StageCacheGB = 50.0
