Copies are spread over links, and freed holders take tasks that wait for bytes

Others waited 10 s for a copy of what machines that had become free held. Change: a machine that must copy takes part with its link's rate and one task at a time; parts on their way count with what is left of them; sources that many wait for count; tasks that wait for bytes on a machine with room are taken by holders. Blind and images place as without inputs. One copy a link at once instead of two.

--- a/controller/data.go
+++ b/controller/data.go
@@ -156,10 +156,42 @@
 		return w
 	}
 	bytes, fromStore := d.lacks(j, task, id)
-	w.Data = d.desk.DelayBehind(d.desk.Behind(m.Name), bytes, fromStore)
+	if bytes > 0 {
+		w.Data = d.delay(d.desk.Behind(m.Name), bytes, fromStore, d.spread(j, task), d.coming(j, task), id)
+	}
 	return w
 }
 
+// delay is how long a task's inputs take to a machine: behind what its link has to bring
+// already, and behind the machines that wait for the same parts, unless they are on their
+// way there as well. Like an image, a part that comes anyway costs the next task little.
+func (d *data) delay(behind, bytes float64, fromStore bool, spread float64, coming map[holdings.Machine]float64, id holdings.Machine) float64 {
+	if left, ok := coming[id]; ok {
+		return d.desk.DelayBehind(max(0, behind-left), left, false)
+	}
+	return max(spread, d.desk.DelayBehind(behind, bytes, fromStore))
+}
+
+// coming are the machines that a task's part is on its way to, for a job that needs
+// nothing else.
+func (d *data) coming(j *job, task int) map[holdings.Machine]float64 {
+	if len(j.inputs) == 1 && j.inputs[0].own && j.inputs[0].set != nil {
+		return d.desk.Coming(j.inputs[0].name, task)
+	}
+	return nil
+}
+
+// spread is how long a task's own parts take until one more machine has them, as many as
+// wait for them already, in seconds.
+func (d *data) spread(j *job, task int) (s float64) {
+	for _, in := range j.inputs {
+		if in.own && in.set != nil {
+			s = max(s, d.desk.Spread(in.set, task, len(d.snap.Holders(in.name, task))))
+		}
+	}
+	return s
+}
+
 // lacks is how many bytes of a task's inputs a machine lacks, and whether some of them
 // are on no machine.
 func (d *data) lacks(j *job, task int, id holdings.Machine) (bytes float64, fromStore bool) {
@@ -234,7 +266,8 @@
 		id, _ := d.desk.ID(m.Name)
 		index[id] = int32(len(ms))
 		behind := d.desk.Behind(m.Name)
-		x.ids, x.backlog, x.idle = append(x.ids, id), append(x.backlog, behind), min(x.idle, behind)
+		x.ids, x.names = append(x.ids, id), append(x.names, m.Name)
+		x.backlog, x.idle = append(x.backlog, behind), min(x.idle, behind)
 		ms, servers = append(ms, m), append(servers, s)
 	}
 	if len(ms) == 0 {
@@ -242,8 +275,12 @@
 	}
 	slices.Sort(j.pending)
 	open := c.open(j)
-	// Whoever does not look at inputs sees one group without holders.
-	groups := []placement.Group{{Tasks: j.pending[:open]}}
+	// Whoever does not look at inputs sees one group that all machines hold.
+	everyone := make([]int32, len(ms))
+	for i := range ms {
+		everyone[i] = int32(i)
+	}
+	groups := []placement.Group{{Tasks: j.pending[:open], Holders: everyone}}
 	if d.weighs() {
 		groups = placement.Groups(j.pending[:open], func(t int32) []int32 {
 			var out []int32
@@ -276,6 +313,7 @@
 	j      *job
 	groups []placement.Group
 	ids    []holdings.Machine
+	names  []string
 	// backlog is what each machine's link has to bring already, in bytes; idle the least.
 	backlog []float64
 	idle    float64
@@ -289,6 +327,10 @@
 	group     int
 	bytes     float64
 	fromStore bool
+	// spread is how long its sources take to give its parts to one more machine.
+	spread float64
+	// coming are the machines that its part is on its way to.
+	coming map[holdings.Machine]float64
 }
 
 func (x *missing) slots(seconds float64) int {
@@ -313,6 +355,9 @@
 	single := len(x.j.inputs) == 1 && x.j.inputs[0].own
 	if group != x.group || !single {
 		task := int(x.groups[group].Tasks[0])
+		if group != x.group {
+			x.spread, x.coming = d.spread(x.j, task), d.coming(x.j, task)
+		}
 		x.group = group
 		if single {
 			// What is no holder lacks it.
@@ -322,7 +367,10 @@
 			x.bytes, x.fromStore = d.lacks(x.j, task, x.ids[server])
 		}
 	}
-	return x.slots(d.desk.DelayBehind(x.backlog[server], x.bytes, x.fromStore))
+	if x.bytes <= 0 {
+		return 0
+	}
+	return x.slots(d.delay(x.backlog[server], x.bytes, x.fromStore, x.spread, x.coming, x.ids[server]))
 }
 
 // Least is what the smallest input takes on the idlest link: a machine that is no holder
@@ -342,9 +390,41 @@
 			}
 		}
 	}
+	if len(x.c.data.coming(x.j, task)) > 0 {
+		return 0
+	}
 	return x.slots(x.c.data.desk.DelayBehind(x.idle, least, false))
 }
 
+// Rate is what an idle link brings of one task's inputs in a slot.
+func (x *missing) Rate(group int) float64 {
+	d := x.c.data
+	if !d.weighs() {
+		return math.Inf(1)
+	}
+	bytes := 0.0
+	for _, in := range x.j.inputs {
+		if in.own {
+			bytes += float64(in.set.PartBytes(int(x.groups[group].Tasks[0])))
+		}
+	}
+	if s := d.desk.DelayBehind(0, bytes, false); s > 0 {
+		return x.slot / s
+	}
+	return math.Inf(1)
+}
+
+// Took counts what is to come to a machine now, for the jobs that follow in this round.
+func (x *missing) Took(group, server, tasks int) {
+	d := x.c.data
+	if !d.weighs() {
+		return
+	}
+	bytes, _ := d.lacks(x.j, int(x.groups[group].Tasks[0]), x.ids[server])
+	x.backlog[server] += bytes * float64(tasks)
+	d.desk.Expect(x.names[server], bytes*float64(tasks))
+}
+
 // penalty is a wait in slots, as the operators' policy has it.
 func (c *Core) penalty(seconds, slot float64) int {
 	if seconds <= 0 {
@@ -375,8 +455,10 @@
 
 // shift gives tasks that wait on machines without room to machines that have some: at
 // once where their inputs are held, and after the same patience as with images where they
-// must be copied. They start there once that is proved.
-func (c *Core) shift(j *job, roomy []*machine) {
+// must be copied. Tasks that wait for bytes on a machine with room go where the bytes are,
+// and nowhere else. They start there once that is proved. Queued are the machines whose
+// queues hold tasks of the job.
+func (c *Core) shift(j *job, roomy, queued []*machine) {
 	for _, m := range roomy {
 		if !c.startable(j, m) || !c.stages(j, m) {
 			continue
@@ -385,21 +467,23 @@
 		for _, q := range m.queue {
 			room -= len(q.tasks)
 		}
-		for _, from := range c.byName() {
+		for _, from := range queued {
 			if room <= 0 {
 				break
 			}
-			if from == m || from.free().Holds(j.need) && c.usable(from) && c.stages(j, from) {
+			if from == m {
 				continue
 			}
+			couldStart := from.free().Holds(j.need) && c.usable(from) && c.stages(j, from)
 			at, ok := slices.BinarySearchFunc(from.queue, j, func(q *queue, j *job) int { return before(q.job, j) })
 			if !ok {
 				continue
 			}
 			q := from.queue[at]
 			for i := 0; i < len(q.tasks) && room > 0; {
-				w := c.costs(j, int(q.tasks[i]), m, true).Seconds()
-				if w > tuning.FreeFetch && c.since(j.arrived).Seconds() < tuning.PullPatience*w {
+				here := c.costs(j, int(q.tasks[i]), m, true)
+				w := here.Seconds()
+				if couldStart && (here.Data > 0 || c.costs(j, int(q.tasks[i]), from, true).Data == 0) || w > tuning.FreeFetch && c.since(j.arrived).Seconds() < tuning.PullPatience*w {
 					i++
 					continue
 				}
--- a/controller/data_test.go
+++ b/controller/data_test.go
@@ -438,3 +438,35 @@
 		t.Fatalf("%+v", st)
 	}
 }
+
+// A task that waits for its copy goes to a holder that became free meanwhile, instead of
+// waiting on: found in the experiment, where tasks waited 10 s for a copy of what idle
+// machines held.
+func TestFreedHoldersTakeTasksThatWaitForBytes(t *testing.T) {
+	s := newDataStage(t, features.Staged)
+	s.up("a1", 0, 1)
+	s.submit("run-000002", 2, nil)
+	s.round()
+	busy := []api.TaskReport{}
+	for k := range 2 {
+		busy = append(busy, task(taskKey("run-000002", k), s.jobs["run-000002"].live[k].attempt, api.TaskRunning, ""))
+	}
+	s.alive("a1", busy...)
+	s.up("a2")
+	s.submit("run-000001", 1, withInputs(api.UseOwn))
+	s.round()
+	if len(s.machines["a2"].queue) != 1 {
+		t.Fatal("want it to wait for a copy on the idle machine")
+	}
+	for i := range busy {
+		busy[i].State, busy[i].Cause = api.TaskEnded, api.CauseDone
+	}
+	s.alive("a1", busy...)
+	s.alive("a2")
+	for range 3 {
+		s.round()
+	}
+	if a := s.jobs["run-000001"].live[0]; a == nil || a.machine.Name != "a1" {
+		t.Fatalf("not taken by the holder: %+v", a)
+	}
+}
--- a/controller/place.go
+++ b/controller/place.go
@@ -332,7 +332,11 @@
 			}
 		}
 		if j.queued > 0 && len(j.inputs) > 0 {
-			c.shift(j, roomy)
+			queued := make([]*machine, len(at))
+			for i, p := range at {
+				queued[i] = p.m
+			}
+			c.shift(j, roomy, queued)
 		} else if j.queued > 0 && spare() {
 			for _, m := range c.pullers(j, roomy) {
 				for j.queued > 0 && spare() && c.startable(j, m) {
--- a/placement/groups.go
+++ b/placement/groups.go
@@ -41,12 +41,16 @@
 	return out
 }
 
-// Extra tells what the missing inputs cost: the slots that a server, by index, needs to
-// get what it lacks for the tasks of a group, by index. Least is a lower bound of it over
-// all servers that hold not everything.
+// Extra tells what missing inputs cost; groups and servers are given by index. Slots are
+// what a server needs to get what it lacks for one task of a group, Least a lower bound of
+// that over all servers that do not hold everything. Rate is for how many tasks of a group,
+// whose inputs may all differ, a server gets them in a slot. Took is told that a server was
+// given tasks for which it must get them.
 type Extra interface {
 	Slots(group, server int) int
 	Least(group int) int
+	Rate(group int) float64
+	Took(group, server, tasks int)
 }
 
 // Share is the tasks of one group that a server gets.
@@ -115,7 +119,7 @@
 	n := len(group.Tasks)
 	level, ok := Level(f.part, n)
 	if f.extra != nil && (!ok || f.leastBusy()+f.extra.Least(g) < level) {
-		at := 0
+		at, rate := 0, f.extra.Rate(g)
 		for i, s := range f.servers {
 			for at < len(group.Holders) && int(group.Holders[at]) < i {
 				at++
@@ -126,7 +130,9 @@
 			if ok && s.Busy+1 >= level {
 				continue
 			}
-			s.Busy += f.extra.Slots(g, i)
+			// Its link brings the inputs of one task after the other: it has room for
+			// one at once, however many processors are idle.
+			s.Busy, s.Mu, s.Now = s.Busy+f.extra.Slots(g, i), min(s.Mu, rate), min(s.Now, 1)
 			if !ok || s.Busy < level {
 				f.part, f.of, f.hold = append(f.part, s), append(f.of, int32(i)), append(f.hold, false)
 			}
@@ -157,7 +163,8 @@
 		if f.hold[i] {
 			to.Busy = max(to.Busy, level)
 		} else {
-			to.Busy += ceil(float64(n) / s.Mu)
+			to.Busy += ceil(float64(n) / to.Mu)
+			f.extra.Took(g, int(f.of[i]), n)
 		}
 		to.Now = max(0, to.Now-n)
 		f.out = append(f.out, Share{int(f.of[i]), tasks[:n:n]})
@@ -210,6 +217,9 @@
 		if f.idle != nil {
 			f.idle.raised(best)
 		}
+		if _, holds := slices.BinarySearch(group.Holders, int32(best)); !holds {
+			f.extra.Took(g, best, 1)
+		}
 		f.out = append(f.out, Share{best, group.Tasks[i : i+1 : i+1]})
 	}
 }
--- a/placement/groups_test.go
+++ b/placement/groups_test.go
@@ -29,6 +29,28 @@
 
 func (f flat) Slots(int, int) int { return f.slots }
 func (f flat) Least(int) int      { return f.slots }
+func (f flat) Rate(int) float64   { return math.Inf(1) }
+func (f flat) Took(int, int, int) {}
+
+// thin has links that bring one task's inputs a slot.
+type thin struct{ flat }
+
+func (thin) Rate(int) float64 { return 1 }
+
+// Tasks whose inputs nobody holds are one group, but each needs its own: found when two
+// tasks were packed on one idle machine, one after the other over its link, while others
+// stood idle.
+func TestCopiesAreSpreadOverLinks(t *testing.T) {
+	servers := make([]Server, 4)
+	for i := range servers {
+		servers[i] = Server{Mu: 4, Now: 4}
+	}
+	for _, s := range FillGroups(servers, []Group{{Tasks: tasks(0, 4)}}, thin{flat{1}}, 64) {
+		if len(s.Tasks) != 1 {
+			t.Fatalf("%d tasks wait for one link", len(s.Tasks))
+		}
+	}
+}
 
 // A machine without the inputs takes part once its holders are busy for longer than the
 // copying takes, and not before.
--- a/staging/staging.go
+++ b/staging/staging.go
@@ -60,6 +60,9 @@
 	lied map[string]bool
 	// coming counts the machines that a part is being copied to, over any link.
 	coming map[piece]int
+	// lacking are the machines that are to have a part and lack it, with the bytes that
+	// they lack, as of the last round.
+	lacking map[piece]map[holdings.Machine]float64
 	// Counters since the term began.
 	Planned, Failed int
 }
@@ -115,7 +118,7 @@
 // New makes the desk of a term.
 func New(term uint64, limits Limits, index *holdings.Index) *Desk {
 	return &Desk{term: term, limits: limits, index: index, agents: map[string]*agent{}, byAddr: map[string]*agent{},
-		ids: map[holdings.Machine]*agent{}, lied: map[string]bool{}, coming: map[piece]int{}}
+		ids: map[holdings.Machine]*agent{}, lied: map[string]bool{}, coming: map[piece]int{}, lacking: map[piece]map[holdings.Machine]float64{}}
 }
 
 // Heard takes in a report. False: it is older than one that was, and tells nothing.
@@ -280,6 +283,13 @@
 	return 0
 }
 
+// Expect counts bytes that are to come to a machine, until the next round counts anew.
+func (d *Desk) Expect(machine string, bytes float64) {
+	if a := d.agents[machine]; a != nil {
+		a.toCome += bytes
+	}
+}
+
 // DelayBehind is how long it takes to bring so many bytes over a link that has so many to
 // bring already, and from the store as that is loaded now, in seconds. StoreOnly: no
 // machine holds them.
@@ -287,6 +297,23 @@
 	return cost.Copy(bytes, behind, d.limits.LinkRate, d.storeTo, d.limits.StoreRate, storeOnly || !d.limits.Peers)
 }
 
+// Coming are the machines that a part is on its way to, with the bytes that they still
+// lack; the map must not be changed.
+func (d *Desk) Coming(set string, part int) map[holdings.Machine]float64 {
+	return d.lacking[piece{set, part}]
+}
+
+// Spread is how long it takes until one more machine has a part, as far as its sources go,
+// in seconds: they give it to as many machines as they can at once, which then give it on,
+// so the number of machines that have it doubles with each copy's time or so.
+func (d *Desk) Spread(set *dataset.Summary, part, holders int) float64 {
+	if d.limits.LinkRate <= 0 || !d.limits.Peers {
+		return 0
+	}
+	ahead := len(d.lacking[piece{set.Name, part}])
+	return float64(set.PartBytes(part)) / d.limits.LinkRate * math.Ceil(math.Log2(1+float64(ahead+1)/float64(max(1, holders))))
+}
+
 func (d *Desk) drop(a *agent, w *want, part int) {
 	t := w.copies[part]
 	if t == nil {
@@ -312,6 +339,7 @@
 	d.recount()
 	snap := d.index.Snapshot()
 	d.storeTo = 0
+	clear(d.lacking)
 	for _, a := range d.agents {
 		a.toCome = 0
 	}
@@ -336,6 +364,12 @@
 			d.take(a, x.Set.Name, x.Part, from[0])
 			changed[a] = true
 		}
+		on := d.lacking[piece{x.Set.Name, x.Part}]
+		if on == nil {
+			on = map[holdings.Machine]float64{}
+			d.lacking[piece{x.Set.Name, x.Part}] = on
+		}
+		on[a.id] = size
 		a.toCome += size
 		if !d.limits.Peers || len(snap.Holders(x.Set.Name, x.Part)) == 0 {
 			d.storeTo += size
