--- a/controller/data.go
+++ b/controller/data.go
@@ -249,7 +249,8 @@
 	var ms []*machine
 	var servers []placement.Server
 	index := map[holdings.Machine]int32{}
-	x := &missing{c: c, j: j, slot: slot, idle: math.Inf(1), memo: map[float64]int{}, group: -1}
+	x := &missing{c: c, j: j, slot: slot, idle: math.Inf(1), memo: map[float64]int{}, group: -1,
+		on: d.weighs(), single: len(j.inputs) == 1 && j.inputs[0].own}
 	for _, m := range c.byName() {
 		if !c.eligible(j, m) || !c.stages(j, m) {
 			continue
@@ -322,8 +323,15 @@
 	// lastS is what was asked for last, lastN the answer.
 	lastS float64
 	lastN int
-	// group is the one that was looked at last; of a single own input, bytes is its
-	// size and fromStore tells that nobody has it.
+	// on: inputs are weighed at all; single: there is one, of which each task needs its
+	// own part.
+	on, single bool
+	// lastBehind and lastSlots are what a machine of the group had to bring already, and
+	// what that came to.
+	lastBehind float64
+	lastSlots  int
+	// group is the one that was looked at last; of a single input, bytes is its size and
+	// fromStore tells that nobody has it.
 	group     int
 	bytes     float64
 	fromStore bool
@@ -346,37 +354,40 @@
 	return n
 }
 
-// Slots is for machines that are no holders of the group.
+// Slots is for machines that are no holders of the group. Most machines have the same to
+// bring already, which is nothing, so the last answer mostly is the next one's.
 func (x *missing) Slots(group, server int) int {
-	d := x.c.data
-	if !d.weighs() {
+	if group == x.group && x.coming == nil && x.single && x.backlog[server] == x.lastBehind {
+		return x.lastSlots
+	}
+	if !x.on {
 		return 0
 	}
-	single := len(x.j.inputs) == 1 && x.j.inputs[0].own
-	if group != x.group || !single {
-		task := int(x.groups[group].Tasks[0])
-		if group != x.group {
-			x.spread, x.coming = d.spread(x.j, task), d.coming(x.j, task)
-		}
-		x.group = group
-		if single {
+	d := x.c.data
+	task := int(x.groups[group].Tasks[0])
+	if group != x.group {
+		x.group, x.spread, x.coming = group, d.spread(x.j, task), d.coming(x.j, task)
+		if x.single {
 			// What is no holder lacks it.
 			in := x.j.inputs[0]
 			x.bytes, x.fromStore = float64(in.set.PartBytes(task)), len(d.snap.Holders(in.name, task)) == 0
-		} else {
-			x.bytes, x.fromStore = d.lacks(x.j, task, x.ids[server])
 		}
 	}
-	if x.bytes <= 0 {
-		return 0
+	if !x.single {
+		x.bytes, x.fromStore = d.lacks(x.j, task, x.ids[server])
 	}
-	return x.slots(d.delay(x.backlog[server], x.bytes, x.fromStore, x.spread, x.coming, x.ids[server]))
+	n := 0
+	if x.bytes > 0 {
+		n = x.slots(d.delay(x.backlog[server], x.bytes, x.fromStore, x.spread, x.coming, x.ids[server]))
+	}
+	x.lastBehind, x.lastSlots = x.backlog[server], n
+	return n
 }
 
 // Least is what the smallest input takes on the idlest link: a machine that is no holder
 // lacks one at least.
 func (x *missing) Least(group int) int {
-	if !x.c.data.weighs() {
+	if !x.on {
 		return 0
 	}
 	task, least := int(x.groups[group].Tasks[0]), math.Inf(1)
@@ -398,11 +409,10 @@
 
 // Rate is what an idle link brings of one task's inputs in a slot.
 func (x *missing) Rate(group int) float64 {
-	d := x.c.data
-	if !d.weighs() {
+	if !x.on {
 		return math.Inf(1)
 	}
-	bytes := 0.0
+	d, bytes := x.c.data, 0.0
 	for _, in := range x.j.inputs {
 		if in.own {
 			bytes += float64(in.set.PartBytes(int(x.groups[group].Tasks[0])))
@@ -416,12 +426,13 @@
 
 // Took counts what is to come to a machine now, for the jobs that follow in this round.
 func (x *missing) Took(group, server, tasks int) {
-	d := x.c.data
-	if !d.weighs() {
+	if !x.on {
 		return
 	}
+	d := x.c.data
 	bytes, _ := d.lacks(x.j, int(x.groups[group].Tasks[0]), x.ids[server])
 	x.backlog[server] += bytes * float64(tasks)
+	x.lastBehind = -1
 	d.desk.Expect(x.names[server], bytes*float64(tasks))
 }
 
--- a/placement/groups.go
+++ b/placement/groups.go
@@ -105,7 +105,9 @@
 	part []Server
 	of   []int32
 	hold []bool
-	idle *byBusy
+	// order are those of them that get tasks, the least busy first.
+	order []int32
+	idle  *byBusy
 }
 
 // fill water-fills one group.
@@ -142,14 +144,16 @@
 	if !ok {
 		return
 	}
-	order := make([]int, 0, len(f.part))
+	f.order = f.order[:0]
 	for i, s := range f.part {
 		if s.Busy < level {
-			order = append(order, i)
+			f.order = append(f.order, int32(i))
 		}
 	}
-	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(f.part[a].Busy, f.part[b].Busy) })
-	tasks := group.Tasks
+	slices.SortFunc(f.order, func(a, b int32) int {
+		return cmp.Or(cmp.Compare(f.part[a].Busy, f.part[b].Busy), cmp.Compare(a, b))
+	})
+	order, tasks := f.order, group.Tasks
 	for at, i := range order {
 		if len(tasks) == 0 {
 			break
