--- a/controller/dataport_test.go
+++ b/controller/dataport_test.go
@@ -122,3 +122,14 @@
 		t.Errorf("%s", raw)
 	}
 }
+
+// Without a leader an agent is told so at once, and reads nothing into it.
+func TestAgentsWithoutALeader(t *testing.T) {
+	n, _ := dataNode(true)
+	if status, _ := n.Stage(&api.StageReport{Machine: "n-1", Address: "a:1", Session: 1}); status != 503 {
+		t.Error(status)
+	}
+	if a := n.ask(VerbData, ""); a.Status != 503 || a.RetryAfterS == 0 {
+		t.Error(a.Status)
+	}
+}
--- a/stager/cache.go
+++ b/stager/cache.go
@@ -297,7 +297,7 @@
 			return err
 		}
 	}
-	w.at, err = io.Copy(w.h, w.f)
+	w.at, err = io.CopyN(w.h, w.f, whole)
 	return err
 }
 
--- a/stager/stager_test.go
+++ b/stager/stager_test.go
@@ -15,6 +15,7 @@
 	"runtime"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -458,3 +459,81 @@
 		t.Error("the steps never ended")
 	}
 }
+
+// A disk that is full is told as a full cache, and what the agent has stays right.
+func TestDiskIsFull(t *testing.T) {
+	if _, err := os.Stat("/dev/full"); err != nil {
+		t.Skip("no /dev/full here")
+	}
+	r := newRig(t)
+	m, d := r.store.Add("inv", random(10, 2000), 1000, 1)
+	dir := t.TempDir()
+	a, _ := r.agent(dir, 1<<20, nil)
+	// Whatever is written to the second chunk meets a disk without room.
+	if err := os.Symlink("/dev/full", filepath.Join(dir, "partial", m.Chunks[1].Digest.String())); err != nil {
+		t.Fatal(err)
+	}
+	r.apply(a, order(1, 1, "inv", d, []api.StageSource{store}, 0, 1))
+	eventually(t, "full is told", func() bool {
+		c := a.Report(false).Copies
+		return len(c) == 1 && c[0].Part == 1 && c[0].Full
+	})
+	eventually(t, "the other part is there", func() bool { return pinned(a, "inv").Contains(0) })
+	if pinned(a, "inv").Contains(1) || a.cache.Has(m.Chunks[1]) {
+		t.Fatal("a chunk without its bytes is told as held")
+	}
+	if err := os.Remove(filepath.Join(dir, "partial", m.Chunks[1].Digest.String())); err != nil {
+		t.Fatal(err)
+	}
+	r.pump(a, func() bool { return pinned(a, "inv").Contains(1) })
+}
+
+// An agent finds the leader as a worker does: one controller is down, one sends it on,
+// the third gives the order; what it holds goes out in full until the controllers know.
+func TestAgentFindsTheLeader(t *testing.T) {
+	r := newRig(t)
+	_, d := r.store.Add("inv", random(11, 300), 100, 1)
+	var mu sync.Mutex
+	var last api.StageReport
+	fulls, known := 0, uint64(0)
+	leader := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		mu.Lock()
+		defer mu.Unlock()
+		last = api.StageReport{}
+		if err := json.NewDecoder(q.Body).Decode(&last); err != nil || last.Check() != nil || q.URL.Path != "/v1/staging" {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		o := order(4, 1, "inv", d, []api.StageSource{store}, 0, 2)
+		if last.All {
+			fulls++
+			known = last.Version
+		}
+		o.Known = known
+		_ = json.NewEncoder(w).Encode(o)
+	}))
+	defer leader.Close()
+	follower := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		_, _ = w.Write([]byte(`{"harbor":"c"}`))
+	}))
+	defer follower.Close()
+	down := httptest.NewServer(nil)
+	down.Close()
+	addr := func(s *httptest.Server) string { return strings.TrimPrefix(s.URL, "http://") }
+	a, err := New(r.ctx, Options{Machine: "n-1", Address: "127.0.0.1:1", Dir: t.TempDir(), Quota: 1 << 20, Store: r.url, Clock: r.clock,
+		Controllers: map[string]string{"a": addr(down), "b": addr(follower), "c": addr(leader)}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	go a.Run(r.ctx)
+	eventually(t, "the leader knows what is pinned, and all that is held", func() bool {
+		r.clock.Advance(tuning.StageReportMin)
+		mu.Lock()
+		defer mu.Unlock()
+		return len(last.Pinned) == 1 && last.Pinned[0].Parts.GetCardinality() == 2 && last.Helm == 4 && last.Order == 1 && fulls > 0
+	})
+	if a.Version() == 0 {
+		t.Fatal("nothing was counted as held")
+	}
+}
