--- a/controller/data.go
+++ b/controller/data.go
@@ -137,9 +137,11 @@
 // costs is what a task would wait for on a machine: the one place that says so. Joins: an
 // image that is on its way there counts as held.
 func (c *Core) costs(j *job, task int, m *machine, joins bool) cost.Wait {
-	w := cost.Wait{Image: m.FetchS(j.Job.Image, j.Job.ImageGB)}
+	var w cost.Wait
 	if joins {
 		w.Image = m.fetchS(j)
+	} else {
+		w.Image = m.FetchS(j.Job.Image, j.Job.ImageGB)
 	}
 	d := c.data
 	if d == nil {
