--- a/placement/groups.go
+++ b/placement/groups.go
@@ -73,7 +73,8 @@
 //
 // Tasks that no server can take are left out.
 func FillGroups(servers []Server, groups []Group, extra Extra, most int) []Share {
-	f := filler{servers: servers, extra: extra}
+	n := len(servers)
+	f := filler{servers: servers, extra: extra, part: make([]Server, 0, n), of: make([]int32, 0, n), hold: make([]bool, 0, n), order: make([]int32, 0, n)}
 	large := make([]bool, len(groups))
 	order := make([]int, len(groups))
 	for i := range order {
@@ -112,69 +113,67 @@
 
 // fill water-fills one group.
 func (f *filler) fill(g int, group *Group) {
-	f.part, f.of, f.hold = f.part[:0], f.of[:0], f.hold[:0]
+	part, of, hold := f.part[:0], f.of[:0], f.hold[:0]
 	for _, i := range group.Holders {
 		if f.servers[i].Mu > 0 {
-			f.part, f.of, f.hold = append(f.part, f.servers[i]), append(f.of, i), append(f.hold, true)
+			part, of, hold = append(part, f.servers[i]), append(of, i), append(hold, true)
 		}
 	}
 	n := len(group.Tasks)
-	level, ok := Level(f.part, n)
+	level, ok := Level(part, n)
 	if f.extra != nil && (!ok || f.leastBusy()+f.extra.Least(g) < level) {
-		at, rate := 0, f.extra.Rate(g)
+		holders, rate := group.Holders, f.extra.Rate(g)
 		for i, s := range f.servers {
-			for at < len(group.Holders) && int(group.Holders[at]) < i {
-				at++
+			for len(holders) > 0 && int(holders[0]) < i {
+				holders = holders[1:]
 			}
-			if s.Mu <= 0 || at < len(group.Holders) && int(group.Holders[at]) == i {
-				continue
-			}
-			if ok && s.Busy+1 >= level {
+			if s.Mu <= 0 || len(holders) > 0 && int(holders[0]) == i || ok && s.Busy+1 >= level {
 				continue
 			}
 			// Its link brings the inputs of one task after the other: it has room for
 			// one at once, however many processors are idle.
 			s.Busy, s.Mu, s.Now = s.Busy+f.extra.Slots(g, i), min(s.Mu, rate), min(s.Now, 1)
 			if !ok || s.Busy < level {
-				f.part, f.of, f.hold = append(f.part, s), append(f.of, int32(i)), append(f.hold, false)
+				part, of, hold = append(part, s), append(of, int32(i)), append(hold, false)
 			}
 		}
-		level, ok = Level(f.part, n)
+		level, ok = Level(part, n)
 	}
+	f.part, f.of, f.hold, f.idle = part, of, hold, nil
 	if !ok {
 		return
 	}
-	f.order = f.order[:0]
-	for i, s := range f.part {
+	order, sorted := f.order[:0], true
+	for i, s := range part {
 		if s.Busy < level {
-			f.order = append(f.order, int32(i))
+			sorted = sorted && (len(order) == 0 || part[order[len(order)-1]].Busy <= s.Busy)
+			order = append(order, int32(i))
 		}
 	}
-	slices.SortFunc(f.order, func(a, b int32) int {
-		return cmp.Or(cmp.Compare(f.part[a].Busy, f.part[b].Busy), cmp.Compare(a, b))
-	})
-	order, tasks := f.order, group.Tasks
+	if f.order = order; !sorted {
+		slices.SortFunc(order, func(a, b int32) int { return cmp.Or(cmp.Compare(part[a].Busy, part[b].Busy), cmp.Compare(a, b)) })
+	}
+	tasks := group.Tasks
 	for at, i := range order {
 		if len(tasks) == 0 {
 			break
 		}
-		s := f.part[i]
+		s := part[i]
 		n := min(len(tasks), max(s.Now, ceil(float64(level-s.Busy)*s.Mu)))
 		if at == len(order)-1 {
 			n = len(tasks)
 		}
-		to := &f.servers[f.of[i]]
-		if f.hold[i] {
+		to := &f.servers[of[i]]
+		if hold[i] {
 			to.Busy = max(to.Busy, level)
 		} else {
 			to.Busy += ceil(float64(n) / to.Mu)
-			f.extra.Took(g, int(f.of[i]), n)
+			f.extra.Took(g, int(of[i]), n)
 		}
 		to.Now = max(0, to.Now-n)
-		f.out = append(f.out, Share{int(f.of[i]), tasks[:n:n]})
+		f.out = append(f.out, Share{int(of[i]), tasks[:n:n]})
 		tasks = tasks[n:]
 	}
-	f.idle = nil
 }
 
 func (f *filler) leastBusy() int {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -58,7 +58,8 @@
 	if tasks <= 0 {
 		return 0, true
 	}
-	lo, hi, ok := 0, 0, false
+	lo, hi, ok := math.MaxInt, 0, false
+	mu, work := 0.0, 0.0
 	for _, s := range servers {
 		if s.Mu > 0 {
 			// This server alone covers the tasks here, as in (5).
@@ -67,8 +68,17 @@
 				hi = top
 			}
 			ok = true
+			// Below its queue no server takes any.
+			lo = min(lo, s.Busy+1)
+			mu += s.Mu
+			work += float64(s.Busy) * s.Mu
 		}
 	}
+	// All together cover them where they would if each began at this level with a debt
+	// of what it is short of b, which some do not have.
+	if top := math.Ceil((float64(tasks)+work)/mu + epsilon); top < float64(hi) {
+		hi = max(lo, int(top))
+	}
 	if !ok {
 		return 0, false
 	}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -95,3 +95,28 @@
 		}
 	}
 }
+
+// The search begins between two bounds; the level is the least one all the same.
+func TestLevelIsTheLeast(t *testing.T) {
+	rng := rand.New(rand.NewPCG(8, 8))
+	for range 3000 {
+		servers := make([]Server, 1+rng.IntN(20))
+		for i := range servers {
+			servers[i] = Server{Busy: rng.IntN(60), Mu: rng.Float64() * 3}
+			if rng.IntN(5) == 0 {
+				servers[i].Mu = float64(rng.IntN(4))
+			}
+		}
+		n := 1 + rng.IntN(200)
+		level, ok := Level(servers, n)
+		if !ok {
+			if covers(servers, 1<<20) > 0 {
+				t.Fatalf("none for %v", servers)
+			}
+			continue
+		}
+		if covers(servers, level) < float64(n)-1e-6 || covers(servers, level-1) >= float64(n)-epsilon {
+			t.Fatalf("%d for %d tasks on %v", level, n, servers)
+		}
+	}
+}
