--- a/controller/data.go
+++ b/controller/data.go
@@ -557,6 +557,11 @@
 	if d == nil {
 		return
 	}
+	if !c.wantsData() && d.desk.Idle() {
+		// Most rounds of a fleet whose jobs have no inputs end here.
+		clear(d.waiting)
+		return
+	}
 	now := c.now()
 	position := map[*job]int{}
 	for i, j := range c.order {
@@ -571,11 +576,6 @@
 	var list []wanted
 	clear(d.waiting)
 	for _, m := range c.byName() {
-		for _, a := range m.assigns {
-			if len(a.job.inputs) > 0 {
-				list = append(list, wanted{-1, a.job, m, a.task})
-			}
-		}
 		free, ahead := m.free(), d.set.Ahead
 		if d.set.Placement != features.Staged {
 			ahead = 0
@@ -600,6 +600,12 @@
 		}
 	}
 	for _, j := range c.order {
+		if len(j.inputs) == 0 {
+			continue
+		}
+		for _, a := range j.live {
+			list = append(list, wanted{-1, j, a.machine, a.task})
+		}
 		for task, m := range j.meant {
 			if j.Final != "" || j.live[task] != nil || j.bits.Has(task) {
 				delete(j.meant, task)
@@ -639,10 +645,18 @@
 	}
 }
 
+// wantsData tells whether any job here has inputs.
+func (c *Core) wantsData() bool {
+	return slices.ContainsFunc(c.order, func(j *job) bool { return len(j.inputs) > 0 })
+}
+
 // unstick takes tasks back from machines that cannot get their inputs: the agent is
 // silent, or the cache has been full for long of what must be kept.
 func (c *Core) unstick() {
 	d := c.data
+	if !c.wantsData() {
+		return
+	}
 	for _, m := range c.byName() {
 		if !d.desk.Full(m.Name) {
 			delete(d.stuck, m.Name)
--- a/stager/stager_test.go
+++ b/stager/stager_test.go
@@ -537,3 +537,44 @@
 		t.Fatal("nothing was counted as held")
 	}
 }
+
+// A peer that lies: it says that it holds a part and gives other bytes, or has nothing.
+// The next source is taken, and only wrong bytes are told as a lie.
+func TestPeerLies(t *testing.T) {
+	for _, kind := range []string{"other bytes", "nothing", "packed nonsense"} {
+		r := newRig(t)
+		_, d := r.store.Add("inv", random(12, 5000), 5000, 1)
+		asked := make(chan struct{}, 8)
+		liar := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+			asked <- struct{}{}
+			switch {
+			case kind == "nothing" || strings.HasPrefix(q.URL.Path, "/manifest/"):
+				w.WriteHeader(http.StatusNotFound)
+			case kind == "packed nonsense":
+				w.Header().Set("Content-Encoding", "zstd")
+				_, _ = w.Write(random(13, 900))
+			default:
+				_, _ = w.Write(random(13, 5000))
+			}
+		}))
+		a, _ := r.agent(t.TempDir(), 1<<20, nil)
+		peer := api.StageSource{Peer: strings.TrimPrefix(liar.URL, "http://")}
+		r.apply(a, order(1, 1, "inv", d, []api.StageSource{peer, store}, 0))
+		told := false
+		eventually(t, kind+": it comes from the store", func() bool {
+			for _, c := range a.Report(false).Copies {
+				for _, f := range c.Failed {
+					told = told || f.Lied && f.From == peer
+				}
+			}
+			return pinned(a, "inv").Contains(0)
+		})
+		if kind == "nothing" && told {
+			t.Error("a peer that evicted a part is told as a liar")
+		}
+		if len(asked) < 2 {
+			t.Errorf("%s: the peer was asked %d times, so this shows nothing", kind, len(asked))
+		}
+		liar.Close()
+	}
+}
--- a/staging/staging.go
+++ b/staging/staging.go
@@ -275,6 +275,17 @@
 		int(w.pinned.AndCardinality(w.parts)) == set.Parts
 }
 
+// Idle tells whether every agent that was heard keeps an order of this term, and none is
+// to have anything: a round without wants would change nothing.
+func (d *Desk) Idle() bool {
+	for _, a := range d.agents {
+		if len(a.wants) > 0 || a.addr != "" && (!a.planned || a.applied != a.order) {
+			return false
+		}
+	}
+	return true
+}
+
 // Behind is what a machine's link has to bring already, in bytes.
 func (d *Desk) Behind(machine string) float64 {
 	if a := d.agents[machine]; a != nil {
