--- /dev/null
+++ b/topology/tree.go
@@ -0,0 +1,269 @@
+package topology
+
+import (
+	"cmp"
+	"slices"
+
+	"switchferry/fleet"
+)
+
+// Tree is where the machines of a fleet stand and how much room each domain has free. A
+// machine's change costs a step for each level above it, however large the fleet. It is
+// not safe for use from several places at once.
+type Tree struct {
+	on       *Map
+	machines map[string]*leaf
+	sums     map[*Domain]*sum
+	// lone are machines that no domain of the map names; each is its own domain.
+	// Ambiguous are those that two name.
+	lone, ambiguous int
+}
+
+type leaf struct {
+	name   string
+	in     *Domain
+	free   fleet.Room
+	twice  bool
+	usable bool
+}
+
+type sum struct {
+	free     fleet.Room
+	machines map[*leaf]bool
+	usable   int
+}
+
+// NewTree makes an empty tree over a map.
+func NewTree(m *Map) *Tree {
+	t := &Tree{on: m, machines: map[string]*leaf{}, sums: map[*Domain]*sum{}}
+	for _, d := range m.domains {
+		t.sums[d] = &sum{machines: map[*leaf]bool{}}
+	}
+	return t
+}
+
+// Moved is the tree of the same machines over another map: a new version of the whole.
+func (t *Tree) Moved(m *Map) *Tree {
+	next := NewTree(m)
+	for _, l := range t.machines {
+		next.Set(l.name, l.free, l.usable)
+	}
+	return next
+}
+
+// Set notes a machine's free room. Of one that may get no work, usable false, nothing
+// counts as free.
+func (t *Tree) Set(machine string, free fleet.Room, usable bool) {
+	l := t.machines[machine]
+	if l == nil {
+		l = &leaf{name: machine}
+		l.in, l.twice = t.on.Of(machine)
+		t.machines[machine] = l
+		if l.in == nil {
+			t.lone++
+		}
+		if l.twice {
+			t.ambiguous++
+		}
+		for d := l.in; d != nil; d = d.In {
+			t.sums[d].machines[l] = true
+		}
+	}
+	was, now := fleet.Room{}, fleet.Room{}
+	if l.usable {
+		was = l.free
+	}
+	if usable {
+		now = free
+	}
+	for d := l.in; d != nil; d = d.In {
+		s := t.sums[d]
+		s.free = s.free.Sub(was).Add(now)
+		if l.usable != usable {
+			if usable {
+				s.usable++
+			} else {
+				s.usable--
+			}
+		}
+		if s.usable == 0 {
+			// What rounding leaves must not add up over months.
+			s.free = fleet.Room{}
+		}
+	}
+	l.free, l.usable = free, usable
+}
+
+// Remove takes a machine that is gone out.
+func (t *Tree) Remove(machine string) {
+	l := t.machines[machine]
+	if l == nil {
+		return
+	}
+	t.Set(machine, fleet.Room{}, false)
+	for d := l.in; d != nil; d = d.In {
+		delete(t.sums[d].machines, l)
+	}
+	if l.in == nil {
+		t.lone--
+	}
+	if l.twice {
+		t.ambiguous--
+	}
+	delete(t.machines, machine)
+}
+
+// Lone is how many machines no domain names, Ambiguous how many two name.
+func (t *Tree) Lone() int      { return t.lone }
+func (t *Tree) Ambiguous() int { return t.ambiguous }
+
+// Of is the domain that a machine stands in; nil: none, or the machine is not known.
+func (t *Tree) Of(machine string) *Domain {
+	if l := t.machines[machine]; l != nil {
+		return l.in
+	}
+	return nil
+}
+
+// Key names what falls together with a machine at a level: its domain there, or, where
+// it stands in none, the machine itself.
+func (t *Tree) Key(machine, level string) string {
+	if level != Machine {
+		if d := t.Of(machine); d != nil {
+			if at := d.At(level); at != nil {
+				return level + " " + at.Name
+			}
+		}
+	}
+	return Machine + " " + machine
+}
+
+// Free is a domain's free room, Usable how many of its machines may get work, Machines how
+// many it has.
+func (t *Tree) Free(d *Domain) fleet.Room { return t.sums[d].free }
+func (t *Tree) Usable(d *Domain) int      { return t.sums[d].usable }
+func (t *Tree) Machines(d *Domain) int    { return len(t.sums[d].machines) }
+
+// Fit is how many tasks of a size a domain has room for at once, machine by machine, up to
+// a number that suffices.
+func (t *Tree) Fit(d *Domain, need fleet.Room, enough int) int {
+	n := 0
+	for l := range t.sums[d].machines {
+		if l.usable {
+			n += l.free.Times(need)
+		}
+		if n >= enough {
+			return enough
+		}
+	}
+	return n
+}
+
+// Close finds the domain that n tasks should stand in together, at a level or further in:
+// of the innermost ones that hold all of them the one with the least room left over, so
+// that the largest holes stay whole. Nil: no domain does; then nearest is the one that
+// misses the least, and short by how many tasks. Domains whose summed room does not do are
+// not looked into.
+func (t *Tree) Close(level string, need fleet.Room, n int) (best, nearest *Domain, short int) {
+	all := fleet.Room{CPUs: need.CPUs * float64(n), Cards: need.Cards * float64(n), MemoryGB: need.MemoryGB * float64(n)}
+	short = n + 1
+	for _, d := range t.on.domains {
+		if depth[d.Level] < depth[level] {
+			continue
+		}
+		s := t.sums[d]
+		if !s.free.Holds(all) {
+			// It cannot; by how much is looked at only while nothing better is known.
+			if best == nil {
+				if miss := n - min(n, s.free.Times(need)); miss < short {
+					if miss = n - t.Fit(d, need, n); miss < short {
+						nearest, short = d, miss
+					}
+				}
+			}
+			continue
+		}
+		if best != nil && !t.before(d, best) {
+			continue
+		}
+		if got := t.Fit(d, need, n); got == n {
+			best = d
+		} else if n-got < short {
+			nearest, short = d, n-got
+		}
+	}
+	if best != nil {
+		return best, nil, 0
+	}
+	return nil, nearest, short
+}
+
+// before tells whether d is the better place of two that hold a job: further in, then
+// with less room left, then by name.
+func (t *Tree) before(d, o *Domain) bool {
+	return cmp.Or(cmp.Compare(depth[o.Level], depth[d.Level]), cmp.Compare(t.sums[d].free.CPUs, t.sums[o].free.CPUs),
+		cmp.Compare(t.sums[d].free.Cards, t.sums[o].free.Cards), cmp.Compare(d.Name, o.Name)) < 0
+}
+
+// Names are a domain's machines, in order.
+func (t *Tree) Names(d *Domain) []string {
+	var out []string
+	for l := range t.sums[d].machines {
+		out = append(out, l.name)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Room is a machine's free room and whether it may get work.
+func (t *Tree) Room(machine string) (fleet.Room, bool) {
+	if l := t.machines[machine]; l != nil {
+		return l.free, l.usable
+	}
+	return fleet.Room{}, false
+}
+
+// Spread counts a job's replicas by what falls together at a level. Whatever may still run
+// must be added: silent ones, and those that are being stopped, until they are proved gone.
+type Spread struct {
+	tree  *Tree
+	level string
+	count map[string]int
+	total int
+}
+
+// NewSpread counts nothing yet.
+func (t *Tree) NewSpread(level string) *Spread {
+	return &Spread{tree: t, level: level, count: map[string]int{}}
+}
+
+// Add counts a replica on a machine, Remove takes one that is proved gone away.
+func (s *Spread) Add(machine string) {
+	s.count[s.tree.Key(machine, s.level)]++
+	s.total++
+}
+
+// Remove is the reverse of Add.
+func (s *Spread) Remove(machine string) {
+	k := s.tree.Key(machine, s.level)
+	if s.count[k]--; s.count[k] <= 0 {
+		delete(s.count, k)
+	}
+	s.total--
+}
+
+// Here is how many stand where a machine stands.
+func (s *Spread) Here(machine string) int { return s.count[s.tree.Key(machine, s.level)] }
+
+// Most is the largest number in one domain.
+func (s *Spread) Most() int {
+	most := 0
+	for _, n := range s.count {
+		most = max(most, n)
+	}
+	return most
+}
+
+// Allows tells whether one more may stand on a machine if at most `bound` may stand in
+// one domain.
+func (s *Spread) Allows(machine string, bound int) bool { return s.Here(machine) < bound }
--- a/tuning/tuning.go
+++ b/tuning/tuning.go
@@ -350,6 +350,8 @@
 	// StageAhead is for how many queued tasks a machine, beyond those with room, inputs
 	// are copied ahead, unless the features file says otherwise.
 	StageAhead = 4
+	// CardsMost is the most cards of a machine.
+	CardsMost = 64
 	// HoldsEvery is the pace of storing who holds what, a hint worth few writes;
 	// HoldsMargin is kept free in its value for the JSON around it, in bytes.
 	HoldsEvery  = 10 * time.Second
