One piece of code where the change had written a second

Cause: read again, the change had giving queued tasks back, a machine as the water-filling sees it, the cut of records into machines, the judgement of a controller's answer in the command line, the strict reading of TOML, the name of a source, and the serving of a port twice or more; shift searched for queues that its caller held; and three functions or fields were dead. Change: each stands once (queue.giveBack, Core.server, Core.recordPart, client.answer, internal/strict, StageSource.String, httpapi.Serve, Room.Scale, cost.Fetch), the dead ones went. Tests are untouched.

--- a/api/data.go
+++ b/api/data.go
@@ -114,6 +114,14 @@
 	Store bool   `json:"store,omitempty"`
 }
 
+// String is the source's name for people.
+func (s StageSource) String() string {
+	if s.Store {
+		return "store"
+	}
+	return s.Peer
+}
+
 // StageCopy is one part to be copied now, and where from, best first.
 type StageCopy struct {
 	Part int           `json:"part"`
--- a/cli/client.go
+++ b/cli/client.go
@@ -81,24 +81,33 @@
 	return string(bytes.TrimSpace(raw))
 }
 
-// run asks and prints.
-func (c *client) run(cmd *cobra.Command, method, path string, body []byte) error {
+// answer asks and takes the answer in. Printed: it went out as JSON, as the user wants it.
+// Missing is the error for an answer that there is no such thing.
+func (c *client) answer(cmd *cobra.Command, method, path string, body []byte, into any, missing func(why string) error) (printed bool, err error) {
 	status, raw, err := c.ask(cmd.Context(), method, path, body)
 	switch {
 	case err != nil:
-		return err
+		return false, err
 	case status == http.StatusNotFound:
-		return coded(ExitNotFound, errors.New(message(raw)))
+		return false, missing(message(raw))
 	case status != http.StatusOK && status != http.StatusCreated:
-		return coded(ExitRefused, fmt.Errorf("refused (status %d): %s", status, message(raw)))
-	}
-	if c.asJSON {
+		return false, coded(ExitRefused, fmt.Errorf("refused (status %d): %s", status, message(raw)))
+	case c.asJSON:
 		_, err = fmt.Fprintln(cmd.OutOrStdout(), string(bytes.TrimSpace(raw)))
-		return err
+		return true, err
+	}
+	if err := json.Unmarshal(raw, into); err != nil {
+		return false, coded(ExitFailed, fmt.Errorf("malformed answer: %w", err))
 	}
+	return false, nil
+}
+
+// run asks and prints.
+func (c *client) run(cmd *cobra.Command, method, path string, body []byte) error {
 	var st api.JobStatus
-	if err := json.Unmarshal(raw, &st); err != nil {
-		return coded(ExitFailed, fmt.Errorf("malformed answer: %w", err))
+	printed, err := c.answer(cmd, method, path, body, &st, func(why string) error { return coded(ExitNotFound, errors.New(why)) })
+	if err != nil || printed {
+		return err
 	}
 	_, err = fmt.Fprintf(cmd.OutOrStdout(), "%s %s, %d tasks done, %d running\n", st.ID, st.State, st.Done, st.Running)
 	return err
--- a/cli/data.go
+++ b/cli/data.go
@@ -1,7 +1,6 @@
 package cli
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -101,22 +100,9 @@
 	cmd := &cobra.Command{Use: "data", Short: "Show datasets, who holds them, and copies under way", Args: cobra.NoArgs,
 		Example: "  switchferry data --node 10.0.0.1:8080\n  switchferry data --json | jq .copies",
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			status, raw, err := c.ask(cmd.Context(), http.MethodGet, "/datasets", nil)
-			switch {
-			case err != nil:
-				return err
-			case status == http.StatusNotFound:
-				return coded(ExitRefused, errors.New("datasets are off: start the controllers with --features"))
-			case status != http.StatusOK:
-				return coded(ExitRefused, fmt.Errorf("refused (status %d): %s", status, message(raw)))
-			}
-			if c.asJSON {
-				_, err = fmt.Fprintln(cmd.OutOrStdout(), string(bytes.TrimSpace(raw)))
-				return err
-			}
 			var v controller.DataView
-			if err := json.Unmarshal(raw, &v); err != nil {
-				return coded(ExitFailed, fmt.Errorf("malformed answer: %w", err))
+			if printed, err := c.answer(cmd, http.MethodGet, "/datasets", nil, &v, dataOff); err != nil || printed {
+				return err
 			}
 			showData(cmd.OutOrStdout(), &v)
 			return nil
@@ -126,6 +112,11 @@
 	return cmd
 }
 
+// dataOff is the error of a path that exists only with datasets on.
+func dataOff(string) error {
+	return coded(ExitRefused, errors.New("datasets are off: start the controllers with --features"))
+}
+
 func showData(w io.Writer, v *controller.DataView) {
 	if len(v.Datasets) == 0 {
 		fmt.Fprintln(w, "no datasets are registered; `switchferry data add` registers one")
@@ -226,16 +217,7 @@
 			if err != nil {
 				return coded(ExitFailed, err)
 			}
-			status, answer, err := c.ask(cmd.Context(), http.MethodPost, "/datasets", body)
-			switch {
-			case err != nil:
-				return err
-			case status == http.StatusNotFound || status == http.StatusMethodNotAllowed:
-				return coded(ExitRefused, errors.New("datasets are off: start the controllers with --features"))
-			case status != http.StatusOK && status != http.StatusCreated:
-				return coded(ExitRefused, fmt.Errorf("refused (status %d): %s", status, message(answer)))
-			case c.asJSON:
-				_, err = fmt.Fprintln(cmd.OutOrStdout(), string(bytes.TrimSpace(answer)))
+			if printed, err := c.answer(cmd, http.MethodPost, "/datasets", body, &s, dataOff); err != nil || printed {
 				return err
 			}
 			_, err = fmt.Fprintf(cmd.OutOrStdout(), "%s: %s in %d parts\n", s.Name, humanize.Bytes(uint64(s.Bytes)), s.Parts)
--- a/controller/data.go
+++ b/controller/data.go
@@ -15,7 +15,6 @@
 	"switchferry/cost"
 	"switchferry/dataset"
 	"switchferry/features"
-	"switchferry/fleet"
 	"switchferry/holdings"
 	"switchferry/placement"
 	"switchferry/policy"
@@ -257,9 +256,7 @@
 		if !c.eligible(j, m) || !c.stages(j, m) {
 			continue
 		}
-		queued, room := c.ahead(m, j, slot)
-		free := m.free()
-		s := placement.Server{Busy: placement.Busy(queued), Mu: placement.Mu(room.Times(j.need), slot, estimate(j)), Now: free.Times(j.need)}
+		s := c.server(m, j, slot)
 		if s.Mu <= 0 {
 			continue
 		}
@@ -469,9 +466,8 @@
 // shift gives tasks that wait on machines without room to machines that have some: at
 // once where their inputs are held, and after the same patience as with images where they
 // must be copied. Tasks that wait for bytes on a machine with room go where the bytes are,
-// and nowhere else. They start there once that is proved. Queued are the machines whose
-// queues hold tasks of the job.
-func (c *Core) shift(j *job, roomy, queued []*machine) {
+// and nowhere else. They start there once that is proved. Queues are those of the job.
+func (c *Core) shift(j *job, roomy []*machine, queues []place) {
 	for _, m := range roomy {
 		if !c.startable(j, m) || !c.stages(j, m) {
 			continue
@@ -480,7 +476,8 @@
 		for _, q := range m.queue {
 			room -= len(q.tasks)
 		}
-		for _, from := range queued {
+		for _, p := range queues {
+			from, q := p.m, p.q
 			if room <= 0 {
 				break
 			}
@@ -488,11 +485,6 @@
 				continue
 			}
 			couldStart := from.free().Holds(j.need) && c.usable(from) && c.stages(j, from)
-			at, ok := slices.BinarySearchFunc(from.queue, j, func(q *queue, j *job) int { return before(q.job, j) })
-			if !ok {
-				continue
-			}
-			q := from.queue[at]
 			for i := 0; i < len(q.tasks) && room > 0; {
 				here := c.costs(j, int(q.tasks[i]), m, true)
 				w := here.Seconds()
@@ -512,23 +504,26 @@
 // takeStaged takes a task of the job that could start on a machine out of that machine's
 // queue; -1: none. Nothing is stopped to make room for a task that would only wait there.
 func (c *Core) takeStaged(j *job, m *machine) int {
-	for _, q := range m.queue {
-		if q.job == j {
-			if i := c.next(q, m); i >= 0 {
-				return q.take(i)
-			}
-		}
+	if q, i := c.stagedOn(j, m); i >= 0 {
+		return q.take(i)
 	}
 	return -1
 }
 
-func (c *Core) hasStaged(j *job, m *machine) bool {
+// stagedOn is where in a machine's queue the first task of the job stands that could start
+// there; -1: nowhere.
+func (c *Core) stagedOn(j *job, m *machine) (*queue, int) {
 	for _, q := range m.queue {
 		if q.job == j {
-			return c.next(q, m) >= 0
+			return q, c.next(q, m)
 		}
 	}
-	return false
+	return nil, -1
+}
+
+func (c *Core) hasStaged(j *job, m *machine) bool {
+	_, i := c.stagedOn(j, m)
+	return i >= 0
 }
 
 // meant is the machine that a replica or a gang's task waits for, while its inputs are
@@ -582,8 +577,7 @@
 		}
 		for _, q := range m.queue {
 			if len(q.job.inputs) == 0 {
-				free = free.Sub(fleet.Room{CPUs: q.job.need.CPUs * float64(len(q.tasks)), Cards: q.job.need.Cards * float64(len(q.tasks)),
-					MemoryGB: q.job.need.MemoryGB * float64(len(q.tasks))})
+				free = free.Sub(q.job.need.Scale(len(q.tasks)))
 				continue
 			}
 			for _, t := range q.tasks {
@@ -673,9 +667,7 @@
 				continue
 			}
 			slog.Info("inputs do not come", "machine", m.Name, "job", q.job.id, "tasks", len(q.tasks), "agent_silent", silent, "cache_full", full)
-			q.job.pending = append(q.job.pending, q.tasks...)
-			q.job.queued -= len(q.tasks)
-			q.tasks = nil
+			q.giveBack()
 			q.job.avoid[m.Name] = c.now().Add(tuning.BackoffMax)
 		}
 		m.trim()
@@ -758,7 +750,7 @@
 	}
 	for _, x := range d.desk.Copies() {
 		v.Copies = append(v.Copies, CopyView{Machine: x.Machine, Dataset: x.Dataset, Part: x.Part, Got: x.Got, Of: x.Of,
-			From: staging.Name(x.From[0]), Failed: x.Failed, Full: x.Full})
+			From: x.From[0].String(), Failed: x.Failed, Full: x.Full})
 	}
 	for _, j := range c.order {
 		switch n := d.waiting[j.id]; {
--- a/controller/holdshint.go
+++ b/controller/holdshint.go
@@ -3,8 +3,6 @@
 import (
 	"encoding/json"
 	"log/slog"
-	"strconv"
-	"strings"
 	"time"
 
 	"switchferry/holdings"
@@ -24,20 +22,19 @@
 		return
 	}
 	d.hinted, d.hintAt = d.index.Snapshot().Version(), now
-	for i := range (len(c.machines) + tuning.ImagesMachines - 1) / tuning.ImagesMachines {
+	for i := range c.recordParts() {
 		c.hooks.Touch(store.HoldsKey(i), store.Lazy, nil)
 	}
 }
 
 // holdsRecord is one part of that record.
 func (c *Core) holdsRecord(key string) (holdings.Hint, bool) {
-	part, err := strconv.Atoi(strings.TrimPrefix(key, store.HoldsPrefix))
-	ms := c.byName()
-	if c.data == nil || err != nil || part < 0 || part*tuning.ImagesMachines >= len(ms) {
+	ms := c.recordPart(key, store.HoldsPrefix)
+	if c.data == nil || ms == nil {
 		return holdings.Hint{}, false
 	}
 	var names []string
-	for _, m := range ms[part*tuning.ImagesMachines : min(len(ms), (part+1)*tuning.ImagesMachines)] {
+	for _, m := range ms {
 		names = append(names, m.Name)
 	}
 	h, _, err := holdings.PackHint(c.data.index.Snapshot(), names, c.data.desk.ID, int(c.set.Facts.State.ValueKB*1024)-tuning.HoldsMargin)
--- a/controller/images.go
+++ b/controller/images.go
@@ -30,23 +30,38 @@
 		return
 	}
 	c.imagesNew, c.imagesAt = false, now
-	for i := range (len(c.machines) + tuning.ImagesMachines - 1) / tuning.ImagesMachines {
+	for i := range c.recordParts() {
 		c.hooks.Touch(store.ImagesKey(i), store.Lazy, nil)
 	}
 }
 
+// recordParts is how many records there are, of so many machines each, of what machines
+// hold.
+func (c *Core) recordParts() int {
+	return (len(c.machines) + tuning.ImagesMachines - 1) / tuning.ImagesMachines
+}
+
+// recordPart are the machines of one such record, by its key; none: there is no such part.
+func (c *Core) recordPart(key, prefix string) []*machine {
+	part, err := strconv.Atoi(strings.TrimPrefix(key, prefix))
+	ms := c.byName()
+	if err != nil || part < 0 || part*tuning.ImagesMachines >= len(ms) {
+		return nil
+	}
+	return ms[part*tuning.ImagesMachines : min(len(ms), (part+1)*tuning.ImagesMachines)]
+}
+
 // imagesRecord is one part of the record. The parts are cut by the machines'
 // order, which shifts as machines come and go; one that stands in two parts does
 // no harm.
 func (c *Core) imagesRecord(key string) (store.ImagesRecord, bool) {
 	rec := store.ImagesRecord{On: map[string][]int{}}
-	part, err := strconv.Atoi(strings.TrimPrefix(key, store.ImagesPrefix))
-	ms := c.byName()
-	if err != nil || part < 0 || part*tuning.ImagesMachines >= len(ms) {
+	ms := c.recordPart(key, store.ImagesPrefix)
+	if ms == nil {
 		return rec, false
 	}
 	index := map[string]int{}
-	for _, m := range ms[part*tuning.ImagesMachines : min(len(ms), (part+1)*tuning.ImagesMachines)] {
+	for _, m := range ms {
 		var on []int
 		for _, im := range m.Images() {
 			i, ok := index[im.Name]
--- a/controller/mistake.go
+++ b/controller/mistake.go
@@ -87,9 +87,7 @@
 	for _, m := range c.machines {
 		for _, q := range m.queue {
 			if q.job == j {
-				j.pending = append(j.pending, q.tasks...)
-				j.queued -= len(q.tasks)
-				q.tasks = nil
+				q.giveBack()
 			}
 		}
 		m.trim()
--- a/controller/place.go
+++ b/controller/place.go
@@ -116,8 +116,7 @@
 	for _, m := range c.machines {
 		if len(m.queue) > 0 && !c.usable(m) {
 			for _, q := range m.queue {
-				q.job.pending = append(q.job.pending, q.tasks...)
-				q.job.queued -= len(q.tasks)
+				q.giveBack()
 			}
 			m.queue = nil
 		}
@@ -204,6 +203,12 @@
 	return queued, room
 }
 
+// server is a machine as the water-filling sees it for a job, without what it must fetch.
+func (c *Core) server(m *machine, j *job, slot float64) placement.Server {
+	queued, room := c.ahead(m, j, slot)
+	return placement.Server{Busy: placement.Busy(queued), Mu: placement.Mu(room.Times(j.need), slot, estimate(j)), Now: m.free().Times(j.need)}
+}
+
 // waterFill queues a job's waiting tasks by the paper's Algorithm 2. All tasks
 // of a job need one image, so they form one group; the machines that lack the
 // image take part with the fetch added to their busy time.
@@ -219,14 +224,12 @@
 		if !c.eligible(j, m) {
 			continue
 		}
-		queued, room := c.ahead(m, j, slot)
-		free := m.free()
-		s := placement.Server{Busy: placement.Busy(queued), Mu: placement.Mu(room.Times(j.need), slot, estimate(j)), Now: free.Times(j.need)}
+		s := c.server(m, j, slot)
 		if s.Mu <= 0 {
 			continue
 		}
 		s.Busy += c.penalty(c.costs(j, 0, m, true).Seconds(), slot)
-		all = append(all, candidate{m, s, free.CPUs})
+		all = append(all, candidate{m, s, m.free().CPUs})
 	}
 	// Of machines that are as busy, those with the least room left come first.
 	slices.SortStableFunc(all, func(a, b candidate) int {
@@ -268,6 +271,13 @@
 	return int(t)
 }
 
+// giveBack returns a queue's tasks to their job, to be placed again.
+func (q *queue) giveBack() {
+	q.job.pending = append(q.job.pending, q.tasks...)
+	q.job.queued -= len(q.tasks)
+	q.tasks = nil
+}
+
 func (m *machine) trim() {
 	m.queue = slices.DeleteFunc(m.queue, func(q *queue) bool { return len(q.tasks) == 0 })
 }
@@ -277,16 +287,18 @@
 	return c.ready(j) && m.free().Holds(j.need) && len(m.assigns)+len(m.ended) < tuning.ReportTasks && c.eligible(j, m) && zoneOK(j, m) && c.withinLimit(j)
 }
 
+// place is a queue and the machine that it is on.
+type place struct {
+	m *machine
+	q *queue
+}
+
 // serve starts queued tasks, job by job in the order of the queues: first where
 // they are queued, then on other machines with room, out of the longest queue
 // that holds the job. A machine does not start a later job of its own queue while
 // it could serve an earlier one that waits elsewhere: one task left behind a long
 // one, on one machine, keeps its whole job from being done.
 func (c *Core) serve(ms []*machine) {
-	type place struct {
-		m *machine
-		q *queue
-	}
 	where := map[*job][]place{}
 	length := map[*machine]int{}
 	least := math.Inf(1)
@@ -332,11 +344,7 @@
 			}
 		}
 		if j.queued > 0 && len(j.inputs) > 0 {
-			queued := make([]*machine, len(at))
-			for i, p := range at {
-				queued[i] = p.m
-			}
-			c.shift(j, roomy, queued)
+			c.shift(j, roomy, at)
 		} else if j.queued > 0 && spare() {
 			for _, m := range c.pullers(j, roomy) {
 				for j.queued > 0 && spare() && c.startable(j, m) {
--- a/controller/rent.go
+++ b/controller/rent.go
@@ -368,8 +368,7 @@
 			c.lost(a, "its machine is gone")
 		}
 		for _, q := range m.queue {
-			q.job.pending = append(q.job.pending, q.tasks...)
-			q.job.queued -= len(q.tasks)
+			q.giveBack()
 		}
 		delete(c.machines, n)
 		if c.data != nil {
--- a/experiment/locality.go
+++ b/experiment/locality.go
@@ -29,6 +29,7 @@
 	"switchferry/controller"
 	"switchferry/dataset"
 	"switchferry/features"
+	"switchferry/httpapi"
 	"switchferry/policy"
 	"switchferry/settings"
 	"switchferry/stager"
@@ -354,19 +355,10 @@
 		return nil, err
 	}
 	go m.agent.Run(ctx)
-	serve(ctx, l, m.agent.Handler())
+	go httpapi.Serve(ctx, l, m.agent.Handler())
 	return m, nil
 }
 
-func serve(ctx context.Context, l net.Listener, h http.Handler) {
-	s := &http.Server{Handler: h, ReadHeaderTimeout: tuning.HeaderTimeout}
-	go func() {
-		<-ctx.Done()
-		_ = s.Close()
-	}()
-	go func() { _ = s.Serve(l) }()
-}
-
 // live reports for worker and agent until the context ends.
 func (m *machine) live(ctx context.Context, p *playing) {
 	for ctx.Err() == nil {
@@ -495,7 +487,7 @@
 		s.sets = append(s.sets, &sum)
 		s.data[setName(i)], s.manifest[setName(i)] = raw, mr
 	}
-	serve(ctx, ln, s)
+	go httpapi.Serve(ctx, ln, s)
 	return s, nil
 }
 
--- a/features/features.go
+++ b/features/features.go
@@ -3,7 +3,6 @@
 package features
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"math"
@@ -11,8 +10,7 @@
 	"os"
 	"strings"
 
-	"github.com/pelletier/go-toml/v2"
-
+	"switchferry/internal/strict"
 	"switchferry/tuning"
 )
 
@@ -81,23 +79,9 @@
 func Parse(raw []byte) (*Features, error) {
 	f := Features{Data: Data{Placement: Staged, CacheGB: tuning.StageCacheGB, PerLink: tuning.StagePerLink,
 		AtStore: tuning.StageAtStore, Ahead: tuning.StageAhead}}
-	var bad []error
-	dec := toml.NewDecoder(bytes.NewReader(raw)).DisallowUnknownFields()
-	if err := dec.Decode(&f); err != nil {
-		var strict *toml.StrictMissingError
-		var de *toml.DecodeError
-		switch {
-		case errors.As(err, &strict):
-			for _, e := range strict.Errors {
-				row, _ := e.Position()
-				bad = append(bad, fmt.Errorf("line %d: %s: no such setting", row, strings.Join(e.Key(), ".")))
-			}
-		case errors.As(err, &de):
-			row, _ := de.Position()
-			return nil, fmt.Errorf("features: line %d: %s: %w", row, strings.Join(de.Key(), "."), de)
-		default:
-			return nil, fmt.Errorf("features: %w", err)
-		}
+	bad, err := strict.Decode(raw, &f)
+	if err != nil {
+		return nil, fmt.Errorf("features: %w", err)
 	}
 	bad = append(bad, f.Data.check()...)
 	if len(bad) > 0 {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"switchferry/api"
+	"switchferry/cost"
 	"switchferry/tuning"
 )
 
@@ -25,6 +26,12 @@
 	return Room{r.CPUs + o.CPUs, r.Cards + o.Cards, r.MemoryGB + o.MemoryGB}
 }
 
+// Scale is n times r.
+func (r Room) Scale(n int) Room {
+	f := float64(n)
+	return Room{r.CPUs * f, r.Cards * f, r.MemoryGB * f}
+}
+
 // Holds tells whether o fits.
 func (r Room) Holds(o Room) bool {
 	const s = tuning.RoomSlack
@@ -153,10 +160,10 @@
 
 // FetchS is the time to get an image, 0 if it is held.
 func (m *Machine) FetchS(image string, gb float64) float64 {
-	if m.Has(image) || m.Spec == nil || m.Spec.PullGBs <= 0 {
+	if m.Has(image) || m.Spec == nil {
 		return 0
 	}
-	return gb / m.Spec.PullGBs
+	return cost.Fetch(gb, m.Spec.PullGBs)
 }
 
 // images is the worker's cache as inferred from its reports: the most recently
--- a/httpapi/httpapi.go
+++ b/httpapi/httpapi.go
@@ -49,7 +49,7 @@
 		return func(c echo.Context) error {
 			r := peer.Request{Verb: verb, Job: c.Param("id")}
 			if verb == controller.VerbSubmit || verb == controller.VerbRegister {
-				body, err := read(c)
+				body, err := read(c, tuning.BodyLimit, errTooLong)
 				if err != nil {
 					return c.JSON(http.StatusBadRequest, api.Error{Error: err.Error(), Field: "body"})
 				}
@@ -72,10 +72,7 @@
 		e.POST("/datasets", user(controller.VerbRegister))
 		e.POST("/v1/staging", func(c echo.Context) error {
 			var r api.StageReport
-			body, err := io.ReadAll(io.LimitReader(c.Request().Body, tuning.OrderLimit+1))
-			if err == nil && len(body) > tuning.OrderLimit {
-				err = errors.New("the report is over 1 MiB")
-			}
+			body, err := read(c, tuning.OrderLimit, errReportTooLong)
 			if err == nil {
 				err = json.Unmarshal(body, &r)
 			}
@@ -97,7 +94,7 @@
 		return c.NoContent(http.StatusServiceUnavailable)
 	})
 	e.POST("/v1/report", func(c echo.Context) error {
-		body, err := read(c)
+		body, err := read(c, tuning.BodyLimit, errTooLong)
 		var r api.Report
 		if err == nil {
 			err = json.Unmarshal(body, &r)
@@ -115,12 +112,16 @@
 	return e
 }
 
-var errTooLong = errors.New("the body is over 64 KiB")
+var (
+	errTooLong       = errors.New("the body is over 64 KiB")
+	errReportTooLong = errors.New("the report is over 1 MiB")
+)
 
-func read(c echo.Context) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(c.Request().Body, tuning.BodyLimit+1))
-	if err == nil && len(body) > tuning.BodyLimit {
-		err = errTooLong
+// read takes in a body of at most so many bytes.
+func read(c echo.Context, limit int, tooLong error) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(c.Request().Body, int64(limit)+1))
+	if err == nil && len(body) > limit {
+		err = tooLong
 	}
 	return body, err
 }
--- a/stager/fetch.go
+++ b/stager/fetch.go
@@ -275,7 +275,7 @@
 		// A peer that lacks it may have evicted it since it was asked what it holds;
 		// one that gives wrong bytes is not asked again.
 		t.p.fail(api.StageFailure{From: src, Why: err.Error(), Lied: errors.Is(err, ErrWrong)}, errors.Is(err, ErrFull))
-		slog.Info("copy failed", "dataset", t.name, "part", t.part, "from", name(src), "try", try+1, "why", err)
+		slog.Info("copy failed", "dataset", t.name, "part", t.part, "from", src, "try", try+1, "why", err)
 		a.changed()
 		try++
 		if round := try / len(srcs); try%len(srcs) == 0 {
@@ -285,13 +285,6 @@
 	slog.Info("part whole", "dataset", t.name, "part", t.part, "bytes", t.manifest.PartBytes(t.part))
 }
 
-func name(s api.StageSource) string {
-	if s.Store {
-		return "store"
-	}
-	return s.Peer
-}
-
 // manifestOf gets a manifest from the cache or from any source, and checks its digest.
 func (a *Agent) manifestOf(ctx context.Context, dset string, d dataset.Digest, from []api.StageSource) (*dataset.Manifest, error) {
 	if m, _, err := a.cache.Manifest(d); err == nil {
@@ -313,7 +306,7 @@
 		if err == nil {
 			return m, a.cache.SaveManifest(d, raw)
 		}
-		err = fmt.Errorf("manifest of %s from %s: %w", dset, name(src), err)
+		err = fmt.Errorf("manifest of %s from %s: %w", dset, src, err)
 	}
 	return nil, err
 }
--- a/staging/staging.go
+++ b/staging/staging.go
@@ -108,7 +108,6 @@
 // transfer is one copy in an order.
 type transfer struct {
 	from  []api.StageSource
-	since time.Time
 	got   int64
 	moved time.Time
 	// failed are sources that it failed with.
@@ -240,14 +239,6 @@
 	return a.id, true
 }
 
-// Quota is the size of a machine's cache, in bytes; 0: not known.
-func (d *Desk) Quota(machine string) int64 {
-	if a := d.agents[machine]; a != nil {
-		return a.quota
-	}
-	return 0
-}
-
 // Full tells whether a machine's cache has no room for what it was to copy.
 func (d *Desk) Full(machine string) bool {
 	a := d.agents[machine]
@@ -371,7 +362,7 @@
 				changed[a] = true
 			}
 		} else if from := d.sources(a, x, snap, now, nil); from != nil {
-			w.copies[x.Part] = &transfer{from: from, since: now, moved: now, failed: map[api.StageSource]string{}}
+			w.copies[x.Part] = &transfer{from: from, moved: now, failed: map[api.StageSource]string{}}
 			d.take(a, x.Set.Name, x.Part, from[0])
 			changed[a] = true
 		}
@@ -573,7 +564,7 @@
 		from = t.from
 	}
 	same := slices.Equal(from, t.from)
-	w.copies[part] = &transfer{from: from, since: t.since, got: t.got, moved: t.moved, failed: map[api.StageSource]string{}}
+	w.copies[part] = &transfer{from: from, got: t.got, moved: t.moved, failed: map[api.StageSource]string{}}
 	if same {
 		w.copies[part].failed = failed
 	}
@@ -624,7 +615,7 @@
 				t := w.copies[k]
 				c := Copying{Machine: name, Dataset: set, Part: k, Got: t.got, Of: w.set.PartBytes(k), From: t.from, Full: a.full, Failed: map[string]string{}}
 				for s, why := range t.failed {
-					c.Failed[Name(s)] = why
+					c.Failed[s.String()] = why
 				}
 				out = append(out, c)
 			}
@@ -633,14 +624,6 @@
 	return out
 }
 
-// Name is a source's name for people.
-func Name(s api.StageSource) string {
-	if s.Store {
-		return "store"
-	}
-	return s.Peer
-}
-
 // Backlog is how many bytes are still to come to all machines.
 func (d *Desk) Backlog() float64 {
 	sum := 0.0
--- a/topology/topology.go
+++ b/topology/topology.go
@@ -4,15 +4,12 @@
 package topology
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"path"
 	"slices"
-	"strings"
-
-	"github.com/pelletier/go-toml/v2"
 
+	"switchferry/internal/strict"
 	"switchferry/tuning"
 )
 
@@ -99,21 +96,12 @@
 			bad = append(bad, fmt.Errorf("topology: "+format, a...))
 		}
 	}
-	if err := toml.NewDecoder(bytes.NewReader(raw)).DisallowUnknownFields().Decode(&f); err != nil {
-		var strict *toml.StrictMissingError
-		var de *toml.DecodeError
-		switch {
-		case errors.As(err, &strict):
-			for _, e := range strict.Errors {
-				row, _ := e.Position()
-				fail("line %d: %s: no such setting", row, strings.Join(e.Key(), "."))
-			}
-		case errors.As(err, &de):
-			row, _ := de.Position()
-			return nil, fmt.Errorf("topology: line %d: %s: %w", row, strings.Join(de.Key(), "."), de)
-		default:
-			return nil, fmt.Errorf("topology: %w", err)
-		}
+	unknown, err := strict.Decode(raw, &f)
+	if err != nil {
+		return nil, fmt.Errorf("topology: %w", err)
+	}
+	for _, e := range unknown {
+		fail("%w", e)
 	}
 	if f.Version < 1 {
 		fail("version: must be 1 or more, and grow with each change, not %d", f.Version)
@@ -184,14 +172,6 @@
 	return m, nil
 }
 
-// Load parses nothing into a map without domains: every machine stands by itself.
-func Load(raw []byte) (*Map, error) {
-	if len(bytes.TrimSpace(raw)) == 0 {
-		return &Map{byName: map[string]*Domain{}}, nil
-	}
-	return Parse(raw)
-}
-
 // Of is the innermost domain that a machine's name is declared in; nil: none. Ambiguous:
 // patterns of two domains match, neither of which is in the other; the first one counts.
 func (m *Map) Of(machine string) (d *Domain, ambiguous bool) {
--- a/topology/tree.go
+++ b/topology/tree.go
@@ -165,7 +165,7 @@
 // misses the least, and short by how many tasks. Domains whose summed room does not do are
 // not looked into.
 func (t *Tree) Close(level string, need fleet.Room, n int) (best, nearest *Domain, short int) {
-	all := fleet.Room{CPUs: need.CPUs * float64(n), Cards: need.Cards * float64(n), MemoryGB: need.MemoryGB * float64(n)}
+	all := need.Scale(n)
 	short = n + 1
 	for _, d := range t.on.domains {
 		if depth[d.Level] < depth[level] {
