--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -16,6 +16,30 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"golang.org/x/time/rate"
+)
+
+// Limits are those of the protocol that each deployment sets; the others are the same
+// everywhere and always kept.
+type Limits struct {
+	// RPS are requests, WriteRPS changes a second, each with bursts of one second's
+	// worth; 0: not limited, for tests whose clock stands still.
+	RPS, WriteRPS float64
+	// ValueKB are KiB a value, TxnOps changes a transaction.
+	ValueKB float64
+	TxnOps  int
+}
+
+// The protocol's own limits.
+const (
+	bodyBytes   = 64 << 10
+	listItems   = 1000
+	listBytes   = 512 << 10
+	historyKept = 10_000
+	keyBytes    = 200
+	blockMost   = 60 * time.Second
+	lifeLeast   = 100 * time.Millisecond
+	lifeMost    = 600 * time.Second
 )
 
 type row struct {
@@ -55,13 +79,52 @@
 	// Largest is the largest transaction so far: its changes, its bytes, and
 	// the bytes of its largest value.
 	Largest struct{ Ops, Bytes, Value int }
-	// Requests counts all requests.
+	// Requests counts all requests; Refused those over a limit, by what was wrong.
 	Requests int
+	Refused  map[string]int
+
+	limits   Limits
+	requests *rate.Limiter
+	writes   *rate.Limiter
+	// log holds the newest changes; every one up to gone is no longer kept.
+	log  []change
+	gone uint64
+	// changed is closed at each change, and made anew.
+	changed chan struct{}
+}
+
+type change struct {
+	Set    string          `json:"set,omitempty"`
+	Value  json.RawMessage `json:"value,omitempty"`
+	Delete string          `json:"delete,omitempty"`
+	Stamp  uint64          `json:"stamp"`
 }
 
 // NewState makes an empty service.
 func NewState(clock clockwork.Clock) *State {
-	return &State{clock: clock, rows: map[string]row{}, leases: map[uint64]time.Time{}, life: map[uint64]time.Duration{}, epoch: 10}
+	s := &State{clock: clock, rows: map[string]row{}, leases: map[uint64]time.Time{}, life: map[uint64]time.Duration{}, epoch: 10, gone: 10,
+		Refused: map[string]int{}, changed: make(chan struct{})}
+	s.Limit(Limits{ValueKB: 16, TxnOps: 24})
+	return s
+}
+
+// Limit sets the deployment's limits.
+func (s *State) Limit(l Limits) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	per := func(n float64) *rate.Limiter {
+		if n <= 0 {
+			return rate.NewLimiter(rate.Inf, 0)
+		}
+		return rate.NewLimiter(rate.Limit(n), max(1, int(n)))
+	}
+	s.limits, s.requests, s.writes = l, per(l.RPS), per(l.WriteRPS)
+}
+
+// refuse answers a request that breaks a limit.
+func (s *State) refuse(status int, why string) (*http.Response, error) {
+	s.Refused[why]++
+	return reply(status, map[string]any{"error": why})
 }
 
 var errLost = errors.New("no answer")
@@ -87,12 +150,24 @@
 	if s.Down {
 		return reply(503, map[string]any{})
 	}
+	if !s.requests.AllowN(s.clock.Now(), 1) {
+		return s.refuse(429, "too many requests")
+	}
+	if len(body) > bodyBytes {
+		return s.refuse(413, "body too large")
+	}
 	switch p := r.URL.Path; {
 	case p == "/multi":
 		var t txn
 		if json.Unmarshal(body, &t) != nil {
 			return reply(400, map[string]any{"error": "malformed"})
 		}
+		if why := s.tooMuch(&t); why != "" {
+			return s.refuse(400, why)
+		}
+		if !s.writes.AllowN(s.clock.Now(), len(t.Then)) {
+			return s.refuse(429, "too many changes")
+		}
 		s.Largest.Ops = max(s.Largest.Ops, len(t.Then))
 		s.Largest.Bytes = max(s.Largest.Bytes, len(body))
 		for _, o := range t.Then {
@@ -113,10 +188,16 @@
 		var q struct {
 			Life int64 `json:"life_ms"`
 		}
-		_ = json.Unmarshal(body, &q)
+		life := time.Duration(0)
+		if json.Unmarshal(body, &q) == nil {
+			life = time.Duration(q.Life) * time.Millisecond
+		}
+		if life < lifeLeast || life > lifeMost {
+			return s.refuse(400, "life_ms out of range")
+		}
 		s.epoch++
 		id := s.epoch
-		s.life[id] = time.Duration(q.Life) * time.Millisecond
+		s.life[id] = life
 		s.leases[id] = s.clock.Now().Add(s.life[id])
 		return reply(200, map[string]any{"ticket": id})
 	case strings.HasPrefix(p, "/leases/"):
@@ -131,6 +212,8 @@
 			s.leases[id] = s.clock.Now().Add(s.life[id])
 		}
 		return reply(200, map[string]any{})
+	case p == "/watch":
+		return s.watch(r)
 	case p == "/store":
 		return s.list(r.URL.Query())
 	case strings.HasPrefix(p, "/store/"):
@@ -145,7 +228,10 @@
 }
 
 func (s *State) list(q url.Values) (*http.Response, error) {
-	limit, _ := strconv.Atoi(q.Get("limit"))
+	limit, err := strconv.Atoi(q.Get("limit"))
+	if err != nil || limit < 1 || limit > listItems {
+		return s.refuse(400, "limit out of range")
+	}
 	var keys []string
 	for k := range s.rows {
 		if strings.HasPrefix(k, q.Get("under")) && k > q.Get("after") {
@@ -153,12 +239,88 @@
 		}
 	}
 	slices.Sort(keys)
-	more := len(keys) > limit
-	rows := []any{}
-	for _, k := range keys[:min(limit, len(keys))] {
+	rows, bytes := []any{}, 0
+	for _, k := range keys {
+		if bytes += len(k) + len(s.rows[k].value); len(rows) == limit || len(rows) > 0 && bytes > listBytes {
+			break
+		}
 		rows = append(rows, map[string]any{"k": k, "value": s.rows[k].value, "stamp": s.rows[k].stamp})
 	}
-	return reply(200, map[string]any{"rows": rows, "more": more, "epoch": s.epoch})
+	return reply(200, map[string]any{"rows": rows, "more": len(rows) < len(keys), "epoch": s.epoch})
+}
+
+// tooMuch is which limit a transaction breaks; empty: none.
+func (s *State) tooMuch(t *txn) string {
+	bad := func(k string) bool { return k == "" || len(k) > keyBytes || strings.ContainsAny(k, " \t\n") }
+	switch {
+	case len(t.Then) > s.limits.TxnOps:
+		return "too many changes in a transaction"
+	case len(t.If) > 4*s.limits.TxnOps:
+		return "too many conditions"
+	}
+	for _, c := range t.If {
+		if bad(c.K) {
+			return "malformed key"
+		}
+	}
+	for _, o := range t.Then {
+		if bad(o.Set + o.Delete) {
+			return "malformed key"
+		}
+		if float64(len(o.Value)) > s.limits.ValueKB*1024 {
+			return "value too large"
+		}
+	}
+	return ""
+}
+
+// watch waits for changes under a prefix; the lock is held but while it waits.
+func (s *State) watch(r *http.Request) (*http.Response, error) {
+	q := r.URL.Query()
+	after, err := strconv.ParseUint(q.Get("after"), 10, 64)
+	block, berr := strconv.ParseInt(q.Get("block_ms"), 10, 64)
+	wait := time.Duration(block) * time.Millisecond
+	if err != nil || q.Get("block_ms") != "" && berr != nil || wait < 0 || wait > blockMost {
+		return s.refuse(400, "malformed watch")
+	}
+	over := s.clock.After(wait)
+	for late := wait == 0; ; {
+		if after < s.gone {
+			return reply(410, map[string]any{"epoch": s.epoch})
+		}
+		log := []change{}
+		for _, c := range s.log {
+			if c.Stamp > after && strings.HasPrefix(c.Set+c.Delete, q.Get("under")) {
+				log = append(log, c)
+			}
+		}
+		if len(log) > 0 || late {
+			return reply(200, map[string]any{"epoch": s.epoch, "log": log})
+		}
+		changed := s.changed
+		s.mu.Unlock()
+		select {
+		case <-changed:
+		case <-over:
+			late = true
+		case <-r.Context().Done():
+		}
+		s.mu.Lock()
+		if err := r.Context().Err(); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// note keeps changes for watches.
+func (s *State) note(cs ...change) {
+	s.log = append(s.log, cs...)
+	if n := len(s.log) - historyKept; n > 0 {
+		s.gone = s.log[n-1].Stamp
+		s.log = slices.Clone(s.log[n:])
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
 }
 
 func (s *State) expire() {
@@ -169,6 +331,7 @@
 				if v.ticket == id {
 					s.epoch++
 					delete(s.rows, k)
+					s.note(change{Delete: k, Stamp: s.epoch})
 				}
 			}
 		}
@@ -190,12 +353,16 @@
 			return reply(400, map[string]any{"error": "no such lease"})
 		}
 	}
-	s.epoch++
+	if len(t.Then) > 0 {
+		s.epoch++
+	}
 	for _, o := range t.Then {
 		if o.Delete != "" {
 			delete(s.rows, o.Delete)
+			s.note(change{Delete: o.Delete, Stamp: s.epoch})
 		} else {
 			s.rows[o.Set] = row{o.Value, s.epoch, o.Ticket}
+			s.note(change{Set: o.Set, Value: o.Value, Stamp: s.epoch})
 		}
 	}
 	return reply(200, map[string]any{"epoch": s.epoch})
@@ -221,6 +388,7 @@
 	defer s.mu.Unlock()
 	s.epoch++
 	s.rows[key] = row{value: raw, stamp: s.epoch}
+	s.note(change{Set: key, Value: raw, Stamp: s.epoch})
 	return s.epoch
 }
 
--- a/store/commit.go
+++ b/store/commit.go
@@ -36,10 +36,12 @@
 // Every key is conditional on its revision, so that a transaction whose outcome
 // was unknown and that is applied late cannot undo a newer one.
 type Committer struct {
-	client  *Client
-	src     Source
-	clock   clockwork.Clock
-	ops     int
+	client *Client
+	src    Source
+	clock  clockwork.Clock
+	ops    int
+	// conds is the most conditions of a transaction.
+	conds   int
 	limiter *rate.Limiter
 
 	mu     sync.Mutex
@@ -70,7 +72,7 @@
 // the keys as loaded.
 func NewCommitter(client *Client, src Source, clock clockwork.Clock, writeRPS float64, ops int, stamps map[string]uint64) *Committer {
 	burst := max(1, int(writeRPS*tuning.QuotaShare))
-	return &Committer{client: client, src: src, clock: clock, ops: min(ops, burst),
+	return &Committer{client: client, src: src, clock: clock, ops: min(ops, burst), conds: condsPerOp * ops,
 		limiter: rate.NewLimiter(rate.Limit(writeRPS*tuning.QuotaShare), burst),
 		dirty:   map[string]*entry{}, stamps: stamps, wake: make(chan struct{}, 1)}
 }
@@ -145,6 +147,9 @@
 	}
 }
 
+// condsPerOp conditions a change may stand in a transaction, as the protocol says.
+const condsPerOp = 4
+
 // bytesLimit keeps a transaction under the 64 KiB of a request.
 const bytesLimit = 48 << 10
 
@@ -188,11 +193,17 @@
 			op = Op{Set: e.key, Value: json.RawMessage(raw)}
 			size += len(raw)
 		}
-		if size > bytesLimit && len(ops) > 0 {
+		next := conds
+		for _, x := range append([]Cond{{e.key, stamp}}, more...) {
+			if !slices.Contains(next, x) {
+				next = append(next, x)
+			}
+		}
+		if (size > bytesLimit || len(next) > c.conds) && len(ops) > 0 {
 			c.putBack(batch[i:])
 			break
 		}
-		conds = append(append(conds, Cond{e.key, stamp}), more...)
+		conds = next
 		ops = append(ops, op)
 		used = append(used, e)
 	}
--- a/tuning/tuning.go
+++ b/tuning/tuning.go
@@ -207,6 +207,25 @@
 	RelayKeep = 3 * time.Second
 	// RelayBytes bounds the reports in one record, against 16 KiB a value.
 	RelayBytes = 12 << 10
+	// RelayStageKeep is RelayKeep for agents: under their reports' usual interval, so that
+	// each of these is passed on, and none is taken for silent.
+	RelayStageKeep = 1500 * time.Millisecond
+	// LetterMargin is kept free in a value for the JSON around a letter, in bytes.
+	LetterMargin = 160
+	// LetterRequest bounds a transaction of letters, in bytes, against 64 KiB: keys and
+	// conditions are the rest.
+	LetterRequest = 56 << 10
+	// LetterRatio bounds how many bytes of messages are packed at once for each byte that
+	// a letter holds.
+	LetterRatio = 12.0
+	// LetterPieces is the most pieces of one message: 1 MiB that does not pack.
+	LetterPieces = 256
+	// LetterMachines is how many machines' mail stands in one letter as a rule: a change
+	// for one of them writes it anew.
+	LetterMachines = 48
+	// RelayShare is the share of the state service's limit of writes that each controller
+	// takes to pass reports on: two of them beside the leader's 0.8.
+	RelayShare = 0.1
 )
 
 // Scheduling.
@@ -356,6 +375,10 @@
 	// HoldsMargin is kept free in its value for the JSON around it, in bytes.
 	HoldsEvery  = 10 * time.Second
 	HoldsMargin = 64
+	// RemovePoll is how often the command line asks whether a dataset is removed.
+	RemovePoll = 2 * time.Second
+	// RemoveTries is how often a dataset's record is read again when it changed meanwhile.
+	RemoveTries = 3
 	// DatasetsLimit is the most datasets that controllers keep in memory: at some 300
 	// bytes each this is 3 MB.
 	DatasetsLimit = 10_000
