Leases behind a cut end before a cancelled task is due to be gone

Cause: a controller in a cut-off zone renewed its workers' leases without end; a job cancelled on the other side ran on past cancel_s.

Change: without word of cancellations (no answer of the state service, not every sibling heard) leases are renewed for cancel_s less a lease and 3 s; until then also by a leader whose term is over, which stopped after 6 s. The leader returns a machine that holds a cancelled task 6 s before its time; when a job was cancelled stands on record.

--- a/controller/core.go
+++ b/controller/core.go
@@ -57,6 +57,8 @@
 	// stands under its own key, and the other records can go.
 	stored, filed bool
 	told          []func()
+	// withdrawn is when its cancellation was decided, if it was.
+	withdrawn time.Time
 	// latest orders it among those of its rank.
 	latest int64
 	// beyond is 1 unless the job is within its team's guarantee.
@@ -380,6 +382,13 @@
 func (c *Core) addJob(rec store.JobRecord, accepted bool) *job {
 	j := &job{JobRecord: rec, id: rec.Job.ID, total: rec.Job.Tasks, rank: rec.Job.RankLevel(), need: fleet.Of(&rec.Job), accepted: accepted, changed: make(chan struct{}),
 		bits: store.NewBits(rec.Job.Tasks), live: map[int]*assign{}, shards: map[int]bool{}, avoid: map[string]time.Time{}, failedOn: map[string]bool{}, moved: map[int]int{}, arrived: c.now()}
+	if j.Final != "" {
+		// Its user was told by then, if at all; an earlier version left no time.
+		j.withdrawn = j.arrived
+		if at := time.UnixMilli(j.FinalAt); j.FinalAt > 0 && at.Before(j.withdrawn) {
+			j.withdrawn = at
+		}
+	}
 	c.resolve(j)
 	c.jobs[j.id] = j
 	c.order = append(c.order, j)
@@ -542,7 +551,10 @@
 	if j.Final != "" {
 		return
 	}
-	j.Final = state
+	j.Final, j.withdrawn = state, c.now()
+	if state == api.Withdrawn {
+		j.FinalAt = j.withdrawn.UnixMilli()
+	}
 	c.unqueue(j)
 	c.forgive(j)
 	slog.Info("job over", "job", j.id, "class", j.Job.Class, "state", state, "after", c.since(time.UnixMilli(j.At)).Round(time.Millisecond))
--- /dev/null
+++ b/controller/keep_test.go
@@ -0,0 +1,120 @@
+package controller
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"switchferry/api"
+	"switchferry/internal/standin"
+	"switchferry/policy"
+	"switchferry/settings"
+	"switchferry/store"
+	"switchferry/tuning"
+)
+
+// A controller that is cut off with its zone keeps its workers' leases only as long as the
+// last one ends before a job could be due to be gone whose user was told on the other side
+// that it is cancelled. It kept them to the end of the cut, and cancelled tasks ran on
+// (docs/incidents/fleet-cancelled-behind-a-cut.md). A leader whose term may be over does the
+// same; in an outage that all siblings share nobody can be told, and leases are kept.
+func TestLeasesInACutZoneEndInTime(t *testing.T) {
+	for _, led := range []bool{false, true} {
+		clock := clockwork.NewFakeClock()
+		st := standin.NewState(clock)
+		set := &settings.Settings{Member: "n1", Zone: "b", Siblings: []settings.Sibling{{Member: "n0", Zone: "a", Address: "127.0.0.1:1"}, {Member: "n2", Zone: "b", Address: "127.0.0.1:1"}}}
+		set.Facts.Workers = settings.Workers{ReportS: 3, LeaseS: 17.5, CancelS: 47.5}
+		n := NewNode(context.Background(), set, policy.Default(), clock, st)
+		term := st.Put(store.LeaderKey, store.Leader{Member: "n0"})
+		if n.elector.Stand(context.Background()) {
+			t.Fatal("two leaders")
+		}
+		core := NewCore(term, clock, set, n.policy, testTypes, Hooks{Valid: func() bool { return false }})
+		st.Down = true
+		word := clock.Now()
+		last := time.Duration(0)
+		for seq := uint64(1); clock.Since(word) < 100*time.Second; seq++ {
+			clock.Advance(time.Second)
+			r := &api.Report{Machine: "b1", Zone: "b", Session: 1, Seq: seq, Helm: term}
+			status, _ := n.judge(core, r, "")
+			if !led {
+				status, _ = n.Report(context.Background(), r, nil)
+			}
+			if status == 200 {
+				last = clock.Since(word)
+			}
+		}
+		most := seconds(set.Facts.Workers.CancelS - set.Facts.Workers.LeaseS)
+		if last > most || last < most-tuning.KeepMargin-time.Second {
+			t.Errorf("led %v: the last lease was renewed %v after the cut began; a cancelled task has %v", led, last, most)
+		}
+		// Word comes again, and leases are kept again.
+		st.Down = false
+		_, _ = n.client.Get(context.Background(), "k")
+		if !n.keeps() {
+			t.Error("not kept though the state service answers")
+		}
+	}
+}
+
+// Whatever a cut-off controller does, a cancelled task's machine is returned in time: the
+// cloud's answer proves that it is gone. Machines of the same silent zone without such a
+// task are left alone, and so is one that says itself that it is gone.
+func TestCancelledTaskBehindACutIsGoneInTime(t *testing.T) {
+	for _, again := range []bool{false, true} {
+		s := newStage(t)
+		s.set.Facts.Workers = settings.Workers{ReportS: 3, LeaseS: 17.5, CancelS: 47.5}
+		s.cutZone = "b"
+		far := []string{"b1", "b2", "b3", "b4"}
+		near := func() { s.report("a1", 1) }
+		both := func() {
+			near()
+			for _, n := range far {
+				var runs []api.TaskReport
+				for _, a := range s.machine(n).assigns {
+					runs = append(runs, task(a.key, a.attempt, api.TaskRunning, ""))
+				}
+				s.report(n, 1, runs...)
+			}
+		}
+		both()
+		s.submit("run-000001", 6, func(x *api.Submission) { x.Zone = "b" })
+		s.Place()
+		s.commit()
+		s.rounds(25*time.Second, both)
+		on := map[string]bool{}
+		for _, a := range s.jobs["run-000001"].live {
+			on[a.machine.Name] = true
+		}
+		if len(on) < 2 || len(on) == len(far) {
+			t.Fatalf("on %v", on)
+		}
+		s.rounds(10*time.Second, near)
+		s.Cancel(gaveUp(), "run-000001")
+		s.commit()
+		told := s.clock.Now()
+		if again {
+			// The leader changes; the new one knows from the record since when.
+			s.rounds(15*time.Second, near)
+			s.elect()
+			s.set.Facts.Workers = settings.Workers{ReportS: 3, LeaseS: 17.5, CancelS: 47.5}
+			s.cutZone = "b"
+		}
+		gone := map[string]time.Duration{}
+		for s.clock.Since(told) < 50*time.Second {
+			for _, n := range s.rounds(tuning.TendEvery, near) {
+				gone[n] = s.clock.Since(told)
+			}
+		}
+		for n := range on {
+			if at, ok := gone[n]; !ok || at > 42*time.Second || !again && at < 40*time.Second {
+				t.Errorf("leader changed %v: %s, with a cancelled task, returned after %v, %v", again, n, at, ok)
+			}
+		}
+		if !again && len(gone) != len(on) {
+			t.Errorf("returned %v, want those with a cancelled task alone", gone)
+		}
+	}
+}
--- a/controller/node.go
+++ b/controller/node.go
@@ -51,6 +51,10 @@
 	ring    []string
 	// hearing is when a worker last reported to this node itself.
 	hearing time.Time
+	// word is when it was last certain, apart from the state service's answers, that no
+	// cancellation could be missed here; keeping: leases were renewed at the last report.
+	word    time.Time
+	keeping bool
 	bounces bounces
 	users   users
 
@@ -75,7 +79,7 @@
 
 // NewNode makes a controller. Transport carries its calls to other services.
 func NewNode(ctx context.Context, set *settings.Settings, pol *policy.Policy, clock clockwork.Clock, transport http.RoundTripper) *Node {
-	n := &Node{set: set, policy: pol, clock: clock, ctx: ctx, born: clock.Now(), bounces: newBounces(), finals: map[string]store.FinalRecord{}}
+	n := &Node{set: set, policy: pol, clock: clock, ctx: ctx, born: clock.Now(), keeping: true, bounces: newBounces(), finals: map[string]store.FinalRecord{}}
 	n.client = store.NewClient(set.External.State, transport)
 	n.client.Seen = n.stateSeen
 	n.cloud = cloud.New(set.External.Cloud, set.Facts.Cloud.RPS, transport)
@@ -581,9 +585,12 @@
 	}
 	if leader == "" || leader == n.set.Member {
 		last, since := n.elector.Vacant()
-		if last == 0 || r.Helm > last || since > tuning.Interregnum {
+		if last == 0 || r.Helm > last || since > tuning.Interregnum && n.stateOK() {
 			return http.StatusServiceUnavailable, api.Error{Error: "no leader yet"}
 		}
+		if !n.keeps() {
+			return http.StatusServiceUnavailable, unkept()
+		}
 		// Between two leaders the last one's token still keeps leases. Sent
 		// away, a worker might try nodes beyond a cut until its lease ends.
 		return http.StatusOK, api.Orders{Helm: last, Commands: []api.Command{}}
@@ -601,6 +608,9 @@
 	if r.Helm > term {
 		return http.StatusServiceUnavailable, api.Error{Error: "the leader is out of reach"}
 	}
+	if !n.keeps() {
+		return http.StatusServiceUnavailable, unkept()
+	}
 	return http.StatusOK, n.relay.report(r, term)
 }
 
@@ -650,6 +660,9 @@
 
 // judge answers a report as the leader. Via is the sibling that passes it on.
 func (n *Node) judge(core *Core, r *api.Report, via string) (status int, body any) {
+	if !core.hooks.Valid() && !n.keeps() {
+		return http.StatusServiceUnavailable, unkept()
+	}
 	o, deposed, refused := core.Report(r, via)
 	switch {
 	case deposed:
@@ -1003,7 +1016,7 @@
 		return later("the state service is out of reach")
 	}
 	if rec.Final == "" {
-		rec.Final = api.Withdrawn
+		rec.Final, rec.FinalAt = api.Withdrawn, n.clock.Now().UnixMilli()
 		_, _, err = n.client.Multi(ctx,
 			[]store.Cond{{Key: store.LeaderKey}, {Key: it.Key, Stamp: it.Stamp}},
 			[]store.Op{{Set: it.Key, Value: rec}})
--- a/controller/relay_test.go
+++ b/controller/relay_test.go
@@ -69,6 +69,7 @@
 	clock := clockwork.NewFakeClock()
 	st := standin.NewState(clock)
 	set := &settings.Settings{Member: "n1", Zone: "b", Siblings: []settings.Sibling{{Member: "n0", Zone: "a", Address: "127.0.0.1:1"}, {Member: "n2", Zone: "a", Address: "127.0.0.1:1"}}}
+	set.Facts.Workers = settings.Workers{ReportS: 1, LeaseS: 10, CancelS: 40}
 	n := NewNode(context.Background(), set, policy.Default(), clock, st)
 	st.Put(store.LeaderKey, store.Leader{Member: "n2"})
 	if n.elector.Stand(context.Background()) {
--- a/controller/rent.go
+++ b/controller/rent.go
@@ -65,6 +65,11 @@
 			c.evacuate(m)
 		}
 	}
+	for _, m := range c.overstayed(now) {
+		if !m.returning {
+			giveUp(m, "holds a cancelled task")
+		}
+	}
 	out = append(out, c.spare(now)...)
 	c.keepImages(now)
 	c.keepHolds(now)
--- a/store/records.go
+++ b/store/records.go
@@ -130,11 +130,13 @@
 }
 
 // JobRecord is a job as accepted. At orders the queues; it is the accepting
-// node's time of day in ms. Final is set once the job is done or cancelled.
+// node's time of day in ms. Final is set once the job is done or cancelled, at FinalAt on
+// the same clock.
 type JobRecord struct {
-	Job   api.Submission `json:"job"`
-	At    int64          `json:"at"`
-	Final string         `json:"final,omitempty"`
+	Job     api.Submission `json:"job"`
+	At      int64          `json:"at"`
+	Final   string         `json:"final,omitempty"`
+	FinalAt int64          `json:"final_at,omitempty"`
 }
 
 // FinalRecord is all that is kept of a job that is over.
--- a/tuning/tuning.go
+++ b/tuning/tuning.go
@@ -28,9 +28,16 @@
 	// DeafCommands is how many commands in a row must have gone unanswered, besides,
 	// before a leader holds itself and not the machines for cut off.
 	DeafCommands = 5
-	// Interregnum is how long, with nobody leading, workers are answered with
-	// the last term's token: several elections.
+	// Interregnum is how long, with nobody leading although the state service answers,
+	// workers are answered with the last term's token: several elections.
 	Interregnum = 6 * time.Second
+	// KeepMargin is taken off the time for which a controller that hears of no
+	// cancellation renews leases: drift, a command that was lost as the cut began, and the
+	// worker's own delay.
+	KeepMargin = 3 * time.Second
+	// CancelReturn before a cancelled task must be gone, its machine is returned: a cloud
+	// call takes up to 5 s.
+	CancelReturn = 6 * time.Second
 	// ElectRetry paces a candidate whose attempt failed.
 	ElectRetry = 250 * time.Millisecond
 )
