Evidence of loss in a package of its own; a silent zone is seen after a change of leader

Cause: whether most of a zone is silent was counted over machines that this term had heard.

Change: package evidence judges what silence says; machines known from records or listed as up count as unheard. A zone whose controllers are out of reach is silent with one machine as well. A machine listed as failed is returned at once.

--- a/controller/core.go
+++ b/controller/core.go
@@ -17,6 +17,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"switchferry/api"
+	"switchferry/evidence"
 	"switchferry/fleet"
 	"switchferry/policy"
 	"switchferry/settings"
@@ -131,10 +132,11 @@
 	ours bool
 	// noted: that it is suspect was logged.
 	noted bool
-	// running: the cloud lists it as up, though it has not reported yet.
-	running bool
-	idle    time.Time
-	refused time.Time
+	// running: the cloud lists it as up, though it has not reported yet; failed: it
+	// lists it as stopped.
+	running, failed bool
+	idle            time.Time
+	refused         time.Time
 }
 
 type ended struct {
@@ -200,7 +202,7 @@
 	renting  int
 	wake     chan struct{}
 	heard    time.Time
-	silence  silence
+	silence  *evidence.Silence
 	// reached is when a worker last reported to us itself or answered a command;
 	// failed counts commands since that none answered.
 	reached time.Time
@@ -230,7 +232,7 @@
 		gone: map[string]time.Time{}, toPush: map[*machine]bool{}, use: map[string]fleet.Room{}, leaving: map[string]fleet.Room{}, hints: map[string][]fleet.Image{}, refusals: map[pool]time.Time{},
 		wake: make(chan struct{}, 1), started: clock.Now()}
 	c.heard = c.started
-	c.silence = newSilence(c.started)
+	c.silence = evidence.New(c.started, seconds(set.Facts.Workers.LeaseS))
 	c.reached = c.started
 	c.boots = map[string]boot{}
 	c.aims, c.grace = map[string][]float64{}, map[string][]float64{}
--- a/controller/keep_test.go
+++ b/controller/keep_test.go
@@ -65,7 +65,7 @@
 func TestCancelledTaskBehindACutIsGoneInTime(t *testing.T) {
 	for _, again := range []bool{false, true} {
 		s := newStage(t)
-		s.set.Facts.Workers = settings.Workers{ReportS: 3, LeaseS: 17.5, CancelS: 47.5}
+		s.set.Facts.Workers.CancelS = 47.5
 		s.cutZone = "b"
 		far := []string{"b1", "b2", "b3", "b4"}
 		near := func() { s.report("a1", 1) }
@@ -91,7 +91,7 @@
 		if len(on) < 2 || len(on) == len(far) {
 			t.Fatalf("on %v", on)
 		}
-		s.rounds(10*time.Second, near)
+		s.rounds(6*time.Second, near)
 		s.Cancel(gaveUp(), "run-000001")
 		s.commit()
 		told := s.clock.Now()
@@ -99,7 +99,7 @@
 			// The leader changes; the new one knows from the record since when.
 			s.rounds(15*time.Second, near)
 			s.elect()
-			s.set.Facts.Workers = settings.Workers{ReportS: 3, LeaseS: 17.5, CancelS: 47.5}
+			s.set.Facts.Workers.CancelS = 47.5
 			s.cutZone = "b"
 		}
 		gone := map[string]time.Duration{}
@@ -109,7 +109,7 @@
 			}
 		}
 		for n := range on {
-			if at, ok := gone[n]; !ok || at > 42*time.Second || !again && at < 40*time.Second {
+			if at, ok := gone[n]; !ok || at > 42*time.Second || at < 40*time.Second {
 				t.Errorf("leader changed %v: %s, with a cancelled task, returned after %v, %v", again, n, at, ok)
 			}
 		}
--- a/controller/rent.go
+++ b/controller/rent.go
@@ -39,19 +39,18 @@
 		if m.returning {
 			continue
 		}
-		since := now.Sub(m.Heard)
 		switch {
+		case m.failed:
+			giveUp(m, "failed")
 		case !m.Up:
 			boot := 60.0
 			if m.Spec != nil {
 				boot = m.Spec.BootS
 			}
-			limit := grace
-			if len(m.assigns) == 0 {
-				limit = max(grace, c.bootLimit(m, boot))
-				since = now.Sub(m.Rented)
+			if len(m.assigns) == 0 && now.Sub(m.Rented) <= max(grace, c.bootLimit(m, boot)) || now.Sub(c.silence.Woke()) <= grace {
+				continue
 			}
-			if since > limit && now.Sub(c.started) > grace && now.Sub(c.silence.woke) > grace {
+			if c.unheard(m, now) > grace {
 				giveUp(m, "never reported")
 			}
 		case !m.TakenAt.IsZero() && now.After(m.TakenAt.Add(time.Second)) && c.unheard(m, now) > c.quiet(m):
@@ -175,9 +174,9 @@
 // back, but others are rented in the meantime: they take long to boot.
 func (c *Core) missing(m *machine) bool {
 	if m.Up {
-		heard := latest(m.Heard, c.silence.woke)
+		heard := latest(m.Heard, c.silence.Woke())
 		if c.since(m.Heard) <= seconds(c.set.Facts.Workers.LeaseS) {
-			heard = latest(heard, c.silence.ways[m.via])
+			heard = latest(heard, c.silence.Way(m.via))
 		}
 		return c.since(heard) > 2*c.quiet(m)
 	}
@@ -337,8 +336,7 @@
 			m.Address, m.Type, m.Zone, m.Spot, m.Spec = l.Address, l.Type, l.Zone, l.Spot, c.types[l.Type]
 		}
 		if l.State == "failed" && !m.returning {
-			m.Up = false
-			m.Rented, m.Heard = now.Add(-time.Hour), now.Add(-time.Hour)
+			m.Up, m.failed = false, true
 		}
 	}
 }
--- a/controller/silence.go
+++ b/controller/silence.go
@@ -5,36 +5,16 @@
 	"slices"
 	"time"
 
+	"switchferry/evidence"
 	"switchferry/peer"
 	"switchferry/tuning"
 )
 
-// silence says since when the quiet of machines counts against them. A machine is
-// given up when it is unheard for a few report intervals; but what we could not have
-// heard is no evidence: while we stood still ourselves, while most of a zone is
-// unheard, or while most of those are unheard whose reports came the same way.
-type silence struct {
-	// beat is when this leader last did its rounds; woke is the end of the last
-	// standstill.
-	beat, woke time.Time
-	// zones and ways are when most machines of a zone, or most of those whose
-	// reports came through one controller, were last unheard.
-	zones, ways map[string]time.Time
-}
-
-func newSilence(now time.Time) silence {
-	return silence{beat: now, zones: map[string]time.Time{}, ways: map[string]time.Time{}}
-}
-
-// beat notes that the leader does its rounds. A gap that no load explains is a
-// standstill: reports that came meanwhile are still to be read, and workers that
-// turned away meanwhile are still to come back.
+// beat notes that the leader does its rounds.
 func (c *Core) beat(now time.Time) {
-	if gap := now.Sub(c.silence.beat); gap > tuning.StandstillMin {
-		c.silence.woke = now
-		slog.Info("stood still", "for", gap.Round(time.Millisecond))
+	if stood := c.silence.Beat(now); stood > 0 {
+		slog.Info("stood still", "for", stood.Round(time.Millisecond))
 	}
-	c.silence.beat = now
 }
 
 // listening is since when this leader hears nobody, as far as it could.
@@ -42,7 +22,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.beat(c.now())
-	return latest(c.heard, c.silence.woke)
+	return latest(c.heard, c.silence.Woke())
 }
 
 // deafened tells whether this leader reaches no worker any more while a sibling hears
@@ -50,7 +30,7 @@
 func (c *Core) deafened(siblings []peer.Hello) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.failed < tuning.DeafCommands || c.since(latest(c.reached, c.silence.woke)) < tuning.DeafAfter {
+	if c.failed < tuning.DeafCommands || c.since(latest(c.reached, c.silence.Woke())) < tuning.DeafAfter {
 		return false
 	}
 	return slices.ContainsFunc(siblings, func(h peer.Hello) bool { return h.HearsWorkers && h.StateOK })
@@ -63,61 +43,41 @@
 	return b
 }
 
+// reports tells whether a machine should report by now: it did in this term, or it is
+// recorded to have tasks, or the cloud lists it as up.
+func (m *machine) reports() bool {
+	return m.Up || !m.failed && (len(m.assigns) > 0 || m.running)
+}
+
+func (c *Core) sighting(m *machine) evidence.Sighting {
+	s := evidence.Sighting{Zone: m.Zone, Via: m.via, Quiet: c.quiet(m)}
+	if m.Up {
+		s.Heard = m.Heard
+	}
+	return s
+}
+
 // noteBlindness looks whether whole zones or ways are unheard.
 func (c *Core) noteBlindness(now time.Time) {
-	type count struct{ up, heard int }
-	zones, ways := map[string]*count{}, map[string]*count{}
-	add := func(in map[string]*count, key string, heard bool) {
-		if in[key] == nil {
-			in[key] = &count{}
-		}
-		in[key].up++
-		if heard {
-			in[key].heard++
-		}
-	}
-	for _, m := range c.machines {
-		if m.Up {
-			heard := now.Sub(m.Heard) < c.quiet(m)
-			add(zones, m.Zone, heard)
-			add(ways, m.via, heard)
-		}
-	}
-	for zone, n := range zones {
-		if n.up > 1 && (2*n.heard < n.up || c.hooks.Cut(zone)) {
-			c.silence.zones[zone] = now
-		}
-	}
-	for way, n := range ways {
-		if n.up > 1 && 2*n.heard < n.up {
-			if now.Sub(c.silence.ways[way]) > c.silent() {
-				slog.Info("most machines of one way unheard", "through", way, "machines", n.up, "heard", n.heard)
+	found := c.silence.Look(now, func(yield func(evidence.Sighting)) {
+		for _, m := range c.machines {
+			if m.reports() && !m.returning {
+				yield(c.sighting(m))
 			}
-			c.silence.ways[way] = now
+		}
+	}, c.hooks.Cut)
+	for _, f := range found {
+		if f.IsZone {
+			slog.Info("most machines of a zone unheard", "zone", f.Zone, "machines", f.Machines, "heard", f.Heard, "controllers_out_of_reach", f.Cut)
+		} else {
+			slog.Info("most machines of one way unheard", "through", f.Via, "machines", f.Machines, "heard", f.Heard)
 		}
 	}
 }
 
 // unheard is how long a machine's quiet counts against it.
 func (c *Core) unheard(m *machine, now time.Time) time.Duration {
-	from, since := m.Heard, now.Sub(m.Heard)
-	lease := seconds(c.set.Facts.Workers.LeaseS)
-	if since <= tuning.CutLeases*lease {
-		// More likely the way to the zone is cut than its machines are gone:
-		// they need time to find a sibling that relays for them, and its zone's
-		// controllers may be keeping their tasks alive.
-		from = latest(from, c.silence.zones[m.Zone])
-	}
-	if since <= lease {
-		// The controller that their reports came through is silent: they turn
-		// to the next one in half a lease. Past a whole one nothing on them
-		// lives any more.
-		from = latest(from, c.silence.ways[m.via])
-	}
-	if since <= 2*lease {
-		from = latest(from, c.silence.woke)
-	}
-	return now.Sub(from)
+	return now.Sub(c.silence.Since(now, c.sighting(m)))
 }
 
 // silent is how long a machine may be unheard before it is given up.
--- /dev/null
+++ b/evidence/evidence.go
@@ -0,0 +1,158 @@
+// Package evidence judges what the silence of machines says: since when it counts against
+// one, and how many may be given up at once. It knows when and on which way machines were
+// heard in this term, not what they are or what runs on them; it has no clock and no lock.
+//
+// What a leader could not have heard is no evidence. It could not while it stood still
+// itself; where most machines of a zone are unheard, or most of those whose reports came
+// through one controller, more likely the way is cut than the machines are gone. Machines
+// that it knows from records or from the cloud's list alone count as unheard: after a change of
+// leader inside a cut nothing else shows that a whole zone is silent.
+package evidence
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"switchferry/tuning"
+)
+
+// Sighting is when a machine that should report was last heard. It matters where from: a
+// zone is cut as a whole, and so are those that one controller speaks for.
+type Sighting struct {
+	Zone string
+	// Via is the controller that its last report came through, if Heard is not zero;
+	// empty: it came directly.
+	Via string
+	// Heard is its last report of this term; zero: none.
+	Heard time.Time
+	// Quiet is how long it may say nothing without anything being wrong.
+	Quiet time.Duration
+}
+
+// Silence is what one term knows of what it could not have heard.
+type Silence struct {
+	started time.Time
+	lease   time.Duration
+	// beat is when the leader last did its rounds; woke is the end of its last
+	// standstill.
+	beat, woke time.Time
+	// zones and ways are when most of a zone, or most of those that came one way, were
+	// last unheard.
+	zones, ways map[string]time.Time
+	shares      map[string]float64
+}
+
+// New begins a term whose workers' lease is so long.
+func New(now time.Time, lease time.Duration) *Silence {
+	return &Silence{lease: lease, started: now, beat: now, zones: map[string]time.Time{}, ways: map[string]time.Time{}, shares: map[string]float64{}}
+}
+
+// Beat notes that the leader does its rounds. A gap that no load explains is a standstill,
+// whose length it gives: reports that came meanwhile are still to be read, and workers that
+// turned away meanwhile are still to come back. 0: there was none.
+func (s *Silence) Beat(now time.Time) (stood time.Duration) {
+	if gap := now.Sub(s.beat); gap > tuning.StandstillMin {
+		s.woke, stood = now, gap
+	}
+	s.beat = now
+	return stood
+}
+
+// Woke is the end of the leader's last standstill; zero: it never stood still.
+func (s *Silence) Woke() time.Time { return s.woke }
+
+// Way is when most machines whose reports came through a controller were last unheard.
+func (s *Silence) Way(via string) time.Time { return s.ways[via] }
+
+// Share is the part of a zone's machines that were unheard at the last look.
+func (s *Silence) Share(zone string) float64 { return s.shares[zone] }
+
+// Finding is a zone or a way most of which is unheard, anew.
+type Finding struct {
+	// Zone or Via names it.
+	Zone, Via string
+	IsZone    bool
+	// Of so many machines that should report, so many are heard.
+	Machines, Heard int
+	// Cut: none of the zone's controllers is within reach.
+	Cut bool
+}
+
+// Look takes in all machines that should report. Cut tells of a zone whose controllers are
+// all out of reach. The findings are those to be told of, in the order of their names.
+func (s *Silence) Look(now time.Time, each func(yield func(Sighting)), cut func(zone string) bool) (found []Finding) {
+	type count struct{ all, heard int }
+	zones, ways := map[string]*count{}, map[string]*count{}
+	add := func(in map[string]*count, key string, heard bool) {
+		n := in[key]
+		if n == nil {
+			n = &count{}
+			in[key] = n
+		}
+		n.all++
+		if heard {
+			n.heard++
+		}
+	}
+	each(func(m Sighting) {
+		heard := !m.Heard.IsZero() && now.Sub(m.Heard) < m.Quiet
+		add(zones, m.Zone, heard)
+		if !m.Heard.IsZero() {
+			add(ways, m.Via, heard)
+		}
+	})
+	clear(s.shares)
+	for zone, n := range zones {
+		s.shares[zone] = 1 - float64(n.heard)/float64(n.all)
+		off := cut(zone)
+		if off || n.all > 1 && 2*n.heard < n.all {
+			if last, ok := s.zones[zone]; !ok || now.Sub(last) > s.lease {
+				found = append(found, Finding{Zone: zone, IsZone: true, Machines: n.all, Heard: n.heard, Cut: off})
+			}
+			s.zones[zone] = now
+		}
+	}
+	for way, n := range ways {
+		if n.all > 1 && 2*n.heard < n.all {
+			if last, ok := s.ways[way]; !ok || now.Sub(last) > s.lease {
+				found = append(found, Finding{Via: way, Machines: n.all, Heard: n.heard})
+			}
+			s.ways[way] = now
+		}
+	}
+	slices.SortFunc(found, func(a, b Finding) int { return cmp.Or(cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.Via, b.Via)) })
+	return found
+}
+
+// Since is since when a machine's silence counts against it: its last report, or the
+// beginning of the term, or when it could last not have been heard.
+func (s *Silence) Since(now time.Time, m Sighting) time.Time {
+	from := m.Heard
+	if from.IsZero() {
+		from = s.started
+	}
+	since := now.Sub(from)
+	if since <= tuning.CutLeases*s.lease {
+		// More likely the way to the zone is cut than its machines are gone: they need
+		// time to find a sibling that relays for them, and its zone's controllers may be
+		// keeping their tasks alive.
+		from = latest(from, s.zones[m.Zone])
+	}
+	if since <= s.lease && !m.Heard.IsZero() {
+		// The controller that their reports came through is silent: they turn to the
+		// next one in half a lease. Past a whole one nothing on them lives any more.
+		from = latest(from, s.ways[m.Via])
+	}
+	if since <= 2*s.lease {
+		from = latest(from, s.woke)
+	}
+	return from
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
