--- a/controller/core.go
+++ b/controller/core.go
@@ -17,6 +17,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"switchferry/api"
+	"switchferry/courier"
 	"switchferry/evidence"
 	"switchferry/fleet"
 	"switchferry/policy"
@@ -125,6 +126,8 @@
 	sending, again bool
 	// relay is the sibling that its reports come through; empty: directly.
 	relay string
+	// mail is what stands for it in the letters to that sibling; nil: nothing.
+	mail json.RawMessage
 	// via is the sibling that its last report came through in any way.
 	via       string
 	returning bool
@@ -221,6 +224,8 @@
 	searched int
 	// at is the time during a run of the placer; zero outside of it.
 	at time.Time
+	// shelves hold what stands in the mail for the machines behind each sibling.
+	shelves map[string]*courier.Shelf
 	// data is nil unless datasets are on.
 	data *data
 }
@@ -235,6 +240,7 @@
 	c.silence = evidence.New(c.started, seconds(set.Facts.Workers.LeaseS))
 	c.reached = c.started
 	c.boots = map[string]boot{}
+	c.shelves = map[string]*courier.Shelf{}
 	c.aims, c.grace = map[string][]float64{}, map[string][]float64{}
 	for _, o := range set.Facts.Objectives {
 		if o.Kind == "finished" && o.WithinS > 0 {
@@ -632,7 +638,8 @@
 		rec, ok := c.stageMail(key)
 		return rec, ok, nil
 	case strings.HasPrefix(key, store.MailPrefix):
-		return c.mail(strings.TrimPrefix(key, store.MailPrefix)), true, nil
+		rec, ok := c.mailRecord(key)
+		return rec, ok, nil
 	case strings.HasPrefix(key, store.ShardPrefix):
 		id, shard, ok := store.ParseShardKey(key)
 		j := c.jobs[id]
--- a/controller/core_test.go
+++ b/controller/core_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"math"
 	"slices"
@@ -11,6 +12,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"switchferry/api"
+	"switchferry/courier"
 	"switchferry/internal/standin"
 	"switchferry/policy"
 	"switchferry/settings"
@@ -306,7 +308,7 @@
 	s.cutZone = "b"
 	rest := func() {
 		s.report("a1", 1)
-		s.Relayed("sib", store.RelayRecord{Term: s.term, Reports: s.relayedReports("b2", "b3")})
+		s.relayed("sib", "b2", "b3")
 	}
 	if names := s.rounds(15*time.Second, rest); len(names) != 0 {
 		t.Errorf("returned %v", names)
@@ -317,12 +319,35 @@
 	}
 }
 
-func (s *stage) relayedReports(names ...string) (out []api.Report) {
+// relayed plays reports that a sibling passes on through the state service.
+func (s *stage) relayed(member string, names ...string) {
 	for _, n := range names {
 		s.seq++
-		out = append(out, api.Report{Machine: n, Address: n + ":1", Type: "m8", Zone: zoneOf(n), Session: 1, Seq: s.seq, Helm: s.term})
+		s.Relayed(member, &api.Report{Machine: n, Address: n + ":1", Type: "m8", Zone: zoneOf(n), Session: 1, Seq: s.seq, Helm: s.term})
 	}
-	return out
+}
+
+// mailed is what stands in the state service for a machine behind a sibling.
+func (s *stage) mailed(member, name string) (m store.Mail) {
+	s.Helper()
+	var r courier.Reader
+	items, _, err := store.NewClient("state:1", s.state).List(context.Background(), store.MailPrefix+member+"/")
+	for _, it := range items {
+		var l courier.Letter
+		if err == nil {
+			err = json.Unmarshal(it.Value, &l)
+		}
+		if err == nil {
+			err = r.Take(it.Key, it.Stamp, &l)
+		}
+	}
+	if raw := r.Told(s.term, name); err == nil && raw != nil {
+		err = json.Unmarshal(raw, &m)
+	}
+	if err != nil {
+		s.Fatal(err)
+	}
+	return m
 }
 
 // A start that went into a relay's mail may be delivered after any report that
@@ -330,17 +355,17 @@
 func TestMailedStartIsNotProvedAbsentByRelay(t *testing.T) {
 	s := newStage(t)
 	s.report("b1", 1)
-	s.Relayed("sib", store.RelayRecord{Term: s.term, Reports: s.relayedReports("b1")})
+	s.relayed("sib", "b1")
 	s.submit("run-000001", 1, nil)
 	s.Place()
 	s.commit()
-	m := s.mail("sib").Machines["b1"]
+	m := s.mailed("sib", "b1")
 	if len(m.Commands) != 1 || m.Commands[0].Verb != api.Start || len(s.starts("run-000001/0")) != 0 {
 		t.Fatalf("mail %+v, direct starts %d", m, len(s.starts("run-000001/0")))
 	}
 	s.Cancel(gaveUp(), "run-000001")
 	s.commit()
-	s.Relayed("sib", store.RelayRecord{Term: s.term, Reports: s.relayedReports("b1")})
+	s.relayed("sib", "b1")
 	if len(s.jobs["run-000001"].live) != 1 {
 		t.Fatal("a relayed report was taken for a proof")
 	}
@@ -349,11 +374,14 @@
 	if s.jobs["run-000001"] != nil {
 		t.Error("a direct report was not taken for a proof")
 	}
+	if m := s.mailed("sib", "b1"); len(m.Commands) != 0 {
+		t.Errorf("still in the mail: %+v", m)
+	}
 	// Reports for another term's leader are not ours to use.
-	s.Relayed("sib", store.RelayRecord{Term: s.term - 1, Reports: s.relayedReports("b9")})
-	if s.machines["b9"] != nil {
+	raw, _ := json.Marshal(courier.Letter{Term: s.term - 1, Packed: "x"})
+	open([]store.Event{{Set: store.RelayKey("sib", 0), Value: raw}}, store.RelayPrefix, s.term, &courier.Joiner{}, func(string, courier.Message) {
 		t.Error("took reports of another term")
-	}
+	})
 }
 
 func TestHigherSessionProvesLoss(t *testing.T) {
--- a/controller/datarelay.go
+++ b/controller/datarelay.go
@@ -28,7 +28,7 @@
 
 func newAgentRelay(n *Node) *agentRelay {
 	y := &agentRelay{proxy: staging.NewProxy(courier.NewOutbox(n.letterLimits(), uint64(n.clock.Now().UnixMilli())))}
-	y.post = &post{n: n, rate: n.letterRate(), up: store.StageRelayKey, down: store.StageMailPrefix + n.set.Member + "/",
+	y.post = &post{n: n, rate: n.letterRate, up: store.StageRelayKey, down: store.StageMailPrefix + n.set.Member + "/",
 		keep: tuning.RelayStageKeep, mu: &y.mu, box: y.proxy.Box, reader: &y.proxy.Mail,
 		forget: func(now time.Time) { y.proxy.Forget(now, 2*tuning.RelayKeep) },
 		over:   func() { y.proxy.Box.Begin(0) }}
@@ -137,18 +137,7 @@
 
 // agents is the leader's side: it takes in what siblings pass on of agents.
 func (n *Node) agentLetters(ctx context.Context, core *Core, com *store.Committer, after uint64) {
-	for {
-		old, _, err := n.client.List(ctx, store.StageMailPrefix)
-		for _, it := range old {
-			// Letters of earlier terms are written over, or go.
-			com.Know(it.Key, it.Stamp)
-			com.Touch(it.Key, store.Lazy, nil)
-		}
-		if err == nil || ctx.Err() != nil {
-			break
-		}
-		n.sleep(ctx, tuning.ElectRetry)
-	}
+	n.claimMail(ctx, com, store.StageMailPrefix)
 	n.letters(ctx, store.StageRelayPrefix, after, core.term, core.agentSays)
 }
 
--- a/controller/node.go
+++ b/controller/node.go
@@ -61,6 +61,9 @@
 	// reads limits what questions of users take of the state service.
 	reads *rate.Limiter
 
+	// letterRate is what this node writes of letters, of all kinds together.
+	letterRate *rate.Limiter
+
 	relay *relay
 	pace  pace
 	// slow is used by the loop of a term alone.
@@ -88,6 +91,7 @@
 	n.elector = election.New(set.Member, n.client, clock, n)
 	share := tuning.ReadShare * set.Facts.State.RPS / float64(1+len(set.Siblings))
 	n.reads = rate.NewLimiter(rate.Limit(share), max(1, int(share)))
+	n.letterRate = letterRate(n)
 	n.relay = newRelay(n)
 	n.pace.clock = clock
 	n.agents = &http.Client{Transport: transport}
@@ -115,7 +119,7 @@
 	n.peers.Run(n.ctx)
 	go n.catalog()
 	go n.logUsers()
-	go n.relay.run(n.ctx)
+	go n.relay.post.run(n.ctx)
 	if n.data.On {
 		go n.agentRelay.post.run(n.ctx)
 	}
--- a/controller/post.go
+++ b/controller/post.go
@@ -23,7 +23,7 @@
 
 // letterRate is what this controller writes of letters, all kinds together: the leader's
 // records come first.
-func (n *Node) letterRate() *rate.Limiter {
+func letterRate(n *Node) *rate.Limiter {
 	share := tuning.RelayShare * n.set.Facts.State.WriteRPS
 	return rate.NewLimiter(rate.Limit(share), max(n.letterLimits().Letters(), int(share)))
 }
--- a/controller/relay.go
+++ b/controller/relay.go
@@ -3,196 +3,213 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"log/slog"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
 	"switchferry/api"
+	"switchferry/courier"
 	"switchferry/store"
 	"switchferry/tuning"
 )
 
 // relay answers workers in place of a leader that this node does not reach,
 // while the state service says that it leads. Their reports go to the leader,
-// and its commands come back, through the state service. Without it, every
-// worker on the far side of a cut would kill its tasks when its lease ends.
+// and its commands come back, in letters through the state service (package courier).
+// Without it, every worker on the far side of a cut would kill its tasks when its lease
+// ends.
 type relay struct {
-	n *Node
+	n    *Node
+	post *post
 
 	mu      sync.Mutex
-	term    uint64
 	workers map[string]*relayed
-	mail    store.MailRecord
+	box     *courier.Outbox
+	mail    courier.Reader
 }
 
 type relayed struct {
 	report api.Report
 	// streak is the first of the reports that came to us without a gap. Mail
 	// derived from an earlier one may be overtaken by what other nodes told
-	// the worker in between.
-	streak  uint64
-	heard   time.Time
-	written time.Time
-	changed bool
+	// the worker in between; told is the report that the mail was derived from
+	// which we delivered last: an older one is not delivered after it.
+	streak, told uint64
 }
 
-func newRelay(n *Node) *relay { return &relay{n: n, workers: map[string]*relayed{}} }
+func newRelay(n *Node) *relay {
+	y := &relay{n: n, workers: map[string]*relayed{}, box: courier.NewOutbox(n.letterLimits(), uint64(n.clock.Now().UnixMilli()))}
+	y.post = &post{n: n, rate: n.letterRate, up: store.RelayKey, down: store.MailPrefix + n.set.Member + "/",
+		keep: tuning.RelayKeep, mu: &y.mu, box: y.box, reader: &y.mail, forget: y.forget, over: func() { y.begin(0) }}
+	return y
+}
+
+// begin starts anew for the leader of a term; 0: for none.
+func (y *relay) begin(term uint64) {
+	y.box.Begin(term)
+	y.workers = map[string]*relayed{}
+}
+
+func (y *relay) forget(now time.Time) {
+	for _, name := range y.box.Forget(now, 2*tuning.RelayKeep) {
+		delete(y.workers, name)
+	}
+}
 
 // report answers a worker for the leader of a term.
 func (y *relay) report(r *api.Report, term uint64) api.Orders {
 	y.mu.Lock()
 	defer y.mu.Unlock()
-	if y.term != term {
-		y.term, y.workers, y.mail = term, map[string]*relayed{}, store.MailRecord{}
+	if y.box.Term() != term {
+		y.begin(term)
 	}
 	w := y.workers[r.Machine]
+	changed := false
 	if w == nil || w.report.Session != r.Session || r.Seq != w.report.Seq+1 {
-		slog.Info("relaying a machine's reports", "machine", r.Machine, "session", r.Session)
-		w = &relayed{streak: r.Seq, changed: true}
+		slog.Debug("relaying a machine's reports", "machine", r.Machine, "session", r.Session)
+		w, changed = &relayed{streak: r.Seq}, true
 		y.workers[r.Machine] = w
 	}
-	w.changed = w.changed || r.Helm != w.report.Helm || (r.NoticeS == nil) != (w.report.NoticeS == nil) || !slices.Equal(r.Tasks, w.report.Tasks)
-	w.report, w.heard = *r, y.n.clock.Now()
+	changed = changed || r.Helm != w.report.Helm || (r.NoticeS == nil) != (w.report.NoticeS == nil) || !slices.Equal(r.Tasks, w.report.Tasks)
+	w.report = *r
 	o := api.Orders{Helm: term, Commands: []api.Command{}}
-	if m, ok := y.mail.Machines[r.Machine]; ok && y.mail.Term == term && m.Session == r.Session && m.Seq >= w.streak {
-		o.Commands = m.Commands
+	body, err := json.Marshal(r)
+	if err != nil {
+		slog.Error("a report cannot be passed on", "machine", r.Machine, "err", err)
+		return o
+	}
+	y.box.Put(r.Machine, body, changed, y.n.clock.Now())
+	var m store.Mail
+	if raw := y.mail.Told(term, r.Machine); raw == nil {
+		return o
+	} else if err := json.Unmarshal(raw, &m); err != nil {
+		slog.Error("the leader's mail is damaged", "machine", r.Machine, "err", err)
+		return o
+	}
+	if m.Session == r.Session && m.Seq >= max(w.streak, w.told) {
+		o.Commands, w.told = m.Commands, m.Seq
 	}
 	return o
 }
 
-// run writes reports and reads mail while there are workers to relay.
-func (y *relay) run(ctx context.Context) {
-	go y.read(ctx)
-	for ctx.Err() == nil {
-		y.n.sleep(ctx, tuning.RelayEvery)
-		y.write(ctx)
-	}
+// relayed is the leader's side: it takes in what siblings pass on.
+func (n *Node) relayed(ctx context.Context, core *Core, com *store.Committer, after uint64) {
+	n.claimMail(ctx, com, store.MailPrefix)
+	n.letters(ctx, store.RelayPrefix, after, core.term, core.workerSays)
 }
 
-func (y *relay) active() (term uint64, ok bool) {
-	y.mu.Lock()
-	defer y.mu.Unlock()
-	for name, w := range y.workers {
-		if y.n.clock.Since(w.heard) > 2*tuning.RelayKeep {
-			delete(y.workers, name)
+// claimMail lets letters of earlier terms be written over, or go.
+func (n *Node) claimMail(ctx context.Context, com *store.Committer, prefix string) {
+	for {
+		old, _, err := n.client.List(ctx, prefix)
+		for _, it := range old {
+			com.Know(it.Key, it.Stamp)
+			com.Touch(it.Key, store.Lazy, nil)
+		}
+		if err == nil || ctx.Err() != nil {
+			return
 		}
+		n.sleep(ctx, tuning.ElectRetry)
 	}
-	return y.term, len(y.workers) > 0
 }
 
-func (y *relay) write(ctx context.Context) {
-	term, ok := y.active()
-	if !ok {
+// workerSays takes in one report that a sibling passed on.
+func (c *Core) workerSays(member string, m courier.Message) {
+	var r api.Report
+	err := json.Unmarshal(m.Body, &r)
+	if err == nil {
+		err = r.Check()
+	}
+	if err != nil {
+		slog.Error("malformed report", "through", member, "err", err)
 		return
 	}
-	now := y.n.clock.Now()
-	y.mu.Lock()
-	chunks := []store.RelayRecord{{Term: term}}
-	size := 0
-	for _, w := range y.workers {
-		if !w.changed && now.Sub(w.written) < tuning.RelayKeep {
-			continue
-		}
-		raw, err := json.Marshal(w.report)
-		if err != nil {
-			continue
-		}
-		if size += len(raw); size > tuning.RelayBytes {
-			chunks, size = append(chunks, store.RelayRecord{Term: term}), len(raw)
-		}
-		last := &chunks[len(chunks)-1]
-		last.Reports = append(last.Reports, w.report)
-		w.changed, w.written = false, now
+	c.Relayed(member, &r)
+}
+
+// Relayed takes in a report that a sibling passed on.
+func (c *Core) Relayed(member string, r *api.Report) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if r.Helm > c.term {
+		return
+	}
+	if m := c.machines[r.Machine]; m != nil && !m.Newer(r) {
+		return
 	}
-	y.mu.Unlock()
-	if len(chunks[0].Reports) == 0 {
+	m, ok := c.hear(r)
+	if m == nil || !ok {
 		return
 	}
-	var ops []store.Op
-	for i, rec := range chunks {
-		ops = append(ops, store.Op{Set: store.RelayKey(y.n.set.Member, i), Value: rec})
+	if m.relay != member {
+		slog.Debug("machine reports through a sibling", "machine", r.Machine, "sibling", member)
+		c.direct(m)
 	}
-	// Only the leader that they are meant for may be told.
-	_, _, err := y.n.client.Multi(ctx, []store.Cond{{Key: store.LeaderKey, Stamp: term}}, ops)
-	if err != nil {
-		slog.Info("reports not passed on", "err", err)
-		y.mu.Lock()
-		if errors.Is(err, store.ErrConflict) {
-			// That leader's term is over; so is the relay.
-			y.workers = map[string]*relayed{}
-		}
-		for _, w := range y.workers {
-			w.changed = true
-		}
-		y.mu.Unlock()
+	m.relay, m.via = member, member
+	c.take(m, r, byRelay)
+	c.mail(m)
+}
+
+// direct notes that a machine reports without a relay, or through another one.
+func (c *Core) direct(m *machine) {
+	if m.relay == "" {
+		return
 	}
+	if p := c.mailShelf(m.relay).Drop(m.Name); p >= 0 && m.mail != nil {
+		c.hooks.Touch(store.MailKey(m.relay, p), store.Lazy, nil)
+	}
+	m.relay, m.mail = "", nil
 }
 
-// read follows the leader's mail.
-func (y *relay) read(ctx context.Context) {
-	key := store.MailKey(y.n.set.Member)
-	for ctx.Err() == nil {
-		if _, ok := y.active(); !ok {
-			y.n.sleep(ctx, tuning.RelayEvery)
-			continue
-		}
-		after := uint64(0)
-		if it, err := y.n.client.Get(ctx, key); err == nil {
-			y.take(it.Value)
-			after = it.Stamp
-		} else if !errors.Is(err, store.ErrNotFound) {
-			y.n.sleep(ctx, tuning.RelayEvery)
-			continue
-		}
-		if after == 0 {
-			y.n.sleep(ctx, tuning.RelayEvery)
-			continue
-		}
-		if _, _, err := y.n.client.Watch(ctx, key, after, tuning.WatchBlock); err != nil {
-			y.n.sleep(ctx, tuning.RelayEvery)
+// mail puts the commands for a machine behind a sibling into its letter. They are derived
+// from its newest report, which Session and Seq name.
+func (c *Core) mail(m *machine) {
+	cmds := c.commands(m, byRelay)
+	if len(cmds) == 0 && m.mail == nil {
+		return
+	}
+	m.mail = nil
+	if len(cmds) > 0 {
+		raw, err := json.Marshal(store.Mail{Session: m.Session, Seq: m.Seq, Commands: cmds})
+		if err != nil {
+			slog.Error("commands cannot be encoded", "machine", m.Name, "err", err)
+			return
 		}
+		m.mail = raw
 	}
+	c.hooks.Touch(store.MailKey(m.relay, c.mailShelf(m.relay).Part(m.Name)), store.Ordinary, nil)
 }
 
-func (y *relay) take(raw json.RawMessage) {
-	var rec store.MailRecord
-	if err := json.Unmarshal(raw, &rec); err != nil {
-		slog.Error("the leader's mail is damaged", "err", err)
-		return
+func (c *Core) mailShelf(member string) *courier.Shelf {
+	s := c.shelves[member]
+	if s == nil {
+		s = courier.NewShelf(courier.Limits{Value: int(c.set.Facts.State.ValueKB * 1024), Request: tuning.LetterRequest, Ops: c.set.Facts.State.TxnOps})
+		c.shelves[member] = s
 	}
-	y.mu.Lock()
-	defer y.mu.Unlock()
-	y.mail = rec
+	return s
 }
 
-// relayed is the leader's side: it takes in what siblings pass on.
-func (n *Node) relayed(ctx context.Context, core *Core, com *store.Committer, after uint64) {
-	for _, s := range n.set.Siblings {
-		if it, err := n.client.Get(ctx, store.MailKey(s.Member)); err == nil {
-			com.Know(it.Key, it.Stamp)
-		}
+// mailRecord builds one letter of commands; false: there is none of that number.
+func (c *Core) mailRecord(key string) (courier.Letter, bool) {
+	member, part, ok := store.ParseLetterKey(store.MailPrefix, key)
+	if !ok || c.shelves[member] == nil {
+		return courier.Letter{}, false
 	}
-	for ctx.Err() == nil {
-		log, epoch, err := n.client.Watch(ctx, store.RelayPrefix, after, tuning.InboxBlock)
-		if errors.Is(err, store.ErrTooOld) {
-			// Reports are sent again and again: only the revision matters.
-			_, epoch, err = n.client.List(ctx, store.RelayPrefix)
+	l, touched, tooLarge, err := c.shelves[member].Build(c.term, part, func(name string) json.RawMessage {
+		if m := c.machines[name]; m != nil && m.relay == member {
+			return m.mail
 		}
-		if err != nil {
-			n.sleep(ctx, tuning.ElectRetry)
-			continue
-		}
-		for _, e := range log {
-			var rec store.RelayRecord
-			if e.Set == "" || json.Unmarshal(e.Value, &rec) != nil {
-				continue
-			}
-			member, _, _ := strings.Cut(strings.TrimPrefix(e.Set, store.RelayPrefix), "/")
-			core.Relayed(member, rec)
-		}
-		after = max(after, epoch)
+		return nil
+	})
+	for _, p := range touched {
+		c.hooks.Touch(store.MailKey(member, p), store.Ordinary, nil)
+	}
+	for _, m := range tooLarge {
+		slog.Error("commands are too many for one letter; they wait until the machine reports directly", "machine", m)
+	}
+	if err != nil {
+		slog.Error("mail not packed", "key", key, "err", err)
 	}
+	return l, l.Packed != ""
 }
--- a/controller/relay_test.go
+++ b/controller/relay_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"encoding/json"
 	"testing"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 
 	"switchferry/api"
+	"switchferry/courier"
 	"switchferry/internal/standin"
 	"switchferry/peer"
 	"switchferry/policy"
@@ -19,13 +21,25 @@
 // another node may have cleared the attempt that the mail would start.
 func TestStaleMailIsNotDelivered(t *testing.T) {
 	clock := clockwork.NewFakeClock()
-	n := NewNode(context.Background(), &settings.Settings{Member: "y"}, policy.Default(), clock, standin.NewState(clock))
+	n := NewNode(context.Background(), userSettings(), policy.Default(), clock, standin.NewState(clock))
 	say := func(seq uint64) api.Orders {
 		return n.relay.report(&api.Report{Machine: "b1", Session: 1, Seq: seq, Helm: 7}, 7)
 	}
 	say(10)
-	n.relay.mail = store.MailRecord{Term: 7, Machines: map[string]store.Mail{
-		"b1": {Session: 1, Seq: 10, Commands: []api.Command{{Verb: api.Start, Task: "run-1/0", Attempt: 3}}}}}
+	mail := func(part int, stamp, seq uint64, verb string) {
+		t.Helper()
+		s := courier.NewShelf(n.letterLimits())
+		s.Part("b1")
+		raw, _ := json.Marshal(store.Mail{Session: 1, Seq: seq, Commands: []api.Command{{Verb: verb, Task: "run-1/0", Attempt: 3}}})
+		l, _, _, err := s.Build(7, 0, func(string) json.RawMessage { return raw })
+		if err == nil {
+			err = n.relay.mail.Take(store.MailKey("y", part), stamp, &l)
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	mail(0, 50, 10, api.Start)
 	if o := say(11); len(o.Commands) != 1 || o.Helm != 7 {
 		t.Fatalf("mail not delivered: %+v", o)
 	}
@@ -34,7 +48,17 @@
 			t.Errorf("stale mail delivered at %d", seq)
 		}
 	}
-	if o := n.relay.report(&api.Report{Machine: "b1", Session: 1, Seq: 15, Helm: 7}, 9); len(o.Commands) != 0 || o.Helm != 9 {
+	// What was told last is not followed by what was derived from an earlier report, in
+	// whichever letter it is found: after a clear, a start would begin the task again.
+	mail(1, 60, 14, api.Forget)
+	if o := say(15); len(o.Commands) != 1 || o.Commands[0].Verb != api.Forget {
+		t.Fatalf("the newer mail: %+v", o)
+	}
+	mail(0, 70, 13, api.Start)
+	if o := say(16); len(o.Commands) != 0 {
+		t.Errorf("mail from before the one that was told: %+v", o)
+	}
+	if o := n.relay.report(&api.Report{Machine: "b1", Session: 1, Seq: 17, Helm: 7}, 9); len(o.Commands) != 0 || o.Helm != 9 {
 		t.Errorf("mail of another term: %+v", o)
 	}
 }
--- a/controller/rent.go
+++ b/controller/rent.go
@@ -374,6 +374,7 @@
 		for _, q := range m.queue {
 			q.giveBack()
 		}
+		c.direct(m)
 		delete(c.machines, n)
 		if c.data != nil {
 			c.agentDirect(n)
--- a/controller/report.go
+++ b/controller/report.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"switchferry/api"
-	"switchferry/store"
 	"switchferry/tuning"
 )
 
@@ -24,7 +23,8 @@
 	if m == nil {
 		return o, false, true
 	}
-	m.relay, m.via = "", via
+	c.direct(m)
+	m.via = via
 	if via == "" {
 		c.reached, c.failed = m.Heard, 0
 	}
@@ -49,47 +49,6 @@
 	return m, m.Newer(r) && c.loaded
 }
 
-// Relayed takes in reports that a sibling passed on.
-func (c *Core) Relayed(member string, rec store.RelayRecord) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if rec.Term != c.term {
-		return
-	}
-	for i := range rec.Reports {
-		r := &rec.Reports[i]
-		if r.Check() != nil || r.Helm > c.term {
-			continue
-		}
-		if m := c.machines[r.Machine]; m != nil && !m.Newer(r) {
-			continue
-		}
-		m, ok := c.hear(r)
-		if m == nil || !ok {
-			continue
-		}
-		if m.relay != member {
-			slog.Info("machine reports through a sibling", "machine", r.Machine, "sibling", member)
-		}
-		m.relay, m.via = member, member
-		c.take(m, r, byRelay)
-		c.hooks.Touch(store.MailKey(member), store.Ordinary, nil)
-	}
-}
-
-// mail builds the commands for the machines behind a sibling.
-func (c *Core) mail(member string) store.MailRecord {
-	rec := store.MailRecord{Term: c.term, Machines: map[string]store.Mail{}}
-	for _, m := range c.machines {
-		if m.relay == member {
-			if cmds := c.commands(m, byRelay); len(cmds) > 0 {
-				rec.Machines[m.Name] = store.Mail{Session: m.Session, Seq: m.Seq, Commands: cmds}
-			}
-		}
-	}
-	return rec
-}
-
 // way is how a report came, or how commands go.
 type way int
 
@@ -355,7 +314,7 @@
 		return
 	}
 	if m.relay != "" {
-		c.hooks.Touch(store.MailKey(m.relay), store.Ordinary, nil)
+		c.mail(m)
 		return
 	}
 	if m.sending {
--- a/courier/courier.go
+++ b/courier/courier.go
@@ -51,7 +51,7 @@
 }
 
 // Letters is how many full letters one transaction carries.
-func (l Limits) Letters() int { return max(1, min(l.Ops, l.Request/l.Value)) }
+func (l Limits) Letters() int { return max(1, min(l.Ops, l.Request/max(1, l.Value))) }
 
 // text is how many bytes of base64 a letter holds.
 func (l Limits) text() int { return l.Value - tuning.LetterMargin }
--- a/store/records.go
+++ b/store/records.go
@@ -24,7 +24,8 @@
 	// InboxPrefix names jobs that a sibling accepted without the leader.
 	InboxPrefix = "sf/in/"
 	// RelayPrefix holds reports that a sibling passes on because the leader
-	// is out of its reach; MailPrefix what the leader has for their senders.
+	// is out of its reach; MailPrefix what the leader has for their senders: both in
+	// letters (package courier).
 	RelayPrefix = "sf/relay/"
 	MailPrefix  = "sf/mail/"
 	// ImagesPrefix holds which machines likely hold which images, for the
@@ -53,8 +54,8 @@
 func HoldsKey(n int) string { return HoldsPrefix + strconv.Itoa(n) }
 
 // RelayKey and MailKey are the keys of a sibling's relay.
-func RelayKey(member string, n int) string { return fmt.Sprintf("%s%s/%d", RelayPrefix, member, n) }
-func MailKey(member string) string         { return MailPrefix + member }
+func RelayKey(member string, n int) string { return letterKey(RelayPrefix, member, n) }
+func MailKey(member string, n int) string  { return letterKey(MailPrefix, member, n) }
 
 // StageRelayKey and StageMailKey are the keys of one letter from and to a sibling.
 func StageRelayKey(member string, n int) string { return letterKey(StageRelayPrefix, member, n) }
@@ -91,20 +92,7 @@
 	Cancel bool `json:"cancel,omitempty"`
 }
 
-// RelayRecord carries reports to the leader of a term.
-type RelayRecord struct {
-	Term    uint64       `json:"term"`
-	Reports []api.Report `json:"reports"`
-}
-
-// MailRecord carries commands back. Each machine's are derived from one report
-// of it, which Session and Seq name.
-type MailRecord struct {
-	Term     uint64          `json:"term"`
-	Machines map[string]Mail `json:"to,omitempty"`
-}
-
-// Mail is one machine's commands.
+// Mail is one machine's commands, derived from one report of it, which Session and Seq name.
 type Mail struct {
 	Session  uint64        `json:"w"`
 	Seq      uint64        `json:"q"`
--- a/tuning/tuning.go
+++ b/tuning/tuning.go
@@ -222,8 +222,6 @@
 	RelayEvery = 700 * time.Millisecond
 	// RelayKeep is how long an unchanged report is not written again.
 	RelayKeep = 3 * time.Second
-	// RelayBytes bounds the reports in one record, against 16 KiB a value.
-	RelayBytes = 12 << 10
 	// RelayStageKeep is RelayKeep for agents: under their reports' usual interval, so that
 	// each of these is passed on, and none is taken for silent.
 	RelayStageKeep = 1500 * time.Millisecond
