--- a/controller/core_test.go
+++ b/controller/core_test.go
@@ -68,7 +68,7 @@
 		Final: func(id string, f store.FinalRecord) { s.finals[id] = f },
 	}
 	s.Core = NewCore(term, s.clock, set, policy.Default(), testTypes, hooks)
-	s.com = store.NewCommitter(client, stageSource{s.Core, s}, s.clock, set.Facts.State.WriteRPS, set.Facts.State.TxnOps, map[string]uint64{})
+	s.com = store.NewCommitter(client, stageSource{s.Core, s}, s.clock, set.Facts.State, map[string]uint64{})
 	ctx := context.Background()
 	jobs, _, err := client.List(ctx, store.JobPrefix)
 	if err != nil {
@@ -996,7 +996,7 @@
 // their turn may come; the leader does not keep what it cannot take.
 func TestOverloadIsRefusedAtOnce(t *testing.T) {
 	s := newStage(t)
-	s.com = store.NewCommitter(store.NewClient("state:1", s.state), stageSource{s.Core, s}, s.clock, 25, 12, map[string]uint64{})
+	s.com = store.NewCommitter(store.NewClient("state:1", s.state), stageSource{s.Core, s}, s.clock, settings.State{WriteRPS: 25, TxnOps: 12, ValueKB: 16}, map[string]uint64{})
 	refused, longest := 0, 0
 	for i := range 500 {
 		sub := &api.Submission{ID: fmt.Sprintf("run-%06d", i), Team: "t", Shape: api.Array, Rank: "normal", Tasks: 1, CPUs: 1}
--- a/controller/keep.go
+++ b/controller/keep.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"net/http"
 	"time"
 
 	"switchferry/api"
@@ -45,8 +46,16 @@
 	return ok
 }
 
-// unkept is what a worker is told whose lease must not be renewed.
-func unkept() any { return api.Error{Error: "cut off for too long to keep tasks alive"} }
+// unkept is what a worker is told whose lease must not be renewed. One that was sent away
+// and came back finds nobody else: an answer without a token, which renews nothing, keeps
+// it here, so that it is heard as soon as the cut ends. Sent on, it would try one dead end
+// after the other, 5 s each, and come when its lease has ended. Others are sent on.
+func (n *Node) unkept() (status int, body any) {
+	if !n.stateOK() && n.peers.CutOff() {
+		return http.StatusOK, api.Orders{Commands: []api.Command{}}
+	}
+	return http.StatusServiceUnavailable, api.Error{Error: "cut off for too long to keep tasks alive"}
+}
 
 // overstayed are the machines that must be returned lest a cancelled job's task is on them
 // past cancel_s: they were told to end it, and did not say that it is gone. The cloud's
--- a/controller/keep_test.go
+++ b/controller/keep_test.go
@@ -34,15 +34,17 @@
 		core := NewCore(term, clock, set, n.policy, testTypes, Hooks{Valid: func() bool { return false }})
 		st.Down = true
 		word := clock.Now()
+		clock.Advance(time.Millisecond)
+		_, _ = n.client.Get(context.Background(), "k")
 		last := time.Duration(0)
 		for seq := uint64(1); clock.Since(word) < 100*time.Second; seq++ {
 			clock.Advance(time.Second)
 			r := &api.Report{Machine: "b1", Zone: "b", Session: 1, Seq: seq, Helm: term}
-			status, _ := n.judge(core, r, "")
+			status, body := n.judge(core, r, "")
 			if !led {
-				status, _ = n.Report(context.Background(), r, nil)
+				status, body = n.Report(context.Background(), r, nil)
 			}
-			if status == 200 {
+			if o, ok := body.(api.Orders); ok && status == 200 && o.Helm == term {
 				last = clock.Since(word)
 			}
 		}
@@ -50,6 +52,13 @@
 		if last > most || last < most-tuning.KeepMargin-time.Second {
 			t.Errorf("led %v: the last lease was renewed %v after the cut began; a cancelled task has %v", led, last, most)
 		}
+		// Meanwhile a worker that finds nobody else is held, without a lease.
+		if !led {
+			status, body := n.Report(context.Background(), &api.Report{Machine: "b1", Zone: "b", Session: 1, Seq: 999, Helm: term}, nil)
+			if o, ok := body.(api.Orders); !ok || status != 200 || o.Helm != 0 || len(o.Commands) != 0 {
+				t.Errorf("a worker that came back is told %d %+v", status, body)
+			}
+		}
 		// Word comes again, and leases are kept again.
 		st.Down = false
 		_, _ = n.client.Get(context.Background(), "k")
--- a/controller/node.go
+++ b/controller/node.go
@@ -4,7 +4,9 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"log/slog"
+	"math"
 	"net"
 	"net/http"
 	"slices"
@@ -275,7 +277,7 @@
 		core.hooks.Stage = func(name, addr string, o api.StageOrder) { go n.order(ctx, core, name, addr, o) }
 		core.UseData(n.data)
 	}
-	com = store.NewCommitter(n.client, source{core, n}, n.clock, n.set.Facts.State.WriteRPS, n.set.Facts.State.TxnOps, map[string]uint64{})
+	com = store.NewCommitter(n.client, source{core, n}, n.clock, n.set.Facts.State, map[string]uint64{})
 	n.mu.Lock()
 	n.core, n.end = core, end
 	n.mu.Unlock()
@@ -593,7 +595,7 @@
 			return http.StatusServiceUnavailable, api.Error{Error: "no leader yet"}
 		}
 		if !n.keeps() {
-			return http.StatusServiceUnavailable, unkept()
+			return n.unkept()
 		}
 		// Between two leaders the last one's token still keeps leases. Sent
 		// away, a worker might try nodes beyond a cut until its lease ends.
@@ -613,7 +615,7 @@
 		return http.StatusServiceUnavailable, api.Error{Error: "the leader is out of reach"}
 	}
 	if !n.keeps() {
-		return http.StatusServiceUnavailable, unkept()
+		return n.unkept()
 	}
 	return http.StatusOK, n.relay.report(r, term)
 }
@@ -665,7 +667,7 @@
 // judge answers a report as the leader. Via is the sibling that passes it on.
 func (n *Node) judge(core *Core, r *api.Report, via string) (status int, body any) {
 	if !core.hooks.Valid() && !n.keeps() {
-		return http.StatusServiceUnavailable, unkept()
+		return http.StatusServiceUnavailable, api.Error{Error: "cut off for too long to keep tasks alive"}
 	}
 	o, deposed, refused := core.Report(r, via)
 	switch {
@@ -851,6 +853,11 @@
 			n.mu.Unlock()
 			err, undecided = canRun(s, n.limit, types)
 		}
+		if err == nil {
+			if err = n.fits(s); err != nil {
+				status = http.StatusBadRequest
+			}
+		}
 		if err == nil && !undecided && n.data.On {
 			status, err, undecided = n.checkInputs(ctx, core, s, r.Body)
 		}
@@ -911,6 +918,15 @@
 	return answer(http.StatusNotFound, api.Error{Error: "no such request"})
 }
 
+// fits finds a job whose record is too large for the state service.
+func (n *Node) fits(s *api.Submission) error {
+	raw, err := json.Marshal(store.JobRecord{Job: *s, At: math.MaxInt64, Final: api.Withdrawn, FinalAt: math.MaxInt64})
+	if most := int(n.set.Facts.State.ValueKB * 1024); err == nil && len(raw) > most {
+		err = &api.FieldError{Field: "body", Want: fmt.Sprintf("the job takes %d bytes on record, at most %d can be stored; use shorter names or fewer machine types", len(raw), most)}
+	}
+	return err
+}
+
 func (n *Node) limit(team string) (float64, float64, bool) {
 	t, ok := n.set.Team(team)
 	return t.CPUsMax, t.CardsMax, ok
--- a/controller/relay_test.go
+++ b/controller/relay_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -15,6 +17,7 @@
 	"switchferry/policy"
 	"switchferry/settings"
 	"switchferry/store"
+	"switchferry/tuning"
 )
 
 // Mail is delivered only while the worker speaks to this relay alone: in a gap
@@ -192,3 +195,97 @@
 	set.Facts.State = settings.State{RPS: 120, WriteRPS: 30, ValueKB: 16, TxnOps: 24}
 	return set
 }
+
+// A job that no value of the state service holds is refused at once, with the reason; its
+// record would be set aside for ever, and its user told to come back.
+func TestJobTooLargeToStore(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	st := standin.NewState(clock)
+	set := userSettings()
+	set.Facts.Teams = []settings.Team{{Name: "team"}}
+	n := NewNode(context.Background(), set, policy.Default(), clock, st)
+	n.types = testTypes
+	body := submission("run-000001", 4, `,"x":1`)
+	long := strings.Replace(body, `"bundle":"img"`, `"bundle":"`+strings.Repeat("i", 17<<10)+`"`, 1)
+	if a := n.Handle(context.Background(), peer.Request{Verb: VerbSubmit, Body: []byte(long)}, false); a.Status != 400 || !strings.Contains(string(a.Body), "at most 16384") {
+		t.Errorf("%d %.200s", a.Status, a.Body)
+	}
+	if a := n.Handle(context.Background(), peer.Request{Verb: VerbSubmit, Body: []byte(body)}, false); a.Status != 201 {
+		t.Errorf("%d %s", a.Status, a.Body)
+	}
+}
+
+// Workers behind a cut are carried whatever their number: each report reaches the leader,
+// and each command its worker, within the limits of the state service.
+func TestManyWorkersBehindACut(t *testing.T) {
+	for _, many := range []int{50, 500, 2500} {
+		s := newStage(t)
+		s.state.Limit(standin.Limits{RPS: 800, WriteRPS: 250, ValueKB: 16, TxnOps: 12})
+		set := &settings.Settings{Member: "y", Zone: "b", Siblings: []settings.Sibling{{Member: "x", Zone: "a", Address: "127.0.0.1:1"}}}
+		set.Facts.State = settings.State{RPS: 800, WriteRPS: 250, ValueKB: 16, TxnOps: 12}
+		set.Facts.Workers = s.set.Facts.Workers
+		y := NewNode(context.Background(), set, policy.Default(), s.clock, s.state)
+		if y.elector.Stand(context.Background()) {
+			t.Fatal("two leaders")
+		}
+		name := func(i int) string { return fmt.Sprintf("b%04d", i) }
+		told := map[string]string{}
+		seq := uint64(0)
+		say := func() {
+			seq++
+			for i := range many {
+				r := &api.Report{Machine: name(i), Address: name(i) + ":1", Type: "m8", Zone: "b", Session: 1, Seq: seq, Helm: s.term}
+				if o := y.relay.report(r, s.term); len(o.Commands) > 0 {
+					told[o.Commands[0].Task] = name(i)
+				}
+			}
+		}
+		var joiner courier.Joiner
+		after := s.term
+		carry := func() {
+			s.clock.Advance(tuning.RelayEvery)
+			for y.relay.post.write(context.Background()) {
+			}
+			log, epoch, err := y.client.Watch(context.Background(), store.RelayPrefix, after, 0)
+			if err != nil {
+				t.Fatal(err)
+			}
+			after = max(after, epoch)
+			open(log, store.RelayPrefix, s.term, &joiner, s.workerSays)
+			s.Place()
+			s.commit()
+			if _, err := y.relay.post.fetch(context.Background(), 0); err != nil {
+				t.Fatal(err)
+			}
+		}
+		say()
+		for range 2 + many/500 {
+			carry()
+		}
+		if len(s.machines) != many {
+			t.Fatalf("%d of %d workers reached the leader", len(s.machines), many)
+		}
+		s.submit("run-000001", min(many, 100), func(x *api.Submission) { x.Team, x.CPUs, x.MemoryGB = "left", 8, 8 })
+		for range 4 {
+			say()
+			carry()
+		}
+		say()
+		if len(told) != min(many, 100) {
+			t.Errorf("%d workers: %d starts arrived", many, len(told))
+		}
+		for key, n := range told {
+			if a := s.jobs["run-000001"].live[keyTask(key)]; a == nil || a.machine.Name != n {
+				t.Fatalf("%s was told to %s", key, n)
+			}
+		}
+		if len(s.state.Refused) != 0 {
+			t.Errorf("%d workers: the state service refused %v", many, s.state.Refused)
+		}
+	}
+}
+
+func keyTask(key string) int {
+	_, n, _ := splitTask(key)
+	return n
+}
--- a/store/client.go
+++ b/store/client.go
@@ -22,7 +22,9 @@
 	ErrNoLease  = errors.New("no such lease")
 	ErrBusy     = errors.New("refused, not executed")
 	ErrUnknown  = errors.New("no answer, outcome unknown")
-	ErrTooOld   = errors.New("revision no longer kept")
+	// ErrRefused: what was sent is not allowed, and will not be when it is sent again.
+	ErrRefused = errors.New("refused for what it is")
+	ErrTooOld  = errors.New("revision no longer kept")
 )
 
 // Item is a key with its value and the revision of its last change.
@@ -164,8 +166,8 @@
 		return ans.Epoch, ans.Failed, ErrConflict
 	case status == http.StatusBadRequest && ans.Error == "no such lease":
 		return 0, nil, ErrNoLease
-	case status == http.StatusBadRequest:
-		return 0, nil, fmt.Errorf("state service refuses a transaction: %s", ans.Error)
+	case status >= 400 && status < 500:
+		return 0, nil, fmt.Errorf("%w: status %d %s", ErrRefused, status, ans.Error)
 	}
 	return 0, nil, unexpected(status)
 }
--- a/store/commit.go
+++ b/store/commit.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"log/slog"
 	"math"
 	"slices"
@@ -14,6 +15,7 @@
 	"github.com/jonboulle/clockwork"
 	"golang.org/x/time/rate"
 
+	"switchferry/settings"
 	"switchferry/tuning"
 )
 
@@ -41,7 +43,9 @@
 	clock  clockwork.Clock
 	ops    int
 	// conds is the most conditions of a transaction.
-	conds   int
+	conds int
+	// value is the most bytes of a value.
+	value   int
 	limiter *rate.Limiter
 	// hedges are the changes that may be sent a second time.
 	hedges *rate.Limiter
@@ -57,6 +61,10 @@
 	key   string
 	order uint64
 	after []func()
+	// aside is until when it is left alone, because the state service does not take it;
+	// alone: it is tried in a transaction of its own.
+	aside time.Time
+	alone bool
 }
 
 // Urgencies: accepts and what users wait for go first, then ordinary records, those of
@@ -72,9 +80,10 @@
 
 // NewCommitter makes a committer for one term. Stamps are the revisions of
 // the keys as loaded.
-func NewCommitter(client *Client, src Source, clock clockwork.Clock, writeRPS float64, ops int, stamps map[string]uint64) *Committer {
+func NewCommitter(client *Client, src Source, clock clockwork.Clock, limits settings.State, stamps map[string]uint64) *Committer {
+	writeRPS, ops := limits.WriteRPS, limits.TxnOps
 	burst := max(1, int(writeRPS*tuning.QuotaShare))
-	return &Committer{client: client, src: src, clock: clock, ops: min(ops, burst), conds: condsPerOp * ops,
+	return &Committer{client: client, src: src, clock: clock, ops: min(ops, burst), conds: condsPerOp * ops, value: int(limits.ValueKB * 1024),
 		limiter: rate.NewLimiter(rate.Limit(writeRPS*tuning.QuotaShare), burst),
 		hedges:  rate.NewLimiter(rate.Limit(writeRPS*tuning.HedgeShare), burst),
 		dirty:   map[string]*entry{}, stamps: stamps, wake: make(chan struct{}, 1)}
@@ -153,6 +162,9 @@
 // condsPerOp conditions a change may stand in a transaction, as the protocol says.
 const condsPerOp = 4
 
+// condBytes is what a condition takes in a request beside its key.
+const condBytes = 40
+
 // bytesLimit keeps a transaction under the 64 KiB of a request.
 const bytesLimit = 48 << 10
 
@@ -164,9 +176,9 @@
 	if room < 1 {
 		return max(time.Millisecond, time.Duration((1-room)/float64(c.limiter.Limit())*float64(time.Second)))
 	}
-	batch := c.take(int(room))
+	batch, pause := c.take(int(room))
 	if len(batch) == 0 {
-		return 0
+		return pause
 	}
 	lead, ok := c.src.Condition()
 	if !ok {
@@ -189,8 +201,11 @@
 		op := Op{Delete: e.key}
 		if exists {
 			raw, err := json.Marshal(value)
+			if err == nil && len(raw) > c.value {
+				err = fmt.Errorf("%d bytes, a value has at most %d", len(raw), c.value)
+			}
 			if err != nil {
-				slog.Error("a record cannot be encoded", "key", e.key, "err", err)
+				c.setAside(e, err)
 				continue
 			}
 			op = Op{Set: e.key, Value: json.RawMessage(raw)}
@@ -200,6 +215,7 @@
 		for _, x := range append([]Cond{{e.key, stamp}}, more...) {
 			if !slices.Contains(next, x) {
 				next = append(next, x)
+				size += len(x.Key) + condBytes
 			}
 		}
 		if (size > bytesLimit || len(next) > c.conds) && len(ops) > 0 {
@@ -213,6 +229,10 @@
 	if len(ops) > 0 {
 		c.limiter.AllowN(c.clock.Now(), len(ops))
 		epoch, failed, err := c.commit(ctx, conds, ops)
+		if errors.Is(err, ErrRefused) {
+			c.refused(used, err)
+			return 0
+		}
 		if err != nil {
 			c.putBack(used)
 			return c.failed(ctx, lead, ops, failed, err)
@@ -238,6 +258,29 @@
 	return 0
 }
 
+// setAside leaves a record alone for a while that the state service does not take, so that
+// it does not stand before all others: one that is too large did so, again every second
+// (docs/incidents/fleet-relay-too-long.md). What waits for it goes on waiting.
+func (c *Committer) setAside(e *entry, err error) {
+	slog.Error("a record cannot be stored and is set aside", "key", e.key, "again_in", tuning.AsideFor, "err", err)
+	e.aside, e.alone = c.clock.Now().Add(tuning.AsideFor), true
+	c.putBack([]*entry{e})
+}
+
+// refused finds out which record a transaction was refused for: each is tried alone, and the
+// one that is refused alone is set aside.
+func (c *Committer) refused(batch []*entry, err error) {
+	if len(batch) == 1 {
+		c.setAside(batch[0], err)
+		return
+	}
+	slog.Error("a transaction is refused, trying its records one by one", "records", len(batch), "err", err)
+	for _, e := range batch {
+		e.alone = true
+	}
+	c.putBack(batch)
+}
+
 func (c *Committer) failed(ctx context.Context, lead Cond, ops []Op, failed []string, err error) time.Duration {
 	const again = 100 * time.Millisecond
 	switch {
@@ -285,11 +328,20 @@
 	}
 }
 
-func (c *Committer) take(most int) []*entry {
+// take takes out the entries for one transaction; without any, pause is until when all that
+// wait are set aside.
+func (c *Committer) take(most int) (batch []*entry, pause time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	all := make([]*entry, 0, len(c.dirty))
+	now := c.clock.Now()
 	for _, e := range c.dirty {
+		if wait := e.aside.Sub(now); wait > 0 {
+			if pause == 0 || wait < pause {
+				pause = wait
+			}
+			continue
+		}
 		all = append(all, e)
 	}
 	slices.SortFunc(all, func(a, b *entry) int {
@@ -299,10 +351,17 @@
 		return 1
 	})
 	all = all[:min(len(all), c.ops, most)]
+	for i, e := range all {
+		if e.alone {
+			// With others before it, it waits for the next.
+			all = all[:max(i, 1)]
+			break
+		}
+	}
 	for _, e := range all {
 		delete(c.dirty, e.key)
 	}
-	return all
+	return all, min(pause, tuning.Tick)
 }
 
 func (c *Committer) putBack(batch []*entry) {
@@ -312,6 +371,7 @@
 		if now := c.dirty[e.key]; now != nil {
 			now.after = append(e.after, now.after...)
 			now.order = min(now.order, e.order)
+			now.aside, now.alone = e.aside, e.alone
 		} else {
 			c.dirty[e.key] = e
 		}
--- a/store/commit_test.go
+++ b/store/commit_test.go
@@ -3,12 +3,16 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 
 	"switchferry/internal/standin"
+	"switchferry/settings"
+	"switchferry/tuning"
 )
 
 // scripted is a term whose records are what the test says.
@@ -36,7 +40,7 @@
 	st := standin.NewState(clock)
 	src := &scripted{values: map[string]any{}}
 	src.lead = Cond{LeaderKey, st.Put(LeaderKey, Leader{Member: "a"})}
-	c := NewCommitter(NewClient("x:1", st), src, clock, 60, 12, map[string]uint64{})
+	c := NewCommitter(NewClient("x:1", st), src, clock, settings.State{WriteRPS: 60, TxnOps: 12, ValueKB: 16}, map[string]uint64{})
 	return st, src, c
 }
 
@@ -200,7 +204,7 @@
 		st := standin.NewState(clock)
 		lead := Cond{LeaderKey, st.Put(LeaderKey, Leader{Member: "a"})}
 		src := &scripted{values: map[string]any{}, lead: lead}
-		c := NewCommitter(NewClient("state:1", st), src, clock, 100, 12, map[string]uint64{})
+		c := NewCommitter(NewClient("state:1", st), src, clock, settings.State{WriteRPS: 100, TxnOps: 12, ValueKB: 16}, map[string]uint64{})
 		told := 0
 		src.values[JobKey("run-1")] = "job"
 		c.Touch(JobKey("run-1"), Urgent, func() { told++ })
@@ -233,3 +237,48 @@
 		}
 	}
 }
+
+// A record that the state service does not take, whether that can be told beforehand or not,
+// is set aside with its name in the log; all others are written, and so is it once it can be.
+func TestPoisonedRecordIsSetAside(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	st := standin.NewState(clock)
+	lead := Cond{LeaderKey, st.Put(LeaderKey, Leader{Member: "a"})}
+	src := &scripted{values: map[string]any{}, lead: lead}
+	c := NewCommitter(NewClient("state:1", st), src, clock, settings.State{WriteRPS: 1000, TxnOps: 12, ValueKB: 16}, map[string]uint64{})
+	large, spaced := JobKey("run-000001"), JobKey("with space")
+	src.values[large], src.values[spaced] = strings.Repeat("x", 17<<10), "job"
+	told := map[string]bool{}
+	touch := func(key string) { c.Touch(key, Urgent, func() { told[key] = true }) }
+	touch(large)
+	touch(spaced)
+	var others []string
+	for i := range 30 {
+		key := JobKey(fmt.Sprintf("run-%06d", 100+i))
+		src.values[key] = "job"
+		others = append(others, key)
+		touch(key)
+	}
+	for range 40 {
+		c.Step(context.Background())
+	}
+	for _, key := range others {
+		if !told[key] {
+			t.Fatalf("%s waits behind what cannot be stored", key)
+		}
+	}
+	if told[large] || told[spaced] || c.Waiting() != 2 {
+		t.Fatalf("told %v %v, %d wait", told[large], told[spaced], c.Waiting())
+	}
+	if n := st.Requests; c.Step(context.Background()) <= 0 || st.Requests != n {
+		t.Error("what is set aside is tried again at once")
+	}
+	src.values[large] = "short now"
+	clock.Advance(tuning.AsideFor + time.Second)
+	for range 3 {
+		c.Step(context.Background())
+	}
+	if !told[large] || told[spaced] {
+		t.Errorf("after the pause: told %v %v", told[large], told[spaced])
+	}
+}
--- a/tuning/tuning.go
+++ b/tuning/tuning.go
@@ -32,9 +32,9 @@
 	// workers are answered with the last term's token: several elections.
 	Interregnum = 6 * time.Second
 	// KeepMargin is taken off the time for which a controller that hears of no
-	// cancellation renews leases: drift, a command that was lost as the cut began, and the
-	// worker's own delay.
-	KeepMargin = 3 * time.Second
+	// cancellation renews leases: drift and the worker's own delay. A command that was
+	// lost just before the cut began is the second line's matter.
+	KeepMargin = time.Second
 	// CancelReturn before a cancelled task must be gone, its machine is returned: a cloud
 	// call takes up to 5 s.
 	CancelReturn = 6 * time.Second
@@ -141,6 +141,8 @@
 	// QuotaShare is the share of the write limit that the leader uses; the
 	// rest is for siblings that accept jobs themselves.
 	QuotaShare = 0.8
+	// AsideFor is how long a record is left alone that the state service does not take.
+	AsideFor = 10 * time.Second
 	// HedgeShare is the share of the write limit, inside that, that may go into sending
 	// transactions once more.
 	HedgeShare = 0.1
