--- a/store/commit_test.go
+++ b/store/commit_test.go
@@ -215,11 +215,15 @@
 			close(done)
 		}()
 		<-late.Asked
-		clock.BlockUntil(1)
+		if err := clock.BlockUntilContext(context.Background(), 1); err != nil {
+			t.Fatal(err)
+		}
 		clock.Advance(40 * time.Millisecond)
 		if executed {
 			// The second fails, as the first took effect; the first answers.
-			clock.BlockUntil(1)
+			if err := clock.BlockUntilContext(context.Background(), 1); err != nil {
+				t.Fatal(err)
+			}
 			late.Answer()
 		}
 		<-done
