Giving up many machines of a zone has a budget that shrinks with its silence

Need: whatever evidence says of one machine, returning hundreds at once is a decision of its own: each must boot anew, and what is silent together mostly comes back together.

Change: evidence.Budget. Up to a third of a zone unheard, machines go as they become due; up to 55% 2% of the zone a second, above that 0.4%; 8 or a twentieth may go at any moment, and what must go for a cancelled task goes. The log says what is left alone and how many tasks wait.

--- a/controller/core.go
+++ b/controller/core.go
@@ -206,6 +206,10 @@
 	wake     chan struct{}
 	heard    time.Time
 	silence  *evidence.Silence
+	// budget bounds how many machines are given up for their silence; spared is when it was
+	// last logged that some are left alone.
+	budget evidence.Budget
+	spared time.Time
 	// reached is when a worker last reported to us itself or answered a command;
 	// failed counts commands since that none answered.
 	reached time.Time
--- a/controller/rent.go
+++ b/controller/rent.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"switchferry/api"
+	"switchferry/evidence"
 	"switchferry/policy"
 	"switchferry/tuning"
 )
@@ -35,6 +36,12 @@
 	}
 	grace := seconds(c.set.Facts.Workers.LeaseS) + tuning.NewTermGrace
 	c.noteBlindness(now)
+	why := map[string]string{}
+	var due []evidence.Candidate
+	silent := func(m *machine, reason string, must bool) {
+		why[m.Name] = reason
+		due = append(due, evidence.Candidate{Name: m.Name, Zone: m.Zone, Tasks: len(m.assigns), Must: must})
+	}
 	for _, m := range c.byName() {
 		if m.returning {
 			continue
@@ -51,19 +58,29 @@
 				continue
 			}
 			if c.unheard(m, now) > grace {
-				giveUp(m, "never reported")
+				silent(m, "never reported", false)
 			}
 		case !m.TakenAt.IsZero() && now.After(m.TakenAt.Add(time.Second)) && c.unheard(m, now) > c.quiet(m):
 			giveUp(m, "taken back")
 		case c.unheard(m, now) > c.silent()+relayDelay(m):
 			// Its return proves that its tasks are gone.
-			giveUp(m, "silent")
+			silent(m, "silent", false)
 		case c.suspect(m):
 			giveUp(m, "suspect")
 		case !m.TakenAt.IsZero():
 			c.evacuate(m)
 		}
 	}
+	for _, v := range c.budget.Spend(now, due, c.silence.Share) {
+		for _, name := range v.Return {
+			giveUp(c.machines[name], why[name])
+		}
+		if v.Wait > 0 && now.Sub(c.spared) >= tuning.ReturnTold {
+			c.spared = now
+			slog.Info("many machines of a zone are silent; most are left for now", "zone", v.Zone, "silent_share", math.Round(100*v.Share)/100,
+				"machines", v.Machines, "left", v.Wait, "tasks_that_wait_for_them", v.WaitTasks, "returned", len(v.Return))
+		}
+	}
 	for _, m := range c.overstayed(now) {
 		if !m.returning {
 			giveUp(m, "holds a cancelled task")
--- a/evidence/evidence.go
+++ b/evidence/evidence.go
@@ -41,11 +41,12 @@
 	// last unheard.
 	zones, ways map[string]time.Time
 	shares      map[string]float64
+	sizes       map[string]int
 }
 
 // New begins a term whose workers' lease is so long.
 func New(now time.Time, lease time.Duration) *Silence {
-	return &Silence{lease: lease, started: now, beat: now, zones: map[string]time.Time{}, ways: map[string]time.Time{}, shares: map[string]float64{}}
+	return &Silence{lease: lease, started: now, beat: now, zones: map[string]time.Time{}, ways: map[string]time.Time{}, shares: map[string]float64{}, sizes: map[string]int{}}
 }
 
 // Beat notes that the leader does its rounds. A gap that no load explains is a standstill,
@@ -65,8 +66,9 @@
 // Way is when most machines whose reports came through a controller were last unheard.
 func (s *Silence) Way(via string) time.Time { return s.ways[via] }
 
-// Share is the part of a zone's machines that were unheard at the last look.
-func (s *Silence) Share(zone string) float64 { return s.shares[zone] }
+// Share is the part of a zone's machines that were unheard at the last look, and how many
+// machines there were.
+func (s *Silence) Share(zone string) (float64, int) { return s.shares[zone], s.sizes[zone] }
 
 // Finding is a zone or a way most of which is unheard, anew.
 type Finding struct {
@@ -103,8 +105,9 @@
 		}
 	})
 	clear(s.shares)
+	clear(s.sizes)
 	for zone, n := range zones {
-		s.shares[zone] = 1 - float64(n.heard)/float64(n.all)
+		s.shares[zone], s.sizes[zone] = 1-float64(n.heard)/float64(n.all), n.all
 		off := cut(zone)
 		if off || n.all > 1 && 2*n.heard < n.all {
 			if last, ok := s.zones[zone]; !ok || now.Sub(last) > s.lease {
--- a/tuning/tuning.go
+++ b/tuning/tuning.go
@@ -166,6 +166,18 @@
 	// a cut is left alone. Its zone's controllers may be keeping its tasks
 	// alive; replicas that are spread could not run elsewhere anyway.
 	CutLeases = 6
+	// ReturnFreely is the silent share of a zone up to which its machines are given up as
+	// they become due; up to ReturnSlowly, ReturnShare of the zone's machines a second are,
+	// above it a fifth of that. ReturnAtOnce of them, and ReturnAnyway machines, may go
+	// at any moment. A third of a zone at once is more than spot waves took; above 55%
+	// Kubernetes slows down as well.
+	ReturnFreely = 0.34
+	ReturnSlowly = 0.55
+	ReturnShare  = 0.02
+	ReturnAtOnce = 0.05
+	ReturnAnyway = 8.0
+	// ReturnTold is how often it is logged that machines are not given up.
+	ReturnTold = 10 * time.Second
 	// NewTermGrace is added to the workers' lease before a new leader gives
 	// up a machine that it has not heard yet.
 	NewTermGrace = 2 * time.Second
