--- a/evidence/evidence_test.go
+++ b/evidence/evidence_test.go
@@ -57,7 +57,9 @@
 			}
 		}
 		w.s.Beat(w.now)
-		seen := func(name string) Sighting { return Sighting{Zone: w.zone[name], Heard: w.heard[name], Quiet: 7500 * time.Millisecond} }
+		seen := func(name string) Sighting {
+			return Sighting{Zone: w.zone[name], Heard: w.heard[name], Quiet: 7500 * time.Millisecond}
+		}
 		w.s.Look(w.now, func(yield func(Sighting)) {
 			for _, name := range w.names() {
 				yield(seen(name))
--- /dev/null
+++ b/internal/standin/worker.go
@@ -0,0 +1,211 @@
+package standin
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"switchferry/api"
+)
+
+// Worker plays a worker to the letter of the protocol: session, tally, token, lease, its turns
+// from node to node, commands. Its tasks run as long as Runs says and need no image.
+type Worker struct {
+	Host
+	clock clockwork.Clock
+	// Nodes are the controllers in order; Post sends a report to one. A status of 0: no
+	// answer within the time of the context.
+	nodes []string
+	post  func(ctx context.Context, node string, r *api.Report) (status int, body any)
+	every time.Duration
+	lease time.Duration
+	runs  func(task string) time.Duration
+
+	mu      sync.Mutex
+	at      int
+	session uint64
+	seq     uint64
+	helm    uint64
+	renewed time.Time
+	tasks   map[string]*workerTask
+	change  chan struct{}
+	// Killed counts tasks that its lease ended; Started all that it started.
+	killed, started int
+	answered        time.Time
+	// Starts is told of each start, without the lock.
+	starts func(task string, helm uint64, at time.Time)
+}
+
+type workerTask struct {
+	api.TaskReport
+	ends time.Time
+}
+
+// WorkerOptions are what a worker is made of.
+type WorkerOptions struct {
+	Host         Host
+	Clock        clockwork.Clock
+	Nodes        []string
+	Post         func(ctx context.Context, node string, r *api.Report) (status int, body any)
+	Every, Lease time.Duration
+	Runs         func(task string) time.Duration
+	Starts       func(task string, helm uint64, at time.Time)
+}
+
+// NewWorker makes a worker that has just begun.
+func NewWorker(o WorkerOptions) *Worker {
+	return &Worker{Host: o.Host, clock: o.Clock, nodes: o.Nodes, post: o.Post, every: o.Every, lease: o.Lease, runs: o.Runs, starts: o.Starts,
+		session: 1, renewed: o.Clock.Now(), tasks: map[string]*workerTask{}, change: make(chan struct{}, 1)}
+}
+
+// Seen is the highest token it has seen, when it was last answered, and how many of its
+// tasks its lease ended.
+func (w *Worker) Seen() (helm uint64, answered time.Time, killed, running int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.pass()
+	for _, t := range w.tasks {
+		if t.State == api.TaskRunning {
+			running++
+		}
+	}
+	return w.helm, w.answered, w.killed, running
+}
+
+// pass lets time pass: tasks end, and so may the lease.
+func (w *Worker) pass() {
+	now := w.clock.Now()
+	if now.Sub(w.renewed) > w.lease {
+		for _, t := range w.tasks {
+			if t.State == api.TaskRunning {
+				w.killed++
+			}
+		}
+		w.tasks = map[string]*workerTask{}
+		w.session++
+		w.renewed = now
+	}
+	for _, t := range w.tasks {
+		if t.State == api.TaskRunning && !now.Before(t.ends) {
+			t.State, t.Cause = api.TaskEnded, api.CauseDone
+			w.changed()
+		}
+	}
+}
+
+func (w *Worker) changed() {
+	select {
+	case w.change <- struct{}{}:
+	default:
+	}
+}
+
+func (w *Worker) report() *api.Report {
+	w.seq++
+	r := &api.Report{Machine: w.Name, Address: w.Address, Type: w.Type, Zone: w.Zone, Spot: w.Spot, Session: w.session, Seq: w.seq, Helm: w.helm, Tasks: []api.TaskReport{}}
+	for _, t := range w.tasks {
+		r.Tasks = append(r.Tasks, t.TaskReport)
+	}
+	slices.SortFunc(r.Tasks, func(a, b api.TaskReport) int {
+		if a.Task < b.Task {
+			return -1
+		}
+		return 1
+	})
+	return r
+}
+
+// Run reports until the context ends.
+func (w *Worker) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		w.mu.Lock()
+		w.pass()
+		r, node, sent := w.report(), w.nodes[w.at], w.clock.Now()
+		w.mu.Unlock()
+		call, stop := context.WithTimeout(ctx, 4*time.Second)
+		status, body := w.post(call, node, r)
+		stop()
+		wait := w.take(r, sent, status, body)
+		select {
+		case <-ctx.Done():
+			return
+		case <-w.clock.After(wait):
+		}
+		if wait >= time.Second {
+			continue
+		}
+		select {
+		case <-ctx.Done():
+		case <-w.change:
+		case <-w.clock.After(w.every - wait):
+		}
+	}
+}
+
+// take works an answer in, and gives how long to wait at least.
+func (w *Worker) take(r *api.Report, sent time.Time, status int, body any) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.pass()
+	if status == http.StatusOK {
+		o, ok := body.(api.Orders)
+		if !ok || r.Session != w.session || o.Helm < w.helm || o.Helm == 0 {
+			return w.every / 2
+		}
+		w.renewed, w.answered = sent, w.clock.Now()
+		w.obey(o)
+		return 500 * time.Millisecond
+	}
+	if to, ok := body.(api.Redirect); ok && status == http.StatusMisdirectedRequest {
+		if i := slices.Index(w.nodes, to.Node); i >= 0 && i != w.at {
+			w.at = i
+			w.changed()
+			return 100 * time.Millisecond
+		}
+	}
+	w.at = (w.at + 1) % len(w.nodes)
+	return time.Second
+}
+
+// obey executes commands in order.
+func (w *Worker) obey(o api.Orders) {
+	if o.Helm > w.helm {
+		w.helm = o.Helm
+		w.changed()
+	}
+	now := w.clock.Now()
+	for _, c := range o.Commands {
+		t := w.tasks[c.Task]
+		switch {
+		case c.Verb == api.Start && t == nil:
+			w.tasks[c.Task] = &workerTask{api.TaskReport{Task: c.Task, Attempt: c.Attempt, State: api.TaskRunning}, now.Add(w.runs(c.Task))}
+			w.started++
+			w.changed()
+			if w.starts != nil {
+				go w.starts(c.Task, o.Helm, now)
+			}
+		case t == nil || t.Attempt != c.Attempt:
+		case c.Verb == api.Stop && t.State == api.TaskRunning:
+			t.State, t.Cause = api.TaskEnded, api.CauseStopped
+			w.changed()
+		case c.Verb == api.Forget && t.State == api.TaskEnded:
+			delete(w.tasks, c.Task)
+		}
+	}
+}
+
+// Direct serves POST /orders: the report after them, and whether they were executed.
+func (w *Worker) Direct(o api.Orders) (*api.Report, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.pass()
+	if o.Helm < w.helm || o.Session != w.session {
+		return w.report(), false
+	}
+	w.obey(o)
+	return w.report(), true
+}
