The cloud's list tells a new leader of zones in a test as well

Need: since machines of no known zone are no silent zone, the test's new leader must read the list. Change: it does.

--- a/controller/keep_test.go
+++ b/controller/keep_test.go
@@ -110,6 +110,11 @@
 			s.elect()
 			s.set.Facts.Workers.CancelS = 47.5
 			s.cutZone = "b"
+			var list []api.CloudMachine
+			for _, n := range append([]string{"a1"}, far...) {
+				list = append(list, api.CloudMachine{Name: n, Address: n + ":1", Type: "m8", Zone: zoneOf(n), State: "running"})
+			}
+			s.Listed(list)
 		}
 		gone := map[string]time.Duration{}
 		for s.clock.Since(told) < 50*time.Second {
