Sockets by class within the platform's limit; refused users come back spread out

Need: at 1,390 machines a controller held 2,612 of its 3,183 sockets, workers' idle connections among them; past the limit users and siblings are refused like workers. After an outage all who were refused came back after the same second.

Change: package sockets counts by class. From 70% of the limit on workers close after each answer, from 80% on no direct command opens one, above 90% idle workers' connections are closed for newcomers. Package retry gives each refused user a time of its own over as long as it takes to store all that wait.

--- a/cli/data.go
+++ b/cli/data.go
@@ -24,6 +24,7 @@
 	"switchferry/controller"
 	"switchferry/dataset"
 	"switchferry/httpapi"
+	"switchferry/sockets"
 	"switchferry/stager"
 	"switchferry/tuning"
 )
@@ -93,7 +94,7 @@
 	}
 	slog.Info("stager starts", "machine", o.Machine, "address", o.Address, "dir", o.Dir, "version", Version)
 	go a.Run(ctx)
-	return httpapi.Serve(ctx, l, a.Handler())
+	return httpapi.Serve(ctx, l, a.Handler(), sockets.NewBudget(0))
 }
 
 // dataCommand shows and registers datasets.
--- a/cli/serve.go
+++ b/cli/serve.go
@@ -22,6 +22,7 @@
 	"switchferry/httpapi"
 	"switchferry/policy"
 	"switchferry/settings"
+	"switchferry/sockets"
 	"switchferry/tuning"
 )
 
@@ -177,8 +178,10 @@
 		return coded(ExitFailed, fmt.Errorf("back: %w", err))
 	}
 	slog.Info("controller starts", "member", set.Member, "zone", set.Zone, "version", Version)
-	n := controller.NewNode(ctx, set, pol, clockwork.NewRealClock(), controller.Transport())
+	budget := sockets.NewBudget(set.Facts.Resources.Sockets)
+	n := controller.NewNode(ctx, set, pol, clockwork.NewRealClock(), controller.Transport(set, budget))
+	n.Keep(budget)
 	n.Enable(on)
-	go n.Run(back)
-	return coded(ExitFailed, httpapi.Serve(ctx, front, httpapi.New(n)))
+	go n.Run(budget.Listen(back, sockets.Sibling))
+	return coded(ExitFailed, httpapi.Serve(ctx, budget.Listen(front, sockets.New), httpapi.New(n, budget), budget))
 }
--- a/controller/node.go
+++ b/controller/node.go
@@ -24,7 +24,9 @@
 	"switchferry/features"
 	"switchferry/peer"
 	"switchferry/policy"
+	"switchferry/retry"
 	"switchferry/settings"
+	"switchferry/sockets"
 	"switchferry/store"
 	"switchferry/tuning"
 	"switchferry/worker"
@@ -65,6 +67,8 @@
 
 	// letterRate is what this node writes of letters, of all kinds together.
 	letterRate *rate.Limiter
+	// retries spreads the users that were refused over the time that it takes to take them.
+	retries *retry.Spread
 
 	relay *relay
 	pace  pace
@@ -94,16 +98,27 @@
 	share := tuning.ReadShare * set.Facts.State.RPS / float64(1+len(set.Siblings))
 	n.reads = rate.NewLimiter(rate.Limit(share), max(1, int(share)))
 	n.letterRate = letterRate(n)
+	var err error
+	n.retries, err = retry.New(tuning.QuotaShare*set.Facts.State.WriteRPS/float64(1+len(set.Siblings)), tuning.RetryAfterS, tuning.RetryAfterMost,
+		tuning.RefusedFor, tuning.RefusedKept)
+	if err != nil {
+		panic(err) // only for a limit below one
+	}
 	n.relay = newRelay(n)
 	n.pace.clock = clock
 	n.agents = &http.Client{Transport: transport}
 	return n
 }
 
-// Transport is the transport for all calls to other services.
-func Transport() *http.Transport {
+// Transport is the transport for all calls to other services, within a budget of sockets.
+func Transport(set *settings.Settings, budget *sockets.Budget) *http.Transport {
 	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: tuning.DialTimeout}).DialContext,
+		DialContext: budget.Dial(func(addr string) sockets.Class {
+			if addr == set.External.State || addr == set.External.Cloud {
+				return sockets.Service
+			}
+			return sockets.Command
+		}),
 		MaxIdleConns:        tuning.IdleConns,
 		MaxIdleConnsPerHost: 4,
 		IdleConnTimeout:     30 * time.Second,
@@ -111,6 +126,14 @@
 	}
 }
 
+// Keep lets this node keep to a budget of sockets; it is called before Run.
+func (n *Node) Keep(b *sockets.Budget) {
+	n.peers.Dial = b.Dial(func(string) sockets.Class { return sockets.Sibling })
+	go b.Watch(n.ctx, tuning.SocketsTold, func(c sockets.Counts) {
+		slog.Info("sockets are scarce", "open", c.Open, "limit", c.Limit, "by", c.By, "idle_closed", c.Closed, "commands_not_sent", c.Refused)
+	})
+}
+
 // Run starts everything and runs until the context ends.
 func (n *Node) Run(back net.Listener) {
 	go func() {
@@ -738,6 +761,9 @@
 		return n.stagePassedOn(r.Body)
 	}
 	a := n.handle(ctx, r, forwarded)
+	if !forwarded && r.Verb == VerbSubmit {
+		n.comeBack(&a, r.Body)
+	}
 	if !forwarded {
 		n.count(func(u *users) {
 			if r.Verb == VerbStatus {
@@ -753,6 +779,26 @@
 	return a
 }
 
+// comeBack tells the user of a job that cannot be taken now when to come back: each another
+// time, spread over as long as it takes to take all that wait.
+func (n *Node) comeBack(a *peer.Answer, body []byte) {
+	refused := a.Status == http.StatusServiceUnavailable
+	n.mu.Lock()
+	none := n.retries.Waiting() == 0
+	n.mu.Unlock()
+	if !refused && none {
+		return
+	}
+	_, id, _ := api.ParseSubmission(body)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if refused {
+		a.RetryAfterS = max(a.RetryAfterS, n.retries.Refused(n.clock.Now(), id))
+	} else {
+		n.retries.Taken(id)
+	}
+}
+
 // users counts what users asked of this node since it was last logged; passed: how
 // often the leader did not answer and was passed by.
 type users struct{ questions, requests, refused, passed int }
--- a/experiment/locality.go
+++ b/experiment/locality.go
@@ -32,6 +32,7 @@
 	"switchferry/httpapi"
 	"switchferry/policy"
 	"switchferry/settings"
+	"switchferry/sockets"
 	"switchferry/stager"
 	"switchferry/store"
 	"switchferry/tuning"
@@ -355,7 +356,7 @@
 		return nil, err
 	}
 	go m.agent.Run(ctx)
-	go httpapi.Serve(ctx, l, m.agent.Handler())
+	go httpapi.Serve(ctx, l, m.agent.Handler(), sockets.NewBudget(0))
 	return m, nil
 }
 
@@ -487,7 +488,7 @@
 		s.sets = append(s.sets, &sum)
 		s.data[setName(i)], s.manifest[setName(i)] = raw, mr
 	}
-	go httpapi.Serve(ctx, ln, s)
+	go httpapi.Serve(ctx, ln, s, sockets.NewBudget(0))
 	return s, nil
 }
 
--- a/httpapi/httpapi.go
+++ b/httpapi/httpapi.go
@@ -17,9 +17,16 @@
 	"switchferry/api"
 	"switchferry/controller"
 	"switchferry/peer"
+	"switchferry/sockets"
 	"switchferry/tuning"
 )
 
+// Paths of workers and agents.
+const (
+	reportPath  = "/v1/report"
+	stagingPath = "/v1/staging"
+)
+
 // Node is what the port serves.
 type Node interface {
 	Ready() bool
@@ -31,8 +38,8 @@
 	Stage(ctx context.Context, r *api.StageReport, raw []byte) (status int, body any)
 }
 
-// New makes the port's handler.
-func New(n Node) http.Handler {
+// New makes the port's handler, which keeps to a budget of sockets.
+func New(n Node, budget *sockets.Budget) http.Handler {
 	e := echo.New()
 	e.HideBanner, e.HidePort = true, true
 	e.HTTPErrorHandler = func(err error, c echo.Context) {
@@ -45,6 +52,20 @@
 			_ = c.JSON(status, api.Error{Error: http.StatusText(status)})
 		}
 	}
+	e.Use(func(next echo.HandlerFunc) echo.HandlerFunc {
+		return func(c echo.Context) error {
+			class := sockets.User
+			if p := c.Path(); p == reportPath || p == stagingPath {
+				class = sockets.Worker
+				if budget.Scarce() {
+					// It can come anew with its next report; a user's socket cannot wait.
+					c.Response().Header().Set("Connection", "close")
+				}
+			}
+			budget.Tell(sockets.Of(c.Request().Context()), class)
+			return next(c)
+		}
+	})
 	user := func(verb string) echo.HandlerFunc {
 		return func(c echo.Context) error {
 			r := peer.Request{Verb: verb, Job: c.Param("id")}
@@ -71,7 +92,7 @@
 		e.GET("/datasets", user(controller.VerbData))
 		e.POST("/datasets", user(controller.VerbRegister))
 		e.POST("/datasets/:id/remove", user(controller.VerbRemove))
-		e.POST("/v1/staging", func(c echo.Context) error {
+		e.POST(stagingPath, func(c echo.Context) error {
 			var r api.StageReport
 			body, err := read(c, tuning.OrderLimit, errReportTooLong)
 			if err == nil {
@@ -94,7 +115,7 @@
 		}
 		return c.NoContent(http.StatusServiceUnavailable)
 	})
-	e.POST("/v1/report", func(c echo.Context) error {
+	e.POST(reportPath, func(c echo.Context) error {
 		body, err := read(c, tuning.BodyLimit, errTooLong)
 		var r api.Report
 		if err == nil {
@@ -127,9 +148,9 @@
 	return body, err
 }
 
-// Serve runs the port until the context ends.
-func Serve(ctx context.Context, l net.Listener, h http.Handler) error {
-	s := &http.Server{Handler: h, ReadHeaderTimeout: tuning.HeaderTimeout, IdleTimeout: 2 * time.Minute, MaxHeaderBytes: 16 << 10}
+// Serve runs the port until the context ends. Connections of l that a budget counts are told to it.
+func Serve(ctx context.Context, l net.Listener, h http.Handler, budget *sockets.Budget) error {
+	s := &http.Server{Handler: h, ConnContext: sockets.Context, ConnState: budget.State, ReadHeaderTimeout: tuning.HeaderTimeout, IdleTimeout: 2 * time.Minute, MaxHeaderBytes: 16 << 10}
 	go func() {
 		<-ctx.Done()
 		_ = s.Close()
--- a/httpapi/httpapi_test.go
+++ b/httpapi/httpapi_test.go
@@ -8,6 +8,7 @@
 
 	"switchferry/api"
 	"switchferry/peer"
+	"switchferry/sockets"
 )
 
 type fakeNode struct {
@@ -31,7 +32,7 @@
 
 func TestAnswers(t *testing.T) {
 	n := &fakeNode{}
-	h := New(n)
+	h := New(n, sockets.NewBudget(0))
 	for _, c := range []struct {
 		method, path, body string
 		status             int
@@ -68,7 +69,7 @@
 }
 
 func TestPathsOfDatasets(t *testing.T) {
-	h := New(&fakeNode{data: true})
+	h := New(&fakeNode{data: true}, sockets.NewBudget(0))
 	for _, c := range []struct {
 		method, path, body string
 		status             int
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -83,6 +83,8 @@
 	clock  clockwork.Clock
 	self   func() Hello
 	handle Handler
+	// Dial opens connections to siblings; it may be replaced before Run.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 
 	mu       sync.Mutex
 	siblings map[string]*sibling
@@ -90,7 +92,7 @@
 
 // New makes the back network's end.
 func New(sibs []settings.Sibling, clock clockwork.Clock, self func() Hello, handle Handler) *Net {
-	n := &Net{clock: clock, self: self, handle: handle, siblings: map[string]*sibling{}}
+	n := &Net{clock: clock, self: self, handle: handle, Dial: (&net.Dialer{Timeout: tuning.PeerDead}).DialContext, siblings: map[string]*sibling{}}
 	for _, s := range sibs {
 		n.siblings[s.Member] = &sibling{Sibling: s, waits: map[uint64]chan Answer{}}
 	}
@@ -215,8 +217,7 @@
 
 func (n *Net) keep(ctx context.Context, s *sibling) {
 	for ctx.Err() == nil {
-		d := net.Dialer{Timeout: tuning.PeerDead}
-		c, err := d.DialContext(ctx, "tcp", s.Address)
+		c, err := n.Dial(ctx, "tcp", s.Address)
 		if err == nil {
 			n.talk(ctx, s, c)
 		} else if errors.Is(err, syscall.ECONNREFUSED) {
--- a/tuning/tuning.go
+++ b/tuning/tuning.go
@@ -115,6 +115,25 @@
 	AnswerLimit = 4 << 20
 )
 
+// Sockets, as parts of the platform's limit.
+const (
+	// SocketsScarce: from here on workers close their connections after each answer.
+	SocketsScarce = 0.7
+	// SocketsCommands: from here on commands to workers open none.
+	SocketsCommands = 0.8
+	// SocketsFull: above it idle workers' connections are closed for newcomers. The rest
+	// is what may open in the moments that this takes.
+	SocketsFull = 0.9
+	// SocketsTold is how often it is logged that sockets are scarce.
+	SocketsTold = 10 * time.Second
+)
+
+// RefusedKept is how many refused jobs a controller remembers to spread their users' retries.
+const RefusedKept = 20_000
+
+// RefusedFor is how long users retry in all.
+const RefusedFor = 60 * time.Second
+
 // RetryAfterS is what a user is told to wait, in seconds.
 const RetryAfterS = 1
 
