A job's filling asks the policy once a fetch, not once a machine

Change: the price is worked out once for each length of fetch; what is counted in is used again; a job with nothing open is not filled at all.

What is left grows with jobs times machines.

--- a/controller/core.go
+++ b/controller/core.go
@@ -20,6 +20,7 @@
 	"switchferry/courier"
 	"switchferry/evidence"
 	"switchferry/fleet"
+	"switchferry/placement"
 	"switchferry/policy"
 	"switchferry/settings"
 	"switchferry/store"
@@ -226,6 +227,9 @@
 	told time.Time
 	// searched counts the machines that were searched for something to stop.
 	searched int
+	// count and queued are what ahead counts in.
+	count  map[*job]int
+	queued []placement.Queued
 	// at is the time during a run of the placer; zero outside of it.
 	at time.Time
 	// shelves hold what stands in the mail for the machines behind each sibling.
--- a/controller/place.go
+++ b/controller/place.go
@@ -181,9 +181,14 @@
 // ahead is what a machine has outstanding for jobs up to and with j in the
 // order of the queues, as equation (2) needs it, and the room that services
 // leave.
-func (c *Core) ahead(m *machine, j *job, slot float64) (queued []placement.Queued, room fleet.Room) {
+func (c *Core) ahead(m *machine, j *job, slot float64) (_ []placement.Queued, room fleet.Room) {
 	room = m.total()
-	count := map[*job]int{}
+	// It is asked for each job and machine: what it counts in is used again.
+	if c.count == nil {
+		c.count = map[*job]int{}
+	}
+	clear(c.count)
+	count, queued := c.count, c.queued[:0]
 	for _, a := range m.assigns {
 		if a.job.Job.Shape == api.Service {
 			room = room.Sub(a.job.need)
@@ -200,6 +205,7 @@
 		mu := placement.Mu(max(1, room.Times(o.need)), slot, estimate(o))
 		queued = append(queued, placement.Queued{Tasks: n, Mu: mu})
 	}
+	c.queued = queued
 	return queued, room
 }
 
@@ -213,7 +219,14 @@
 // of a job need one image, so they form one group; the machines that lack the
 // image take part with the fetch added to their busy time.
 func (c *Core) waterFill(j *job) {
+	open := c.open(j)
+	if open <= 0 {
+		return
+	}
 	slot := c.policy.Value(policy.SlotS, nil)
+	// Most machines wait for one of a few fetches: the policy's expression is asked once for
+	// each.
+	penalty := map[float64]int{}
 	type candidate struct {
 		m    *machine
 		s    placement.Server
@@ -228,7 +241,13 @@
 		if s.Mu <= 0 {
 			continue
 		}
-		s.Busy += c.penalty(c.costs(j, 0, m, true).Seconds(), slot)
+		wait := c.costs(j, 0, m, true).Seconds()
+		slots, known := penalty[wait]
+		if !known {
+			slots = c.penalty(wait, slot)
+			penalty[wait] = slots
+		}
+		s.Busy += slots
 		all = append(all, candidate{m, s, m.free().CPUs})
 	}
 	// Of machines that are as busy, those with the least room left come first.
@@ -239,7 +258,7 @@
 	for i, x := range all {
 		ms[i], servers[i] = x.m, x.s
 	}
-	share := placement.Fill(servers, c.open(j))
+	share := placement.Fill(servers, open)
 	if share == nil {
 		return
 	}
