Stand-ins as the checks want them: an outage under the lock, the error last

Need: staticcheck and the race detector found an error that was not the last result, and a test that set a stand-in's field while controllers asked it. Change: both.

--- a/election/election_test.go
+++ b/election/election_test.go
@@ -170,7 +170,7 @@
 		if _, valid := a.Term(); valid {
 			t.Error("the crashed leader's key still counts for it")
 		}
-		st.Down = true
+		st.Outage(true)
 		time.Sleep(tuning.TermTTL)
 		if _, valid := b.Term(); valid {
 			t.Error("valid without the state service")
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -77,7 +77,7 @@
 	if r.Body != nil {
 		body, _ = io.ReadAll(r.Body)
 	}
-	resp, err, up, gone := c.answer(r, body)
+	resp, up, gone, err := c.answer(r, body)
 	for _, h := range up {
 		c.Up(h)
 	}
@@ -87,7 +87,7 @@
 	return resp, err
 }
 
-func (c *Cloud) answer(r *http.Request, body []byte) (resp *http.Response, err error, up, gone []Host) {
+func (c *Cloud) answer(r *http.Request, body []byte) (resp *http.Response, up, gone []Host, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	refuse := func(status int, why string) {
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -122,6 +122,13 @@
 	s.limits, s.requests, s.writes = l, per(l.RPS), per(l.WriteRPS)
 }
 
+// Outage sets Down while others are at work.
+func (s *State) Outage(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Down = down
+}
+
 // refuse answers a request that breaks a limit.
 func (s *State) refuse(status int, why string) (*http.Response, error) {
 	s.Refused[why]++
