A bound on how many jobs could have been in time, whatever the order

Need: whether a full fleet misses aims for want of order or of room could not be told. The line of an accepted job says its processors.

--- /dev/null
+++ b/bound/bound_test.go
@@ -0,0 +1,100 @@
+package bound
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+)
+
+// most is the largest number of jobs that can be in time together, by trying all sets of jobs
+// and all starts at whole seconds.
+func most(jobs []Job, free Free) int {
+	left := append([]float64{}, free.CPUs...)
+	var tasks func(j Job, k int, then func() bool) bool
+	tasks = func(j Job, k int, then func() bool) bool {
+		if k == len(j.Tasks) {
+			return then()
+		}
+		t := j.Tasks[k]
+		for s := int(j.Arrive); float64(s)+t.Run <= j.Due; s++ {
+			ok := s+int(t.Run) <= len(left)
+			for i := s; ok && i < s+int(t.Run); i++ {
+				ok = left[i] >= t.CPUs
+			}
+			if !ok {
+				continue
+			}
+			for i := s; i < s+int(t.Run); i++ {
+				left[i] -= t.CPUs
+			}
+			if tasks(j, k+1, then) {
+				return true
+			}
+			for i := s; i < s+int(t.Run); i++ {
+				left[i] += t.CPUs
+			}
+		}
+		return false
+	}
+	best := 0
+	for set := range 1 << len(jobs) {
+		var chosen []Job
+		for i, j := range jobs {
+			if set>>i&1 == 1 {
+				chosen = append(chosen, j)
+			}
+		}
+		if len(chosen) <= best {
+			continue
+		}
+		copy(left, free.CPUs)
+		var all func(i int) bool
+		all = func(i int) bool {
+			return i == len(chosen) || tasks(chosen[i], 0, func() bool { return all(i + 1) })
+		}
+		if all(0) {
+			best = len(chosen)
+		}
+	}
+	return best
+}
+
+// The bound is never below what can be done, over 300 small days tried out, and close to it.
+func TestBoundHoldsAndIsClose(t *testing.T) {
+	gap, sum := 0.0, 0
+	for seed := range uint64(300) {
+		r := rand.New(rand.NewPCG(seed, 9))
+		free := Free{Slot: 1}
+		for range 10 {
+			free.CPUs = append(free.CPUs, float64(r.IntN(4)))
+		}
+		var jobs []Job
+		for range 5 {
+			j := Job{Arrive: float64(r.IntN(5))}
+			j.Due = j.Arrive + float64(2+r.IntN(5))
+			for range 1 + r.IntN(2) {
+				j.Tasks = append(j.Tasks, Task{CPUs: float64(1 + r.IntN(2)), Run: float64(1 + r.IntN(3))})
+			}
+			jobs = append(jobs, j)
+		}
+		got := InTime(jobs, free, 400)
+		want := most(jobs, free)
+		if got.Most < float64(want)-1e-6 {
+			t.Fatalf("seed %d: bound %.3f, but %d can be in time", seed, got.Most, want)
+		}
+		gap += math.Floor(got.Most+1e-6) - float64(want)
+		sum += want
+	}
+	t.Logf("%d jobs in time at most over all days; the bounds, rounded down, allow %.0f more", sum, gap)
+	if gap > 0.15*float64(sum) {
+		t.Errorf("%.0f above %d", gap, sum)
+	}
+}
+
+// With room for all, all that can be in time alone can be in time.
+func TestRoomForAll(t *testing.T) {
+	jobs := []Job{{0, 10, []Task{{2, 5}}}, {3, 9, []Task{{4, 6}, {1, 2}}}, {0, 4, []Task{{1, 5}}}}
+	if got := InTime(jobs, Free{Slot: 5, CPUs: []float64{100, 100}}, 50); got.Most != 2 || got.Alone != 1 {
+		t.Errorf("%+v", got)
+	}
+}
--- a/cli/experiment.go
+++ b/cli/experiment.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"os"
 	"os/signal"
@@ -18,7 +20,7 @@
 // experimentCommand plays workloads and measures them.
 func experimentCommand() *cobra.Command {
 	cmd := &cobra.Command{Use: "experiment", Short: "Play workloads on this machine and measure them"}
-	cmd.AddCommand(localityCommand(), recoveryCommand())
+	cmd.AddCommand(localityCommand(), recoveryCommand(), orderCommand())
 	return cmd
 }
 
@@ -79,6 +81,53 @@
 	return cmd
 }
 
+func orderCommand() *cobra.Command {
+	o := experiment.OrderDefaults()
+	var asJSON bool
+	cmd := &cobra.Command{Use: "order --class CLASS [--within SECONDS] LOG...", Short: "How many jobs were in time on a day, and how many could have been at most", Args: cobra.MinimumNArgs(1),
+		Long: "Reads the controllers' logs of a day (LOG_LEVEL=debug) and sets a bound that holds for any order: a relaxation in which a task may\n" +
+			"run anywhere and nothing is fetched, given what other classes of the same or a higher rank took. Works offline.",
+		Example: "  switchferry experiment order --class photo-recognize --within 100 ferryhost-*.log\n  switchferry experiment order --class inventory-reconcile --times 1.75 --json night.log",
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if o.Class == "" {
+				return coded(ExitUsage, errors.New("--class is missing"))
+			}
+			if o.WithinS < 0 || o.Times <= 0 || o.SlotS <= 0 || o.Rounds < 1 {
+				return coded(ExitUsage, errors.New("--within must not be negative; --times, --slot and --rounds must be above 0"))
+			}
+			var all []io.Reader
+			for _, name := range args {
+				f, err := os.Open(name)
+				if err != nil {
+					return coded(ExitUsage, err)
+				}
+				defer f.Close()
+				all = append(all, f)
+			}
+			res, err := o.Compare(io.MultiReader(all...))
+			if err != nil {
+				return coded(ExitFailed, err)
+			}
+			if asJSON {
+				return json.NewEncoder(cmd.OutOrStdout()).Encode(res)
+			}
+			n := float64(res.Jobs)
+			_, err = fmt.Fprintf(cmd.OutOrStdout(), "%s %s: %d jobs, %d in time (%.3f); %d could not be whatever the order; at most %.1f could be (%.3f)\n",
+				res.Class, res.Aim, res.Jobs, res.InTime, float64(res.InTime)/n, res.Alone, res.Most, res.Most/n)
+			return err
+		}}
+	f := cmd.Flags()
+	f.StringVar(&o.Class, "class", "", "the class of jobs")
+	f.Float64Var(&o.WithinS, "within", 0, "the time that a job may take, seconds; 0: its own deadline")
+	f.Float64Var(&o.Times, "times", o.Times, "by which multiple of its deadline, without --within")
+	f.Float64Var(&o.FromS, "from", 0, "jobs that came from this second of the day on")
+	f.Float64Var(&o.ToS, "to", o.ToS, "jobs that came until this second")
+	f.Float64Var(&o.SlotS, "slot", o.SlotS, "stretches of which capacity is counted, seconds")
+	f.IntVar(&o.Rounds, "rounds", o.Rounds, "rounds of the search; more make the bound tighter")
+	f.BoolVar(&asJSON, "json", false, "print JSON")
+	return cmd
+}
+
 func localityCommand() *cobra.Command {
 	l := experiment.Defaults()
 	var asJSON bool
--- a/controller/user.go
+++ b/controller/user.go
@@ -179,7 +179,7 @@
 			j.pending = append(j.pending, int32(t))
 		}
 	}
-	slog.Info("job accepted", "job", id, "class", j.Job.Class, "team", j.Job.Team, "tasks", j.total, "rank", j.Job.Rank, "expect_s", j.Job.EstimateS, "due_s", j.Job.DeadlineS)
+	slog.Info("job accepted", "job", id, "class", j.Job.Class, "team", j.Job.Team, "tasks", j.total, "cpus", j.need.CPUs, "rank", j.Job.Rank, "expect_s", j.Job.EstimateS, "due_s", j.Job.DeadlineS)
 	j.notify()
 	c.kick()
 }
--- /dev/null
+++ b/experiment/order.go
@@ -0,0 +1,205 @@
+package experiment
+
+import (
+	"bufio"
+	"bytes"
+	"cmp"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-logfmt/logfmt"
+
+	"switchferry/api"
+	"switchferry/bound"
+)
+
+// Order compares how many jobs of a class were in time on a day with how many could have been, by
+// the controllers' logs of that day at level debug, of one or of all.
+type Order struct {
+	Class string
+	// WithinS is the time that a job may take; 0: its own deadline, Times over.
+	WithinS, Times float64
+	// FromS and ToS bound when the jobs came, in seconds of the day.
+	FromS, ToS float64
+	// SlotS is the length of the stretches of which capacity is counted.
+	SlotS  float64
+	Rounds int
+}
+
+// OrderDefaults are a whole day's.
+func OrderDefaults() *Order { return &Order{Times: 1, ToS: math.MaxFloat32, SlotS: 5, Rounds: 600} }
+
+// OrderResult is what a day's logs say. Alone could not have been in time with the whole fleet
+// for themselves; Most is the bound of package bound for the others, given what jobs of other
+// classes and of the same or a higher rank took. Tasks that never completed are left out with
+// their jobs.
+type OrderResult struct {
+	Class  string  `json:"class"`
+	Aim    string  `json:"aim"`
+	Jobs   int     `json:"jobs"`
+	InTime int     `json:"in_time"`
+	Alone  int     `json:"impossible_alone"`
+	Most   float64 `json:"most"`
+}
+
+type loggedJob struct {
+	class      string
+	rank, size int
+	cpus       float64
+	due        float64
+	at, over   float64
+	took       map[string]float64
+}
+
+type loggedRun struct {
+	job      string
+	from, to float64
+}
+
+// dayLog is what logs tell of a day.
+type dayLog struct {
+	jobs  map[string]*loggedJob
+	runs  []loggedRun
+	cpus  [][2]float64
+	begin time.Time
+	last  float64
+}
+
+// Compare reads the logs.
+func (o *Order) Compare(r io.Reader) (*OrderResult, error) {
+	day, err := readDay(r)
+	if err != nil {
+		return nil, err
+	}
+	free := bound.Free{Slot: o.SlotS, CPUs: make([]float64, int(day.last/o.SlotS)+1)}
+	at := 0
+	for i := range free.CPUs {
+		for at+1 < len(day.cpus) && day.cpus[at+1][0] <= float64(i)*o.SlotS {
+			at++
+		}
+		if len(day.cpus) > 0 {
+			// What is up between two lines is the larger of both, so that the bound holds.
+			free.CPUs[i] = math.Max(day.cpus[at][1], day.cpus[min(at+1, len(day.cpus)-1)][1])
+		}
+	}
+	rank := 0
+	for _, j := range day.jobs {
+		if j.class == o.Class {
+			rank = j.rank
+		}
+	}
+	for _, x := range day.runs {
+		j := day.jobs[x.job]
+		if j == nil || j.class == o.Class || j.rank < rank {
+			continue
+		}
+		for i := int(x.from / o.SlotS); i < len(free.CPUs) && float64(i)*o.SlotS < x.to; i++ {
+			free.CPUs[i] -= j.cpus * (math.Min(x.to, float64(i+1)*o.SlotS) - math.Max(x.from, float64(i)*o.SlotS)) / o.SlotS
+		}
+	}
+	res := &OrderResult{Class: o.Class, Aim: fmt.Sprintf("within %g s", o.WithinS)}
+	if o.WithinS == 0 {
+		res.Aim = fmt.Sprintf("within %g times the deadline", o.Times)
+	}
+	var jobs []bound.Job
+	for _, j := range day.jobs {
+		due := cmp.Or(o.WithinS, o.Times*j.due)
+		if j.class != o.Class || j.at < o.FromS || j.at > o.ToS || len(j.took) < j.size || due <= 0 || j.at+due > day.last {
+			continue
+		}
+		res.Jobs++
+		if j.over > 0 && j.over-j.at <= due {
+			res.InTime++
+		}
+		x := bound.Job{Arrive: j.at, Due: j.at + due}
+		for _, run := range j.took {
+			x.Tasks = append(x.Tasks, bound.Task{CPUs: j.cpus, Run: run})
+		}
+		// In one order, so that two runs give the same.
+		slices.SortFunc(x.Tasks, func(a, b bound.Task) int { return cmp.Compare(a.Run, b.Run) })
+		jobs = append(jobs, x)
+	}
+	if res.Jobs == 0 {
+		return nil, fmt.Errorf("no job of class %q that came and ended in time is in these logs; are they of LOG_LEVEL=debug?", o.Class)
+	}
+	slices.SortFunc(jobs, func(a, b bound.Job) int { return cmp.Or(cmp.Compare(a.Arrive, b.Arrive), len(a.Tasks)-len(b.Tasks)) })
+	b := bound.InTime(jobs, free, o.Rounds)
+	res.Alone, res.Most = b.Alone, b.Most
+	return res, nil
+}
+
+// readDay takes in log lines; what stands before time= on a line does not matter.
+func readDay(r io.Reader) (*dayLog, error) {
+	day := &dayLog{jobs: map[string]*loggedJob{}}
+	on := map[string]float64{}
+	lines := bufio.NewScanner(r)
+	lines.Buffer(make([]byte, 64<<10), 4<<20)
+	for lines.Scan() {
+		i := bytes.Index(lines.Bytes(), []byte("time="))
+		if i < 0 {
+			continue
+		}
+		d := logfmt.NewDecoder(bytes.NewReader(lines.Bytes()[i:]))
+		kv := map[string]string{}
+		for d.ScanRecord() {
+			for d.ScanKeyval() {
+				kv[string(d.Key())] = string(d.Value())
+			}
+		}
+		when, err := time.Parse(time.RFC3339, kv["time"])
+		if d.Err() != nil || err != nil {
+			continue // a line that was cut short
+		}
+		if day.begin.IsZero() {
+			day.begin = when
+		}
+		day.take(kv, math.Max(0, when.Sub(day.begin).Seconds()), on)
+	}
+	if day.begin.IsZero() {
+		return nil, errors.New("these are no logs of switchferry: no line has time=")
+	}
+	slices.SortFunc(day.cpus, func(a, b [2]float64) int { return cmp.Compare(a[0], b[0]) })
+	return day, lines.Err()
+}
+
+func (day *dayLog) take(kv map[string]string, at float64, on map[string]float64) {
+	number := func(key string) float64 {
+		v, _ := strconv.ParseFloat(kv[key], 64)
+		return v
+	}
+	day.last = math.Max(day.last, at)
+	task := kv["task"]
+	job, _, _ := strings.Cut(task, "/")
+	off := func() {
+		if from, ok := on[task]; ok {
+			delete(on, task)
+			day.runs = append(day.runs, loggedRun{job, from, at})
+			if j := day.jobs[job]; j != nil && kv["cause"] == api.CauseDone {
+				j.took[task] = at - from
+			}
+		}
+	}
+	switch kv["msg"] {
+	case "job accepted":
+		if day.jobs[kv["job"]] == nil {
+			s := api.Submission{Rank: kv["rank"]}
+			day.jobs[kv["job"]] = &loggedJob{class: kv["class"], rank: s.RankLevel(), size: int(number("tasks")), cpus: number("cpus"), due: number("due_s"), at: at, took: map[string]float64{}}
+		}
+	case "job over":
+		if j := day.jobs[kv["job"]]; j != nil && j.over == 0 && kv["state"] == api.Done {
+			j.over = at
+		}
+	case "task running":
+		on[task] = at
+	case "task ended", "task lost":
+		off()
+	case "fleet":
+		day.cpus = append(day.cpus, [2]float64{at, number("cpus")})
+	}
+}
