Queues no longer go by arrival under a backlog; a job's work weighs by the jobs that wait

Cause: jobs within their team's guarantee together with earlier unfinished ones went first. No weight of a job's work, up to twenty times, changed it.

Change: only a job that came within the guarantee goes first. The weight of a job's work is the number of jobs that wait, ten at least.

--- a/controller/core.go
+++ b/controller/core.go
@@ -308,13 +308,24 @@
 	return id, n, err == nil && n >= 0
 }
 
-// before is the order of the queues: rank, then jobs within their team's
+// sure is 1 for a job that came within its team's guarantee, and lies in it: it need not
+// wait. One that comes within it as earlier ones end does not count: under a backlog these are
+// the jobs that have waited longest, so the queues went by arrival, whatever the deadlines
+// (docs/incidents/fleet-guarantee-by-arrival.md).
+func (j *job) sure() int {
+	if j.entitled && j.beyond == 0 {
+		return 1
+	}
+	return 0
+}
+
+// before is the order of the queues: rank, then jobs that came within their team's
 // guarantee, then the jobs that can still be in time by their latest start, then
 // arrival.
 func before(a, b *job) int {
 	return cmp.Or(
 		cmp.Compare(b.rank, a.rank),
-		cmp.Compare(a.beyond, b.beyond),
+		cmp.Compare(b.sure(), a.sure()),
 		cmp.Compare(a.latest, b.latest),
 		cmp.Compare(a.At, b.At),
 		strings.Compare(a.id, b.id))
@@ -330,13 +341,20 @@
 			fleet += m.Spec.CPUs
 		}
 	}
+	waiting := 0.0
+	for _, j := range c.order {
+		if j.Final == "" && len(j.pending)+j.queued > 0 {
+			waiting++
+		}
+	}
+	weight := math.Max(tuning.WorkWeight, tuning.WorkWaiting*waiting)
 	for _, j := range c.order {
 		j.latest = c.latestStart(j, now)
 		if j.latest < math.MaxInt64 && fleet > 0 {
 			// Of two jobs that are as urgent, the one that takes less of the
 			// fleet goes first: when not all can be in time, more are.
 			work := float64(j.total-j.done) * estimate(j) * j.need.CPUs / fleet
-			j.latest += int64(tuning.WorkWeight * math.Min(work, tuning.WorkMost) * 1000)
+			j.latest += int64(weight * math.Min(work, tuning.WorkMost) * 1000)
 		}
 	}
 	slices.SortFunc(c.order, before)
--- a/controller/core_test.go
+++ b/controller/core_test.go
@@ -1155,3 +1155,39 @@
 		}
 	}
 }
+
+// Under a backlog many times a team's guarantee, its oldest jobs come to lie within it. They must
+// not go before younger ones that can still be in time: queues went by arrival then. One that came
+// within the guarantee does (docs/incidents/fleet-guarantee-by-arrival.md).
+func TestGuaranteeIsNotByArrival(t *testing.T) {
+	s := newStage(t)
+	s.report("a1", 1)
+	sure := func(x *api.Submission) { x.Team, x.DeadlineS, x.EstimateS = "sure", 60, 30 }
+	s.submit("run-000001", 4, sure)
+	s.Place()
+	s.submit("run-000002", 2, sure) // beyond the 16 processors, as the first takes them all
+	s.Place()
+	s.Cancel(gaveUp(), "run-000001")
+	s.commit()
+	s.clock.Advance(40 * time.Second)
+	s.submit("run-000003", 4, sure)
+	s.report("a1", 1)
+	s.Place()
+	order := func() (out []string) {
+		for _, j := range s.order {
+			if j.Final == "" {
+				out = append(out, j.id)
+			}
+		}
+		return out
+	}
+	if got := order(); !slices.Equal(got, []string{"run-000003", "run-000002"}) {
+		t.Errorf("order %v: the one that is late has come within the guarantee, the other can be in time", got)
+	}
+	s.Cancel(gaveUp(), "run-000002")
+	s.submit("run-000004", 1, func(x *api.Submission) { x.Team, x.Rank = "left", "normal" })
+	s.Place()
+	if got := order(); len(got) != 2 || got[0] != "run-000004" {
+		t.Errorf("order %v: one that came within its team's guarantee goes first", got)
+	}
+}
--- a/tuning/tuning.go
+++ b/tuning/tuning.go
@@ -317,6 +317,9 @@
 	// WorkWeight is by how many times the time that a job's rest would take the
 	// whole fleet its latest start counts as later.
 	WorkWeight = 10.0
+	// WorkWaiting times the number of jobs that wait is that weight where it is more: a
+	// larger fleet takes less time for each, but as many stand before the next.
+	WorkWaiting = 1.0
 	// WorkMost bounds that time, in seconds, against absurd estimates.
 	WorkMost = 1e6
 	// MovedLoss is what each earlier stop adds to the loss of stopping a task
