One mailroom, one packer and one runner of experiments where the change had written two

Cause: the leader's letters to workers and to agents were built, shelved and dropped by two copies of the same code; letters and the hint of holdings each packed JSON, zstd and base64 themselves; two experiments' commands repeated how to run, be interrupted and print.

Change: controller/mailroom.go serves both kinds of letters, internal/pack both packed values (at the levels they had), cli's play both commands. letterLimits stands once.

Values on the state service are the same bytes.

--- a/cli/experiment.go
+++ b/cli/experiment.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -36,6 +37,32 @@
 	return nil
 }
 
+// play runs an experiment until it is over or interrupted, and prints its result: as JSON, or as
+// the table that draw fills in.
+func play[R any](cmd *cobra.Command, asJSON bool, progress *func(format string, a ...any), run func(context.Context) (R, error), draw func(R, table.Writer)) error {
+	if err := quietLog(); err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(cmd.Context(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	*progress = func(format string, a ...any) { fmt.Fprintf(cmd.ErrOrStderr(), format+"\n", a...) }
+	res, err := run(ctx)
+	if err != nil {
+		return coded(ExitFailed, err)
+	}
+	if asJSON {
+		enc := json.NewEncoder(cmd.OutOrStdout())
+		enc.SetIndent("", "  ")
+		return enc.Encode(res)
+	}
+	t := table.NewWriter()
+	t.SetOutputMirror(cmd.OutOrStdout())
+	t.SetStyle(table.StyleLight)
+	draw(res, t)
+	t.Render()
+	return nil
+}
+
 func recoveryCommand() *cobra.Command {
 	x := experiment.RecoveryDefaults()
 	var asJSON bool
@@ -45,31 +72,13 @@
 			"for a minute. Takes some two minutes a size and case.",
 		Example: "  switchferry experiment recovery --sizes 300 --cases leader\n  switchferry experiment recovery --json > recovery.json",
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			if err := quietLog(); err != nil {
-				return err
-			}
-			ctx, stop := signal.NotifyContext(cmd.Context(), os.Interrupt, syscall.SIGTERM)
-			defer stop()
-			x.Progress = func(format string, a ...any) { fmt.Fprintf(cmd.ErrOrStderr(), format+"\n", a...) }
-			res, err := x.Run(ctx)
-			if err != nil {
-				return coded(ExitFailed, err)
-			}
-			if asJSON {
-				enc := json.NewEncoder(cmd.OutOrStdout())
-				enc.SetIndent("", "  ")
-				return enc.Encode(res)
-			}
-			t := table.NewWriter()
-			t.SetOutputMirror(cmd.OutOrStdout())
-			t.SetStyle(table.StyleLight)
-			t.SetTitle("seed %d; %s", res.Seed, res.Measured)
-			t.AppendHeader(table.Row{"machines", "case", "first start s", "all heard s", "returned in vain", "tasks lost in vain", "peak, cores"})
-			for _, r := range res.Sizes {
-				t.AppendRow(table.Row{r.Machines, r.Case, fmt.Sprintf("%.1f", r.FirstStart), fmt.Sprintf("%.1f", r.HeardAll), r.ReturnedInVain, r.LostInVain, fmt.Sprintf("%.2f", r.PeakShare)})
-			}
-			t.Render()
-			return nil
+			return play(cmd, asJSON, &x.Progress, x.Run, func(res *experiment.RecoveryResult, t table.Writer) {
+				t.SetTitle("seed %d; %s", res.Seed, res.Measured)
+				t.AppendHeader(table.Row{"machines", "case", "first start s", "all heard s", "returned in vain", "tasks lost in vain", "peak, cores"})
+				for _, r := range res.Sizes {
+					t.AppendRow(table.Row{r.Machines, r.Case, fmt.Sprintf("%.1f", r.FirstStart), fmt.Sprintf("%.1f", r.HeardAll), r.ReturnedInVain, r.LostInVain, fmt.Sprintf("%.2f", r.PeakShare)})
+				}
+			})
 		}}
 	f := cmd.Flags()
 	f.Uint64Var(&x.Seed, "seed", x.Seed, "seed of the jobs")
@@ -137,35 +146,17 @@
 			"as well). Agents, store and links are real and go over loopback with limited rates; workers are simulated. Takes about two minutes.",
 		Example: "  switchferry experiment locality\n  switchferry experiment locality --seed 7 --json > locality.json",
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			if err := quietLog(); err != nil {
-				return err
-			}
-			ctx, stop := signal.NotifyContext(cmd.Context(), os.Interrupt, syscall.SIGTERM)
-			defer stop()
-			l.Progress = func(format string, a ...any) { fmt.Fprintf(cmd.ErrOrStderr(), format+"\n", a...) }
-			res, err := l.Run(ctx)
-			if err != nil {
-				return coded(ExitFailed, err)
-			}
-			if asJSON {
-				enc := json.NewEncoder(cmd.OutOrStdout())
-				enc.SetIndent("", "  ")
-				return enc.Encode(res)
-			}
-			t := table.NewWriter()
-			t.SetOutputMirror(cmd.OutOrStdout())
-			t.SetStyle(table.StyleLight)
-			t.SetTitle("%d jobs on %d machines, seed %d; %s", res.Jobs, res.Machines, res.Seed, res.Measured)
-			t.AppendHeader(table.Row{"zipf", "placement", "from store", "of least", "from peers", "start p50", "p95", "p99 ms", "makespan s"})
-			for _, w := range res.Workloads {
-				for _, f := range w.Placements {
-					t.AppendRow(table.Row{w.Zipf, f.Name, humanize.Bytes(uint64(f.StoreBytes)), fmt.Sprintf("%.2f", float64(f.StoreBytes)/float64(f.LeastBytes)),
-						humanize.Bytes(uint64(f.PeerBytes)), f.StartP50, f.StartP95, f.StartP99, fmt.Sprintf("%.1f", f.MakespanS)})
+			return play(cmd, asJSON, &l.Progress, l.Run, func(res *experiment.LocalityResult, t table.Writer) {
+				t.SetTitle("%d jobs on %d machines, seed %d; %s", res.Jobs, res.Machines, res.Seed, res.Measured)
+				t.AppendHeader(table.Row{"zipf", "placement", "from store", "of least", "from peers", "start p50", "p95", "p99 ms", "makespan s"})
+				for _, w := range res.Workloads {
+					for _, f := range w.Placements {
+						t.AppendRow(table.Row{w.Zipf, f.Name, humanize.Bytes(uint64(f.StoreBytes)), fmt.Sprintf("%.2f", float64(f.StoreBytes)/float64(f.LeastBytes)),
+							humanize.Bytes(uint64(f.PeerBytes)), f.StartP50, f.StartP95, f.StartP99, fmt.Sprintf("%.1f", f.MakespanS)})
+					}
+					t.AppendSeparator()
 				}
-				t.AppendSeparator()
-			}
-			t.Render()
-			return nil
+			})
 		}}
 	f := cmd.Flags()
 	f.Uint64Var(&l.Seed, "seed", l.Seed, "seed of the jobs")
--- a/controller/core.go
+++ b/controller/core.go
@@ -17,7 +17,6 @@
 	"github.com/jonboulle/clockwork"
 
 	"switchferry/api"
-	"switchferry/courier"
 	"switchferry/evidence"
 	"switchferry/fleet"
 	"switchferry/placement"
@@ -232,8 +231,8 @@
 	queued []placement.Queued
 	// at is the time during a run of the placer; zero outside of it.
 	at time.Time
-	// shelves hold what stands in the mail for the machines behind each sibling.
-	shelves map[string]*courier.Shelf
+	// workerMail holds what stands in the mail for the machines behind each sibling.
+	workerMail *mailroom
 	// data is nil unless datasets are on.
 	data *data
 }
@@ -248,7 +247,7 @@
 	c.silence = evidence.New(c.started, seconds(set.Facts.Workers.LeaseS))
 	c.reached = c.started
 	c.boots = map[string]boot{}
-	c.shelves = map[string]*courier.Shelf{}
+	c.workerMail = newMailroom(c, store.MailPrefix, store.MailKey, c.mailBody)
 	c.aims, c.grace = map[string][]float64{}, map[string][]float64{}
 	for _, o := range set.Facts.Objectives {
 		if o.Kind == "finished" && o.WithinS > 0 {
@@ -661,10 +660,13 @@
 		rec, ok := c.holdsRecord(key)
 		return rec, ok, nil
 	case strings.HasPrefix(key, store.StageMailPrefix):
-		rec, ok := c.stageMail(key)
+		if c.data == nil {
+			return nil, false, nil
+		}
+		rec, ok := c.data.mail.letter(key)
 		return rec, ok, nil
 	case strings.HasPrefix(key, store.MailPrefix):
-		rec, ok := c.mailRecord(key)
+		rec, ok := c.workerMail.letter(key)
 		return rec, ok, nil
 	case strings.HasPrefix(key, store.ShardPrefix):
 		id, shard, ok := store.ParseShardKey(key)
--- a/controller/data.go
+++ b/controller/data.go
@@ -14,7 +14,6 @@
 
 	"switchferry/api"
 	"switchferry/cost"
-	"switchferry/courier"
 	"switchferry/dataset"
 	"switchferry/features"
 	"switchferry/holdings"
@@ -45,10 +44,10 @@
 	// hinted is the version of the index that was last put on record, at hintAt.
 	hinted uint64
 	hintAt time.Time
-	// relayed are the agents whose last report came through a sibling; shelves hold the
+	// relayed are the agents whose last report came through a sibling; mail holds the
 	// orders for those behind each.
 	relayed map[string]*mailed
-	shelves map[string]*courier.Shelf
+	mail    *mailroom
 	// unlisted are datasets that are being removed, or were; inbox is the revision up to
 	// which jobs are known that siblings accepted.
 	unlisted map[string]*dataset.Entry
@@ -71,7 +70,7 @@
 		Peers: set.Placement == features.Local || set.Placement == features.Staged}
 	c.data = &data{set: set, index: index, desk: staging.New(c.term, limits, index), sets: map[string]*dataset.Entry{},
 		snap: index.Snapshot(), stuck: map[string]time.Time{}, waiting: map[string]int{},
-		relayed: map[string]*mailed{}, shelves: map[string]*courier.Shelf{}, unlisted: map[string]*dataset.Entry{}, removing: map[string]string{}}
+		relayed: map[string]*mailed{}, mail: newMailroom(c, store.StageMailPrefix, store.StageMailKey, c.orderBody), unlisted: map[string]*dataset.Entry{}, removing: map[string]string{}}
 }
 
 // weighs tells whether the placer looks at who holds what.
--- a/controller/datarelay.go
+++ b/controller/datarelay.go
@@ -27,7 +27,7 @@
 }
 
 func newAgentRelay(n *Node) *agentRelay {
-	y := &agentRelay{proxy: staging.NewProxy(courier.NewOutbox(n.letterLimits(), uint64(n.clock.Now().UnixMilli())))}
+	y := &agentRelay{proxy: staging.NewProxy(courier.NewOutbox(letterLimits(n.set.Facts.State), uint64(n.clock.Now().UnixMilli())))}
 	y.post = &post{n: n, rate: n.letterRate, up: store.StageRelayKey, down: store.StageMailPrefix + n.set.Member + "/",
 		keep: tuning.RelayStageKeep, mu: &y.mu, box: y.proxy.Box, reader: &y.proxy.Mail,
 		forget: func(now time.Time) { y.proxy.Forget(now, 2*tuning.RelayKeep) },
@@ -77,9 +77,7 @@
 		return
 	}
 	delete(d.relayed, machine)
-	if p := d.shelf(c, was.member).Drop(machine); p >= 0 {
-		c.hooks.Touch(store.StageMailKey(was.member, p), store.Lazy, nil)
-	}
+	d.mail.drop(was.member, machine, true)
 }
 
 // mailOrder puts an agent's order into the mail, if it is not there as it stands.
@@ -91,51 +89,24 @@
 		return
 	}
 	x.order, x.version, x.session = o.Order, o.Known, o.Session
-	c.hooks.Touch(store.StageMailKey(x.member, d.shelf(c, x.member).Part(machine)), store.Ordinary, nil)
-}
-
-// shelf is what stands in the mail for the agents behind a sibling.
-func (d *data) shelf(c *Core, member string) *courier.Shelf {
-	s := d.shelves[member]
-	if s == nil {
-		s = courier.NewShelf(courier.Limits{Value: int(c.set.Facts.State.ValueKB * 1024), Request: tuning.LetterRequest, Ops: c.set.Facts.State.TxnOps})
-		d.shelves[member] = s
-	}
-	return s
+	d.mail.put(x.member, machine)
 }
 
-// stageMail builds one letter of orders; false: there is none of that number.
-func (c *Core) stageMail(key string) (courier.Letter, bool) {
-	member, part, ok := store.ParseLetterKey(store.StageMailPrefix, key)
-	d := c.data
-	if !ok || d == nil || d.shelves[member] == nil {
-		return courier.Letter{}, false
-	}
-	l, touched, tooLarge, err := d.shelves[member].Build(c.term, part, func(machine string) json.RawMessage {
-		o, _, ok := d.desk.Order(machine)
-		if !ok {
-			return nil
-		}
-		raw, err := json.Marshal(o)
-		if err != nil {
-			return nil
-		}
-		return raw
-	})
-	for _, p := range touched {
-		c.hooks.Touch(store.StageMailKey(member, p), store.Ordinary, nil)
-	}
-	for _, m := range tooLarge {
-		slog.Error("an order is too large for the way through the state service; it waits until the agent is within reach", "machine", m)
+// orderBody is what stands in the mail for an agent: its order as it stands now.
+func (c *Core) orderBody(_, machine string) json.RawMessage {
+	o, _, ok := c.data.desk.Order(machine)
+	if !ok {
+		return nil
 	}
+	raw, err := json.Marshal(o)
 	if err != nil {
-		slog.Error("orders not packed", "key", key, "err", err)
-		return l, false
+		slog.Error("an order cannot be encoded", "machine", machine, "err", err)
+		return nil
 	}
-	return l, l.Packed != ""
+	return raw
 }
 
-// agents is the leader's side: it takes in what siblings pass on of agents.
+// agentLetters is the leader's side: it takes in what siblings pass on of agents.
 func (n *Node) agentLetters(ctx context.Context, core *Core, com *store.Committer, after uint64) {
 	n.claimMail(ctx, com, store.StageMailPrefix)
 	n.letters(ctx, store.StageRelayPrefix, after, core.term, core.agentSays)
--- a/controller/datarelay_test.go
+++ b/controller/datarelay_test.go
@@ -119,7 +119,7 @@
 	// Once the agent reaches the leader itself, the mail ends.
 	s.tell(a)
 	s.commit()
-	if s.data.relayed["a1"] != nil || len(s.data.shelves["y"].Members(0)) != 0 {
+	if s.data.relayed["a1"] != nil || len(s.data.mail.shelves["y"].Members(0)) != 0 {
 		t.Error("mail for an agent that is within reach")
 	}
 }
--- a/controller/post.go
+++ b/controller/post.go
@@ -15,17 +15,11 @@
 	"switchferry/tuning"
 )
 
-// limits are what letters through the state service must keep.
-func (n *Node) letterLimits() courier.Limits {
-	f := n.set.Facts.State
-	return courier.Limits{Value: int(f.ValueKB * 1024), Request: tuning.LetterRequest, Ops: f.TxnOps}
-}
-
 // letterRate is what this controller writes of letters, all kinds together: the leader's
 // records come first.
 func letterRate(n *Node) *rate.Limiter {
 	share := tuning.RelayShare * n.set.Facts.State.WriteRPS
-	return rate.NewLimiter(rate.Limit(share), max(n.letterLimits().Letters(), int(share)))
+	return rate.NewLimiter(rate.Limit(share), max(letterLimits(n.set.Facts.State).Letters(), int(share)))
 }
 
 // post carries letters of one kind between this controller and a leader that it does not
--- a/controller/relay.go
+++ b/controller/relay.go
@@ -39,7 +39,7 @@
 }
 
 func newRelay(n *Node) *relay {
-	y := &relay{n: n, workers: map[string]*relayed{}, box: courier.NewOutbox(n.letterLimits(), uint64(n.clock.Now().UnixMilli()))}
+	y := &relay{n: n, workers: map[string]*relayed{}, box: courier.NewOutbox(letterLimits(n.set.Facts.State), uint64(n.clock.Now().UnixMilli()))}
 	y.post = &post{n: n, rate: n.letterRate, up: store.RelayKey, down: store.MailPrefix + n.set.Member + "/",
 		keep: tuning.RelayKeep, mu: &y.mu, box: y.box, reader: &y.mail, forget: y.forget, over: func() { y.begin(0) }}
 	return y
@@ -156,9 +156,7 @@
 	if m.relay == "" {
 		return
 	}
-	if p := c.mailShelf(m.relay).Drop(m.Name); p >= 0 && m.mail != nil {
-		c.hooks.Touch(store.MailKey(m.relay, p), store.Lazy, nil)
-	}
+	c.workerMail.drop(m.relay, m.Name, m.mail != nil)
 	m.relay, m.mail = "", nil
 }
 
@@ -178,38 +176,13 @@
 		}
 		m.mail = raw
 	}
-	c.hooks.Touch(store.MailKey(m.relay, c.mailShelf(m.relay).Part(m.Name)), store.Ordinary, nil)
+	c.workerMail.put(m.relay, m.Name)
 }
 
-func (c *Core) mailShelf(member string) *courier.Shelf {
-	s := c.shelves[member]
-	if s == nil {
-		s = courier.NewShelf(courier.Limits{Value: int(c.set.Facts.State.ValueKB * 1024), Request: tuning.LetterRequest, Ops: c.set.Facts.State.TxnOps})
-		c.shelves[member] = s
-	}
-	return s
-}
-
-// mailRecord builds one letter of commands; false: there is none of that number.
-func (c *Core) mailRecord(key string) (courier.Letter, bool) {
-	member, part, ok := store.ParseLetterKey(store.MailPrefix, key)
-	if !ok || c.shelves[member] == nil {
-		return courier.Letter{}, false
-	}
-	l, touched, tooLarge, err := c.shelves[member].Build(c.term, part, func(name string) json.RawMessage {
-		if m := c.machines[name]; m != nil && m.relay == member {
-			return m.mail
-		}
-		return nil
-	})
-	for _, p := range touched {
-		c.hooks.Touch(store.MailKey(member, p), store.Ordinary, nil)
-	}
-	for _, m := range tooLarge {
-		slog.Error("commands are too many for one letter; they wait until the machine reports directly", "machine", m)
-	}
-	if err != nil {
-		slog.Error("mail not packed", "key", key, "err", err)
+// mailBody is what stands in the mail for a machine behind a sibling.
+func (c *Core) mailBody(member, name string) json.RawMessage {
+	if m := c.machines[name]; m != nil && m.relay == member {
+		return m.mail
 	}
-	return l, l.Packed != ""
+	return nil
 }
--- a/controller/relay_test.go
+++ b/controller/relay_test.go
@@ -31,7 +31,7 @@
 	say(10)
 	mail := func(part int, stamp, seq uint64, verb string) {
 		t.Helper()
-		s := courier.NewShelf(n.letterLimits())
+		s := courier.NewShelf(letterLimits(n.set.Facts.State))
 		s.Part("b1")
 		raw, _ := json.Marshal(store.Mail{Session: 1, Seq: seq, Commands: []api.Command{{Verb: verb, Task: "run-1/0", Attempt: 3}}})
 		l, _, _, err := s.Build(7, 0, func(string) json.RawMessage { return raw })
--- a/courier/courier.go
+++ b/courier/courier.go
@@ -11,17 +11,14 @@
 
 import (
 	"cmp"
-	"encoding/base64"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"maps"
 	"slices"
-	"sync"
 	"time"
 
-	"github.com/klauspost/compress/zstd"
-
+	"switchferry/internal/pack"
 	"switchferry/tuning"
 )
 
@@ -56,43 +53,6 @@
 // text is how many bytes of base64 a letter holds.
 func (l Limits) text() int { return l.Value - tuning.LetterMargin }
 
-var encoder = sync.OnceValues(func() (*zstd.Encoder, error) {
-	return zstd.NewWriter(nil, zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithEncoderConcurrency(1), zstd.WithLowerEncoderMem(true), zstd.WithWindowSize(64<<10))
-})
-
-// pack is the text of some messages.
-func pack(ms []Message) (string, error) {
-	raw, err := json.Marshal(ms)
-	if err != nil {
-		return "", err
-	}
-	z, err := encoder()
-	if err != nil {
-		return "", err
-	}
-	return base64.RawStdEncoding.EncodeToString(z.EncodeAll(raw, nil)), nil
-}
-
-func unpack(text string) ([]Message, error) {
-	raw, err := base64.RawStdEncoding.DecodeString(text)
-	if err != nil {
-		return nil, fmt.Errorf("letter: %w", err)
-	}
-	z, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true), zstd.WithDecoderMaxMemory(tuning.PackMemory))
-	if err != nil {
-		return nil, err
-	}
-	defer z.Close()
-	if raw, err = z.DecodeAll(raw, nil); err != nil {
-		return nil, fmt.Errorf("letter: %w", err)
-	}
-	var ms []Message
-	if err := json.Unmarshal(raw, &ms); err != nil {
-		return nil, fmt.Errorf("letter: %w", err)
-	}
-	return ms, nil
-}
-
 // Outbox is what is to be passed on to the leader of a term. It is not safe for use from
 // several goroutines at once.
 type Outbox struct {
@@ -244,7 +204,7 @@
 			ms = append(ms, Message{name, o.items[name].body})
 			raw += len(o.items[name].body) + len(name)
 		}
-		if text, err = pack(ms); err != nil {
+		if text, err = pack.Fast(ms); err != nil {
 			if n > 1 {
 				n = 1
 				continue
@@ -296,8 +256,10 @@
 // Open gives the messages of a letter, none while pieces are missing. From names the
 // sender's box. A message of which a piece is lost is given up when the next comes.
 func (j *Joiner) Open(from string, l *Letter) ([]Message, error) {
+	var ms []Message
 	if l.Of == 0 {
-		return unpack(l.Packed)
+		err := pack.Unpack(l.Packed, &ms)
+		return ms, err
 	}
 	if l.Of < 0 || l.Of > tuning.LetterPieces || l.Piece < 0 || l.Piece >= l.Of {
 		return nil, fmt.Errorf("letter: piece %d of %d", l.Piece, l.Of)
@@ -325,7 +287,8 @@
 	for _, t := range p.text {
 		whole += t
 	}
-	return unpack(whole)
+	err := pack.Unpack(whole, &ms)
+	return ms, err
 }
 
 // Shelf is what the leader has for the machines behind one sibling, spread over letters of
@@ -388,7 +351,7 @@
 		}
 	}
 	for {
-		text, err := pack(ms)
+		text, err := pack.Fast(ms)
 		if err != nil || len(text) <= s.limits.text() {
 			return Letter{Term: term, Packed: text}, touched, tooLarge, err
 		}
@@ -440,8 +403,7 @@
 	}
 	ms := []Message{}
 	if l.Packed != "" {
-		var err error
-		if ms, err = unpack(l.Packed); err != nil {
+		if err := pack.Unpack(l.Packed, &ms); err != nil {
 			return err
 		}
 	}
--- a/courier/courier_test.go
+++ b/courier/courier_test.go
@@ -7,6 +7,8 @@
 	"math/rand/v2"
 	"testing"
 	"time"
+
+	"switchferry/internal/pack"
 )
 
 var (
@@ -213,7 +215,7 @@
 // count for nothing.
 func TestNewestStateCounts(t *testing.T) {
 	letter := func(term uint64, ms ...Message) *Letter {
-		text, err := pack(ms)
+		text, err := pack.Fast(ms)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/holdings/hint.go
+++ b/holdings/hint.go
@@ -1,14 +1,11 @@
 package holdings
 
 import (
-	"encoding/base64"
-	"encoding/json"
 	"fmt"
-	"sync"
 
 	"github.com/RoaringBitmap/roaring/v2"
-	"github.com/klauspost/compress/zstd"
 
+	"switchferry/internal/pack"
 	"switchferry/tuning"
 )
 
@@ -25,17 +22,9 @@
 	On map[string][]byte `json:"m"`
 }
 
-var codec = sync.OnceValues(func() (*zstd.Encoder, error) {
-	return zstd.NewWriter(nil, zstd.WithEncoderLevel(zstd.SpeedDefault), zstd.WithEncoderConcurrency(1), zstd.WithLowerEncoderMem(true), zstd.WithWindowSize(64<<10))
-})
-
 // PackHint packs what machines hold into at most so many bytes of text. Machines that do
 // not fit are left out, the last ones first; told is how many are in it.
 func PackHint(s *Snapshot, machines []string, number func(string) (Machine, bool), most int) (h Hint, told int, err error) {
-	z, err := codec()
-	if err != nil {
-		return h, 0, err
-	}
 	for n := len(machines); n > 0; n /= 2 {
 		p := packed{}
 		for _, name := range machines[:n] {
@@ -60,11 +49,11 @@
 				p[d] = x
 			}
 		}
-		raw, err := json.Marshal(p)
+		text, err := pack.Small(p)
 		if err != nil {
 			return h, 0, err
 		}
-		if text := base64.RawStdEncoding.EncodeToString(z.EncodeAll(raw, nil)); len(text) <= most {
+		if len(text) <= most {
 			return Hint{text}, n, nil
 		}
 	}
@@ -73,20 +62,8 @@
 
 // Unpack gives what each machine held.
 func (h Hint) Unpack() (map[string]map[string]Holding, error) {
-	raw, err := base64.RawStdEncoding.DecodeString(h.Packed)
-	if err != nil {
-		return nil, fmt.Errorf("hint of holdings: %w", err)
-	}
-	z, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(tuning.PackMemory))
-	if err != nil {
-		return nil, err
-	}
-	defer z.Close()
-	if raw, err = z.DecodeAll(raw, nil); err != nil {
-		return nil, fmt.Errorf("hint of holdings: %w", err)
-	}
 	var p packed
-	if err := json.Unmarshal(raw, &p); err != nil {
+	if err := pack.Unpack(h.Packed, &p); err != nil {
 		return nil, fmt.Errorf("hint of holdings: %w", err)
 	}
 	out := map[string]map[string]Holding{}
