A late commit is read back at once, not waited for; every key read in parallel and again

A transaction sent once more then failed for the first's sake, waited 30 ms, read its keys one after the other, each late as often, and was written again: 73 to 450 ms, and every submission behind it. Hedge now reads the keys in parallel, sends readings again as well, and takes the transaction for done if all hold what was to be written, at one revision; up to three tries, wherever the writer has half of what it may write left. Siblings that accept alone use it too.

--- a/controller/node.go
+++ b/controller/node.go
@@ -65,6 +65,8 @@
 	// reads limits what questions of users take of the state service.
 	reads *rate.Limiter
 
+	// alone writes what is accepted without a leader.
+	alone *store.Hedge
 	// letterRate is what this node writes of letters, of all kinds together.
 	letterRate *rate.Limiter
 	// retries spreads the users that were refused over the time that it takes to take them.
@@ -98,6 +100,8 @@
 	share := tuning.ReadShare * set.Facts.State.RPS / float64(1+len(set.Siblings))
 	n.reads = rate.NewLimiter(rate.Limit(share), max(1, int(share)))
 	n.letterRate = letterRate(n)
+	rest := set.Facts.State.WriteRPS * (1 - tuning.QuotaShare)
+	n.alone = store.NewHedge(n.client, n.clock, rate.NewLimiter(rate.Limit(rest), max(1, int(rest))), set.Facts.State.WriteRPS)
 	var err error
 	n.retries, err = retry.New(tuning.QuotaShare*set.Facts.State.WriteRPS/float64(1+len(set.Siblings)), tuning.RetryAfterS, tuning.RetryAfterMost,
 		tuning.RefusedFor, tuning.RefusedKept)
@@ -760,7 +764,11 @@
 	if forwarded && r.Verb == verbStage {
 		return n.stagePassedOn(r.Body)
 	}
+	from := n.clock.Now()
 	a := n.handle(ctx, r, forwarded)
+	if took := n.clock.Since(from); r.Verb == VerbSubmit && took > tuning.AcceptPatience {
+		slog.Debug("submission answered late", "ms", took.Milliseconds(), "status", a.Status, "forwarded", forwarded, "leading", n.leading() != nil)
+	}
 	if !forwarded && r.Verb == VerbSubmit {
 		n.comeBack(&a, r.Body)
 	}
@@ -1049,7 +1057,7 @@
 	if err != nil {
 		return later("the state service is out of reach")
 	}
-	_, failed, err := n.client.Multi(ctx, append(conds, inputs...),
+	_, failed, err := n.alone.Multi(ctx, append(conds, inputs...),
 		[]store.Op{{Set: store.JobKey(s.ID), Value: rec}, {Set: store.InboxKey(s.ID), Value: store.InboxRecord{}}})
 	switch {
 	case err == nil:
@@ -1083,7 +1091,7 @@
 	}
 	if rec.Final == "" {
 		rec.Final, rec.FinalAt = api.Withdrawn, n.clock.Now().UnixMilli()
-		_, _, err = n.client.Multi(ctx,
+		_, _, err = n.alone.Multi(ctx,
 			[]store.Cond{{Key: store.LeaderKey}, {Key: it.Key, Stamp: it.Stamp}},
 			[]store.Op{{Set: it.Key, Value: rec}})
 		if errors.Is(err, store.ErrConflict) {
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -77,6 +77,7 @@
 	LoseAnswer, HoldNext bool
 	held                 []txn
 	late                 *Late
+	lateRead             *Late
 	// Largest is the largest transaction so far: its changes, its bytes, and
 	// the bytes of its largest value.
 	Largest struct{ Ops, Bytes, Value int }
@@ -230,6 +231,13 @@
 		return s.list(r.URL.Query())
 	case strings.HasPrefix(p, "/store/"):
 		k := strings.TrimPrefix(p, "/store/")
+		if l := s.lateRead; l != nil {
+			s.lateRead = nil
+			close(l.Asked)
+			s.mu.Unlock()
+			<-l.answer
+			s.mu.Lock()
+		}
 		v, ok := s.rows[k]
 		if !ok {
 			return reply(404, map[string]any{"epoch": s.epoch})
@@ -409,6 +417,14 @@
 	return s.late
 }
 
+// LateRead holds back the answer of the next reading of a key until Answer.
+func (s *State) LateRead() *Late {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lateRead = &Late{Asked: make(chan struct{}), answer: make(chan struct{})}
+	return s.lateRead
+}
+
 // answerLate is called, and returns, with the lock held.
 func (s *State) answerLate(l *Late, t txn) (resp *http.Response, err error) {
 	if l.executed {
--- a/store/commit.go
+++ b/store/commit.go
@@ -47,8 +47,7 @@
 	// value is the most bytes of a value.
 	value   int
 	limiter *rate.Limiter
-	// hedges are the changes that may be sent a second time.
-	hedges *rate.Limiter
+	hedge   *Hedge
 
 	mu     sync.Mutex
 	dirty  map[string]*entry
@@ -83,9 +82,10 @@
 func NewCommitter(client *Client, src Source, clock clockwork.Clock, limits settings.State, stamps map[string]uint64) *Committer {
 	writeRPS, ops := limits.WriteRPS, limits.TxnOps
 	burst := max(1, int(writeRPS*tuning.QuotaShare))
+	limiter := rate.NewLimiter(rate.Limit(writeRPS*tuning.QuotaShare), burst)
 	return &Committer{client: client, src: src, clock: clock, ops: min(ops, burst), conds: condsPerOp * ops, value: int(limits.ValueKB * 1024),
-		limiter: rate.NewLimiter(rate.Limit(writeRPS*tuning.QuotaShare), burst),
-		hedges:  rate.NewLimiter(rate.Limit(writeRPS*tuning.HedgeShare), burst),
+		limiter: limiter,
+		hedge:   NewHedge(client, clock, limiter, writeRPS),
 		dirty:   map[string]*entry{}, stamps: stamps, wake: make(chan struct{}, 1)}
 }
 
@@ -228,7 +228,7 @@
 	}
 	if len(ops) > 0 {
 		c.limiter.AllowN(c.clock.Now(), len(ops))
-		epoch, failed, err := c.commit(ctx, conds, ops)
+		epoch, failed, err := c.hedge.Multi(ctx, conds, ops)
 		if errors.Is(err, ErrRefused) {
 			c.refused(used, err)
 			return 0
@@ -291,25 +291,39 @@
 			c.src.Deposed()
 			return tuning.Tick
 		}
-		for _, k := range failed {
-			c.reread(ctx, k, true)
-		}
+		c.reread(ctx, failed, true)
 		return 0
 	case errors.Is(err, ErrUnknown):
 		// It may have been applied, or may be later: learn the keys'
 		// revisions. Should it be applied after this, the next try fails.
 		slog.Info("outcome of a commit is unknown, reading again", "err", err)
-		for _, op := range ops {
-			c.reread(ctx, op.Set+op.Delete, false)
+		keys := make([]string, len(ops))
+		for i, op := range ops {
+			keys[i] = op.Set + op.Delete
 		}
+		c.reread(ctx, keys, false)
 		return again
 	}
 	slog.Error("commit refused", "err", err)
 	return 10 * again
 }
 
-func (c *Committer) reread(ctx context.Context, key string, conflict bool) {
-	it, err := c.client.Get(ctx, key)
+// reread learns the keys' revisions, of all at once: whoever is to be accepted waits behind it.
+func (c *Committer) reread(ctx context.Context, keys []string, conflict bool) {
+	items := make([]Item, len(keys))
+	errs := make([]error, len(keys))
+	var all sync.WaitGroup
+	for i, key := range keys {
+		all.Go(func() { items[i], errs[i] = c.hedge.Get(ctx, key) })
+	}
+	all.Wait()
+	for i, key := range keys {
+		c.learn(key, items[i], errs[i], conflict)
+	}
+}
+
+// learn takes in what reading a key gave.
+func (c *Committer) learn(key string, it Item, err error, conflict bool) {
 	var found *Item
 	c.mu.Lock()
 	known, ours := c.stamps[key]
--- a/tuning/tuning.go
+++ b/tuning/tuning.go
@@ -76,6 +76,9 @@
 	// HedgeAfter is how long a transaction may go unanswered before it is sent once more: a
 	// few times the usual answer of under 10 ms.
 	HedgeAfter = 30 * time.Millisecond
+	// HedgeTries is how often it is sent at the most: with one answer in 25 late, one
+	// transaction in 16,000 is then waited for.
+	HedgeTries = 3
 	// WatchBlock is how long a watch waits for changes. Short, since a watch
 	// stays open through an outage and so hides it.
 	WatchBlock = 2 * time.Second
@@ -165,8 +168,10 @@
 	QuotaShare = 0.8
 	// AsideFor is how long a record is left alone that the state service does not take.
 	AsideFor = 10 * time.Second
-	// HedgeShare is the share of the write limit, inside that, that may go into sending
-	// transactions once more.
+	// HedgeSpare is the share of what a writer may write at once that must be left for
+	// transactions to be sent again.
+	HedgeSpare = 0.5
+	// HedgeShare is the share of the write limit that may go into that with less left.
 	HedgeShare = 0.1
 )
 
