--- a/cli/experiment.go
+++ b/cli/experiment.go
@@ -121,8 +121,10 @@
 				return json.NewEncoder(cmd.OutOrStdout()).Encode(res)
 			}
 			n := float64(res.Jobs)
-			_, err = fmt.Fprintf(cmd.OutOrStdout(), "%s %s: %d jobs, %d in time (%.3f); %d could not be whatever the order; at most %.1f could be (%.3f)\n",
-				res.Class, res.Aim, res.Jobs, res.InTime, float64(res.InTime)/n, res.Alone, res.Most, res.Most/n)
+			_, err = fmt.Fprintf(cmd.OutOrStdout(), "%s %s: %d jobs, %d in time (%.3f); %d could not be whatever the order; at most %.1f could be (%.3f)\n"+
+				"late: %d have a task that alone ran longer, of %d a task was lost, of %d one was stopped, %d waited\n",
+				res.Class, res.Aim, res.Jobs, res.InTime, float64(res.InTime)/n, res.Alone, res.Most, res.Most/n,
+				res.Late.Long, res.Late.Lost, res.Late.Stopped, res.Late.Waited)
 			return err
 		}}
 	f := cmd.Flags()
--- a/controller/core_test.go
+++ b/controller/core_test.go
@@ -261,6 +261,57 @@
 	}
 }
 
+// After a takeover urgent work does not wait until the fleet has reported: it goes where a
+// machine was heard, by stopping what lies there if need be, and what is recorded on the others
+// stays theirs.
+func TestUrgentWorkIsPlacedBeforeAllHaveReported(t *testing.T) {
+	s := newStage(t)
+	names := []string{"a1", "a2", "a3", "b1", "b2", "b3"}
+	for _, name := range names {
+		s.report(name, 1)
+	}
+	s.submit("run-000001", 12, nil)
+	s.Place()
+	s.commit()
+	first := s.sent
+	s.elect()
+	s.submit("run-000002", 1, func(j *api.Submission) { j.Rank, j.Shape, j.EstimateS = "prod", api.Service, 0 })
+	// One machine of six comes back, with both its tasks.
+	var tasks []api.TaskReport
+	for _, o := range first {
+		for _, c := range o.o.Commands {
+			if o.name == "b2" {
+				tasks = append(tasks, task(c.Task, c.Attempt, api.TaskRunning, ""))
+			}
+		}
+	}
+	if len(tasks) != 2 {
+		t.Fatalf("b2 has %d tasks", len(tasks))
+	}
+	s.report("b2", 1, tasks...)
+	s.Place()
+	s.commit()
+	stopped := s.report("b2", 1, tasks...)
+	i := slices.IndexFunc(tasks, func(x api.TaskReport) bool { return has(stopped, api.Stop, x.Task) })
+	if i < 0 {
+		t.Fatalf("nothing is stopped for it: %+v", stopped)
+	}
+	tasks[i].State, tasks[i].Cause = api.TaskEnded, api.CauseStopped
+	s.report("b2", 1, tasks...)
+	s.Place()
+	s.commit()
+	if o := s.report("b2", 1, tasks[1-i]); len(s.starts("run-000002/0")) != 1 && !has(o, api.Start, "run-000002/0") {
+		t.Errorf("not started on the machine that was heard: %+v, %+v", o, s.sent)
+	}
+	for _, o := range s.sent {
+		for _, c := range o.o.Commands {
+			if c.Verb == api.Start && c.Task != "run-000002/0" {
+				t.Errorf("%s is started on %s, and may run on a machine that was not heard", c.Task, o.name)
+			}
+		}
+	}
+}
+
 // The cloud's answer to a return proves that a silent machine's tasks are gone.
 func TestReturnOfSilentMachineFreesItsTasks(t *testing.T) {
 	s := newStage(t)
--- a/experiment/order.go
+++ b/experiment/order.go
@@ -46,6 +46,35 @@
 	InTime int     `json:"in_time"`
 	Alone  int     `json:"impossible_alone"`
 	Most   float64 `json:"most"`
+	// Late are the jobs that were not, by what kept them.
+	Late LateJobs `json:"late"`
+}
+
+// LateJobs counts late jobs by cause, each once, in this order: a task of it alone ran longer
+// than the job may take; a task was lost with its machine or ended without success; one was
+// stopped; or they waited, for room, an image or a machine.
+type LateJobs struct {
+	Long    int `json:"long_task"`
+	Lost    int `json:"task_lost"`
+	Stopped int `json:"task_stopped"`
+	Waited  int `json:"waited"`
+}
+
+func (l *LateJobs) add(j *loggedJob, due float64) {
+	longest := 0.0
+	for _, run := range j.took {
+		longest = math.Max(longest, run)
+	}
+	switch {
+	case longest >= due:
+		l.Long++
+	case j.lost > 0:
+		l.Lost++
+	case j.stopped > 0:
+		l.Stopped++
+	default:
+		l.Waited++
+	}
 }
 
 type loggedJob struct {
@@ -55,6 +84,8 @@
 	due        float64
 	at, over   float64
 	took       map[string]float64
+	// lost and stopped count tasks that ended without being done.
+	lost, stopped int
 }
 
 type loggedRun struct {
@@ -116,6 +147,8 @@
 		res.Jobs++
 		if j.over > 0 && j.over-j.at <= due {
 			res.InTime++
+		} else {
+			res.Late.add(j, due)
 		}
 		x := bound.Job{Arrive: j.at, Due: j.at + due}
 		for _, run := range j.took {
@@ -180,8 +213,14 @@
 		if from, ok := on[task]; ok {
 			delete(on, task)
 			day.runs = append(day.runs, loggedRun{job, from, at})
-			if j := day.jobs[job]; j != nil && kv["cause"] == api.CauseDone {
+			switch j := day.jobs[job]; {
+			case j == nil:
+			case kv["cause"] == api.CauseDone:
 				j.took[task] = at - from
+			case kv["cause"] == api.CauseStopped:
+				j.stopped++
+			default:
+				j.lost++
 			}
 		}
 	}
--- /dev/null
+++ b/experiment/order_test.go
@@ -0,0 +1,45 @@
+package experiment
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+)
+
+// Each late job is counted once, by what kept it; what a job of another class did does not
+// count, nor do jobs of which the log does not tell the end.
+func TestLateJobsByCause(t *testing.T) {
+	var log strings.Builder
+	say := func(at int, rest string) {
+		fmt.Fprintf(&log, "node-0 time=2026-01-01T00:%02d:%02dZ level=DEBUG %s\n", at/60, at%60, rest)
+	}
+	say(0, "msg=fleet cpus=8")
+	for i, class := range []string{"scan", "scan", "scan", "scan", "scan", "other"} {
+		say(1, fmt.Sprintf("msg=\"job accepted\" job=run-%d class=%s tasks=1 cpus=1 rank=normal due_s=20", i, class))
+	}
+	run := func(job, from, to int, end string) {
+		say(from, fmt.Sprintf("msg=\"task running\" task=run-%d/0", job))
+		say(to, fmt.Sprintf("msg=%s task=run-%d/0", end, job))
+		if strings.HasSuffix(end, "cause=done") {
+			say(to, fmt.Sprintf("msg=\"job over\" job=run-%d state=done", job))
+		}
+	}
+	done := `"task ended" cause=done`
+	run(0, 2, 12, done) // in time
+	run(1, 2, 32, done) // longer than its deadline alone
+	run(2, 2, 10, `"task lost" why="its machine is gone"`)
+	run(2, 12, 24, done)
+	run(3, 2, 10, `"task ended" cause=halted`)
+	run(3, 12, 24, done)
+	run(4, 15, 27, done) // waited
+	run(5, 2, 50, done)
+	o := OrderDefaults()
+	o.Class = "scan"
+	res, err := o.Compare(strings.NewReader(log.String()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if want := (LateJobs{1, 1, 1, 1}); res.Late != want || res.Jobs != 5 || res.InTime != 1 || res.Alone != 1 || res.Most > 4 {
+		t.Errorf("%+v, want late %+v, one in time, one impossible", res, want)
+	}
+}
