--- a/cli/experiment.go
+++ b/cli/experiment.go
@@ -21,7 +21,7 @@
 // experimentCommand plays workloads and measures them.
 func experimentCommand() *cobra.Command {
 	cmd := &cobra.Command{Use: "experiment", Short: "Play workloads on this machine and measure them"}
-	cmd.AddCommand(localityCommand(), recoveryCommand(), orderCommand())
+	cmd.AddCommand(localityCommand(), recoveryCommand(), orderCommand(), topologyExperiment())
 	return cmd
 }
 
@@ -172,3 +172,43 @@
 	f.BoolVar(&asJSON, "json", false, "print JSON")
 	return cmd
 }
+
+func topologyExperiment() *cobra.Command {
+	x := experiment.TopologyDefaults()
+	var asJSON bool
+	cmd := &cobra.Command{Use: "topology", Short: "Jobs that must stand near, or survive a rack, under three placements", Args: cobra.NoArgs,
+		Long: "Jobs come and go on a simulated fleet in racks whose switches fail, placed by the leader with a topology, by the leader without one,\n" +
+			"and at random within the same bounds. What could have stood near is decided by a linear program. Machines and time are simulated.",
+		Example: "  switchferry experiment topology --seed 1\n  switchferry experiment topology --machines 1000 --seeds 20 --json | jq .placements",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if x.Machines < 16 || x.Seconds < 1 || x.Seeds < 1 || !(x.Load > 0) {
+				return coded(ExitUsage, errors.New("--machines must be 16 or more; --seconds and --seeds 1 or more; --load above 0"))
+			}
+			slog.SetLogLoggerLevel(slog.LevelError)
+			x.Progress = func(name string, seed uint64) { fmt.Fprintf(cmd.ErrOrStderr(), "%s, seed %d done\n", name, seed) }
+			res, err := x.Run(cmd.Context())
+			if err != nil {
+				return coded(ExitFailed, err)
+			}
+			if asJSON {
+				return json.NewEncoder(cmd.OutOrStdout()).Encode(res)
+			}
+			t := table.NewWriter()
+			t.SetOutputMirror(cmd.OutOrStdout())
+			t.SetStyle(table.StyleLight)
+			t.AppendHeader(table.Row{"placement", "tasks", "violations", "close possible", "close", "wait p95, s", "fragmentation", "decision p50, us", "p99, us"})
+			for _, f := range res.Placements {
+				t.AppendRow(table.Row{f.Name, f.PlacedN, f.Violations, f.ClosePossible, f.CloseTogether, f.WaitP95, fmt.Sprintf("%.3f", f.Fragmentation), fmt.Sprintf("%.0f", f.DecisionP50), fmt.Sprintf("%.0f", f.DecisionP99)})
+			}
+			t.Render()
+			return nil
+		}}
+	f := cmd.Flags()
+	f.Uint64Var(&x.Seed, "seed", x.Seed, "the first seed")
+	f.IntVar(&x.Seeds, "seeds", x.Seeds, "how many seeds are played")
+	f.IntVar(&x.Machines, "machines", x.Machines, "machines of the fleet")
+	f.IntVar(&x.Seconds, "seconds", x.Seconds, "simulated seconds of each seed")
+	f.Float64Var(&x.Load, "load", x.Load, "which part of the fleet's CPUs is asked for")
+	f.BoolVar(&asJSON, "json", false, "print JSON")
+	return cmd
+}
--- a/cli/topology.go
+++ b/cli/topology.go
@@ -57,6 +57,9 @@
 	add("", 0)
 	t.Render()
 	fmt.Fprintf(w, "version %d; %d machines in no domain, %d in two\n", v.Version, v.Lone, v.Ambiguous)
+	for _, x := range v.Reserved {
+		fmt.Fprintf(w, "%s is kept for %s, for about %.0f s\n", x.Domain, x.Job, x.InS)
+	}
 	for _, x := range v.Waiting {
 		fmt.Fprintf(w, "%s: %d tasks wait: %s\n", x.Job, x.Tasks, x.Why)
 	}
--- a/controller/core.go
+++ b/controller/core.go
@@ -82,6 +82,9 @@
 	why  string
 	// aimNext is when it is next looked for where room can be made for it.
 	aimNext time.Time
+	// reserveNext is when it is next looked for what drains for it.
+	reserveNext time.Time
+	kept        string
 }
 
 // assign puts one task on one machine. It stays until that machine is proved
--- a/controller/place.go
+++ b/controller/place.go
@@ -61,7 +61,7 @@
 		return false
 	}
 	until, ok := j.avoid[m.Name]
-	return !ok || c.now().After(until)
+	return (!ok || c.now().After(until)) && !c.keptForOthers(j, m)
 }
 
 // zoneOK tells whether one more task may start in a machine's zone, given
--- a/controller/places.go
+++ b/controller/places.go
@@ -28,6 +28,15 @@
 	Lone      int           `json:"not_named"`
 	Ambiguous int           `json:"named_twice"`
 	Waiting   []WaitingView `json:"waiting"`
+	// Reserved are domains that drain for a job.
+	Reserved []ReservedView `json:"reserved"`
+}
+
+// ReservedView is a domain that is kept for a job until about then, in seconds from now.
+type ReservedView struct {
+	Domain string  `json:"domain"`
+	Job    string  `json:"job"`
+	InS    float64 `json:"in_s"`
 }
 
 // DomainView is one domain; its room is free on machines that may get work now. Silent: it has
@@ -111,7 +120,7 @@
 func (c *Core) Topology() TopologyView {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	v := TopologyView{Domains: []DomainView{}, Waiting: []WaitingView{}}
+	v := TopologyView{Domains: []DomainView{}, Waiting: []WaitingView{}, Reserved: []ReservedView{}}
 	if c.where == nil {
 		return v
 	}
@@ -126,6 +135,9 @@
 		}
 		v.Domains = append(v.Domains, x)
 	}
+	for _, r := range c.where.held.All(c.now()) {
+		v.Reserved = append(v.Reserved, ReservedView{Domain: r.Domain.Name, Job: r.Job, InS: r.At.Sub(c.now()).Seconds()})
+	}
 	for _, j := range c.order {
 		if j.why != "" && len(j.pending) > 0 {
 			v.Waiting = append(v.Waiting, WaitingView{Job: j.id, Tasks: len(j.pending), Why: j.why})
--- a/controller/rent.go
+++ b/controller/rent.go
@@ -244,6 +244,7 @@
 		return nil
 	}
 	want, ordWant := c.wanted()
+	want = math.Max(want, c.sought(now))
 	all, spot := c.supply()
 	inZone := map[string]float64{}
 	for _, m := range c.machines {
--- a/controller/silence.go
+++ b/controller/silence.go
@@ -54,6 +54,9 @@
 	if m.Up {
 		s.Heard = m.Heard
 	}
+	if c.where != nil {
+		s.Domains = c.where.tree.Path(m.Name)
+	}
 	return s
 }
 
@@ -67,7 +70,9 @@
 		}
 	}, c.hooks.Cut)
 	for _, f := range found {
-		if f.IsZone {
+		if f.Domain != "" {
+			slog.Info("most machines of a domain unheard", "domain", f.Domain, "machines", f.Machines, "heard", f.Heard)
+		} else if f.IsZone {
 			slog.Info("most machines of a zone unheard", "zone", f.Zone, "machines", f.Machines, "heard", f.Heard, "controllers_out_of_reach", f.Cut)
 		} else {
 			slog.Info("most machines of one way unheard", "through", f.Via, "machines", f.Machines, "heard", f.Heard)
--- a/controller/topology.go
+++ b/controller/topology.go
@@ -1,10 +1,15 @@
 package controller
 
 import (
+	"cmp"
+	"fmt"
 	"log/slog"
 	"net/http"
+	"slices"
+	"time"
 
 	"switchferry/api"
+	"switchferry/fleet"
 	"switchferry/topology"
 	"switchferry/tuning"
 )
@@ -57,6 +62,8 @@
 	tree *topology.Tree
 	// lone and ambiguous are how many machines were last complained about.
 	lone, ambiguous int
+	seek            topology.Seek
+	held            topology.Reservations
 }
 
 // UseTopology switches near and survive on, before anything is loaded.
@@ -134,6 +141,11 @@
 		j.aimNext = c.now().Add(tuning.AimAgain)
 		ok = j.site.AimWhereRoomIsMade(j.need, len(j.pending), may, func(name string) []int64 { return c.offer(j, c.machines[name]) })
 	}
+	if !ok && j.Job.Shape != api.Array {
+		if kept := c.keepDomain(j, may); kept != "" {
+			why = kept
+		}
+	}
 	if why != j.why {
 		j.why = why
 		if why != "" {
@@ -143,6 +155,127 @@
 	return ok
 }
 
+// stranded are the CPUs of tasks that must stand where no machine with room does, of each job
+// those of as many tasks as could stand on a machine more.
+func (c *Core) stranded() (cpus float64) {
+	for _, j := range c.order {
+		if j.site == nil || len(j.pending) == 0 || !c.ready(j) || !c.withinLimit(j) {
+			continue
+		}
+		bound := false
+		room := false
+		for _, m := range c.machines {
+			if !c.eligible(j, m) || !m.free().Holds(j.need) {
+				continue
+			}
+			if zoneOK(j, m) && j.why == "" {
+				room = true
+				break
+			}
+			bound = true
+		}
+		if bound && !room {
+			n := len(j.pending)
+			if x := j.Job.Survive; x != nil && x.Must {
+				n = min(n, x.AtMost)
+			}
+			cpus += float64(n) * j.need.CPUs
+		}
+	}
+	return cpus
+}
+
+// sought is what the fleet should have at least for tasks without a place, in CPUs.
+func (c *Core) sought(now time.Time) float64 {
+	if c.where == nil {
+		return 0
+	}
+	boot := 0.0
+	for _, t := range c.types {
+		boot = max(boot, t.BootS)
+	}
+	supply, _ := c.supply()
+	return c.where.seek.Ask(now, c.stranded(), supply, seconds(boot))
+}
+
+// keepDomain reserves a domain that drains before a machine boots for a job that has none, and
+// says so.
+func (c *Core) keepDomain(j *job, may func(string) bool) string {
+	if c.now().Before(j.reserveNext) {
+		return j.kept
+	}
+	j.kept = ""
+	j.reserveNext = c.now().Add(tuning.AimAgain)
+	boot := 0.0
+	for _, t := range c.types {
+		if t.Fits(&j.Job) && (boot == 0 || t.BootS < boot) {
+			boot = t.BootS
+		}
+	}
+	d, ms := j.site.Drains(j.need, len(j.pending), may, func(name string) []int64 { return c.frees(j, c.machines[name]) })
+	if d == nil || float64(ms) > boot*1000 {
+		return ""
+	}
+	at := c.now().Add(time.Duration(ms) * time.Millisecond)
+	if c.where.held.Hold(c.now(), topology.Reservation{Job: j.id, Rank: j.rank, Domain: d, At: at}) {
+		j.kept = fmt.Sprintf("%s %q is kept for it until it drains", d.Level, d.Name)
+	}
+	return j.kept
+}
+
+// frees is in how many ms each further task of a job could start on a machine, as what runs
+// there ends by its estimate.
+func (c *Core) frees(j *job, m *machine) (at []int64) {
+	free := m.free()
+	type ending struct {
+		ms   int64
+		room fleet.Room
+	}
+	var ends []ending
+	for _, a := range m.assigns {
+		switch {
+		case a.stop:
+			ends = append(ends, ending{0, a.job.need})
+		case a.job.Job.Shape == api.Service:
+			// It ends only by its user.
+		default:
+			left := estimate(a.job)
+			if !a.running.IsZero() {
+				left = max(tuning.MinRun, left-c.since(a.running).Seconds())
+			}
+			ends = append(ends, ending{int64(left * 1000), a.job.need})
+		}
+	}
+	slices.SortFunc(ends, func(a, b ending) int { return cmp.Compare(a.ms, b.ms) })
+	now := int64(0)
+	for len(at) < len(j.pending) {
+		switch {
+		case free.Holds(j.need):
+			free = free.Sub(j.need)
+			at = append(at, now)
+		case len(ends) > 0:
+			now, free = ends[0].ms, free.Add(ends[0].room)
+			ends = ends[1:]
+		default:
+			return at
+		}
+	}
+	return at
+}
+
+// keptForOthers tells whether a machine stands in a domain that is kept for another job, in
+// whose way this one would be.
+func (c *Core) keptForOthers(j *job, m *machine) bool {
+	if c.where == nil || !c.where.held.Any() {
+		return false
+	}
+	var ends time.Time
+	if j.Job.Shape != api.Service {
+		ends = c.now().Add(seconds(estimate(j) + c.costs(j, 0, m, false).Seconds()))
+	}
+	return c.where.held.Bars(c.now(), c.where.tree.Of(m.Name), j.id, j.rank, ends)
+}
+
 // offer is what each further task of a job costs on a machine, in work that is thrown away,
 // until no more room can be made.
 func (c *Core) offer(j *job, m *machine) (costs []int64) {
--- a/evidence/evidence.go
+++ b/evidence/evidence.go
@@ -18,7 +18,7 @@
 )
 
 // Sighting is when a machine that should report was last heard. It matters where from: a
-// zone is cut as a whole, and so are those that one controller speaks for.
+// zone is cut as a whole, and so are those that one controller speaks for, or one switch.
 type Sighting struct {
 	// Zone is empty while it is not known: of a machine that is on record, but that nobody
 	// heard and the cloud does not list. It is most likely gone, and its kind is no zone.
@@ -28,6 +28,9 @@
 	Via string
 	// Heard is its last report of this term; zero: none.
 	Heard time.Time
+	// Domains are those that the machine stands in, if a topology is declared: racks,
+	// switches. No controller stands in one of them alone.
+	Domains []string
 	// Quiet is how long it may say nothing without anything being wrong.
 	Quiet time.Duration
 }
@@ -39,16 +42,16 @@
 	// beat is when the leader last did its rounds; woke is the end of its last
 	// standstill.
 	beat, woke time.Time
-	// zones and ways are when most of a zone, or most of those that came one way, were
-	// last unheard.
-	zones, ways map[string]time.Time
-	shares      map[string]float64
-	sizes       map[string]int
+	// zones, ways and domains are when most of a zone, of those that came one way, or of a
+	// domain were last unheard.
+	zones, ways, domains map[string]time.Time
+	shares               map[string]float64
+	sizes                map[string]int
 }
 
 // New begins a term whose workers' lease is so long.
 func New(now time.Time, lease time.Duration) *Silence {
-	return &Silence{lease: lease, started: now, beat: now, zones: map[string]time.Time{}, ways: map[string]time.Time{}, shares: map[string]float64{}, sizes: map[string]int{}}
+	return &Silence{lease: lease, started: now, beat: now, zones: map[string]time.Time{}, ways: map[string]time.Time{}, domains: map[string]time.Time{}, shares: map[string]float64{}, sizes: map[string]int{}}
 }
 
 // Beat notes that the leader does its rounds. A gap that no load explains is a standstill,
@@ -72,11 +75,11 @@
 // machines there were.
 func (s *Silence) Share(zone string) (float64, int) { return s.shares[zone], s.sizes[zone] }
 
-// Finding is a zone or a way most of which is unheard, anew.
+// Finding is a zone, a domain or a way most of which is unheard, anew.
 type Finding struct {
-	// Zone or Via names it.
-	Zone, Via string
-	IsZone    bool
+	// Zone, Domain or Via names it; Domain and IsZone tell which it is.
+	Zone, Domain, Via string
+	IsZone            bool
 	// Of so many machines that should report, so many are heard.
 	Machines, Heard int
 	// Cut: none of the zone's controllers is within reach.
@@ -87,7 +90,7 @@
 // all out of reach. The findings are those to be told of, in the order of their names.
 func (s *Silence) Look(now time.Time, each func(yield func(Sighting)), cut func(zone string) bool) (found []Finding) {
 	type count struct{ all, heard int }
-	zones, ways := map[string]*count{}, map[string]*count{}
+	zones, ways, domains := map[string]*count{}, map[string]*count{}, map[string]*count{}
 	add := func(in map[string]*count, key string, heard bool) {
 		n := in[key]
 		if n == nil {
@@ -107,6 +110,9 @@
 		if !m.Heard.IsZero() {
 			add(ways, m.Via, heard)
 		}
+		for _, d := range m.Domains {
+			add(domains, d, heard)
+		}
 	})
 	clear(s.shares)
 	clear(s.sizes)
@@ -120,15 +126,23 @@
 			s.zones[zone] = now
 		}
 	}
-	for way, n := range ways {
-		if n.all > 1 && 2*n.heard < n.all {
-			if last, ok := s.ways[way]; !ok || now.Sub(last) > s.lease {
-				found = append(found, Finding{Via: way, Machines: n.all, Heard: n.heard})
+	most := func(of map[string]*count, at map[string]time.Time, tell func(key string) Finding) {
+		for key, n := range of {
+			if n.all > 1 && 2*n.heard < n.all {
+				if last, ok := at[key]; !ok || now.Sub(last) > s.lease {
+					f := tell(key)
+					f.Machines, f.Heard = n.all, n.heard
+					found = append(found, f)
+				}
+				at[key] = now
 			}
-			s.ways[way] = now
 		}
 	}
-	slices.SortFunc(found, func(a, b Finding) int { return cmp.Or(cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.Via, b.Via)) })
+	most(ways, s.ways, func(key string) Finding { return Finding{Via: key} })
+	most(domains, s.domains, func(key string) Finding { return Finding{Domain: key} })
+	slices.SortFunc(found, func(a, b Finding) int {
+		return cmp.Or(cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.Domain, b.Domain), cmp.Compare(a.Via, b.Via))
+	})
 	return found
 }
 
@@ -151,6 +165,14 @@
 		// next one in half a lease. Past a whole one nothing on them lives any more.
 		from = latest(from, s.ways[m.Via])
 	}
+	if since <= s.lease {
+		// A switch is more likely down than all machines behind it: their tasks go on, and
+		// are still there if it comes back before their leases end. After that nothing on
+		// them lives, and they are given up like any.
+		for _, d := range m.Domains {
+			from = latest(from, s.domains[d])
+		}
+	}
 	if since <= 2*s.lease {
 		from = latest(from, s.woke)
 	}
--- a/evidence/evidence_test.go
+++ b/evidence/evidence_test.go
@@ -195,3 +195,69 @@
 		t.Errorf("given up %v, want the 60 that are gone", lost)
 	}
 }
+
+// A switch that falls silent with all behind it is left until the leases there have ended, and
+// so costs nothing if it returns before; one machine of it alone is given up like any, and so
+// is half a rack. After a change of leader it is the same for machines known from records.
+func TestSilentDomainIsLeftForALease(t *testing.T) {
+	start := time.Unix(1_800_000_000, 0)
+	for _, c := range []struct {
+		name    string
+		silent  int
+		of      int
+		elected bool
+		// after how long the first is given up.
+		want time.Duration
+	}{
+		{"one of ten", 1, 10, false, silent},
+		{"half of them", 5, 10, false, silent},
+		{"all", 10, 10, false, lease},
+		{"all, and the leader changes", 10, 10, true, lease},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			now := start
+			s := New(now, lease)
+			heard := map[int]time.Time{}
+			for i := range 60 {
+				heard[i] = now
+			}
+			sighting := func(i int) Sighting {
+				m := Sighting{Zone: "z", Heard: heard[i], Quiet: 7500 * time.Millisecond}
+				if i < c.of {
+					m.Domains = []string{"rack-1", "room-1"}
+				} else if i < 40 {
+					m.Domains = []string{"rack-2", "room-1"}
+				}
+				return m
+			}
+			if c.elected {
+				s = New(now, lease)
+				for i := range c.silent {
+					heard[i] = time.Time{}
+				}
+			}
+			var given time.Duration
+			for given == 0 && now.Before(start.Add(3*lease)) {
+				now = now.Add(500 * time.Millisecond)
+				for i := c.silent; i < 60; i++ {
+					heard[i] = now
+				}
+				s.Beat(now)
+				s.Look(now, func(yield func(Sighting)) {
+					for i := range 60 {
+						yield(sighting(i))
+					}
+				}, func(string) bool { return false })
+				if now.Sub(s.Since(now, sighting(0))) > silent {
+					given = now.Sub(start)
+				}
+				if given == 0 && now.Sub(s.Since(now, sighting(20))) > 0 {
+					t.Fatal("one that reports is silent")
+				}
+			}
+			if given < c.want || given > c.want+time.Second {
+				t.Errorf("given up after %s, want %s", given, c.want)
+			}
+		})
+	}
+}
--- a/topology/site.go
+++ b/topology/site.go
@@ -122,6 +122,15 @@
 	return s.target != nil
 }
 
+// Drains finds the domain that has room for a job first, and in how long, as offer tells of each
+// machine when each further task could start there.
+func (s *Site) Drains(need fleet.Room, n int, may func(machine string) bool, offer func(machine string) []int64) (*Domain, int64) {
+	if s.near == nil || s.together.total > 0 {
+		return nil, 0
+	}
+	return s.tree.Soonest(s.near.Level, Ask{need, n, may, s.survive}, offer)
+}
+
 // Allows tells whether one more task may stand on a machine. Whatever may still run counts, so
 // no bound is passed while something moves, or after a change of leader.
 func (s *Site) Allows(machine string) bool {
--- a/topology/topology.go
+++ b/topology/topology.go
@@ -64,6 +64,8 @@
 	// In is the domain that this one is in; nil: none.
 	In       *Domain
 	patterns []string
+	// path names it and those that it is in.
+	path []string
 }
 
 // Devices are the cards of a machine. Linked are the sets that share a fast link, each
@@ -172,6 +174,11 @@
 			}
 		}
 	}
+	for _, d := range m.domains {
+		for x := d; x != nil; x = x.In {
+			d.path = append(d.path, x.Name)
+		}
+	}
 	m.devices = f.Devices
 	if len(bad) > 0 {
 		return nil, errors.Join(bad...)
--- a/topology/tree.go
+++ b/topology/tree.go
@@ -130,6 +130,14 @@
 	return d
 }
 
+// Path names the domains that a machine stands in, innermost first. It must not be changed.
+func (t *Tree) Path(machine string) []string {
+	if d := t.Of(machine); d != nil {
+		return d.path
+	}
+	return nil
+}
+
 // Key names what falls together with a machine at a level: its domain there, or, where
 // it stands in none, the machine itself.
 func (t *Tree) Key(machine, level string) string {
@@ -228,13 +236,24 @@
 // order in which they would come, up to as many as could be; 0 where room is free. It is
 // cheapest as far as taking the least next cost is, machine by machine.
 func (t *Tree) Cheapest(level string, a Ask, offer func(machine string) []int64) *Domain {
+	d, _ := t.least(level, a, offer, func(sum, _ int64) int64 { return sum })
+	return d
+}
+
+// Soonest finds the domain, at a level or further in, that has room for all tasks first, and
+// when; nil: none has. Offer tells when each further task on a machine could start.
+func (t *Tree) Soonest(level string, a Ask, offer func(machine string) []int64) (*Domain, int64) {
+	return t.least(level, a, offer, func(_, last int64) int64 { return last })
+}
+
+// least finds the domain whose tasks' costs come to the least; total makes that of their sum
+// and the last one.
+func (t *Tree) least(level string, a Ask, offer func(machine string) []int64, total func(sum, last int64) int64) (best *Domain, least int64) {
 	type step struct {
 		cost int64
 		key  string
 	}
 	offers := map[*leaf][]int64{}
-	var best *Domain
-	var least int64
 	for _, d := range t.on.domains {
 		if depth[d.Level] < depth[level] {
 			continue
@@ -265,7 +284,7 @@
 		}
 		slices.SortFunc(steps, func(x, y step) int { return cmp.Compare(x.cost, y.cost) })
 		here := map[string]int{}
-		n, sum := 0, int64(0)
+		n, sum, last := 0, int64(0), int64(0)
 		for _, s := range steps {
 			if n == a.Tasks {
 				break
@@ -274,13 +293,16 @@
 				continue
 			}
 			here[s.key]++
-			n, sum = n+1, sum+s.cost
+			n, sum, last = n+1, sum+s.cost, s.cost
+		}
+		if n < a.Tasks {
+			continue
 		}
-		if n == a.Tasks && (best == nil || sum < least || sum == least && t.before(d, best)) {
-			best, least = d, sum
+		if x := total(sum, last); best == nil || x < least || x == least && t.before(d, best) {
+			best, least = d, x
 		}
 	}
-	return best
+	return best, least
 }
 
 // before tells whether d is the better place of two that hold a job: further in, then
--- a/tuning/tuning.go
+++ b/tuning/tuning.go
@@ -168,6 +168,16 @@
 	QuotaShare = 0.8
 	// AsideFor is how long a record is left alone that the state service does not take.
 	AsideFor = 10 * time.Second
+	// ReservedFor is how long a domain stays reserved without being asked for again, some rounds;
+	// ReservedMost is how many are at once: each keeps room empty that others wait for.
+	ReservedFor  = 3 * time.Second
+	ReservedMost = 4
+	// SeekAfterBoot is how long a machine that was rented for a task without a place may take to
+	// report and get it, beyond its boot; SeekPause and SeekPauseMost are the pauses between such
+	// tries: a rack may be free at any time, but each try in vain costs a boot.
+	SeekAfterBoot = 30 * time.Second
+	SeekPause     = 2 * time.Minute
+	SeekPauseMost = time.Hour
 	// AimAgain is how long it is not looked again for where room can be made for a job that must
 	// stand near: all machines are looked at for that.
 	AimAgain = time.Second
