--- a/topology/topology_test.go
+++ b/topology/topology_test.go
@@ -103,7 +103,12 @@
 		// Without a switch of its own, and without any domain, it falls alone.
 		{"n-3a", Switch, "machine n-3a"}, {"x-1", Zone, "machine x-1"}, {"n-1a", Machine, "machine n-1a"},
 	} {
-		if got := tr.Key(c.machine, c.level); got != c.key {
+		at := tr.Place(c.machine, c.level)
+		got := Machine + " " + at.Machine
+		if at.Domain != nil {
+			got = at.Domain.Level + " " + at.Domain.Name
+		}
+		if got != c.key {
 			t.Errorf("%s at %s: %s, want %s", c.machine, c.level, got, c.key)
 		}
 	}
--- a/topology/tree.go
+++ b/topology/tree.go
@@ -138,17 +138,23 @@
 	return nil
 }
 
-// Key names what falls together with a machine at a level: its domain there, or, where
-// it stands in none, the machine itself.
-func (t *Tree) Key(machine, level string) string {
+// Place is what falls together with a machine at a level: its domain there, or, where it stands
+// in none, the machine itself.
+type Place struct {
+	Domain  *Domain
+	Machine string
+}
+
+// Place is a machine's at a level.
+func (t *Tree) Place(machine, level string) Place {
 	if level != Machine {
-		if d := t.Of(machine); d != nil {
-			if at := d.At(level); at != nil {
-				return level + " " + at.Name
+		for d := t.Of(machine); d != nil; d = d.In {
+			if d.Level == level {
+				return Place{Domain: d}
 			}
 		}
 	}
-	return Machine + " " + machine
+	return Place{Machine: machine}
 }
 
 // Free is a domain's free room, Usable how many of its machines may get work, Machines how
@@ -169,10 +175,10 @@
 // Fit is how many of the tasks a domain has room for at once, machine by machine.
 func (t *Tree) Fit(d *Domain, a Ask) int {
 	n := 0
-	var here map[string]int
+	var here map[Place]int
 	capped := a.Cap != nil && a.Cap.Must
 	if capped {
-		here = map[string]int{}
+		here = map[Place]int{}
 	}
 	for l := range t.sums[d].machines {
 		if !l.usable || a.May != nil && !a.May(l.name) {
@@ -180,7 +186,7 @@
 		}
 		k := l.free.Times(a.Need)
 		if capped {
-			key := t.Key(l.name, a.Cap.Level)
+			key := t.Place(l.name, a.Cap.Level)
 			k = min(k, a.Cap.Most-here[key])
 			here[key] += k
 		}
@@ -251,7 +257,7 @@
 func (t *Tree) least(level string, a Ask, offer func(machine string) []int64, total func(sum, last int64) int64) (best *Domain, least int64) {
 	type step struct {
 		cost int64
-		key  string
+		at   Place
 	}
 	offers := map[*leaf][]int64{}
 	for _, d := range t.on.domains {
@@ -268,31 +274,31 @@
 				costs = offer(l.name)
 				offers[l] = costs
 			}
-			key := ""
+			var at Place
 			if a.Cap != nil && a.Cap.Must {
-				key = t.Key(l.name, a.Cap.Level)
+				at = t.Place(l.name, a.Cap.Level)
 			}
 			worst := int64(0)
 			for _, c := range costs {
 				// What comes later on a machine cannot be had first.
 				worst = max(worst, c)
-				steps = append(steps, step{worst, key})
+				steps = append(steps, step{worst, at})
 			}
 		}
 		if len(steps) < a.Tasks {
 			continue
 		}
 		slices.SortFunc(steps, func(x, y step) int { return cmp.Compare(x.cost, y.cost) })
-		here := map[string]int{}
+		here := map[Place]int{}
 		n, sum, last := 0, int64(0), int64(0)
 		for _, s := range steps {
 			if n == a.Tasks {
 				break
 			}
-			if s.key != "" && here[s.key] >= a.Cap.Most {
+			if s.at != (Place{}) && here[s.at] >= a.Cap.Most {
 				continue
 			}
-			here[s.key]++
+			here[s.at]++
 			n, sum, last = n+1, sum+s.cost, s.cost
 		}
 		if n < a.Tasks {
@@ -335,24 +341,24 @@
 type Spread struct {
 	tree  *Tree
 	level string
-	count map[string]int
+	count map[Place]int
 	total int
 }
 
 // NewSpread counts nothing yet.
 func (t *Tree) NewSpread(level string) *Spread {
-	return &Spread{tree: t, level: level, count: map[string]int{}}
+	return &Spread{tree: t, level: level, count: map[Place]int{}}
 }
 
 // Add counts a replica on a machine, Remove takes one that is proved gone away.
 func (s *Spread) Add(machine string) {
-	s.count[s.tree.Key(machine, s.level)]++
+	s.count[s.tree.Place(machine, s.level)]++
 	s.total++
 }
 
 // Remove is the reverse of Add.
 func (s *Spread) Remove(machine string) {
-	k := s.tree.Key(machine, s.level)
+	k := s.tree.Place(machine, s.level)
 	if s.count[k]--; s.count[k] <= 0 {
 		delete(s.count, k)
 	}
@@ -360,7 +366,7 @@
 }
 
 // Here is how many stand where a machine stands.
-func (s *Spread) Here(machine string) int { return s.count[s.tree.Key(machine, s.level)] }
+func (s *Spread) Here(machine string) int { return s.count[s.tree.Place(machine, s.level)] }
 
 // Most is the largest number in one domain.
 func (s *Spread) Most() int {
