--- a/cli/experiment.go
+++ b/cli/experiment.go
@@ -9,6 +9,8 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"slices"
+	"strings"
 	"syscall"
 
 	"github.com/dustin/go-humanize"
@@ -184,6 +186,9 @@
 			if x.Machines < 16 || x.Seconds < 1 || x.Seeds < 1 || !(x.Load > 0) {
 				return coded(ExitUsage, errors.New("--machines must be 16 or more; --seconds and --seeds 1 or more; --load above 0"))
 			}
+			if x.Only != "" && !slices.Contains(experiment.TopologyPlacements, x.Only) {
+				return coded(ExitUsage, fmt.Errorf("--only: must be one of %s, not %q", strings.Join(experiment.TopologyPlacements, ", "), x.Only))
+			}
 			slog.SetLogLoggerLevel(slog.LevelError)
 			x.Progress = func(name string, seed uint64) { fmt.Fprintf(cmd.ErrOrStderr(), "%s, seed %d done\n", name, seed) }
 			res, err := x.Run(cmd.Context())
@@ -208,6 +213,7 @@
 	f.IntVar(&x.Seeds, "seeds", x.Seeds, "how many seeds are played")
 	f.IntVar(&x.Machines, "machines", x.Machines, "machines of the fleet")
 	f.IntVar(&x.Seconds, "seconds", x.Seconds, "simulated seconds of each seed")
+	f.StringVar(&x.Only, "only", "", "play one placement alone: topology, today or random")
 	f.Float64Var(&x.Load, "load", x.Load, "which part of the fleet's CPUs is asked for")
 	f.BoolVar(&asJSON, "json", false, "print JSON")
 	return cmd
--- a/controller/topology_test.go
+++ b/controller/topology_test.go
@@ -334,6 +334,38 @@
 	y.commit()
 }
 
+// Where a bound can no longer be kept for all replicas, as a rack has left, what runs goes on, the
+// rest waits and says why, and it heals once there is a rack again.
+func TestSurviveHealsWhenARackReturns(t *testing.T) {
+	y := newYard(t, 3, 2)
+	y.submit("run-000001", 3, service(nil, &api.Survive{Level: "rack", AtMost: 1, Must: true}))
+	y.turn()
+	y.turn()
+	left := slices.Clone(y.names[:2])
+	y.names = y.names[2:]
+	for _, name := range left {
+		y.runs[name] = map[string]uint64{}
+	}
+	for range 16 {
+		y.turn()
+		y.Returned(y.Tend(), nil)
+	}
+	if n, by := y.standing("run-000001"); n != 2 || by["a2"] != 1 || by["a3"] != 1 {
+		t.Fatalf("stand %v", by)
+	}
+	if x, _ := y.Explain("run-000001"); x.Waiting != 1 || !strings.Contains(strings.Join(x.Why, ";"), "4 stand where it must not") {
+		t.Errorf("%+v", x)
+	}
+	y.names = append(y.names, "a1-9")
+	y.runs["a1-9"] = map[string]uint64{}
+	for range 3 {
+		y.turn()
+	}
+	if n, by := y.standing("run-000001"); n != 3 || by["a1"] != 1 {
+		t.Errorf("not healed: %v", by)
+	}
+}
+
 // A switch that fails and returns within a lease costs no restart, and gets no work meanwhile;
 // one that stays away is given up after it, and what ran there starts elsewhere, once.
 func TestSilentRackIsOneFailure(t *testing.T) {
--- a/experiment/topology.go
+++ b/experiment/topology.go
@@ -35,10 +35,15 @@
 	// part of the fleet that is asked for on average.
 	Machines, Seconds int
 	Load              float64
+	// Only is the one placement that is played; "": all.
+	Only string
 	// Progress is told after each seed; nil: nobody.
 	Progress func(name string, seed uint64)
 }
 
+// TopologyPlacements are what is compared.
+var TopologyPlacements = []string{"topology", "today", "random"}
+
 // TopologyDefaults are a run of a minute or two.
 func TopologyDefaults() *Topology {
 	return &Topology{Seed: 1, Seeds: 3, Machines: 300, Seconds: 300, Load: 1}
@@ -143,7 +148,10 @@
 // Run plays all placements.
 func (x *Topology) Run(ctx context.Context) (*TopologyResult, error) {
 	res := &TopologyResult{Machines: x.Machines, Seeds: x.Seeds}
-	for _, name := range []string{"topology", "today", "random"} {
+	for _, name := range TopologyPlacements {
+		if x.Only != "" && x.Only != name {
+			continue
+		}
 		f := TopologyFigures{Name: name}
 		waits, decisions := hdrhistogram.New(1, 3_600_000, 3), hdrhistogram.New(1, 60_000_000_000, 3)
 		frag, fragN := 0.0, 0
