One type for what jobs ask of places, one runner and table of experiments, no second reading

Read again, the change had the wishes near and survive in two types with a conversion, its own runner of an experiment beside play, tables and checks of ids written again, the topology file read twice at start, a search for what may be stopped beside makeRoom's, and reservations that nobody asks for any more still weighed at each start.

--- a/cli/client.go
+++ b/cli/client.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"time"
 
+	"github.com/jedib0t/go-pretty/v6/table"
 	"github.com/spf13/cobra"
 
 	"switchferry/api"
@@ -113,13 +114,29 @@
 	return err
 }
 
+// checkID tells what a job's id must look like.
+func checkID(id string) error {
+	if !api.ValidID(id) {
+		return coded(ExitUsage, fmt.Errorf("%q is no job id; they look like run-000412", id))
+	}
+	return nil
+}
+
+// newTable is a table as all commands print them.
+func newTable(w io.Writer) table.Writer {
+	t := table.NewWriter()
+	t.SetOutputMirror(w)
+	t.SetStyle(table.StyleLight)
+	return t
+}
+
 func jobCommand(use, short, method, suffix string) *cobra.Command {
 	var c client
 	cmd := &cobra.Command{Use: use + " JOB", Short: short, Args: cobra.ExactArgs(1),
 		Example: "  switchferry " + use + " run-000412 --node 10.0.0.1:8080 --node 10.0.0.2:8080",
 		RunE: func(cmd *cobra.Command, args []string) error {
-			if !api.ValidID(args[0]) {
-				return coded(ExitUsage, fmt.Errorf("%q is no job id; they look like run-000412", args[0]))
+			if err := checkID(args[0]); err != nil {
+				return err
 			}
 			return c.run(cmd, method, "/submissions/"+args[0]+suffix, nil)
 		}}
--- a/cli/data.go
+++ b/cli/data.go
@@ -128,9 +128,7 @@
 		if len(rows) == 0 {
 			return
 		}
-		t := table.NewWriter()
-		t.SetOutputMirror(w)
-		t.SetStyle(table.StyleLight)
+		t := newTable(w)
 		t.AppendHeader(head)
 		t.AppendRows(rows)
 		t.Render()
--- a/cli/experiment.go
+++ b/cli/experiment.go
@@ -57,9 +57,7 @@
 		enc.SetIndent("", "  ")
 		return enc.Encode(res)
 	}
-	t := table.NewWriter()
-	t.SetOutputMirror(cmd.OutOrStdout())
-	t.SetStyle(table.StyleLight)
+	t := newTable(cmd.OutOrStdout())
 	draw(res, t)
 	t.Render()
 	return nil
@@ -189,24 +187,12 @@
 			if x.Only != "" && !slices.Contains(experiment.TopologyPlacements, x.Only) {
 				return coded(ExitUsage, fmt.Errorf("--only: must be one of %s, not %q", strings.Join(experiment.TopologyPlacements, ", "), x.Only))
 			}
-			slog.SetLogLoggerLevel(slog.LevelError)
-			x.Progress = func(name string, seed uint64) { fmt.Fprintf(cmd.ErrOrStderr(), "%s, seed %d done\n", name, seed) }
-			res, err := x.Run(cmd.Context())
-			if err != nil {
-				return coded(ExitFailed, err)
-			}
-			if asJSON {
-				return json.NewEncoder(cmd.OutOrStdout()).Encode(res)
-			}
-			t := table.NewWriter()
-			t.SetOutputMirror(cmd.OutOrStdout())
-			t.SetStyle(table.StyleLight)
-			t.AppendHeader(table.Row{"placement", "tasks", "violations", "close possible", "close", "wait p95, s", "fragmentation", "decision p50, us", "p99, us"})
-			for _, f := range res.Placements {
-				t.AppendRow(table.Row{f.Name, f.PlacedN, f.Violations, f.ClosePossible, f.CloseTogether, f.WaitP95, fmt.Sprintf("%.3f", f.Fragmentation), fmt.Sprintf("%.0f", f.DecisionP50), fmt.Sprintf("%.0f", f.DecisionP99)})
-			}
-			t.Render()
-			return nil
+			return play(cmd, asJSON, &x.Progress, x.Run, func(res *experiment.TopologyResult, t table.Writer) {
+				t.AppendHeader(table.Row{"placement", "tasks", "violations", "close possible", "close", "wait p95, s", "fragmentation", "decision p50, us", "p99, us"})
+				for _, f := range res.Placements {
+					t.AppendRow(table.Row{f.Name, f.PlacedN, f.Violations, f.ClosePossible, f.CloseTogether, f.WaitP95, fmt.Sprintf("%.3f", f.Fragmentation), fmt.Sprintf("%.0f", f.DecisionP50), fmt.Sprintf("%.0f", f.DecisionP99)})
+				}
+			})
 		}}
 	f := cmd.Flags()
 	f.Uint64Var(&x.Seed, "seed", x.Seed, "the first seed")
--- a/cli/serve.go
+++ b/cli/serve.go
@@ -105,17 +105,18 @@
 	cmd.Flags().StringVar(&f.features, "features", "", "the features file (TOML), like deploy/features.toml; without it all are off")
 }
 
-func (f *files) load() (*settings.Settings, *policy.Policy, *features.Features, error) {
+// load reads and checks all files; where is nil unless the features name a topology.
+func (f *files) load() (set *settings.Settings, pol *policy.Policy, on *features.Features, where *topology.File, err error) {
 	if f.config == "" {
-		return nil, nil, nil, coded(ExitUsage, errors.New("--config is missing"))
+		return nil, nil, nil, nil, coded(ExitUsage, errors.New("--config is missing"))
 	}
-	set, err := settings.Load(f.config)
+	set, err = settings.Load(f.config)
 	pol, perr := policy.Load(f.policy)
 	on, ferr := features.Load(f.features)
 	if ferr == nil && on.Topology.File != "" {
-		_, ferr = topology.Open(on.Topology.File)
+		where, ferr = topology.Open(on.Topology.File)
 	}
-	return set, pol, on, coded(ExitUsage, errors.Join(err, perr, ferr))
+	return set, pol, on, where, coded(ExitUsage, errors.Join(err, perr, ferr))
 }
 
 func checkCommand() *cobra.Command {
@@ -123,7 +124,7 @@
 	cmd := &cobra.Command{Use: "check --config FILE [--policy FILE] [--features FILE]", Short: "Check settings, policy and features without starting", Args: cobra.NoArgs,
 		Example: "  switchferry check --config node.toml --policy night.policy --features deploy/features.toml",
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			if _, _, _, err := f.load(); err != nil {
+			if _, _, _, _, err := f.load(); err != nil {
 				return err
 			}
 			if _, err := logLevel(); err != nil {
@@ -168,7 +169,7 @@
 		return err
 	}
 	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})))
-	set, pol, on, err := f.load()
+	set, pol, on, where, err := f.load()
 	if err != nil {
 		return err
 	}
@@ -186,13 +187,7 @@
 	n := controller.NewNode(ctx, set, pol, clockwork.NewRealClock(), controller.Transport(set, budget))
 	n.Keep(budget)
 	n.Enable(on)
-	if on.Topology.File != "" {
-		where, err := topology.Open(on.Topology.File)
-		if err != nil {
-			return coded(ExitUsage, err)
-		}
-		n.PlaceBy(where)
-	}
+	n.PlaceBy(where)
 	go n.Run(budget.Listen(back, sockets.Sibling))
 	return coded(ExitFailed, httpapi.Serve(ctx, budget.Listen(front, sockets.New), httpapi.New(n, budget), budget))
 }
--- a/cli/topology.go
+++ b/cli/topology.go
@@ -10,7 +10,6 @@
 	"github.com/jedib0t/go-pretty/v6/table"
 	"github.com/spf13/cobra"
 
-	"switchferry/api"
 	"switchferry/controller"
 )
 
@@ -23,7 +22,8 @@
 			if printed, err := c.answer(cmd, http.MethodGet, "/topology", nil, &v, topologyOff); err != nil || printed {
 				return err
 			}
-			return showTopology(cmd.OutOrStdout(), &v)
+			showTopology(cmd.OutOrStdout(), &v)
+			return nil
 		}}
 	c.flags(cmd)
 	return cmd
@@ -34,10 +34,8 @@
 	return coded(ExitRefused, errors.New("no topology is declared: name its file under [topology] in the features file, and start the controllers with --features"))
 }
 
-func showTopology(w io.Writer, v *controller.TopologyView) error {
-	t := table.NewWriter()
-	t.SetOutputMirror(w)
-	t.SetStyle(table.StyleLight)
+func showTopology(w io.Writer, v *controller.TopologyView) {
+	t := newTable(w)
 	t.AppendHeader(table.Row{"domain", "level", "machines", "that get work", "free CPUs", "cards", "memory GB", ""})
 	inner := map[string][]controller.DomainView{}
 	for _, d := range v.Domains {
@@ -63,7 +61,6 @@
 	for _, x := range v.Waiting {
 		fmt.Fprintf(w, "%s: %d tasks wait: %s\n", x.Job, x.Tasks, x.Why)
 	}
-	return nil
 }
 
 func explainCommand() *cobra.Command {
@@ -71,8 +68,8 @@
 	cmd := &cobra.Command{Use: "explain JOB", Short: "Tell where a job's tasks stand, and why others wait", Args: cobra.ExactArgs(1),
 		Example: "  switchferry explain run-000412 --node 10.0.0.1:8080\n  switchferry explain run-000412 --json | jq -r '.why[]'",
 		RunE: func(cmd *cobra.Command, args []string) error {
-			if !api.ValidID(args[0]) {
-				return coded(ExitUsage, fmt.Errorf("%q is no job id; they look like run-000412", args[0]))
+			if err := checkID(args[0]); err != nil {
+				return err
 			}
 			var x controller.Explanation
 			printed, err := c.answer(cmd, http.MethodGet, "/submissions/"+args[0]+"/explanation", nil, &x, func(why string) error {
--- a/controller/core.go
+++ b/controller/core.go
@@ -466,10 +466,8 @@
 
 // unqueue takes a job out of all queues.
 func (c *Core) unqueue(j *job) {
-	for _, m := range c.machines {
-		m.queue = slices.DeleteFunc(m.queue, func(q *queue) bool { return q.job == j })
-	}
-	j.pending, j.queued = nil, 0
+	c.takeBack(j)
+	j.pending = nil
 }
 
 func (c *Core) machine(name string) *machine {
--- a/controller/place.go
+++ b/controller/place.go
@@ -130,12 +130,6 @@
 		defer c.stage()
 	}
 	c.lookAround()
-	for _, j := range c.order {
-		if j.Job.Near != nil && j.site != nil && j.queued > 0 && len(j.live) == 0 {
-			// Where it goes is chosen anew: a domain may have filled up since.
-			c.takeBack(j)
-		}
-	}
 	for _, j := range c.order {
 		if len(j.pending) == 0 || !c.ready(j) || !c.aimed(j) {
 			continue
@@ -491,6 +485,16 @@
 	return stays.CPUs+tuning.RoomSlack >= t.CPUs && stays.Cards+tuning.RoomSlack >= t.Cards
 }
 
+// stoppable is what may be stopped on a machine for a job, in no order.
+func (c *Core) stoppable(j *job, m *machine) (can []*assign) {
+	for _, a := range m.assigns {
+		if !a.stop && a.seen && c.mayStop(a, j) {
+			can = append(can, a)
+		}
+	}
+	return can
+}
+
 // makeRoom finds what to stop so that one task fits, and of that what loses the
 // least. False: it cannot be done.
 func (c *Core) makeRoom(j *job, m *machine) (leaving, victims []*assign, ok bool) {
@@ -499,13 +503,10 @@
 	if free.Holds(j.need) {
 		return leaving, nil, true
 	}
-	var can []*assign
+	can := c.stoppable(j, m)
 	most := free
-	for _, a := range m.assigns {
-		if !a.stop && a.seen && c.mayStop(a, j) {
-			can = append(can, a)
-			most = most.Add(a.job.need)
-		}
+	for _, a := range can {
+		most = most.Add(a.job.need)
 	}
 	if !most.Holds(j.need) {
 		return nil, nil, false
--- a/controller/topology.go
+++ b/controller/topology.go
@@ -14,7 +14,7 @@
 	"switchferry/tuning"
 )
 
-// PlaceBy switches topology on; it is called before Run.
+// PlaceBy switches topology on, unless the file is nil; it is called before Run.
 func (n *Node) PlaceBy(f *topology.File) { n.topology = f }
 
 // checkSite reads what a submission asks of where its tasks stand, and whether that can be.
@@ -22,27 +22,16 @@
 	if s.Near, s.Survive, err = api.ParseSite(body, s.Tasks); err != nil {
 		return http.StatusBadRequest, err
 	}
-	near, survive := wishes(s)
 	if s.Shape == api.Array {
 		// Its tasks can run a few at a time.
 		return 0, nil
 	}
-	if why := topology.Contradict(near, survive, s.Tasks); why != "" {
+	if why := topology.Contradict(s.Near, s.Survive, s.Tasks); why != "" {
 		return http.StatusUnprocessableEntity, &api.FieldError{Field: "survive", Want: why}
 	}
 	return 0, nil
 }
 
-func wishes(s *api.Submission) (near *topology.Near, survive *topology.Survive) {
-	if x := s.Near; x != nil {
-		near = &topology.Near{Level: x.Level, Must: x.Must}
-	}
-	if x := s.Survive; x != nil {
-		survive = &topology.Survive{Level: x.Level, Most: x.AtMost, Must: x.Must}
-	}
-	return near, survive
-}
-
 // watchTopology takes new versions of the file while the node runs.
 func (n *Node) watchTopology() {
 	for n.ctx.Err() == nil {
@@ -93,7 +82,7 @@
 	if c.where == nil {
 		return
 	}
-	j.site = c.where.tree.NewSite(wishes(&j.Job))
+	j.site = c.where.tree.NewSite(j.Job.Near, j.Job.Survive)
 }
 
 // roomChanged keeps the summed room of domains.
@@ -115,10 +104,18 @@
 	if c.where == nil {
 		return
 	}
+	w := c.where
 	for _, m := range c.machines {
 		c.roomChanged(m)
 	}
-	w := c.where
+	for _, j := range c.order {
+		if j.Job.Near != nil && j.queued > 0 && len(j.live) == 0 {
+			// Where it goes is chosen anew: a domain may have filled up since.
+			c.takeBack(j)
+		}
+	}
+	// Else each start would be weighed against reservations that nobody asks for any more.
+	w.held.Expire(c.now())
 	if l, a := w.tree.Lone(), w.tree.Ambiguous(); l > w.lone || a > w.ambiguous {
 		w.lone, w.ambiguous = l, a
 		slog.Warn("machines that the topology does not name stand alone; of those that two domains name the first counts", "not_named", l, "named_twice", a)
@@ -280,12 +277,7 @@
 // until no more room can be made.
 func (c *Core) offer(j *job, m *machine) (costs []int64) {
 	free, _ := m.roomSoon()
-	var can []*assign
-	for _, a := range m.assigns {
-		if !a.stop && a.seen && c.mayStop(a, j) {
-			can = append(can, a)
-		}
-	}
+	can := c.stoppable(j, m)
 	c.leastFirst(can)
 	cost := int64(0)
 	for len(costs) < len(j.pending) {
--- a/experiment/topology.go
+++ b/experiment/topology.go
@@ -37,8 +37,8 @@
 	Load              float64
 	// Only is the one placement that is played; "": all.
 	Only string
-	// Progress is told after each seed; nil: nobody.
-	Progress func(name string, seed uint64)
+	// Progress is told after each seed.
+	Progress func(format string, a ...any)
 }
 
 // TopologyPlacements are what is compared.
@@ -46,7 +46,7 @@
 
 // TopologyDefaults are a run of a minute or two.
 func TopologyDefaults() *Topology {
-	return &Topology{Seed: 1, Seeds: 3, Machines: 300, Seconds: 300, Load: 1}
+	return &Topology{Seed: 1, Seeds: 3, Machines: 300, Seconds: 300, Load: 1, Progress: func(string, ...any) {}}
 }
 
 // TopologyResult has a figure for each placement.
@@ -182,9 +182,7 @@
 				w.clock.Advance(time.Second)
 			}
 			f.PlacedN += w.placed
-			if x.Progress != nil {
-				x.Progress(name, seed)
-			}
+			x.Progress("%s, seed %d done", name, seed)
 		}
 		f.WaitP95 = float64(waits.ValueAtQuantile(95)) / 1000
 		f.DecisionP50, f.DecisionP99 = float64(decisions.ValueAtQuantile(50))/1000, float64(decisions.ValueAtQuantile(99))/1000
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -233,10 +233,7 @@
 		k := strings.TrimPrefix(p, "/store/")
 		if l := s.lateRead; l != nil {
 			s.lateRead = nil
-			close(l.Asked)
-			s.mu.Unlock()
-			<-l.answer
-			s.mu.Lock()
+			s.hold(l)
 		}
 		v, ok := s.rows[k]
 		if !ok {
@@ -425,15 +422,20 @@
 	return s.lateRead
 }
 
+// hold waits until the answer may go; it is called, and returns, with the lock held.
+func (s *State) hold(l *Late) {
+	close(l.Asked)
+	s.mu.Unlock()
+	<-l.answer
+	s.mu.Lock()
+}
+
 // answerLate is called, and returns, with the lock held.
 func (s *State) answerLate(l *Late, t txn) (resp *http.Response, err error) {
 	if l.executed {
 		resp, err = s.apply(t)
 	}
-	close(l.Asked)
-	s.mu.Unlock()
-	<-l.answer
-	s.mu.Lock()
+	s.hold(l)
 	if !l.executed {
 		resp, err = s.apply(t)
 	}
--- a/topology/reserve.go
+++ b/topology/reserve.go
@@ -26,7 +26,7 @@
 // Hold asks for a domain, or asks again. False: another job has it or one within or around it,
 // or as many are held as may be.
 func (r *Reservations) Hold(now time.Time, x Reservation) bool {
-	r.expire(now)
+	r.Expire(now)
 	mine := -1
 	for i, h := range r.held {
 		switch {
@@ -62,7 +62,8 @@
 	return b
 }
 
-func (r *Reservations) expire(now time.Time) {
+// Expire forgets those that nobody asked for again.
+func (r *Reservations) Expire(now time.Time) {
 	kept := r.held[:0]
 	for _, h := range r.held {
 		if now.Before(h.until) {
@@ -89,6 +90,6 @@
 
 // All are those held now.
 func (r *Reservations) All(now time.Time) []Reservation {
-	r.expire(now)
+	r.Expire(now)
 	return r.held
 }
--- a/topology/site.go
+++ b/topology/site.go
@@ -3,31 +3,17 @@
 import (
 	"fmt"
 
+	"switchferry/api"
 	"switchferry/fleet"
 )
 
-// Near asks that a job's tasks stand in one domain of a level, or further in. Must: it waits
-// rather than stand apart; else it stands apart where no domain has room for it.
-type Near struct {
-	Level string
-	Must  bool
-}
-
-// Survive asks that at most Most of a job's tasks stand in one domain of a level. Must: a task
-// waits rather than be one more; else it only goes there last.
-type Survive struct {
-	Level string
-	Most  int
-	Must  bool
-}
-
 // Site is where the tasks of one job stand, or may still stand, and where more of them may. It
 // is counted by machines' names, so it is the same for the next leader, which knows a task from
 // its record and has not heard its machine.
 type Site struct {
 	tree    *Tree
-	near    *Near
-	survive *Survive
+	near    *api.Near
+	survive *api.Survive
 	// together counts tasks by what near keeps in one place, apart by what survive bounds.
 	together, apart *Spread
 	on              map[string]int
@@ -40,7 +26,7 @@
 }
 
 // NewSite makes one for a job without tasks. Without any wish it is nil.
-func (t *Tree) NewSite(near *Near, survive *Survive) *Site {
+func (t *Tree) NewSite(near *api.Near, survive *api.Survive) *Site {
 	if near == nil && survive == nil {
 		return nil
 	}
@@ -134,7 +120,7 @@
 // Allows tells whether one more task may stand on a machine. Whatever may still run counts, so
 // no bound is passed while something moves, or after a change of leader.
 func (s *Site) Allows(machine string) bool {
-	if s.survive != nil && s.survive.Must && !s.apart.Allows(machine, s.survive.Most) {
+	if s.survive != nil && s.survive.Must && !s.apart.Allows(machine, s.survive.AtMost) {
 		return false
 	}
 	if s.target != nil {
@@ -173,10 +159,10 @@
 
 // Contradict tells why a job of so many tasks that run at once can never stand as it asks; "":
 // it can.
-func Contradict(near *Near, survive *Survive, tasks int) string {
-	if near == nil || survive == nil || !near.Must || !survive.Must || depth[survive.Level] > depth[near.Level] || tasks <= survive.Most {
+func Contradict(near *api.Near, survive *api.Survive, tasks int) string {
+	if near == nil || survive == nil || !near.Must || !survive.Must || depth[survive.Level] > depth[near.Level] || tasks <= survive.AtMost {
 		return ""
 	}
 	return fmt.Sprintf("must stand in one %s, so %d tasks are in one %s and at most %d may be; make one of the two a wish (\"must\": false)",
-		near.Level, tasks, survive.Level, survive.Most)
+		near.Level, tasks, survive.Level, survive.AtMost)
 }
--- a/topology/tree.go
+++ b/topology/tree.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 
+	"switchferry/api"
 	"switchferry/fleet"
 )
 
@@ -169,7 +170,7 @@
 	Need  fleet.Room
 	Tasks int
 	May   func(machine string) bool
-	Cap   *Survive
+	Cap   *api.Survive
 }
 
 // Fit is how many of the tasks a domain has room for at once, machine by machine.
@@ -187,7 +188,7 @@
 		k := l.free.Times(a.Need)
 		if capped {
 			key := t.Place(l.name, a.Cap.Level)
-			k = min(k, a.Cap.Most-here[key])
+			k = min(k, a.Cap.AtMost-here[key])
 			here[key] += k
 		}
 		if n += k; n >= a.Tasks {
@@ -295,7 +296,7 @@
 			if n == a.Tasks {
 				break
 			}
-			if s.at != (Place{}) && here[s.at] >= a.Cap.Most {
+			if s.at != (Place{}) && here[s.at] >= a.Cap.AtMost {
 				continue
 			}
 			here[s.at]++
