Jobs await others: a pure graph of what waits, limits that sink, members marked by version

A job waits until the done of all that it awaits is on record; a cancellation is decided by its one record, what follows from it is derived by whoever is asked. What is stored keeps the announced limits from the first; the rate of changes sinks at the first refusal. Until every member's mark of data version 2 is on record, records stay as version 1 writes them and awaits is answered with Retry-After.

--- a/api/api.go
+++ b/api/api.go
@@ -77,6 +77,8 @@
 	Checkpoint float64  `json:"snapshot_s"`
 	SaveS      float64  `json:"stow_s"`
 	DeadlineS  float64  `json:"due_s,omitempty"`
+	// Awaits are the jobs that must be done before any task of this one starts.
+	Awaits []string `json:"awaits,omitempty"`
 	// Inputs are the datasets that tasks need; none unless that feature is on.
 	Inputs []Input `json:"inputs,omitempty"`
 	// Near and Survive say where tasks stand; nil unless that feature is on.
@@ -181,6 +183,9 @@
 	num("snapshot_s", &s.Checkpoint, false, false)
 	num("stow_s", &s.SaveS, false, false)
 	num("due_s", &s.DeadlineS, true, false)
+	if v, ok := raw["awaits"]; ok {
+		awaits(v, &s, fail)
+	}
 	id := s.ID
 	if !ValidID(id) {
 		id = ""
@@ -191,6 +196,25 @@
 	return &s, id, nil
 }
 
+// awaits takes in the jobs that a submission waits for.
+func awaits(raw json.RawMessage, s *Submission, fail func(field, want string)) {
+	const want = "must be a list of one or more job ids like run-000412, or be left out"
+	if json.Unmarshal(raw, &s.Awaits) != nil || len(s.Awaits) == 0 {
+		fail("awaits", want)
+		return
+	}
+	seen := map[string]bool{}
+	for _, id := range s.Awaits {
+		switch {
+		case !ValidID(id):
+			fail("awaits", fmt.Sprintf("%.60q is no job id; "+want, id))
+		case seen[id]:
+			fail("awaits", id+" stands twice")
+		}
+		seen[id] = true
+	}
+}
+
 // JobStatus answers a user.
 type JobStatus struct {
 	ID      string `json:"name_id"`
--- a/controller/core.go
+++ b/controller/core.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"maps"
 	"math"
 	"slices"
 	"strconv"
@@ -19,6 +20,7 @@
 	"switchferry/api"
 	"switchferry/evidence"
 	"switchferry/fleet"
+	"switchferry/pipeline"
 	"switchferry/placement"
 	"switchferry/policy"
 	"switchferry/settings"
@@ -48,8 +50,10 @@
 	queued  int
 	// moved counts how often a task was stopped to make room.
 	moved map[int]int
-	// shards that have a record.
-	shards map[int]bool
+	// shards that have a record, or are to get one.
+	shards map[store.Shard]bool
+	// resizing: they are being written in another size.
+	resizing bool
 	// errors counts machines on which it failed since a task of it completed, and
 	// paces it; failedOn are all of them; avoid is until when they get no task of it.
 	errors   int
@@ -64,6 +68,12 @@
 	withdrawn time.Time
 	// latest orders it among those of its rank.
 	latest int64
+	// waits: jobs that it awaits are not known to be done, so none of its tasks is pending.
+	// began is when it came, or the last of those was done, in ms on the clock of At. reach is
+	// what it has to keep for the sake of those behind it; it is only set while there are some.
+	waits bool
+	began int64
+	reach pipeline.Stage
 	// beyond is 1 unless the job is within its team's guarantee.
 	beyond int
 	// entitled: it was within the guarantee when this leader first looked, so it
@@ -175,8 +185,9 @@
 	Delay func() time.Duration
 	// Cut tells whether no controller in a zone can be reached.
 	Cut func(zone string) bool
-	// Final tells that a job is over for good.
+	// Final tells that a job is over for good; Ended is what is remembered of that.
 	Final func(id string, f store.FinalRecord)
+	Ended func(id string) (store.FinalRecord, bool)
 }
 
 // Core is the leader's state in one term.
@@ -246,6 +257,9 @@
 	workerMail *mailroom
 	// data is nil unless datasets are on.
 	data *data
+	// shardTasks is how many tasks share a record that is written now.
+	shardTasks int
+	pipes      *pipes
 }
 
 // NewCore makes the state of a term.
@@ -253,7 +267,8 @@
 	c := &Core{term: term, clock: clock, set: set, policy: pol, hooks: hooks,
 		types: map[string]*api.MachineType{}, jobs: map[string]*job{}, machines: map[string]*machine{},
 		gone: map[string]time.Time{}, toPush: map[*machine]bool{}, use: map[string]fleet.Room{}, leaving: map[string]fleet.Room{}, hints: map[string][]fleet.Image{}, refusals: map[pool]time.Time{},
-		wake: make(chan struct{}, 1), started: clock.Now()}
+		wake: make(chan struct{}, 1), started: clock.Now(), shardTasks: tuning.ShardTasks}
+	c.pipes = newPipes(c)
 	c.heard = c.started
 	c.silence = evidence.New(c.started, seconds(set.Facts.Workers.LeaseS))
 	c.reached = c.started
@@ -337,7 +352,7 @@
 		cmp.Compare(b.rank, a.rank),
 		cmp.Compare(b.sure(), a.sure()),
 		cmp.Compare(a.latest, b.latest),
-		cmp.Compare(a.At, b.At),
+		cmp.Compare(a.began, b.began),
 		strings.Compare(a.id, b.id))
 }
 
@@ -352,6 +367,7 @@
 		}
 	}
 	waiting := 0.0
+	c.pipes.reach()
 	for _, j := range c.order {
 		if j.Final == "" && len(j.pending)+j.queued > 0 {
 			waiting++
@@ -376,10 +392,10 @@
 // markGuaranteed tells the jobs that fit into their team's guarantee together
 // with the team's earlier unfinished ones: these need not wait for other teams.
 func (c *Core) markGuaranteed() {
-	slices.SortFunc(c.order, func(a, b *job) int { return cmp.Compare(a.At, b.At) })
+	slices.SortFunc(c.order, func(a, b *job) int { return cmp.Compare(a.began, b.began) })
 	sum := map[string]fleet.Room{}
 	for _, j := range c.order {
-		if j.Final != "" {
+		if j.Final != "" || j.waits {
 			continue
 		}
 		n := float64(j.total - j.done)
@@ -400,32 +416,39 @@
 // that can no longer be in time yields to those that can.
 func (c *Core) latestStart(j *job, now int64) int64 {
 	run := int64(estimate(j) * 1000)
-	for _, due := range c.dues(j) {
-		if t := j.At + int64(due*1000) - run; t >= now {
+	dues := j.reach.DuesMS
+	if dues == nil {
+		dues = c.dues(j)
+	}
+	for _, due := range dues {
+		if t := due - run; t >= now {
 			return t
 		}
 	}
 	return math.MaxInt64
 }
 
-// dues are the times from its arrival by which a job should be complete, sooner
-// first: its own deadline, and the multiples of it that its class has aims for,
-// or, without a deadline, the aims of its class. A job that missed the first one
-// still has the next to meet.
-func (c *Core) dues(j *job) []float64 {
+// dues are the times by which a job should be complete, in ms, sooner first: its own
+// deadline, and the multiples of it that its class has aims for, or, without a deadline, the
+// aims of its class. A job that missed the first one still has the next to meet. A deadline
+// counts from the submission, aims from when the job could start.
+func (c *Core) dues(j *job) (out []int64) {
 	if j.Job.DeadlineS <= 0 {
-		return c.aims[j.Job.Class]
+		for _, s := range c.aims[j.Job.Class] {
+			out = append(out, j.began+int64(s*1000))
+		}
+		return out
 	}
-	out := []float64{j.Job.DeadlineS}
+	out = append(out, j.At+int64(j.Job.DeadlineS*1000))
 	for _, times := range c.grace[j.Job.Class] {
-		out = append(out, times*j.Job.DeadlineS)
+		out = append(out, j.At+int64(times*j.Job.DeadlineS*1000))
 	}
 	return out
 }
 
 func (c *Core) addJob(rec store.JobRecord, accepted bool) *job {
 	j := &job{JobRecord: rec, id: rec.Job.ID, total: rec.Job.Tasks, rank: rec.Job.RankLevel(), need: fleet.Of(&rec.Job), accepted: accepted, changed: make(chan struct{}),
-		bits: store.NewBits(rec.Job.Tasks), live: map[int]*assign{}, shards: map[int]bool{}, avoid: map[string]time.Time{}, failedOn: map[string]bool{}, moved: map[int]int{}, arrived: c.now()}
+		bits: store.NewBits(rec.Job.Tasks), live: map[int]*assign{}, shards: map[store.Shard]bool{}, began: rec.At, avoid: map[string]time.Time{}, failedOn: map[string]bool{}, moved: map[int]int{}, arrived: c.now()}
 	if j.Final != "" {
 		// Its user was told by then, if at all; an earlier version left no time.
 		j.withdrawn = j.arrived
@@ -544,15 +567,19 @@
 	if j.Final != "" || j.bits.Has(task) {
 		return
 	}
+	if j.waits {
+		return
+	}
 	j.pending = append(j.pending, int32(task))
 	c.kick()
 }
 
 // touchShard stores the record of a task's shard.
 func (c *Core) touchShard(j *job, task int, after func()) {
-	shard := task / tuning.ShardTasks
+	c.resize(j)
+	shard := store.ShardOf(j.id, task, c.shardTasks)
 	j.shards[shard] = true
-	c.hooks.Touch(store.ShardKey(j.id, shard), j.urgency(), after)
+	c.hooks.Touch(shard.Key(), j.urgency(), after)
 }
 
 // urgency is how urgent the records of a job's tasks are. A guest's array of 25,000
@@ -626,17 +653,23 @@
 		urgency = j.urgency()
 	}
 	c.hooks.Touch(store.JobKey(j.id), urgency, c.locked(func() {
-		j.stored = true
-		c.hooks.Final(j.id, c.final(j))
-		j.notify()
-		for _, f := range j.told {
-			f()
-		}
-		j.told = nil
-		c.settle(j)
+		c.overNow(j)
 	}))
 }
 
+// overNow: the final state is on record, or follows from what is.
+func (c *Core) overNow(j *job) {
+	j.stored = true
+	c.hooks.Final(j.id, c.final(j))
+	j.notify()
+	for _, f := range j.told {
+		f()
+	}
+	j.told = nil
+	c.pipes.over(j.id, j.Final)
+	c.settle(j)
+}
+
 func (c *Core) final(j *job) store.FinalRecord {
 	return store.FinalRecord{State: j.Final, Tasks: j.done}
 }
@@ -653,7 +686,7 @@
 		c.dropJob(j)
 		c.hooks.Touch(store.JobKey(j.id), store.Lazy, func() {
 			for s := range j.shards {
-				c.hooks.Touch(store.ShardKey(j.id, s), store.Lazy, nil)
+				c.hooks.Touch(s.Key(), store.Lazy, nil)
 			}
 		})
 	}))
@@ -699,13 +732,14 @@
 		rec, ok := c.workerMail.letter(key)
 		return rec, ok, nil
 	case strings.HasPrefix(key, store.ShardPrefix):
-		id, shard, ok := store.ParseShardKey(key)
-		j := c.jobs[id]
-		if !ok || j == nil {
+		shard, ok := store.ParseShard(key)
+		j := c.jobs[shard.Job]
+		if !ok || j == nil || !j.shards[shard] {
 			return nil, false, nil
 		}
 		rec := store.ShardRecord{Done: j.bits.Pack(shard)}
-		for t := shard * tuning.ShardTasks; t < min(j.total, (shard+1)*tuning.ShardTasks); t++ {
+		from, to := shard.Range(j.total)
+		for t := from; t < to; t++ {
 			if a := j.live[t]; a != nil {
 				rec.On = append(rec.On, store.Placed{Task: t, Machine: a.machine.Name, Attempt: a.attempt})
 			}
@@ -728,9 +762,52 @@
 			c.addJob(rec, true)
 		}
 	}
+	if err := c.loadShards(shards); err != nil {
+		return err
+	}
+	all := slices.Clone(c.order)
+	for _, j := range all {
+		for t := range j.total {
+			if j.bits.Has(t) {
+				j.done++
+			}
+		}
+		if j.Final != "" {
+			j.stored = true
+			c.hooks.Final(j.id, c.final(j))
+		}
+	}
+	for _, j := range all {
+		// One of these may have ended with another already.
+		if j.Final == "" && !c.pipes.enter(j) {
+			j.open()
+		}
+	}
+	for _, j := range all {
+		switch {
+		case j.Final != "":
+			for _, a := range j.live {
+				c.stopTask(a, 0, "job is over")
+			}
+			c.settle(j)
+		case j.done == j.total && j.Job.Shape != api.Service:
+			c.finish(j, api.Done)
+		}
+	}
+	c.loaded = true
+	c.kick()
+	slog.Info("records loaded", "jobs", len(c.jobs))
+	return nil
+}
+
+// loadShards takes in the records of tasks. Of a task that stands in several, of shards of
+// another size, the newest tells where it is: the others are what has not been deleted yet.
+func (c *Core) loadShards(shards []store.Item) error {
+	on := map[string]map[int]store.Placed{}
+	slices.SortFunc(shards, func(a, b store.Item) int { return cmp.Or(cmp.Compare(a.Stamp, b.Stamp), strings.Compare(a.Key, b.Key)) })
 	for _, it := range shards {
-		id, shard, ok := store.ParseShardKey(it.Key)
-		j := c.jobs[id]
+		shard, ok := store.ParseShard(it.Key)
+		j := c.jobs[shard.Job]
 		if !ok || j == nil {
 			c.hooks.Touch(it.Key, store.Lazy, nil)
 			continue
@@ -743,40 +820,77 @@
 		if err := j.bits.Unpack(shard, rec.Done); err != nil {
 			return fmt.Errorf("record %s is damaged: %w", it.Key, err)
 		}
+		if on[j.id] == nil {
+			on[j.id] = map[int]store.Placed{}
+		}
+		from, to := shard.Range(j.total)
+		for t := from; t < to; t++ {
+			delete(on[j.id], t)
+		}
 		for _, p := range rec.On {
-			if p.Task < 0 || p.Task >= j.total || j.bits.Has(p.Task) || j.live[p.Task] != nil {
+			if p.Task >= from && p.Task < to {
+				on[j.id][p.Task] = p
+			}
+		}
+	}
+	for id, placed := range on {
+		j := c.jobs[id]
+		for _, t := range slices.Sorted(maps.Keys(placed)) {
+			if j.bits.Has(t) {
 				continue
 			}
 			// It may run there, or its command was never sent: until the
 			// machine proves otherwise it counts as running.
-			a := c.hold(j, p.Task, c.machine(p.Machine), p.Attempt)
+			a := c.hold(j, t, c.machine(placed[t].Machine), placed[t].Attempt)
 			a.committed, a.sent = true, true
 		}
 	}
-	for _, j := range slices.Clone(c.order) {
-		for t := range j.total {
-			if j.bits.Has(t) {
-				j.done++
-			} else if j.live[t] == nil && j.Final == "" {
-				j.pending = append(j.pending, int32(t))
-			}
+	return nil
+}
+
+// resize writes what a job has in records of another size into such of the size that is
+// written now, and then deletes those: which of them a crash leaves behind makes no difference.
+func (c *Core) resize(j *job) {
+	var old []store.Shard
+	for s := range j.shards {
+		if s.Size != c.shardTasks {
+			old = append(old, s)
 		}
-		switch {
-		case j.Final != "":
-			j.stored = true
-			c.hooks.Final(j.id, c.final(j))
-			for _, a := range j.live {
-				c.stopTask(a, 0, "job is over")
-			}
-			c.settle(j)
-		case j.done == j.total && j.Job.Shape != api.Service:
-			c.finish(j, api.Done)
+	}
+	if len(old) == 0 || j.resizing {
+		return
+	}
+	j.resizing = true
+	fresh := map[store.Shard]bool{}
+	for t := range j.total {
+		if j.bits.Has(t) || j.live[t] != nil {
+			fresh[store.ShardOf(j.id, t, c.shardTasks)] = true
 		}
 	}
-	c.loaded = true
-	c.kick()
-	slog.Info("records loaded", "jobs", len(c.jobs))
-	return nil
+	left := len(fresh) + 1
+	stored := func() {
+		if left--; left > 0 {
+			return
+		}
+		j.resizing = false
+		for _, s := range old {
+			delete(j.shards, s)
+			c.hooks.Touch(s.Key(), store.Lazy, nil)
+		}
+	}
+	for s := range fresh {
+		j.shards[s] = true
+		c.hooks.Touch(s.Key(), j.urgency(), c.locked(stored))
+	}
+	stored()
+}
+
+// SizeRecords sets how many tasks share a record from now on; those that stand are written
+// anew when something of them changes.
+func (c *Core) SizeRecords(tasks int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.shardTasks = tasks
 }
 
 // Committed sends what a commit has set free, in one command a machine.
--- a/controller/core_test.go
+++ b/controller/core_test.go
@@ -69,6 +69,7 @@
 		Delay: func() time.Duration { return s.com.Delay() },
 		Cut:   func(zone string) bool { return zone == s.cutZone },
 		Final: func(id string, f store.FinalRecord) { s.finals[id] = f },
+		Ended: func(id string) (store.FinalRecord, bool) { f, ok := s.finals[id]; return f, ok },
 	}
 	s.Core = NewCore(term, s.clock, set, policy.Default(), testTypes, hooks)
 	if s.topo != nil {
@@ -195,7 +196,7 @@
 func TestStartIsStoredBeforeItIsSent(t *testing.T) {
 	s := newStage(t)
 	st := s.started("run-000001")
-	if s.state.Get(store.ShardKey("run-000001", 0)) == nil || st.name != "a1" {
+	if s.state.Get(store.ShardOf("run-000001", 0, tuning.ShardTasks).Key()) == nil || st.name != "a1" {
 		t.Error("no record, or the wrong machine")
 	}
 }
@@ -522,7 +523,7 @@
 		t.Error("done before that was stored")
 	}
 	s.commit()
-	if s.finals["run-000001"].State != api.Done || s.state.Get(store.FinalKey("run-000001")) == nil || s.state.Get(store.JobKey("run-000001")) != nil || s.state.Get(store.ShardKey("run-000001", 0)) != nil {
+	if s.finals["run-000001"].State != api.Done || s.state.Get(store.FinalKey("run-000001")) == nil || s.state.Get(store.JobKey("run-000001")) != nil || s.state.Get(store.ShardOf("run-000001", 0, tuning.ShardTasks).Key()) != nil {
 		t.Error("the job was not filed")
 	}
 	// A late repeat must not bring it back to life.
--- a/controller/holdshint.go
+++ b/controller/holdshint.go
@@ -37,7 +37,7 @@
 	for _, m := range ms {
 		names = append(names, m.Name)
 	}
-	h, _, err := holdings.PackHint(c.data.index.Snapshot(), names, c.data.desk.ID, int(c.set.Facts.State.ValueKB*1024)-tuning.HoldsMargin)
+	h, _, err := holdings.PackHint(c.data.index.Snapshot(), names, c.data.desk.ID, c.set.Facts.State.Least().ValueBytes()-tuning.HoldsMargin)
 	if err != nil {
 		slog.Error("holdings not packed", "err", err)
 		return h, false
--- a/controller/images.go
+++ b/controller/images.go
@@ -35,35 +35,58 @@
 	}
 }
 
+// recordMachines is how many machines stand in one such record: half as many where values are
+// small, so that what does not fit into a small one is little.
+func (c *Core) recordMachines() int {
+	if c.set.Facts.State.Least().ValueBytes() < tuning.ImagesBytes {
+		return tuning.ImagesMachines / 2
+	}
+	return tuning.ImagesMachines
+}
+
 // recordParts is how many records there are, of so many machines each, of what machines
 // hold.
 func (c *Core) recordParts() int {
-	return (len(c.machines) + tuning.ImagesMachines - 1) / tuning.ImagesMachines
+	return (len(c.machines) + c.recordMachines() - 1) / c.recordMachines()
 }
 
 // recordPart are the machines of one such record, by its key; none: there is no such part.
 func (c *Core) recordPart(key, prefix string) []*machine {
 	part, err := strconv.Atoi(strings.TrimPrefix(key, prefix))
-	ms := c.byName()
-	if err != nil || part < 0 || part*tuning.ImagesMachines >= len(ms) {
+	ms, n := c.byName(), c.recordMachines()
+	if err != nil || part < 0 || part*n >= len(ms) {
 		return nil
 	}
-	return ms[part*tuning.ImagesMachines : min(len(ms), (part+1)*tuning.ImagesMachines)]
+	return ms[part*n : min(len(ms), (part+1)*n)]
 }
 
 // imagesRecord is one part of the record. The parts are cut by the machines'
 // order, which shifts as machines come and go; one that stands in two parts does
 // no harm.
 func (c *Core) imagesRecord(key string) (store.ImagesRecord, bool) {
-	rec := store.ImagesRecord{On: map[string][]int{}}
 	ms := c.recordPart(key, store.ImagesPrefix)
 	if ms == nil {
-		return rec, false
+		return store.ImagesRecord{}, false
 	}
+	for each := tuning.ImagesEach; ; each /= 2 {
+		rec := imagesOf(ms, each)
+		raw, err := json.Marshal(rec)
+		if each == 0 || err == nil && len(raw) <= c.set.Facts.State.Least().ValueBytes() {
+			return rec, true
+		}
+	}
+}
+
+// imagesOf is the record of some machines, with so many images of each, the newest.
+func imagesOf(ms []*machine, each int) store.ImagesRecord {
+	rec := store.ImagesRecord{On: map[string][]int{}}
 	index := map[string]int{}
 	for _, m := range ms {
 		var on []int
 		for _, im := range m.Images() {
+			if len(on) >= each {
+				break
+			}
 			i, ok := index[im.Name]
 			if !ok {
 				raw, err := json.Marshal(im.Name)
@@ -74,15 +97,13 @@
 				index[im.Name] = i
 				rec.Names, rec.GB = append(rec.Names, im.Name), append(rec.GB, im.GB)
 			}
-			if on = append(on, i); len(on) >= tuning.ImagesEach {
-				break
-			}
+			on = append(on, i)
 		}
 		if len(on) > 0 {
 			rec.On[m.Name] = on
 		}
 	}
-	return rec, true
+	return rec
 }
 
 // Hint takes in what an earlier leader knew of images.
--- a/controller/mailroom.go
+++ b/controller/mailroom.go
@@ -12,7 +12,8 @@
 
 // letterLimits are what letters through the state service must keep.
 func letterLimits(f settings.State) courier.Limits {
-	return courier.Limits{Value: int(f.ValueKB * 1024), Request: tuning.LetterRequest, Ops: f.TxnOps}
+	least := f.Least()
+	return courier.Limits{Value: least.ValueBytes(), Request: tuning.LetterRequest, Ops: least.TxnOps}
 }
 
 // mailroom holds the leader's letters of one kind, for workers or agents, to what stands behind
--- a/controller/node.go
+++ b/controller/node.go
@@ -30,6 +30,7 @@
 	"switchferry/store"
 	"switchferry/topology"
 	"switchferry/tuning"
+	"switchferry/upgrade"
 	"switchferry/worker"
 )
 
@@ -75,6 +76,9 @@
 	// retries spreads the users that were refused over the time that it takes to take them.
 	retries *retry.Spread
 
+	// members tells whose processes may be of an older version.
+	members *upgrade.Members
+
 	relay *relay
 	pace  pace
 	// slow is used by the loop of a term alone.
@@ -94,6 +98,11 @@
 // NewNode makes a controller. Transport carries its calls to other services.
 func NewNode(ctx context.Context, set *settings.Settings, pol *policy.Policy, clock clockwork.Clock, transport http.RoundTripper) *Node {
 	n := &Node{set: set, policy: pol, clock: clock, ctx: ctx, born: clock.Now(), keeping: true, bounces: newBounces(), finals: map[string]store.FinalRecord{}}
+	all := []string{set.Member}
+	for _, s := range set.Siblings {
+		all = append(all, s.Member)
+	}
+	n.members = upgrade.NewMembers(all...)
 	n.client = store.NewClient(set.External.State, transport)
 	n.client.Seen = n.stateSeen
 	n.cloud = cloud.New(set.External.Cloud, set.Facts.Cloud.RPS, transport)
@@ -103,10 +112,11 @@
 	share := tuning.ReadShare * set.Facts.State.RPS / float64(1+len(set.Siblings))
 	n.reads = rate.NewLimiter(rate.Limit(share), max(1, int(share)))
 	n.letterRate = letterRate(n)
-	rest := set.Facts.State.WriteRPS * (1 - tuning.QuotaShare)
-	n.alone = store.NewHedge(n.client, n.clock, rate.NewLimiter(rate.Limit(rest), max(1, int(rest))), set.Facts.State.WriteRPS)
+	writes := set.Facts.State.Least().WriteRPS
+	rest := writes * (1 - tuning.QuotaShare)
+	n.alone = store.NewHedge(n.client, n.clock, rate.NewLimiter(rate.Limit(rest), max(1, int(rest))), writes)
 	var err error
-	n.retries, err = retry.New(tuning.QuotaShare*set.Facts.State.WriteRPS/float64(1+len(set.Siblings)), tuning.RetryAfterS, tuning.RetryAfterMost,
+	n.retries, err = retry.New(tuning.QuotaShare*writes/float64(1+len(set.Siblings)), tuning.RetryAfterS, tuning.RetryAfterMost,
 		tuning.RefusedFor, tuning.RefusedKept)
 	if err != nil {
 		panic(err) // only for a limit below one
@@ -150,6 +160,7 @@
 	}()
 	n.peers.Run(n.ctx)
 	go n.catalog()
+	go n.mark(n.ctx)
 	go n.logUsers()
 	go n.relay.post.run(n.ctx)
 	if n.data.On {
@@ -300,6 +311,7 @@
 		Delay: func() time.Duration { return com.Delay() },
 		Cut:   n.cut,
 		Final: n.final,
+		Ended: n.finalOf,
 	}
 	n.mu.Lock()
 	types := n.types
@@ -313,10 +325,12 @@
 	if n.topology != nil {
 		core.UseTopology(n.topology.Map())
 	}
+	core.SizeRecords(n.recordSize())
 	com = store.NewCommitter(n.client, source{core, n}, n.clock, n.set.Facts.State, map[string]uint64{})
 	n.mu.Lock()
 	n.core, n.end = core, end
 	n.mu.Unlock()
+	core.SizeRecords(n.recordSize()) // the last mark may have been seen since
 	go n.term(ctx, core, com)
 }
 
@@ -389,6 +403,7 @@
 	}
 	go com.Run(ctx)
 	go n.inbox(ctx, core, com, inbox)
+	go n.seekAwaited(ctx, core, com)
 	go n.relayed(ctx, core, com, inbox)
 	go n.machines(ctx, core)
 	if n.data.On {
@@ -927,6 +942,13 @@
 		if err == nil && n.topology != nil {
 			status, err = checkSite(s, r.Body)
 		}
+		if err == nil && !undecided && len(s.Awaits) > 0 {
+			var why string
+			if err, why = n.checkAwaits(ctx, core, s); why != "" {
+				return later(why)
+			}
+			status = http.StatusUnprocessableEntity
+		}
 		if err == nil && !undecided && n.data.On {
 			status, err, undecided = n.checkInputs(ctx, core, s, r.Body)
 		}
@@ -990,7 +1012,7 @@
 // fits finds a job whose record is too large for the state service.
 func (n *Node) fits(s *api.Submission) error {
 	raw, err := json.Marshal(store.JobRecord{Job: *s, At: math.MaxInt64, Final: api.Withdrawn, FinalAt: math.MaxInt64})
-	if most := int(n.set.Facts.State.ValueKB * 1024); err == nil && len(raw) > most {
+	if most := n.set.Facts.State.Least().ValueBytes(); err == nil && len(raw) > most {
 		err = &api.FieldError{Field: "body", Want: fmt.Sprintf("the job takes %d bytes on record, at most %d can be stored; use shorter names or fewer machine types", len(raw), most)}
 	}
 	return err
@@ -1042,6 +1064,10 @@
 		st := api.JobStatus{ID: id, State: api.Pending}
 		if rec.Final != "" {
 			st.State = rec.Final
+		} else if gone, err := n.withdrawnBefore(ctx, rec.Job.Awaits); err != nil {
+			return st, false, err
+		} else if gone {
+			st.State = api.Withdrawn
 		}
 		return st, true, nil
 	}
--- a/controller/places.go
+++ b/controller/places.go
@@ -156,6 +156,9 @@
 		return x, false
 	}
 	x = Explanation{Job: id, State: st.State, Tasks: j.total, Done: j.done, Waiting: len(j.pending) + j.queued, Why: []string{}, Stands: c.stands(j)}
+	if j.waits {
+		x.Waiting = j.total - j.done - len(j.live)
+	}
 	if j.Final == "" && x.Waiting > 0 {
 		x.Why = c.whyWaiting(j)
 	}
@@ -194,6 +197,8 @@
 	switch {
 	case !j.accepted:
 		return []string{"it is not on record yet"}
+	case j.waits:
+		return c.pipes.why(j)
 	case c.now().Before(j.pause):
 		why = append(why, fmt.Sprintf("its tasks failed on %d machines in a row; it is tried again in %.0f s", j.errors, j.pause.Sub(c.now()).Seconds()))
 	case !c.withinLimit(j):
--- a/controller/post.go
+++ b/controller/post.go
@@ -18,7 +18,7 @@
 // letterRate is what this controller writes of letters, all kinds together: the leader's
 // records come first.
 func letterRate(n *Node) *rate.Limiter {
-	share := tuning.RelayShare * n.set.Facts.State.WriteRPS
+	share := tuning.RelayShare * n.set.Facts.State.Least().WriteRPS
 	return rate.NewLimiter(rate.Limit(share), max(letterLimits(n.set.Facts.State).Letters(), int(share)))
 }
 
--- a/controller/rent.go
+++ b/controller/rent.go
@@ -166,7 +166,7 @@
 		perCPU = math.Max(perCPU, t.MemoryGB/t.CPUs)
 	}
 	for _, j := range c.order {
-		if !j.accepted || j.Final != "" {
+		if !j.accepted || j.Final != "" || j.waits && !c.pipes.soon(j) {
 			continue
 		}
 		one := j.need.CPUs
@@ -219,7 +219,7 @@
 	// A team without work is not kept room for: its machines would be idle.
 	busy := map[string]bool{}
 	for _, j := range c.order {
-		if j.Final == "" {
+		if j.Final == "" && !j.waits {
 			busy[j.Job.Team] = true
 		}
 	}
--- a/controller/user.go
+++ b/controller/user.go
@@ -174,10 +174,8 @@
 		return
 	}
 	j.accepted = true
-	if j.Final == "" {
-		for t := range j.total {
-			j.pending = append(j.pending, int32(t))
-		}
+	if j.Final == "" && !c.pipes.enter(j) {
+		j.open()
 	}
 	slog.Info("job accepted", "job", id, "class", j.Job.Class, "team", j.Job.Team, "tasks", j.total, "cpus", j.need.CPUs, "rank", j.Job.Rank, "expect_s", j.Job.EstimateS, "due_s", j.Job.DeadlineS)
 	j.notify()
@@ -199,6 +197,7 @@
 		c.dropJob(j)
 		c.hooks.Final(id, f)
 		j.notify()
+		c.pipes.over(id, f.State)
 	case strings.HasPrefix(key, store.JobPrefix):
 		id := strings.TrimPrefix(key, store.JobPrefix)
 		var rec store.JobRecord
@@ -224,6 +223,9 @@
 			c.hooks.Final(id, c.final(j))
 		}
 		c.accept(id)
+		if j.stored {
+			c.pipes.over(id, j.Final)
+		}
 		c.settle(j)
 	}
 }
--- a/experiment/locality.go
+++ b/experiment/locality.go
@@ -222,6 +222,7 @@
 		Delay: func() time.Duration { return 0 },
 		Cut:   func(string) bool { return false },
 		Final: func(string, store.FinalRecord) {},
+		Ended: func(string) (store.FinalRecord, bool) { return store.FinalRecord{}, false },
 	})
 	p.core.UseData(features.Data{On: true, Placement: mode, CacheGB: 1, LinkMBs: l.LinkRate / 1e6, StoreMBs: l.StoreRate / 1e6,
 		PerLink: tuning.StagePerLink, AtStore: max(tuning.StageAtStore, l.Machines/2), Ahead: tuning.StageAhead})
--- a/experiment/topology.go
+++ b/experiment/topology.go
@@ -497,6 +497,7 @@
 		Delay: func() time.Duration { return 0 },
 		Cut:   func(string) bool { return false },
 		Final: func(string, store.FinalRecord) {},
+		Ended: func(string) (store.FinalRecord, bool) { return store.FinalRecord{}, false },
 	})
 	if name == "topology" {
 		m, err := w.declared()
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -79,8 +79,35 @@
 	WriteRPS float64 `toml:"write_rps"`
 	ValueKB  float64 `toml:"value_kb"`
 	TxnOps   int     `toml:"txn_ops"`
+	// Next are limits that it will have from some moment on, without notice; 0: as now.
+	Next NextState `toml:"next"`
 }
 
+// NextState holds the announced limits of the state service.
+type NextState struct {
+	WriteRPS float64 `toml:"write_rps"`
+	ValueKB  float64 `toml:"value_kb"`
+	TxnOps   int     `toml:"txn_ops"`
+}
+
+// Least are the limits that hold whether or not the announced ones are in force. What is
+// stored has to be within them from the first, as it is written again later.
+func (s State) Least() State {
+	if n := s.Next.WriteRPS; n > 0 {
+		s.WriteRPS = math.Min(s.WriteRPS, n)
+	}
+	if n := s.Next.ValueKB; n > 0 {
+		s.ValueKB = math.Min(s.ValueKB, n)
+	}
+	if n := s.Next.TxnOps; n > 0 {
+		s.TxnOps = min(s.TxnOps, n)
+	}
+	return s
+}
+
+// ValueBytes is the most bytes of a value.
+func (s State) ValueBytes() int { return int(s.ValueKB * 1024) }
+
 // Cloud holds the limits of the cloud.
 type Cloud struct {
 	RPS      float64 `toml:"rps"`
@@ -170,6 +197,15 @@
 	if s.Facts.State.TxnOps < 3 {
 		fail("facts.state.txn_ops", "must be 3 or more")
 	}
+	next := s.Facts.State.Next
+	if !(next.WriteRPS >= 0) || math.IsInf(next.WriteRPS, 0) || !(next.ValueKB >= 0) || math.IsInf(next.ValueKB, 0) {
+		fail("facts.state.next", "limits must be numbers of 0 or more; 0 or left out: as now")
+	} else if next.ValueKB > 0 && next.ValueKB < 1 {
+		fail("facts.state.next.value_kb", "must be 1 or more: a job's record takes up to 1 KiB")
+	}
+	if next.TxnOps != 0 && next.TxnOps < 3 {
+		fail("facts.state.next.txn_ops", "must be 3 or more, or left out: as now")
+	}
 	positive("facts.cloud.rps", s.Facts.Cloud.RPS)
 	if !(s.Facts.Cloud.ListLagS >= 0) {
 		fail("facts.cloud.list_lag_s", "must be 0 or more")
--- a/store/client.go
+++ b/store/client.go
@@ -21,7 +21,9 @@
 	ErrNotFound = errors.New("no such key")
 	ErrNoLease  = errors.New("no such lease")
 	ErrBusy     = errors.New("refused, not executed")
-	ErrUnknown  = errors.New("no answer, outcome unknown")
+	// ErrTooMany is an ErrBusy: refused for the number of requests or changes.
+	ErrTooMany = fmt.Errorf("%w: status 429", ErrBusy)
+	ErrUnknown = errors.New("no answer, outcome unknown")
 	// ErrRefused: what was sent is not allowed, and will not be when it is sent again.
 	ErrRefused = errors.New("refused for what it is")
 	ErrTooOld  = errors.New("revision no longer kept")
@@ -83,7 +85,7 @@
 		c.Seen(false)
 		return status, fmt.Errorf("%w: status 503", ErrBusy)
 	case http.StatusTooManyRequests:
-		return status, fmt.Errorf("%w: status 429", ErrBusy)
+		return status, ErrTooMany
 	}
 	c.Seen(true)
 	if into != nil && len(raw) > 0 {
--- a/store/commit.go
+++ b/store/commit.go
@@ -47,7 +47,10 @@
 	// value is the most bytes of a value.
 	value   int
 	limiter *rate.Limiter
-	hedge   *Hedge
+	// lower is the rate that the limiter sinks to once changes are refused for their number;
+	// 0: no lower limit is announced.
+	lower rate.Limit
+	hedge *Hedge
 
 	mu     sync.Mutex
 	dirty  map[string]*entry
@@ -80,13 +83,29 @@
 // NewCommitter makes a committer for one term. Stamps are the revisions of
 // the keys as loaded.
 func NewCommitter(client *Client, src Source, clock clockwork.Clock, limits settings.State, stamps map[string]uint64) *Committer {
-	writeRPS, ops := limits.WriteRPS, limits.TxnOps
-	burst := max(1, int(writeRPS*tuning.QuotaShare))
-	limiter := rate.NewLimiter(rate.Limit(writeRPS*tuning.QuotaShare), burst)
-	return &Committer{client: client, src: src, clock: clock, ops: min(ops, burst), conds: condsPerOp * ops, value: int(limits.ValueKB * 1024),
+	least := limits.Least()
+	ops, quota := least.TxnOps, rate.Limit(limits.WriteRPS*tuning.QuotaShare)
+	limiter := rate.NewLimiter(quota, max(1, int(quota)))
+	c := &Committer{client: client, src: src, clock: clock, ops: min(ops, limiter.Burst()), conds: condsPerOp * ops, value: least.ValueBytes(),
 		limiter: limiter,
-		hedge:   NewHedge(client, clock, limiter, writeRPS),
+		hedge:   NewHedge(client, clock, limiter, least.WriteRPS),
 		dirty:   map[string]*entry{}, stamps: stamps, wake: make(chan struct{}, 1)}
+	if least.WriteRPS < limits.WriteRPS {
+		c.lower = rate.Limit(least.WriteRPS * tuning.QuotaShare)
+	}
+	return c
+}
+
+// sink keeps to the announced limit from now on: changes were refused for their number. The
+// limit was said to sink once and for good, so it is not tried again in this term.
+func (c *Committer) sink() {
+	if c.lower == 0 || c.limiter.Limit() <= c.lower {
+		return
+	}
+	slog.Info("the state service takes fewer changes a second", "from", float64(c.limiter.Limit()), "to", float64(c.lower))
+	now := c.clock.Now()
+	c.limiter.SetLimitAt(now, c.lower)
+	c.limiter.SetBurstAt(now, max(1, int(c.lower)))
 }
 
 // Touch asks for a key to be written; after runs once a state at least as new
@@ -284,6 +303,9 @@
 func (c *Committer) failed(ctx context.Context, lead Cond, ops []Op, failed []string, err error) time.Duration {
 	const again = 100 * time.Millisecond
 	switch {
+	case errors.Is(err, ErrTooMany):
+		c.sink()
+		return again
 	case errors.Is(err, ErrBusy):
 		return again
 	case errors.Is(err, ErrConflict):
--- a/store/commit_test.go
+++ b/store/commit_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"runtime"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -61,7 +62,7 @@
 	clock := clockwork.NewFakeClock()
 	st, src, c := setUpAt(clock)
 	for i := range 200 {
-		key := ShardKey("run-1", i)
+		key := Shard{"run-1", i, 400}.Key()
 		src.values[key] = "x"
 		c.Touch(key, Ordinary, nil)
 	}
@@ -180,21 +181,41 @@
 	}
 	got := NewBits(1000)
 	for s := range 3 {
-		if err := got.Unpack(s, b.Pack(s)); err != nil {
+		x := Shard{"run-1", s, 400}
+		if err := got.Unpack(x, b.Pack(x)); err != nil {
 			t.Fatal(err)
 		}
 	}
+	small := NewBits(1000)
+	for s := range 25 {
+		x := Shard{"run-1", s, 40}
+		if err := small.Unpack(x, b.Pack(x)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if !slices.Equal(small, b) {
+		t.Error("in shards of 40 other tasks are done")
+	}
 	for i := range 1000 {
 		if got.Has(i) != b.Has(i) {
 			t.Fatalf("bit %d", i)
 		}
 	}
-	if got.Unpack(2, "AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA") == nil {
+	if got.Unpack(Shard{"run-1", 2, 400}, "AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA") == nil {
 		t.Error("a shard longer than its job was taken")
 	}
-	id, n, ok := ParseShardKey(ShardKey("run-000412", 17))
-	if id != "run-000412" || n != 17 || !ok {
-		t.Error(id, n, ok)
+	for _, x := range []Shard{{"run-000412", 17, 400}, {"run-000412", 17, 40}} {
+		if got, ok := ParseShard(x.Key()); got != x || !ok {
+			t.Error(got, ok)
+		}
+	}
+	if old := (Shard{"run-000412", 17, 400}).Key(); old != "sf/t/run-000412/17" {
+		t.Error("the first version does not know", old)
+	}
+	for _, bad := range []string{"sf/t/run-1", "sf/t/run-1/", "sf/t/run-1/-1", "sf/t/run-1/1.", "sf/t/run-1/1.0", "sf/t/run-1/1.7", "sf/t/run-1/999999999"} {
+		if _, ok := ParseShard(bad); ok {
+			t.Error("taken:", bad)
+		}
 	}
 }
 
--- a/store/records.go
+++ b/store/records.go
@@ -99,17 +99,47 @@
 	Commands []api.Command `json:"o"`
 }
 
-// ShardKey is the key of a run of a job's tasks.
-func ShardKey(id string, shard int) string { return fmt.Sprintf("%s%s/%d", ShardPrefix, id, shard) }
+// Shard is a run of a job's tasks that share one record: so many, from Index times that on.
+type Shard struct {
+	Job         string
+	Index, Size int
+}
+
+// ShardOf is where a task stands with so many tasks a record.
+func ShardOf(id string, task, size int) Shard { return Shard{id, task / size, size} }
+
+// Range are its tasks, the last excluded, of a job with so many.
+func (s Shard) Range(total int) (from, to int) {
+	return min(total, s.Index*s.Size), min(total, (s.Index+1)*s.Size)
+}
+
+// Key names its record. The size stands in it unless it is that of the first version, which
+// knows no other (docs/upgrade.md).
+func (s Shard) Key() string {
+	if s.Size == tuning.ShardTasks {
+		return fmt.Sprintf("%s%s/%d", ShardPrefix, s.Job, s.Index)
+	}
+	return fmt.Sprintf("%s%s/%d.%d", ShardPrefix, s.Job, s.Index, s.Size)
+}
 
-// ParseShardKey is the reverse of ShardKey.
-func ParseShardKey(key string) (id string, shard int, ok bool) {
+// ParseShard is the reverse of Key.
+func ParseShard(key string) (Shard, bool) {
 	id, num, ok := strings.Cut(strings.TrimPrefix(key, ShardPrefix), "/")
-	if !ok {
-		return "", 0, false
+	index, size, sized := strings.Cut(num, ".")
+	s := Shard{Job: id, Size: tuning.ShardTasks}
+	var err, serr error
+	s.Index, err = strconv.Atoi(index)
+	if sized {
+		s.Size, serr = strconv.Atoi(size)
 	}
-	shard, err := strconv.Atoi(num)
-	return id, shard, err == nil && shard >= 0
+	ok = ok && err == nil && serr == nil && s.Index >= 0 && s.Size > 0 && s.Size%8 == 0 && s.Index <= api.MaxTasks/s.Size
+	return s, ok
+}
+
+// ShardSize is how many tasks' records always fit into a value of so many bytes.
+func ShardSize(valueBytes int) int {
+	n := (valueBytes - tuning.ShardMargin) / tuning.PlacedBytes
+	return min(tuning.ShardTasks, max(8, n/8*8))
 }
 
 // Leader is the value of LeaderKey.
@@ -170,9 +200,9 @@
 func (b Bits) Set(i int) { b[i/8] |= 1 << (i % 8) }
 
 // Pack writes the bits of one shard.
-func (b Bits) Pack(shard int) string {
-	lo := shard * tuning.ShardTasks / 8
-	hi := min(len(b), lo+tuning.ShardTasks/8)
+func (b Bits) Pack(s Shard) string {
+	lo := min(len(b), s.Index*s.Size/8)
+	hi := min(len(b), lo+s.Size/8)
 	part := b[lo:hi]
 	for len(part) > 0 && part[len(part)-1] == 0 {
 		part = part[:len(part)-1]
@@ -180,16 +210,18 @@
 	return base64.RawStdEncoding.EncodeToString(part)
 }
 
-// Unpack reads the bits of one shard.
-func (b Bits) Unpack(shard int, s string) error {
-	part, err := base64.RawStdEncoding.DecodeString(s)
+// Unpack adds the bits of one shard: what is done stays done.
+func (b Bits) Unpack(s Shard, text string) error {
+	part, err := base64.RawStdEncoding.DecodeString(text)
 	if err != nil {
 		return err
 	}
-	lo := shard * tuning.ShardTasks / 8
+	lo := s.Index * s.Size / 8
 	if lo+len(part) > len(b) {
-		return fmt.Errorf("shard %d is longer than its job", shard)
+		return fmt.Errorf("shard %d of %d tasks each is longer than its job", s.Index, s.Size)
+	}
+	for i, x := range part {
+		b[lo+i] |= x
 	}
-	copy(b[lo:], part)
 	return nil
 }
--- a/tuning/tuning.go
+++ b/tuning/tuning.go
@@ -148,6 +148,10 @@
 	// ShardTasks is how many tasks share one record: with all of them on
 	// machines, at under 30 bytes each, the record stays within 16 KiB.
 	ShardTasks = 400
+	// PlacedBytes is what a task on a machine takes in its record at most, with a name of 20
+	// bytes; ShardMargin the rest of the record without the bits of what is done.
+	PlacedBytes = 48
+	ShardMargin = 100
 	// FinalCache is how many final jobs a controller keeps in memory.
 	FinalCache = 4000
 	// ImagesEvery is the pace of storing which machines hold which images: a
@@ -161,6 +165,9 @@
 	ImagesEach      = 24
 	ImagesNames     = 100
 	ImagesNameBytes = 48
+	// ImagesBytes: where a value holds less, records of what machines hold have half as many
+	// machines, and of each only as many images as fit.
+	ImagesBytes = 8 << 10
 	// AttemptBits of an attempt number count within a term; the rest is the term.
 	AttemptBits = 24
 	// QuotaShare is the share of the write limit that the leader uses; the
@@ -194,6 +201,30 @@
 	HedgeShare = 0.1
 )
 
+// Pipelines: jobs that await others.
+const (
+	// AwaitsMost is how many jobs one may await: at under 40 bytes each, and a job's other
+	// fields, its record stays within 2 KiB for ids of usual length.
+	AwaitsMost = 64
+	// AwaitsAtOnce bounds how many keys are read at once to look awaited jobs up.
+	AwaitsAtOnce = 8
+	// AwaitsAgain is how long after an awaited job was not found it is looked for once more,
+	// before its submission is refused for good: another node may just be storing it.
+	AwaitsAgain = 250 * time.Millisecond
+	// AwaitsReads is how many jobs before one are looked at to answer for it without the
+	// leader; with more, its user is told to ask again.
+	AwaitsReads = 40
+	// AwaitsRetry paces looking up awaited jobs of which the state service did not tell.
+	AwaitsRetry = 500 * time.Millisecond
+	// StageGapMS is what passes between the end of a job and the first start of one that
+	// waits for it, beside the fetch: the report of the end, its record, that of the start and
+	// the command.
+	StageGapMS = 1500
+)
+
+// UpgradeEvery is how often a controller looks for the marks of those that have none yet.
+const UpgradeEvery = time.Second
+
 // ReadShare is the share of the state service's limit of requests that all
 // controllers together use to answer users: renewals, records and elections come first.
 const ReadShare = 0.5
--- /dev/null
+++ b/upgrade/upgrade.go
@@ -0,0 +1,60 @@
+// Package upgrade holds the versions of what controllers store and say to each other, and knows
+// from when on no process of an older version can come back.
+package upgrade
+
+import (
+	"maps"
+	"slices"
+)
+
+// The versions that this program writes. docs/upgrade.md lists what changed with each.
+const (
+	// Data is the version of the records in the state service: 2 has jobs that await others
+	// and records of tasks of other sizes; 1 has neither, and marks no members.
+	Data = 2
+	// Frames is that of what goes over the back port; 1 since the first.
+	Frames = 1
+)
+
+// MarkPrefix holds one key a member: the version of data that its processes write at least.
+const MarkPrefix = "sf/version/"
+
+// Mark is its value. A process writes it before it does anything that an older one would
+// misread. A platform that replaced a member's program starts no older one of it again, so
+// the mark holds for good.
+type Mark struct {
+	Data int `json:"data"`
+}
+
+// Members are the controllers of a deployment and the marks that were seen of them. It is pure,
+// and not safe for use from several goroutines at once.
+type Members struct {
+	seen map[string]int
+}
+
+// NewMembers are those of a deployment, this one among them.
+func NewMembers(all ...string) *Members {
+	m := &Members{seen: map[string]int{}}
+	for _, name := range all {
+		m.seen[name] = 0
+	}
+	return m
+}
+
+// Seen notes a member's mark; that of a stranger counts for nothing.
+func (m *Members) Seen(member string, mark Mark) {
+	if was, ok := m.seen[member]; ok {
+		m.seen[member] = max(was, mark.Data)
+	}
+}
+
+// Older are the members of which no mark of this version was seen: an older process of
+// theirs may run, or come back.
+func (m *Members) Older() (old []string) {
+	for _, name := range slices.Sorted(maps.Keys(m.seen)) {
+		if m.seen[name] < Data {
+			old = append(old, name)
+		}
+	}
+	return old
+}
