Ends of tasks are recorded together, and a reserve of changes is kept for accepts

Change: an end waits 2 s for others of its shard, a quarter of a second's changes is kept for what users wait for, and all records change size once every member is marked. What the limit goes into is logged.

--- a/controller/core.go
+++ b/controller/core.go
@@ -177,6 +177,8 @@
 // must not block.
 type Hooks struct {
 	Touch func(key string, urgency int, after func())
+	// Later is Touch for what may wait that long to be written with other changes of its key.
+	Later func(key string, urgency int, wait time.Duration, after func())
 	Send  func(name, addr string, o api.Orders)
 	// Stage sends an agent its order; it is used only with datasets on.
 	Stage func(name, addr string, o api.StageOrder)
@@ -576,10 +578,15 @@
 
 // touchShard stores the record of a task's shard.
 func (c *Core) touchShard(j *job, task int, after func()) {
+	c.hooks.Touch(c.shardKey(j, task), j.urgency(), after)
+}
+
+// shardKey is the key of a task's record, which is to be written.
+func (c *Core) shardKey(j *job, task int) string {
 	c.resize(j)
 	shard := store.ShardOf(j.id, task, c.shardTasks)
 	j.shards[shard] = true
-	c.hooks.Touch(shard.Key(), j.urgency(), after)
+	return shard.Key()
 }
 
 // urgency is how urgent the records of a job's tasks are. A guest's array of 25,000
@@ -605,7 +612,9 @@
 	case j.Final != "":
 		j.told = append(j.told, stored)
 	default:
-		c.touchShard(j, task, c.locked(stored))
+		// Until it is on record the worker goes on reporting the end, so nothing is lost with
+		// this leader; each end written by itself took a third of the limit of writes.
+		c.hooks.Later(c.shardKey(j, task), j.urgency(), tuning.EndsTogether, c.locked(stored))
 	}
 }
 
@@ -794,6 +803,7 @@
 			c.finish(j, api.Done)
 		}
 	}
+	c.resizeAll()
 	c.loaded = true
 	c.kick()
 	slog.Info("records loaded", "jobs", len(c.jobs))
@@ -885,12 +895,20 @@
 	stored()
 }
 
-// SizeRecords sets how many tasks share a record from now on; those that stand are written
-// anew when something of them changes.
+// SizeRecords sets how many tasks share a record from now on.
 func (c *Core) SizeRecords(tasks int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.shardTasks = tasks
+	c.resizeAll()
+}
+
+// resizeAll writes all records of another size anew. A large one could not be written again once
+// values must be smaller, and the starts that it holds would wait with it.
+func (c *Core) resizeAll() {
+	for _, j := range c.order {
+		c.resize(j)
+	}
 }
 
 // Committed sends what a commit has set free, in one command a machine.
--- a/controller/core_test.go
+++ b/controller/core_test.go
@@ -64,6 +64,7 @@
 	s.valid, s.sent, s.answered, s.finals = true, nil, 0, map[string]store.FinalRecord{}
 	hooks := Hooks{
 		Touch: func(k string, u int, f func()) { s.com.Touch(k, u, f) },
+		Later: func(k string, u int, _ time.Duration, f func()) { s.com.Touch(k, u, f) },
 		Send:  func(n, _ string, o api.Orders) { s.sent = append(s.sent, sentOrders{n, o}) },
 		Valid: func() bool { return s.valid },
 		Delay: func() time.Duration { return s.com.Delay() },
--- a/experiment/locality.go
+++ b/experiment/locality.go
@@ -206,12 +206,14 @@
 	set.Facts.Workers = settings.Workers{ReportS: 1, LeaseS: 10, CancelS: 40}
 	set.Facts.Teams = []settings.Team{{Name: "team"}}
 	types := []api.MachineType{{Name: "m", CPUs: float64(l.Slots), MemoryGB: 64, CacheGB: 3, PullGBs: 1, BootS: 1, Zones: []string{"z"}}}
+	touch := func(after func()) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.stored = append(p.stored, after)
+	}
 	p.core = controller.NewCore(1, clockwork.NewRealClock(), set, policy.Default(), types, controller.Hooks{
-		Touch: func(_ string, _ int, after func()) {
-			p.mu.Lock()
-			defer p.mu.Unlock()
-			p.stored = append(p.stored, after)
-		},
+		Touch: func(_ string, _ int, after func()) { touch(after) },
+		Later: func(_ string, _ int, _ time.Duration, after func()) { touch(after) },
 		Send: func(name, _ string, o api.Orders) { go p.send(name, o) },
 		Stage: func(name, _ string, o api.StageOrder) {
 			if m := p.machines[name]; m != nil {
--- a/experiment/topology.go
+++ b/experiment/topology.go
@@ -492,6 +492,7 @@
 	}
 	p.core = controller.NewCore(1, w.clock, set, policy.Default(), types, controller.Hooks{
 		Touch: func(_ string, _ int, after func()) { p.stored = append(p.stored, after) },
+		Later: func(_ string, _ int, _ time.Duration, after func()) { p.stored = append(p.stored, after) },
 		Send:  func(name, _ string, o api.Orders) { p.sent = append(p.sent, order{name, o}) },
 		Valid: func() bool { return true },
 		Delay: func() time.Duration { return 0 },
--- a/store/commit.go
+++ b/store/commit.go
@@ -50,7 +50,14 @@
 	// lower is the rate that the limiter sinks to once changes are refused for their number;
 	// 0: no lower limit is announced.
 	lower rate.Limit
-	hedge *Hedge
+	// reserve are the changes that are left for what users wait for, when others would take all.
+	reserve float64
+	hedge   *Hedge
+	// resting: nothing that waits may be written yet; used by the loop alone.
+	resting bool
+	// written counts changes by the prefix of their keys since told.
+	written map[string]int
+	told    time.Time
 
 	mu     sync.Mutex
 	dirty  map[string]*entry
@@ -67,6 +74,8 @@
 	// alone: it is tried in a transaction of its own.
 	aside time.Time
 	alone bool
+	// ripe is until when it waits for more to be written with it.
+	ripe time.Time
 }
 
 // Urgencies: accepts and what users wait for go first, then ordinary records, those of
@@ -86,10 +95,12 @@
 	least := limits.Least()
 	ops, quota := least.TxnOps, rate.Limit(limits.WriteRPS*tuning.QuotaShare)
 	limiter := rate.NewLimiter(quota, max(1, int(quota)))
-	c := &Committer{client: client, src: src, clock: clock, ops: min(ops, limiter.Burst()), conds: condsPerOp * ops, value: least.ValueBytes(),
+	c := &Committer{client: client, src: src, clock: clock, ops: min(ops, limiter.Burst()), conds: condsPerOp * ops, value: limits.ValueBytes(),
 		limiter: limiter,
 		hedge:   NewHedge(client, clock, limiter, least.WriteRPS),
-		dirty:   map[string]*entry{}, stamps: stamps, wake: make(chan struct{}, 1)}
+		dirty:   map[string]*entry{}, stamps: stamps, wake: make(chan struct{}, 1),
+		written: map[string]int{}, told: clock.Now()}
+	c.keepReserve()
 	if least.WriteRPS < limits.WriteRPS {
 		c.lower = rate.Limit(least.WriteRPS * tuning.QuotaShare)
 	}
@@ -106,11 +117,27 @@
 	now := c.clock.Now()
 	c.limiter.SetLimitAt(now, c.lower)
 	c.limiter.SetBurstAt(now, max(1, int(c.lower)))
+	c.keepReserve()
+}
+
+// keepReserve leaves room for one change at least beside the reserve.
+func (c *Committer) keepReserve() {
+	c.reserve = min(tuning.UrgentReserve*float64(c.limiter.Limit()), float64(c.limiter.Burst()-1))
 }
 
 // Touch asks for a key to be written; after runs once a state at least as new
 // as now is stored. It does not block.
 func (c *Committer) Touch(key string, urgency int, after func()) {
+	c.touch(key, urgency, 0, after)
+}
+
+// TouchLater is Touch for what may wait that long for other changes of the same key, to be
+// written with them.
+func (c *Committer) TouchLater(key string, urgency int, wait time.Duration, after func()) {
+	c.touch(key, urgency, wait, after)
+}
+
+func (c *Committer) touch(key string, urgency int, wait time.Duration, after func()) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	e := c.dirty[key]
@@ -118,8 +145,14 @@
 	order := uint64(urgency)<<orderBits | c.next
 	if e == nil {
 		e = &entry{key: key, order: order}
+		if wait > 0 {
+			e.ripe = c.clock.Now().Add(wait)
+		}
 		c.dirty[key] = e
 	}
+	if wait == 0 {
+		e.ripe = time.Time{}
+	}
 	e.order = min(e.order, order)
 	if after != nil {
 		e.after = append(e.after, after)
@@ -170,8 +203,15 @@
 			continue
 		}
 		if pause := c.Step(ctx); pause > 0 {
+			// What is put here meanwhile goes at once if all that waits does so by itself, but
+			// not if the state service has just refused something.
+			var wake chan struct{}
+			if c.resting {
+				wake = c.wake
+			}
 			select {
 			case <-ctx.Done():
+			case <-wake:
 			case <-c.clock.After(pause):
 			}
 		}
@@ -193,10 +233,11 @@
 	// there is room for all that is behind it.
 	room := c.limiter.TokensAt(c.clock.Now())
 	if room < 1 {
-		return max(time.Millisecond, time.Duration((1-room)/float64(c.limiter.Limit())*float64(time.Second)))
+		return c.until(1 - room)
 	}
-	batch, pause := c.take(int(room))
-	if len(batch) == 0 {
+	batch, pause := c.take(int(room), int(max(0, room-c.reserve)))
+	c.resting = len(batch) == 0
+	if c.resting {
 		return pause
 	}
 	lead, ok := c.src.Condition()
@@ -247,6 +288,7 @@
 	}
 	if len(ops) > 0 {
 		c.limiter.AllowN(c.clock.Now(), len(ops))
+		c.tell(ops)
 		epoch, failed, err := c.hedge.Multi(ctx, conds, ops)
 		if errors.Is(err, ErrRefused) {
 			c.refused(used, err)
@@ -277,6 +319,26 @@
 	return 0
 }
 
+// until is how long it takes until so many more changes are allowed.
+func (c *Committer) until(changes float64) time.Duration {
+	return max(time.Millisecond, time.Duration(changes/float64(c.limiter.Limit())*float64(time.Second)))
+}
+
+// tell counts changes, and logs now and then what the limit of writes goes into.
+func (c *Committer) tell(ops []Op) {
+	for _, op := range ops {
+		name, _, _ := strings.Cut(strings.TrimPrefix(op.Set+op.Delete, keyRoot), "/")
+		if op.Delete != "" {
+			name += "_deleted"
+		}
+		c.written[name]++
+	}
+	if now := c.clock.Now(); now.Sub(c.told) >= tuning.FleetLogEvery {
+		slog.Info("changes written", "by", c.written, "in_s", now.Sub(c.told).Seconds(), "limit_per_s", float64(c.limiter.Limit()), "waiting", c.Waiting())
+		c.told, c.written = now, map[string]int{}
+	}
+}
+
 // setAside leaves a record alone for a while that the state service does not take, so that
 // it does not stand before all others: one that is too large did so, again every second
 // (docs/incidents/fleet-relay-too-long.md). What waits for it goes on waiting.
@@ -364,15 +426,15 @@
 	}
 }
 
-// take takes out the entries for one transaction; without any, pause is until when all that
-// wait are set aside.
-func (c *Committer) take(most int) (batch []*entry, pause time.Duration) {
+// take takes out the entries for one transaction, so many at most, and of those that no user
+// waits for so many; without any, pause is until when that may change.
+func (c *Committer) take(most, others int) (batch []*entry, pause time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	all := make([]*entry, 0, len(c.dirty))
 	now := c.clock.Now()
 	for _, e := range c.dirty {
-		if wait := e.aside.Sub(now); wait > 0 {
+		if wait := max(e.aside.Sub(now), e.ripe.Sub(now)); wait > 0 {
 			if pause == 0 || wait < pause {
 				pause = wait
 			}
@@ -386,6 +448,17 @@
 		}
 		return 1
 	})
+	pressing := 0
+	for pressing < len(all) && all[pressing].order>>orderBits <= Ordinary {
+		pressing++
+	}
+	if n := max(pressing, others); n < len(all) {
+		// What is left is kept for accepts that are still to come: with the limit used up
+		// by what can wait, each of a burst waited for the next change that it allows.
+		if all = all[:n]; n == 0 {
+			return nil, c.until(1)
+		}
+	}
 	all = all[:min(len(all), c.ops, most)]
 	for i, e := range all {
 		if e.alone {
@@ -407,7 +480,7 @@
 		if now := c.dirty[e.key]; now != nil {
 			now.after = append(e.after, now.after...)
 			now.order = min(now.order, e.order)
-			now.aside, now.alone = e.aside, e.alone
+			now.aside, now.alone, now.ripe = e.aside, e.alone, time.Time{}
 		} else {
 			c.dirty[e.key] = e
 		}
--- a/store/records.go
+++ b/store/records.go
@@ -13,6 +13,8 @@
 
 // Keys. The layout is described in docs/operators.md.
 const (
+	// keyRoot begins every key.
+	keyRoot = "sf/"
 	// LeaderKey holds the leader; it hangs on a lease.
 	LeaderKey = "sf/leader"
 	// JobPrefix holds the jobs that are not over.
--- a/tuning/tuning.go
+++ b/tuning/tuning.go
@@ -173,6 +173,12 @@
 	// QuotaShare is the share of the write limit that the leader uses; the
 	// rest is for siblings that accept jobs themselves.
 	QuotaShare = 0.8
+	// EndsTogether is how long the end of a task may wait to be recorded with others of its
+	// shard, while its job is not over: what is lost if its machine dies meanwhile is one task.
+	EndsTogether = 2 * time.Second
+	// UrgentReserve of a second's changes are kept for accepts, cancellations, ends and what
+	// production starts: a burst of some jobs is then stored at once whatever else waits.
+	UrgentReserve = 0.25
 	// AsideFor is how long a record is left alone that the state service does not take.
 	AsideFor = 10 * time.Second
 	// ReservedFor is how long a domain stays reserved without being asked for again, some rounds;
