Tests of pipelines: records that cross, crashes between any two writes, random graphs

A new leader that has not looked up a job before one answers for it from the records: its user may have been told by the last leader that it is cancelled. Found by the random graphs. Records of the first version are split and read in any mixture of sizes.

--- a/controller/awaits.go
+++ b/controller/awaits.go
@@ -176,22 +176,7 @@
 		}
 		ids := core.Missing()
 		for len(ids) > 0 && ctx.Err() == nil {
-			each(ids, func(_ int, id string) {
-				x, err := n.readAwaited(ctx, id)
-				switch {
-				case err != nil:
-					slog.Info("an awaited job is not looked up yet", "job", id, "err", err)
-				case x.at != nil:
-					if !core.Has(id) {
-						com.Know(x.at.Key, x.at.Stamp)
-						core.Conflict(x.at.Key, x.at)
-					}
-				case x.found:
-					core.Learned(id, store.FinalRecord{State: x.final})
-				default:
-					slog.Error("a job is awaited of which nothing is on record", "job", id)
-				}
-			})
+			n.lookAwaited(ctx, core, com, ids)
 			if ids = core.Missing(); len(ids) > 0 {
 				n.sleep(ctx, tuning.AwaitsRetry)
 			}
@@ -199,6 +184,26 @@
 	}
 }
 
+// lookAwaited looks some jobs up and tells the leader.
+func (n *Node) lookAwaited(ctx context.Context, core *Core, com *store.Committer, ids []string) {
+	each(ids, func(_ int, id string) {
+		x, err := n.readAwaited(ctx, id)
+		switch {
+		case err != nil:
+			slog.Info("an awaited job is not looked up yet", "job", id, "err", err)
+		case x.at != nil:
+			if !core.Has(id) {
+				com.Know(x.at.Key, x.at.Stamp)
+				core.Conflict(x.at.Key, x.at)
+			}
+		case x.found:
+			core.Learned(id, store.FinalRecord{State: x.final})
+		default:
+			slog.Error("a job is awaited of which nothing is on record", "job", id)
+		}
+	})
+}
+
 // older are the controllers of which an older process may run, or come back.
 func (n *Node) older() []string {
 	n.mu.Lock()
@@ -271,4 +276,3 @@
 	}
 	return store.ShardSize(n.set.Facts.State.Least().ValueBytes())
 }
-
--- a/controller/node.go
+++ b/controller/node.go
@@ -304,7 +304,9 @@
 	var com *store.Committer
 	hooks := Hooks{
 		Touch: func(key string, urgency int, after func()) { com.Touch(key, urgency, after) },
-		Later: func(key string, urgency int, wait time.Duration, after func()) { com.TouchLater(key, urgency, wait, after) },
+		Later: func(key string, urgency int, wait time.Duration, after func()) {
+			com.TouchLater(key, urgency, wait, after)
+		},
 		Valid: func() bool {
 			t, valid := n.elector.Term()
 			return valid && t == term
--- a/controller/pipes.go
+++ b/controller/pipes.go
@@ -65,6 +65,27 @@
 	return true
 }
 
+// unsure tells whether a job before one has yet to be looked up: it may be cancelled, and the
+// one's user may have been told so by an earlier leader, so the records answer for it meanwhile.
+func (p *pipes) unsure(j *job) bool {
+	if !j.waits || len(p.missing) == 0 {
+		return false
+	}
+	seen := map[string]bool{}
+	for todo := []string{j.id}; len(todo) > 0; todo = todo[1:] {
+		for _, id := range p.graph.Needs(todo[0]) {
+			if p.missing[id] {
+				return true
+			}
+			if !seen[id] {
+				seen[id] = true
+				todo = append(todo, id)
+			}
+		}
+	}
+	return false
+}
+
 // seek has an unknown awaited job looked up.
 func (p *pipes) seek(id string) {
 	p.missing[id] = true
--- /dev/null
+++ b/controller/pipes_test.go
@@ -0,0 +1,552 @@
+package controller
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+
+	"switchferry/api"
+	"switchferry/internal/standin"
+	"switchferry/peer"
+	"switchferry/policy"
+	"switchferry/settings"
+	"switchferry/store"
+	"switchferry/tuning"
+	"switchferry/upgrade"
+)
+
+// await makes a small job that awaits others.
+func await(ids ...string) func(*api.Submission) {
+	return func(x *api.Submission) { x.Awaits, x.CPUs, x.MemoryGB = ids, 0.1, 0.1 }
+}
+
+// tiny is a job that awaits nothing.
+var tiny = await()
+
+// beside is another controller, which answers from the records alone. All members are marked.
+func (s *stage) beside() *Node {
+	set := &settings.Settings{Member: "y"}
+	set.Facts.State = settings.State{RPS: 1e6, WriteRPS: 1e6, ValueKB: 16, TxnOps: 24}
+	set.Facts.Teams = []settings.Team{{Name: "t"}}
+	n := NewNode(context.Background(), set, policy.Default(), s.clock, s.state)
+	n.types = testTypes
+	n.members.Seen("y", upgrade.Mark{Data: upgrade.Data})
+	return n
+}
+
+// state is what the leader says of a job.
+func (s *stage) status(id string) string {
+	st, ok := s.Known(id)
+	if !ok {
+		if f, over := s.finals[id]; over {
+			return f.State
+		}
+		return ""
+	}
+	return st.State
+}
+
+// complete runs all tasks of a job to their end on a machine.
+func (s *stage) complete(id, machine string) {
+	s.Helper()
+	s.report(machine, 1)
+	s.Place()
+	s.commit()
+	var ran, done []api.TaskReport
+	for key, a := range s.machines[machine].assigns {
+		if a.committed && a.job.id == id {
+			ran = append(ran, task(key, a.attempt, api.TaskRunning, ""))
+			done = append(done, task(key, a.attempt, api.TaskEnded, api.CauseDone))
+		}
+	}
+	if len(done) == 0 {
+		s.Fatalf("%s did not start", id)
+	}
+	s.report(machine, 1, ran...)
+	s.report(machine, 1, done...)
+	s.commit()
+	s.report(machine, 1)
+}
+
+// A job waits until the done of all that it awaits is on record: not when the last task ends,
+// and not when the leader has decided it.
+func TestAwaitingJobStartsAfterTheRecord(t *testing.T) {
+	s := newStage(t)
+	s.submit("run-000001", 1, tiny)
+	s.submit("run-000002", 1, await("run-000001"))
+	if s.status("run-000002") != api.Pending || s.use["t"].CPUs != 0 || !s.jobs["run-000002"].waits {
+		t.Fatal("it does not wait")
+	}
+	if all, _ := s.demand(); all > 0.2 {
+		t.Errorf("machines for %.1f processors are asked for", all)
+	}
+	s.report("a1", 1)
+	s.Place()
+	s.commit()
+	st := s.starts("run-000001/0")[0].o.Commands[0]
+	s.report("a1", 1, task("run-000001/0", st.Attempt, api.TaskRunning, ""))
+	s.report("a1", 1, task("run-000001/0", st.Attempt, api.TaskEnded, api.CauseDone))
+	if s.jobs["run-000001"].Final != api.Done {
+		t.Fatal("not decided")
+	}
+	s.Place()
+	if len(s.jobs["run-000002"].live) > 0 {
+		t.Fatal("it was placed before the record")
+	}
+	s.commit()
+	s.Place()
+	if len(s.jobs["run-000002"].live) != 1 {
+		t.Error("it does not start after the record")
+	}
+}
+
+// A cancellation is decided by one record. Whatever of what follows was written when the leader
+// dies, every job behind it is withdrawn for whoever is asked, and for the next leader.
+func TestCancellationReachesAllAfterOneRecord(t *testing.T) {
+	for steps := range 12 {
+		s := newStage(t)
+		s.submit("run-000000", 1, tiny)
+		for i := 1; i < 30; i++ {
+			// A chain of ten, and twenty that await its first and its last.
+			on := []string{fmt.Sprintf("run-%06d", i-1)}
+			if i > 10 {
+				on = []string{"run-000001", "run-000010"}
+			}
+			s.submit(fmt.Sprintf("run-%06d", i), 1, await(on...))
+		}
+		s.Cancel(gaveUp(), "run-000000")
+		s.com.Step(context.Background())
+		if rec := string(s.state.Get(store.JobKey("run-000000"))); !strings.Contains(rec, api.Withdrawn) {
+			t.Fatalf("the cancellation is not the first record: %s", rec)
+		}
+		for range steps {
+			s.com.Step(context.Background())
+		}
+		check := func(who string, says func(id string) string) {
+			for i := 1; i < 30; i++ {
+				if id := fmt.Sprintf("run-%06d", i); says(id) != api.Withdrawn {
+					t.Fatalf("%s, after %d further writes: %s is %q", who, steps, id, says(id))
+				}
+			}
+		}
+		check("the leader", s.status)
+		n := s.beside()
+		check("a node alone", func(id string) string {
+			st, _, err := n.lookUp(context.Background(), nil, id)
+			if err != nil {
+				t.Fatal(err)
+			}
+			return st.State
+		})
+		s.elect()
+		for range 5 {
+			s.beside().lookAwaited(context.Background(), s.Core, s.com, s.Missing())
+		}
+		check("the next leader", func(id string) string {
+			if st := s.status(id); st != "" {
+				return st
+			}
+			st, _, _ := s.beside().lookUp(context.Background(), s.Core, id)
+			return st.State
+		})
+		s.commit()
+		if left := s.jobs; len(left) > 0 {
+			t.Fatalf("%d jobs are left", len(left))
+		}
+	}
+}
+
+// A thousand jobs behind one are withdrawn as one, and written within the limits.
+func TestThousandBehindOne(t *testing.T) {
+	s := newStage(t)
+	s.submit("run-000000", 1, tiny)
+	for i := 1; i <= 1000; i++ {
+		s.submit(fmt.Sprintf("run-%06d", i), 1, await("run-000000"))
+	}
+	s.Cancel(gaveUp(), "run-000000")
+	s.com.Step(context.Background())
+	for i := 1; i <= 1000; i++ {
+		if st := s.status(fmt.Sprintf("run-%06d", i)); st != api.Withdrawn {
+			t.Fatalf("run-%06d is %q", i, st)
+		}
+	}
+	s.commit()
+	if s.state.Largest.Ops > 12 || len(s.state.Refused) > 0 || len(s.jobs) > 0 {
+		t.Errorf("%d changes at once, refused %v, %d jobs left", s.state.Largest.Ops, s.state.Refused, len(s.jobs))
+	}
+}
+
+// An accept and a cancellation of what it awaits that cross, in both orders of their records,
+// decided by the leader or by a controller alone.
+func TestAcceptAndCancelCross(t *testing.T) {
+	for _, first := range []string{"accept", "cancel"} {
+		for _, alone := range []bool{false, true} {
+			s := newStage(t)
+			s.submit("run-000001", 1, tiny)
+			sub := s.jobs["run-000001"].Job
+			sub.ID, sub.Awaits = "run-000002", []string{"run-000001"}
+			accept := func() {
+				if alone {
+					s.beside().submitAlone(context.Background(), &sub, nil)
+				} else {
+					s.Submit(gaveUp(), &sub, s.clock.Now())
+				}
+			}
+			if first == "accept" {
+				accept()
+			}
+			s.Cancel(gaveUp(), "run-000001")
+			if first == "cancel" {
+				if alone {
+					s.commit()
+				}
+				accept()
+			}
+			s.commit()
+			if alone {
+				it, err := s.beside().client.Get(context.Background(), store.JobKey("run-000002"))
+				if err != nil {
+					t.Fatal(err)
+				}
+				s.com.Know(it.Key, it.Stamp)
+				s.Conflict(it.Key, &it)
+			}
+			if st := s.status("run-000002"); st != api.Withdrawn {
+				t.Errorf("%s first, alone %v: %q", first, alone, st)
+			}
+			st, _, err := s.beside().lookUp(context.Background(), nil, "run-000002")
+			if err != nil || st.State != api.Withdrawn {
+				t.Errorf("%s first, alone %v, from the records: %v %v", first, alone, st, err)
+			}
+			s.Place()
+			s.commit()
+			if len(s.starts("run-000002/0")) > 0 {
+				t.Error("it started")
+			}
+		}
+	}
+}
+
+// A cancellation that comes too late, and is answered with done, stops nothing behind the job.
+func TestCancelOfADoneJobStopsNothing(t *testing.T) {
+	s := newStage(t)
+	s.submit("run-000001", 1, tiny)
+	s.submit("run-000002", 1, await("run-000001"))
+	s.complete("run-000001", "a1")
+	if a, ok := s.Cancel(gaveUp(), "run-000001"); ok {
+		t.Fatalf("%d %s: it is still in memory", a.Status, a.Body)
+	}
+	s.complete("run-000002", "a1")
+	if st := s.status("run-000002"); st != api.Done {
+		t.Errorf("%q", st)
+	}
+}
+
+// What a submission may await, and that anything else is refused with the field and changes
+// nothing. A repetition of an accepted job is answered with its state whatever it names.
+func TestAwaitsAreChecked(t *testing.T) {
+	s := newStage(t)
+	s.submit("run-000001", 1, tiny)
+	s.submit("run-000002", 1, func(x *api.Submission) { tiny(x); x.Shape, x.Rank = api.Service, "prod" })
+	n := s.beside()
+	s.valid = false // all is told from the records
+	var long []string
+	for i := range tuning.AwaitsMost + 1 {
+		long = append(long, fmt.Sprintf(`"run-%06d"`, 100+i))
+	}
+	ask := func(awaits string) peer.Answer {
+		body := strings.Replace(submission("run-000009", 1, `,"awaits":`+awaits), `"team"`, `"t"`, 1)
+		got := make(chan peer.Answer, 1)
+		go func() {
+			got <- n.Handle(context.Background(), peer.Request{Verb: VerbSubmit, Body: []byte(body)}, false)
+		}()
+		for {
+			select {
+			case a := <-got:
+				return a
+			default:
+				s.clock.Advance(tuning.AwaitsAgain)
+			}
+		}
+	}
+	before := s.state.Requests
+	for awaits, want := range map[string]struct {
+		status int
+		says   string
+	}{
+		`["run-000404"]`:                         {422, "run-000404 was never accepted"},
+		`["run-000002"]`:                         {422, "is a service"},
+		`["run-000009"]`:                         {422, "is the job itself"},
+		`[` + strings.Join(long, ",") + `]`:      {422, "at most 64"},
+		`["run-000001","run-000001"]`:            {400, "stands twice"},
+		`[]`:                                     {400, "one or more job ids"},
+		`null`:                                   {400, "one or more job ids"},
+		`"run-000001"`:                           {400, "one or more job ids"},
+		`[1]`:                                    {400, "one or more job ids"},
+		`{"a":1}`:                                {400, "one or more job ids"},
+		`["` + strings.Repeat("9", 1<<10) + `"]`: {400, "is no job id"},
+	} {
+		if a := ask(awaits); a.Status != want.status || !strings.Contains(string(a.Body), want.says) || !strings.Contains(string(a.Body), `"field":"awaits"`) {
+			t.Errorf("%.60s: %d %.200s", awaits, a.Status, a.Body)
+		}
+	}
+	if s.state.Get(store.JobKey("run-000009")) != nil || s.state.Requests-before > 100 {
+		t.Errorf("something was stored, or asked %d times", s.state.Requests-before)
+	}
+	if a := ask(`["run-000001"]`); a.Status != 201 {
+		t.Errorf("%d %s", a.Status, a.Body)
+	}
+	if a := ask(`["run-000404"]`); a.Status != 200 {
+		t.Errorf("a repetition that names another job: %d %s", a.Status, a.Body)
+	}
+}
+
+// While a process of the first version may come back, no job that awaits others is accepted:
+// it would start them at once.
+func TestNoAwaitsBesideAnOlderVersion(t *testing.T) {
+	s := newStage(t)
+	s.submit("run-000001", 1, tiny)
+	n := s.beside()
+	n.members = upgrade.NewMembers("y", "z")
+	n.members.Seen("y", upgrade.Mark{Data: upgrade.Data})
+	body := strings.Replace(submission("run-000009", 1, `,"awaits":["run-000001"]`), `"team"`, `"t"`, 1)
+	ask := func() peer.Answer {
+		return n.Handle(context.Background(), peer.Request{Verb: VerbSubmit, Body: []byte(body)}, false)
+	}
+	if a := ask(); a.Status != 503 || a.RetryAfterS == 0 || !strings.Contains(string(a.Body), "not seen yet of z") {
+		t.Errorf("%d %s", a.Status, a.Body)
+	}
+	n.members.Seen("z", upgrade.Mark{Data: 1})
+	if a := ask(); a.Status != 503 {
+		t.Errorf("beside data of version 1: %d", a.Status)
+	}
+	n.members.Seen("z", upgrade.Mark{Data: upgrade.Data})
+	if a := ask(); a.Status != 201 {
+		t.Errorf("%d %s", a.Status, a.Body)
+	}
+}
+
+// Random graphs with random ends, cancellations and crashes of the leader between any two
+// writes, against a reference that recomputes everything from the records.
+func TestRandomPipelinesAgainstTheRecords(t *testing.T) {
+	graphs := 1000
+	if testing.Short() {
+		graphs = 100
+	}
+	for seed := range graphs {
+		s := newStage(t)
+		rng := rand.New(rand.NewPCG(uint64(seed), 7))
+		p := &gamble{stage: s, needs: map[string][]string{}, cancelled: map[string]bool{}, asked: map[string]bool{}, told: map[string]string{}}
+		for range 30 {
+			p.step(rng)
+			p.check(seed)
+		}
+		for i := 0; i < 60 && len(p.jobs) > 0; i++ {
+			p.carry()
+		}
+		p.check(seed)
+		// A cancellation that was asked for and not answered may have come through or not.
+		gone := map[string]bool{}
+		for _, id := range p.ids {
+			want := api.Done
+			st := p.says(id)
+			gone[id] = p.cancelled[id] || p.asked[id] && st == api.Withdrawn || slices.ContainsFunc(p.needs[id], func(n string) bool { return gone[n] })
+			if gone[id] {
+				want = api.Withdrawn
+			}
+			if st != want {
+				t.Fatalf("seed %d: %s is %q in the end, want %s", seed, id, st, want)
+			}
+		}
+	}
+}
+
+// gamble is a random run: what users asked for, and what they were told.
+type gamble struct {
+	*stage
+	ids       []string
+	needs     map[string][]string
+	cancelled map[string]bool
+	asked     map[string]bool
+	told      map[string]string
+	checked   int
+	// alone answers from the records; a new one for each check, as it remembers what is over.
+	alone   *Node
+	running []api.TaskReport
+}
+
+// lost tells from what users were told whether a job must be withdrawn.
+func (p *gamble) lost(id string) bool {
+	return p.cancelled[id] || slices.ContainsFunc(p.needs[id], p.lost)
+}
+
+// says is what a user is told of a job: by the leader, or from the records.
+func (p *gamble) says(id string) string {
+	if st, ok := p.Known(id); ok {
+		return st.State
+	}
+	if p.alone == nil {
+		p.alone = p.beside()
+	}
+	st, found, err := p.alone.lookUp(context.Background(), nil, id)
+	if err != nil || !found {
+		p.Fatalf("%s: %v %v", id, found, err)
+	}
+	return st.State
+}
+
+func (p *gamble) step(rng *rand.Rand) {
+	switch rng.IntN(9) {
+	case 0, 1, 2:
+		id := fmt.Sprintf("run-%06d", len(p.ids))
+		var on []string
+		for _, o := range p.ids {
+			if rng.IntN(3) == 0 {
+				on = append(on, o)
+			}
+		}
+		sub := api.Submission{ID: id, Class: "c", Team: "t", Shape: api.Array, Rank: "normal", Tasks: 1, Image: "img", ImageGB: 1, EstimateS: 30}
+		await(on...)(&sub)
+		p.Submit(gaveUp(), &sub, p.clock.Now())
+		p.commit()
+		p.ids, p.needs[id] = append(p.ids, id), on
+	case 3:
+		if len(p.ids) == 0 {
+			return
+		}
+		id := p.ids[rng.IntN(len(p.ids))]
+		p.Cancel(gaveUp(), id)
+		p.asked[id] = true
+		if rng.IntN(2) == 0 {
+			p.com.Step(context.Background())
+		} else {
+			p.commit()
+		}
+		if a, ok := p.Cancel(gaveUp(), id); ok && a.Status == 200 && strings.Contains(string(a.Body), api.Withdrawn) && !p.lost(id) {
+			p.cancelled[id] = true
+		}
+	case 4:
+		// The leader dies; what was on its way to the state service is lost.
+		p.elect()
+		p.running = nil
+	default:
+		p.carry()
+	}
+}
+
+// carry lets a machine report, and writes some of what waits.
+func (p *gamble) carry() {
+	if ids := p.Missing(); len(ids) > 0 {
+		p.beside().lookAwaited(context.Background(), p.Core, p.com, ids)
+	}
+	p.report("a1", 1, p.running...)
+	p.Place()
+	p.com.Step(context.Background())
+	p.com.Step(context.Background())
+	p.running = nil
+	for key, a := range p.machine("a1").assigns {
+		if a.committed {
+			// It completes at once.
+			p.running = append(p.running, task(key, a.attempt, api.TaskEnded, api.CauseDone))
+		}
+	}
+}
+
+// check finds what must never happen.
+func (p *gamble) check(seed int) {
+	p.Helper()
+	p.alone = nil
+	for _, o := range p.sent[min(p.checked, len(p.sent)):] {
+		for _, c := range o.o.Commands {
+			id, _, _ := splitTask(c.Task)
+			if c.Verb != api.Start {
+				continue
+			}
+			for _, n := range p.needs[id] {
+				if st, _, err := p.beside().lookUp(context.Background(), nil, n); err != nil || st.State != api.Done {
+					p.Fatalf("seed %d: %s starts, though %s is %q on record", seed, c.Task, n, st.State)
+				}
+			}
+		}
+	}
+	p.checked = len(p.sent)
+	for _, id := range p.ids {
+		st := p.says(id)
+		if p.lost(id) && st != api.Withdrawn {
+			p.Fatalf("seed %d: %s is %q, though one before it was told to be cancelled", seed, id, st)
+		}
+		if was := p.told[id]; (was == api.Done || was == api.Withdrawn) && st != was {
+			p.Fatalf("seed %d: %s was %s and is %s", seed, id, was, st)
+		}
+		p.told[id] = st
+	}
+}
+
+// The records of a job that the first version wrote, larger than values may be by now, are read,
+// and written anew in sizes that fit; a transaction of the old leader that comes late changes
+// nothing.
+func TestLargeRecordsAreSplit(t *testing.T) {
+	s := newStage(t)
+	for i := range 30 {
+		s.report(fmt.Sprintf("a%02d", i), 1)
+	}
+	s.submit("run-000001", 150, func(x *api.Submission) { x.CPUs, x.MemoryGB = 1, 1 })
+	s.Place()
+	s.state.HoldNext = true // the old leader's last write of them comes late
+	s.com.Step(context.Background())
+	s.commit()
+	old := store.ShardOf("run-000001", 0, tuning.ShardTasks)
+	if n := len(s.state.Get(old.Key())); n < 2048 {
+		t.Fatalf("the record has %d bytes only", n)
+	}
+	placed := len(s.jobs["run-000001"].live)
+	s.elect()
+	s.SizeRecords(store.ShardSize(2048))
+	s.commit()
+	s.state.Limit(standin.Limits{ValueKB: 2, TxnOps: 8})
+	s.state.Deliver()
+	if s.state.Get(old.Key()) != nil {
+		t.Error("the large record still stands")
+	}
+	s.elect()
+	if n := len(s.jobs["run-000001"].live); n != placed || placed == 0 {
+		t.Errorf("%d tasks are on machines, want %d", n, placed)
+	}
+	if len(s.state.Refused) > 0 {
+		t.Error("refused:", s.state.Refused)
+	}
+}
+
+// Whichever of a job's records a crash left behind, the newest says where a task is, and what
+// is done stays done.
+func TestNewestRecordOfATaskCounts(t *testing.T) {
+	s := newStage(t)
+	s.submit("run-000001", 100, tiny)
+	put := func(size, index int, done []int, on ...store.Placed) {
+		b := store.NewBits(100)
+		for _, i := range done {
+			b.Set(i)
+		}
+		sh := store.Shard{Job: "run-000001", Index: index, Size: size}
+		s.state.Put(sh.Key(), store.ShardRecord{Done: b.Pack(sh), On: on})
+	}
+	put(400, 0, []int{3}, store.Placed{Task: 1, Machine: "a1", Attempt: 5}, store.Placed{Task: 50, Machine: "a1", Attempt: 6}, store.Placed{Task: 2, Machine: "a1", Attempt: 7})
+	put(40, 0, []int{4}, store.Placed{Task: 1, Machine: "a2", Attempt: 9})
+	s.elect()
+	j := s.jobs["run-000001"]
+	if !j.bits.Has(3) || !j.bits.Has(4) || j.done != 2 {
+		t.Error("an end is lost")
+	}
+	if a := j.live[1]; a == nil || a.machine.Name != "a2" || a.attempt != 9 {
+		t.Error("an older record tells where task 1 is")
+	}
+	if j.live[2] != nil {
+		t.Error("task 2 is still where an older record has it")
+	}
+	if a := j.live[50]; a == nil || a.machine.Name != "a1" {
+		t.Error("task 50, which stands in no newer record, is lost")
+	}
+}
--- a/controller/user.go
+++ b/controller/user.go
@@ -107,7 +107,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	j := c.jobs[id]
-	if j == nil || !j.accepted {
+	if j == nil || !j.accepted || c.pipes.unsure(j) {
 		return api.JobStatus{}, false
 	}
 	st := c.status(j)
