--- a/cli/client.go
+++ b/cli/client.go
@@ -150,7 +150,8 @@
 	var file string
 	cmd := &cobra.Command{Use: "submit [--file JOB.json | flags]", Short: "Submit a job", Args: cobra.NoArgs,
 		Example: "  switchferry submit --file job.json --node 10.0.0.1:8080\n" +
-			"  switchferry submit --id run-000412 --class train --team vision --shape sweep --tasks 16 --cpus 4 --memory-gb 8 --image img-07 --image-gb 2 --estimate-s 240 --spot",
+			"  switchferry submit --id run-000412 --class train --team vision --shape sweep --tasks 16 --cpus 4 --memory-gb 8 --image img-07 --image-gb 2 --estimate-s 240 --spot\n" +
+			"  switchferry submit --id run-000413 --class publish --team vision --image img-08 --await run-000398 --await run-000412 --deadline-s 900",
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			body, err := json.Marshal(&s)
 			if file != "" {
@@ -190,6 +191,8 @@
 	f.Float64Var(&s.Checkpoint, "checkpoint-s", 0, "interval of checkpoints; 0: none")
 	f.Float64Var(&s.SaveS, "save-s", 0, "time to save when stopped")
 	f.Float64Var(&s.DeadlineS, "deadline-s", 0, "deadline after submission; 0: none")
+	f.StringSliceVar(&s.Awaits, "await", nil, "a job that must be done before any task of this one starts; may be given several times")
 	cmd.MarkFlagsMutuallyExclusive("file", "id")
+	cmd.MarkFlagsMutuallyExclusive("file", "await")
 	return cmd
 }
--- a/cli/serve.go
+++ b/cli/serve.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -25,6 +26,7 @@
 	"switchferry/sockets"
 	"switchferry/topology"
 	"switchferry/tuning"
+	"switchferry/upgrade"
 )
 
 // Version is the program's version.
@@ -75,9 +77,28 @@
 	return root
 }
 
+// versions is what the version command prints.
+type versions struct {
+	Version string `json:"version"`
+	// Data and Frames are the versions of records and of what controllers say to each other.
+	Data   int `json:"data"`
+	Frames int `json:"frames"`
+}
+
 func versionCommand() *cobra.Command {
-	return &cobra.Command{Use: "version", Short: "Print the version", Args: cobra.NoArgs,
-		Run: func(cmd *cobra.Command, _ []string) { fmt.Fprintln(cmd.OutOrStdout(), "switchferry", Version) }}
+	var asJSON bool
+	cmd := &cobra.Command{Use: "version", Short: "Print the versions of the program, of its records and of what controllers say to each other", Args: cobra.NoArgs,
+		Example: "  switchferry version\n  switchferry version --json | jq .data",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			v := versions{Version, upgrade.Data, upgrade.Frames}
+			if asJSON {
+				return json.NewEncoder(cmd.OutOrStdout()).Encode(v)
+			}
+			_, err := fmt.Fprintf(cmd.OutOrStdout(), "switchferry %s, data %d, frames %d\n", v.Version, v.Data, v.Frames)
+			return err
+		}}
+	cmd.Flags().BoolVar(&asJSON, "json", false, "print as JSON")
+	return cmd
 }
 
 func policyCommand() *cobra.Command {
--- a/cli/topology.go
+++ b/cli/topology.go
@@ -72,12 +72,7 @@
 				return err
 			}
 			var x controller.Explanation
-			printed, err := c.answer(cmd, http.MethodGet, "/submissions/"+args[0]+"/explanation", nil, &x, func(why string) error {
-				if why == "no such job" {
-					return coded(ExitNotFound, errors.New(why))
-				}
-				return topologyOff(why)
-			})
+			printed, err := c.answer(cmd, http.MethodGet, "/submissions/"+args[0]+"/explanation", nil, &x, func(why string) error { return coded(ExitNotFound, errors.New(why)) })
 			if err != nil || printed {
 				return err
 			}
--- a/controller/pipes_test.go
+++ b/controller/pipes_test.go
@@ -96,6 +96,9 @@
 	if len(s.jobs["run-000002"].live) > 0 {
 		t.Fatal("it was placed before the record")
 	}
+	if state, _ := s.pipes.ended("run-000001"); state != "" {
+		t.Fatalf("one that is accepted now would take it for %s", state)
+	}
 	s.commit()
 	s.Place()
 	if len(s.jobs["run-000002"].live) != 1 {
--- a/controller/places.go
+++ b/controller/places.go
@@ -12,9 +12,9 @@
 	"switchferry/tuning"
 )
 
-// Verbs of requests about where machines and jobs stand, served only with a topology.
+// Verbs of requests about where machines and jobs stand.
 const (
-	// VerbTopology shows the tree of domains.
+	// VerbTopology shows the tree of domains; it is served only with a topology.
 	VerbTopology = "topology"
 	// VerbExplain tells why a job waits, or where it stands; Request.Job names it.
 	VerbExplain = "explain"
@@ -78,7 +78,7 @@
 
 // aboutPlaces serves requests about where things stand: the leader knows.
 func (n *Node) aboutPlaces(ctx context.Context, r peer.Request, forwarded bool) peer.Answer {
-	if n.topology == nil {
+	if n.topology == nil && r.Verb == VerbTopology {
 		return answer(http.StatusNotFound, api.Error{Error: "no topology is declared"})
 	}
 	core := n.leading()
--- a/httpapi/httpapi.go
+++ b/httpapi/httpapi.go
@@ -90,9 +90,9 @@
 	e.POST("/submissions", user(controller.VerbSubmit))
 	e.GET("/submissions/:id", user(controller.VerbStatus))
 	e.POST("/submissions/:id/cancel", user(controller.VerbCancel))
+	e.GET("/submissions/:id/explanation", user(controller.VerbExplain))
 	if n.PlacesOn() {
 		e.GET("/topology", user(controller.VerbTopology))
-		e.GET("/submissions/:id/explanation", user(controller.VerbExplain))
 	}
 	if n.DataOn() {
 		e.GET("/datasets", user(controller.VerbData))
