--- /dev/null
+++ b/controller/version1_test.go
@@ -0,0 +1,125 @@
+package controller
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"switchferry/api"
+	"switchferry/internal/standin"
+	"switchferry/store"
+)
+
+// version1 plays a scripted term: jobs of all shapes that run, are done, cancelled, and accepted
+// by a sibling. testdata/version1.json is what the first version's controllers had written after
+// it, before any of them knew another version.
+func version1(t *testing.T) *stage {
+	clock := clockwork.NewFakeClockAt(time.Date(2026, 9, 21, 14, 0, 0, 0, time.UTC))
+	s := (&stage{T: t, clock: clock, state: standin.NewState(clock)}).elect()
+	for _, m := range []string{"a1", "a2", "b1"} {
+		s.report(m, 1)
+	}
+	s.submit("run-000001", 450, func(x *api.Submission) { x.CPUs, x.MemoryGB, x.Rank = 0.5, 1, "low" })
+	s.submit("run-000002", 2, func(x *api.Submission) { x.Shape, x.Rank, x.CPUs = api.Service, "prod", 1; x.Spread = true })
+	s.submit("run-000003", 1, func(x *api.Submission) { x.CPUs, x.DeadlineS, x.Types = 0.1, 90, []string{"m8"} })
+	s.submit("run-000004", 1, nil)
+	for range 2 {
+		s.Place()
+		s.commit()
+	}
+	for _, m := range []string{"a1", "a2", "b1"} {
+		var now []api.TaskReport
+		for key, a := range s.machines[m].assigns {
+			if strings.HasPrefix(key, "run-000003/") || key == "run-000001/0" {
+				now = append(now, task(key, a.attempt, api.TaskEnded, api.CauseDone))
+			} else {
+				now = append(now, task(key, a.attempt, api.TaskRunning, ""))
+			}
+		}
+		s.report(m, 1, now...)
+	}
+	s.commit()
+	s.Cancel(gaveUp(), "run-000004")
+	s.commit()
+	s.imagesNew = true
+	s.keepImages(s.clock.Now().Add(time.Hour))
+	s.commit()
+	s.state.Put(store.InboxKey("run-000009"), store.InboxRecord{})
+	s.state.Put(store.InboxKey("run-000008"), store.InboxRecord{Cancel: true})
+	return s
+}
+
+func TestRecordsOfVersionOne(t *testing.T) {
+	s := version1(t)
+	items, _, err := store.NewClient("state:1", s.state).List(context.Background(), "sf/")
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw, err := json.MarshalIndent(items, "", " ")
+	if err != nil {
+		t.Fatal(err)
+	}
+	file := filepath.Join("testdata", "version1.json")
+	if os.Getenv("WRITE_VERSION1") != "" {
+		if err := os.WriteFile(file, append(raw, '\n'), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	// Until no process of the first version can come back, what is written is the same to the byte.
+	if string(raw)+"\n" != string(want) {
+		t.Errorf("other records than the first version's:\n%s", raw)
+	}
+}
+
+// A leader of this version goes on with what the first version wrote, and once no process of
+// that one can come back writes all of it anew in its own sizes, with nothing else in it.
+func TestVersionOneIsReadAndSplit(t *testing.T) {
+	raw, err := os.ReadFile(filepath.Join("testdata", "version1.json"))
+	var items []store.Item
+	if err == nil {
+		err = json.Unmarshal(raw, &items)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := newStage(t)
+	for _, it := range items {
+		s.state.Put(it.Key, it.Value)
+	}
+	s.elect()
+	where := func() map[string]string {
+		m := map[string]string{}
+		for _, j := range s.jobs {
+			for _, a := range j.live {
+				m[a.key] = a.machine.Name
+			}
+		}
+		return m
+	}
+	before, done := where(), s.jobs["run-000001"].done
+	if len(before) != 37 || done != 1 || len(s.jobs) != 3 {
+		t.Fatalf("%d tasks on machines, %d done, %d jobs", len(before), done, len(s.jobs))
+	}
+	s.SizeRecords(store.ShardSize(2048))
+	s.commit()
+	for _, key := range []string{"sf/t/run-000001/0", "sf/t/run-000001/1", "sf/t/run-000002/0"} {
+		if s.state.Get(key) != nil {
+			t.Error("a record of the first version still stands:", key)
+		}
+	}
+	s.elect()
+	if got := where(); !maps.Equal(got, before) || s.jobs["run-000001"].done != done {
+		t.Errorf("%d tasks on machines, want %d", len(got), len(before))
+	}
+}
