--- a/cli/experiment.go
+++ b/cli/experiment.go
@@ -23,7 +23,7 @@
 // experimentCommand plays workloads and measures them.
 func experimentCommand() *cobra.Command {
 	cmd := &cobra.Command{Use: "experiment", Short: "Play workloads on this machine and measure them"}
-	cmd.AddCommand(localityCommand(), recoveryCommand(), orderCommand(), topologyExperiment())
+	cmd.AddCommand(localityCommand(), recoveryCommand(), orderCommand(), topologyExperiment(), upgradeExperiment())
 	return cmd
 }
 
@@ -63,6 +63,42 @@
 	return nil
 }
 
+func upgradeExperiment() *cobra.Command {
+	x := experiment.UpgradeDefaults()
+	var asJSON bool
+	cmd := &cobra.Command{Use: "upgrade --from PROGRAM", Short: "Replace real processes of an older version by this one while users are at work", Args: cobra.NoArgs,
+		Long: "Three processes of the older program serve on loopback, with the project's stand-ins of state service, cloud and workers. They are\n" +
+			"killed at random moments and come back, old until their turn and then as this program; then jobs that await others come, the state\n" +
+			"service lowers its limits, jobs are cancelled and processes killed. What must never happen is counted. About 40 s a run.",
+		Example: "  git worktree add ../old $(sed -n 's/^production = \"\\(.*\\)\"$/\\1/p' deploy/service.toml)\n" +
+			"  (cd ../old && go build -o /tmp/old ./cmd/switchferry)\n  switchferry experiment upgrade --from /tmp/old --json",
+		RunE: func(cmd *cobra.Command, _ []string) (err error) {
+			if x.To == "" {
+				if x.To, err = os.Executable(); err != nil {
+					return coded(ExitFailed, err)
+				}
+			}
+			if x.From == "" {
+				return coded(ExitUsage, errors.New("--from is missing: the program of the older version"))
+			}
+			return play(cmd, asJSON, &x.Progress, x.Run, func(res *experiment.UpgradeResult, t table.Writer) {
+				t.SetTitle("%s", res.Measured)
+				t.AppendHeader(table.Row{"seed", "kills", "came back old", "jobs", "that await", "tasks", "ran twice", "too early", "wrong states", "forgotten", "not over", "refused for size", "switched s"})
+				for _, r := range res.Runs {
+					t.AppendRow(table.Row{r.Seed, r.Kills, r.OldBack, r.Jobs, r.Awaiting, r.Tasks, r.RanTwice, r.TooEarly, r.Wrong, r.Forgotten, r.Unended, r.TooLarge, fmt.Sprintf("%.1f", r.SwitchedS)})
+				}
+			})
+		}}
+	f := cmd.Flags()
+	f.StringVar(&x.From, "from", "", "the program of the older version")
+	f.StringVar(&x.To, "to", "", "the program of the newer version; none: this one")
+	f.IntVar(&x.Runs, "runs", x.Runs, "how many runs")
+	f.IntVar(&x.Workers, "workers", x.Workers, "machines")
+	f.Uint64Var(&x.Seed, "seed", x.Seed, "of the first run; the next have the following numbers")
+	f.BoolVar(&asJSON, "json", false, "print as JSON")
+	return cmd
+}
+
 func recoveryCommand() *cobra.Command {
 	x := experiment.RecoveryDefaults()
 	var asJSON bool
--- a/experiment/locality.go
+++ b/experiment/locality.go
@@ -214,7 +214,7 @@
 	p.core = controller.NewCore(1, clockwork.NewRealClock(), set, policy.Default(), types, controller.Hooks{
 		Touch: func(_ string, _ int, after func()) { touch(after) },
 		Later: func(_ string, _ int, _ time.Duration, after func()) { touch(after) },
-		Send: func(name, _ string, o api.Orders) { go p.send(name, o) },
+		Send:  func(name, _ string, o api.Orders) { go p.send(name, o) },
 		Stage: func(name, _ string, o api.StageOrder) {
 			if m := p.machines[name]; m != nil {
 				go m.order(p.core, o)
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -64,6 +64,15 @@
 	return *c.add(typ, zone, spot)
 }
 
+// AddAt is Add for a machine whose worker listens at an address of its own.
+func (c *Cloud) AddAt(typ, zone, addr string) Host {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	h := c.add(typ, zone, false)
+	h.Address = addr
+	return *h
+}
+
 func (c *Cloud) add(typ, zone string, spot bool) *Host {
 	h := &Host{Name: fmt.Sprintf("n-%06d", c.next), Address: fmt.Sprintf("worker-%d:9000", c.next), Type: typ, Zone: zone, Spot: spot, rented: c.clock.Now()}
 	c.next++
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
 	"net/url"
 	"slices"
@@ -130,6 +131,13 @@
 	s.Down = down
 }
 
+// Refusals are the requests over a limit so far, by what was wrong.
+func (s *State) Refusals() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.Refused)
+}
+
 // refuse answers a request that breaks a limit.
 func (s *State) refuse(status int, why string) (*http.Response, error) {
 	s.Refused[why]++
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -38,6 +38,7 @@
 	answered        time.Time
 	// Starts is told of each start, without the lock.
 	starts func(task string, helm uint64, at time.Time)
+	ends   func(task string, done bool)
 }
 
 type workerTask struct {
@@ -54,11 +55,13 @@
 	Every, Lease time.Duration
 	Runs         func(task string) time.Duration
 	Starts       func(task string, helm uint64, at time.Time)
+	// Ends is told of each end, in order with the starts and with the lock; nil: not told.
+	Ends func(task string, done bool)
 }
 
 // NewWorker makes a worker that has just begun.
 func NewWorker(o WorkerOptions) *Worker {
-	return &Worker{Host: o.Host, clock: o.Clock, nodes: o.Nodes, post: o.Post, every: o.Every, lease: o.Lease, runs: o.Runs, starts: o.Starts,
+	return &Worker{Host: o.Host, clock: o.Clock, nodes: o.Nodes, post: o.Post, every: o.Every, lease: o.Lease, runs: o.Runs, starts: o.Starts, ends: o.Ends,
 		session: 1, renewed: o.Clock.Now(), tasks: map[string]*workerTask{}, change: make(chan struct{}, 1)}
 }
 
@@ -83,6 +86,7 @@
 		for _, t := range w.tasks {
 			if t.State == api.TaskRunning {
 				w.killed++
+				w.over(t.Task, false)
 			}
 		}
 		w.tasks = map[string]*workerTask{}
@@ -92,11 +96,18 @@
 	for _, t := range w.tasks {
 		if t.State == api.TaskRunning && !now.Before(t.ends) {
 			t.State, t.Cause = api.TaskEnded, api.CauseDone
+			w.over(t.Task, true)
 			w.changed()
 		}
 	}
 }
 
+func (w *Worker) over(task string, done bool) {
+	if w.ends != nil {
+		w.ends(task, done)
+	}
+}
+
 func (w *Worker) changed() {
 	select {
 	case w.change <- struct{}{}:
@@ -185,12 +196,17 @@
 			w.tasks[c.Task] = &workerTask{api.TaskReport{Task: c.Task, Attempt: c.Attempt, State: api.TaskRunning}, now.Add(w.runs(c.Task))}
 			w.started++
 			w.changed()
-			if w.starts != nil {
+			switch {
+			case w.starts == nil:
+			case w.ends != nil:
+				w.starts(c.Task, o.Helm, now)
+			default:
 				go w.starts(c.Task, o.Helm, now)
 			}
 		case t == nil || t.Attempt != c.Attempt:
 		case c.Verb == api.Stop && t.State == api.TaskRunning:
 			t.State, t.Cause = api.TaskEnded, api.CauseStopped
+			w.over(t.Task, false)
 			w.changed()
 		case c.Verb == api.Forget && t.State == api.TaskEnded:
 			delete(w.tasks, c.Task)
