--- a/experiment/upgrade.go
+++ b/experiment/upgrade.go
@@ -257,7 +257,7 @@
 		names = append(names, m.set.Member)
 	}
 	w = standin.NewWorker(standin.WorkerOptions{Host: h, Clock: r.clock, Nodes: names, Post: r.post, Every: 500 * time.Millisecond, Lease: 5 * time.Second,
-		Runs: func(task string) time.Duration { return time.Duration(300+100*(len(task)%7)) * time.Millisecond },
+		Runs: func(task string) time.Duration { return time.Duration(500+200*(len(task)%7)) * time.Millisecond },
 		Starts: func(task string, _ uint64, _ time.Time) {
 			r.began(task, h.Name)
 		},
@@ -429,16 +429,15 @@
 	}
 }
 
-// some are up to two accepted jobs.
+// some are the job that was accepted last, which still runs, and perhaps an earlier one.
 func (r *upgraded) some() (ids []string) {
-	for _, id := range r.ids() {
-		if r.jobs[id].accepted && len(ids) < 2 && r.rng.IntN(4) == 0 {
+	all := r.ids()
+	slices.Reverse(all)
+	for _, id := range all {
+		if r.jobs[id].accepted && (len(ids) == 0 || len(ids) == 1 && r.rng.IntN(4) == 0) {
 			ids = append(ids, id)
 		}
 	}
-	if len(ids) == 0 {
-		ids = []string{r.ids()[0]}
-	}
 	return ids
 }
 
@@ -513,7 +512,7 @@
 			r.res.Wrong++
 			continue
 		}
-		wrong := a.told != "" && st.State != a.told || st.State == api.Withdrawn && !r.gone(id)
+		wrong := a.told != "" && st.State != a.told || st.State == api.Withdrawn && !r.gone(id) || st.State == api.Done && r.gone(id)
 		if wrong {
 			slog.Error("a wrong state", "job", id, "state", st.State, "told", a.told)
 			r.res.Wrong++
