A started task proves what its job awaits; gaps between stages are measured from logs

Cause: after a takeover jobs whose tasks already ran waited for what they awaited to be looked up, and were ranked as new. Their records prove that it is done.

--- a/cli/experiment.go
+++ b/cli/experiment.go
@@ -23,7 +23,7 @@
 // experimentCommand plays workloads and measures them.
 func experimentCommand() *cobra.Command {
 	cmd := &cobra.Command{Use: "experiment", Short: "Play workloads on this machine and measure them"}
-	cmd.AddCommand(localityCommand(), recoveryCommand(), orderCommand(), topologyExperiment(), upgradeExperiment())
+	cmd.AddCommand(localityCommand(), recoveryCommand(), orderCommand(), topologyExperiment(), upgradeExperiment(), gapsCommand())
 	return cmd
 }
 
@@ -63,6 +63,37 @@
 	return nil
 }
 
+func gapsCommand() *cobra.Command {
+	var asJSON bool
+	cmd := &cobra.Command{Use: "gaps LOG...", Short: "How long jobs that await others take to start once these are done", Args: cobra.MinimumNArgs(1),
+		Long: "Reads the controllers' logs of a day (LOG_LEVEL=debug): from the report of the last end to the record of the last awaited job, from\n" +
+			"there to the first start given, and to the first task that runs, its image fetched.",
+		Example: "  switchferry experiment gaps ferryhost-*.log\n  switchferry experiment gaps --json night.log | jq '.[] | select(.part == \"records\")'",
+		RunE: func(cmd *cobra.Command, args []string) error {
+			in, end, err := openAll(args)
+			if err != nil {
+				return err
+			}
+			defer end()
+			gaps, err := experiment.Gaps(in)
+			if err != nil {
+				return coded(ExitFailed, err)
+			}
+			if asJSON {
+				return json.NewEncoder(cmd.OutOrStdout()).Encode(gaps)
+			}
+			t := newTable(cmd.OutOrStdout())
+			t.AppendHeader(table.Row{"part", "jobs", "p50 ms", "p90 ms", "p99 ms", "longest ms"})
+			for _, g := range gaps {
+				t.AppendRow(table.Row{g.Part, g.Jobs, g.P50, g.P90, g.P99, g.Most})
+			}
+			t.Render()
+			return nil
+		}}
+	cmd.Flags().BoolVar(&asJSON, "json", false, "print JSON")
+	return cmd
+}
+
 func upgradeExperiment() *cobra.Command {
 	x := experiment.UpgradeDefaults()
 	var asJSON bool
@@ -126,6 +157,26 @@
 	return cmd
 }
 
+// openAll opens files to be read one after the other.
+func openAll(names []string) (io.Reader, func(), error) {
+	var all []io.Reader
+	var files []*os.File
+	end := func() {
+		for _, f := range files {
+			f.Close()
+		}
+	}
+	for _, name := range names {
+		f, err := os.Open(name)
+		if err != nil {
+			end()
+			return nil, nil, coded(ExitUsage, err)
+		}
+		files, all = append(files, f), append(all, f)
+	}
+	return io.MultiReader(all...), end, nil
+}
+
 func orderCommand() *cobra.Command {
 	o := experiment.OrderDefaults()
 	var asJSON bool
@@ -140,16 +191,12 @@
 			if o.WithinS < 0 || o.Times <= 0 || o.SlotS <= 0 || o.Rounds < 1 {
 				return coded(ExitUsage, errors.New("--within must not be negative; --times, --slot and --rounds must be above 0"))
 			}
-			var all []io.Reader
-			for _, name := range args {
-				f, err := os.Open(name)
-				if err != nil {
-					return coded(ExitUsage, err)
-				}
-				defer f.Close()
-				all = append(all, f)
+			in, end, err := openAll(args)
+			if err != nil {
+				return err
 			}
-			res, err := o.Compare(io.MultiReader(all...))
+			defer end()
+			res, err := o.Compare(in)
 			if err != nil {
 				return coded(ExitFailed, err)
 			}
--- a/controller/pipes.go
+++ b/controller/pipes.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"log/slog"
 	"strings"
+	"time"
 
 	"switchferry/api"
 	"switchferry/pipeline"
@@ -43,6 +44,10 @@
 
 // enter looks what an accepted job awaits. True: it waits, or is over with a cancelled one.
 func (p *pipes) enter(j *job) bool {
+	if j.done > 0 || len(j.live) > 0 {
+		// That one of its tasks was given to a machine proves that all it awaits was done.
+		return false
+	}
 	var open []string
 	for _, id := range j.Job.Awaits {
 		state, known := p.ended(id)
@@ -118,7 +123,7 @@
 		return
 	}
 	j.waits, j.arrived, j.began = false, p.core.now(), p.core.now().UnixMilli()
-	slog.Debug("job waits for no other any more", "job", id)
+	slog.Debug("job may start", "job", id, "waited", time.Duration(j.began-j.At)*time.Millisecond)
 	j.open()
 	p.core.kick()
 }
--- a/controller/user.go
+++ b/controller/user.go
@@ -177,7 +177,7 @@
 	if j.Final == "" && !c.pipes.enter(j) {
 		j.open()
 	}
-	slog.Info("job accepted", "job", id, "class", j.Job.Class, "team", j.Job.Team, "tasks", j.total, "cpus", j.need.CPUs, "rank", j.Job.Rank, "expect_s", j.Job.EstimateS, "due_s", j.Job.DeadlineS)
+	slog.Info("job accepted", "job", id, "class", j.Job.Class, "team", j.Job.Team, "tasks", j.total, "cpus", j.need.CPUs, "rank", j.Job.Rank, "expect_s", j.Job.EstimateS, "due_s", j.Job.DeadlineS, "awaits", strings.Join(j.Job.Awaits, ","))
 	j.notify()
 	c.kick()
 }
--- a/experiment/order.go
+++ b/experiment/order.go
@@ -83,7 +83,14 @@
 	cpus       float64
 	due        float64
 	at, over   float64
-	took       map[string]float64
+	// awaits are the jobs that it waits for, ready when the last of them was done: as it came
+	// if there are none.
+	awaits []string
+	ready  float64
+	took   map[string]float64
+	// lastEnd is when the last of its tasks was done; placed and running are the first start of
+	// one; 0: there was none.
+	lastEnd, placed, running float64
 	// lost and stopped count tasks that ended without being done.
 	lost, stopped int
 }
@@ -95,11 +102,10 @@
 
 // dayLog is what logs tell of a day.
 type dayLog struct {
-	jobs  map[string]*loggedJob
-	runs  []loggedRun
-	cpus  [][2]float64
-	begin time.Time
-	last  float64
+	jobs map[string]*loggedJob
+	runs []loggedRun
+	cpus [][2]float64
+	last float64
 }
 
 // Compare reads the logs.
@@ -140,17 +146,22 @@
 	}
 	var jobs []bound.Job
 	for _, j := range day.jobs {
-		due := cmp.Or(o.WithinS, o.Times*j.due)
-		if j.class != o.Class || j.at < o.FromS || j.at > o.ToS || len(j.took) < j.size || due <= 0 || j.at+due > day.last {
+		// A deadline counts from the submission, other times from when the job could start;
+		// whichever it is, nothing of it could run before.
+		by := j.ready + o.WithinS
+		if o.WithinS == 0 {
+			by = j.at + o.Times*j.due
+		}
+		if j.class != o.Class || j.at < o.FromS || j.at > o.ToS || len(j.took) < j.size || o.WithinS == 0 && o.Times*j.due <= 0 || by > day.last {
 			continue
 		}
 		res.Jobs++
-		if j.over > 0 && j.over-j.at <= due {
+		if j.over > 0 && j.over <= by {
 			res.InTime++
 		} else {
-			res.Late.add(j, due)
+			res.Late.add(j, by-j.ready)
 		}
-		x := bound.Job{Arrive: j.at, Due: j.at + due}
+		x := bound.Job{Arrive: j.ready, Due: by}
 		for _, run := range j.took {
 			x.Tasks = append(x.Tasks, bound.Task{CPUs: j.cpus, Run: run})
 		}
@@ -167,10 +178,10 @@
 	return res, nil
 }
 
-// readDay takes in log lines; what stands before time= on a line does not matter.
-func readDay(r io.Reader) (*dayLog, error) {
-	day := &dayLog{jobs: map[string]*loggedJob{}}
-	on := map[string]float64{}
+// scan reads log lines; what stands before time= on a line does not matter. At is the time of a
+// line in seconds since the first.
+func scan(r io.Reader, take func(kv map[string]string, at float64)) error {
+	var begin time.Time
 	lines := bufio.NewScanner(r)
 	lines.Buffer(make([]byte, 64<<10), 4<<20)
 	for lines.Scan() {
@@ -189,16 +200,26 @@
 		if d.Err() != nil || err != nil {
 			continue // a line that was cut short
 		}
-		if day.begin.IsZero() {
-			day.begin = when
+		if begin.IsZero() {
+			begin = when
 		}
-		day.take(kv, math.Max(0, when.Sub(day.begin).Seconds()), on)
+		take(kv, math.Max(0, when.Sub(begin).Seconds()))
 	}
-	if day.begin.IsZero() {
-		return nil, errors.New("these are no logs of switchferry: no line has time=")
+	if begin.IsZero() {
+		return errors.New("these are no logs of switchferry: no line has time=")
+	}
+	return lines.Err()
+}
+
+// readDay takes in the logs of a day.
+func readDay(r io.Reader) (*dayLog, error) {
+	day := &dayLog{jobs: map[string]*loggedJob{}}
+	on := map[string]float64{}
+	if err := scan(r, func(kv map[string]string, at float64) { day.take(kv, at, on) }); err != nil {
+		return nil, err
 	}
 	slices.SortFunc(day.cpus, func(a, b [2]float64) int { return cmp.Compare(a[0], b[0]) })
-	return day, lines.Err()
+	return day, nil
 }
 
 func (day *dayLog) take(kv map[string]string, at float64, on map[string]float64) {
@@ -217,6 +238,7 @@
 			case j == nil:
 			case kv["cause"] == api.CauseDone:
 				j.took[task] = at - from
+				j.lastEnd = math.Max(j.lastEnd, at)
 			case kv["cause"] == api.CauseStopped:
 				j.stopped++
 			default:
@@ -228,7 +250,18 @@
 	case "job accepted":
 		if day.jobs[kv["job"]] == nil {
 			s := api.Submission{Rank: kv["rank"]}
-			day.jobs[kv["job"]] = &loggedJob{class: kv["class"], rank: s.RankLevel(), size: int(number("tasks")), cpus: number("cpus"), due: number("due_s"), at: at, took: map[string]float64{}}
+			day.jobs[kv["job"]] = &loggedJob{class: kv["class"], rank: s.RankLevel(), size: int(number("tasks")), cpus: number("cpus"), due: number("due_s"), at: at, ready: at, took: map[string]float64{}}
+			if kv["awaits"] != "" {
+				day.jobs[kv["job"]].awaits = strings.Split(kv["awaits"], ",")
+			}
+		}
+	case "job may start":
+		if j := day.jobs[kv["job"]]; j != nil && j.ready == j.at {
+			j.ready = at // a new leader says it again
+		}
+	case "task placed":
+		if j := day.jobs[job]; j != nil && j.placed == 0 {
+			j.placed = at
 		}
 	case "job over":
 		if j := day.jobs[kv["job"]]; j != nil && j.over == 0 && kv["state"] == api.Done {
@@ -236,6 +269,9 @@
 		}
 	case "task running":
 		on[task] = at
+		if j := day.jobs[job]; j != nil && j.running == 0 {
+			j.running = at
+		}
 	case "task ended", "task lost":
 		off()
 	case "fleet":
