--- a/controller/core_test.go
+++ b/controller/core_test.go
@@ -37,6 +37,8 @@
 	answered int
 	// topo is where machines stand; nil: nothing is declared.
 	topo *topology.Map
+	// limits are the state service's as the settings have them.
+	limits settings.State
 }
 
 type sentOrders struct {
@@ -56,7 +58,7 @@
 	s.Helper()
 	set := &settings.Settings{Member: "x"}
 	set.Facts.Workers = settings.Workers{ReportS: 1, LeaseS: 10, CancelS: 40}
-	set.Facts.State = settings.State{RPS: 200, WriteRPS: 5000, ValueKB: 16, TxnOps: 12}
+	set.Facts.State = settings.State{RPS: 200, WriteRPS: 5000, ValueKB: 16, TxnOps: 12, Next: s.limits.Next}
 	set.Facts.Teams = []settings.Team{{Name: "t", CPUsMax: 400}, {Name: "small", CPUsMax: 8}, {Name: "sure", CPUs: 16}, {Name: "lent", CPUs: 16},
 		{Name: "left", CPUs: 900, CPUsMax: 3000}, {Name: "right", CPUs: 1200, CPUsMax: 3000}}
 	term := s.state.Put(store.LeaderKey, store.Leader{Member: "x"})
--- a/controller/pipes_test.go
+++ b/controller/pipes_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"switchferry/api"
 	"switchferry/internal/standin"
@@ -553,3 +554,61 @@
 		t.Error("task 50, which stands in no newer record, is lost")
 	}
 }
+
+// A controller marks its version once, and knows that no older process can come back only when
+// every member's mark stands; one that begins anew learns it from the records.
+func TestMarksTellWhenNoOlderProcessCanComeBack(t *testing.T) {
+	s := newStage(t)
+	set := &settings.Settings{Member: "y", Siblings: []settings.Sibling{{Member: "z", Address: "127.0.0.1:1"}}}
+	set.Facts.State = settings.State{RPS: 1e6, WriteRPS: 1e6, ValueKB: 16, TxnOps: 24, Next: settings.NextState{ValueKB: 2}}
+	begin := func() *Node {
+		return NewNode(context.Background(), set, policy.Default(), s.clock, s.state)
+	}
+	n := begin()
+	if n.markOwn(context.Background()) || string(s.state.Get("sf/version/y")) != `{"data":2}` {
+		t.Fatalf("marked %s", s.state.Get("sf/version/y"))
+	}
+	stamp := s.state.Put("sf/test", 1)
+	if !n.markOwn(context.Background()) || s.state.Put("sf/test", 1) != stamp+1 {
+		t.Error("its mark was written again")
+	}
+	if old := n.older(); !slices.Equal(old, []string{"z"}) || n.recordSize() != tuning.ShardTasks {
+		t.Errorf("older %v, %d tasks a record", old, n.recordSize())
+	}
+	s.state.Put("sf/version/z", upgrade.Mark{Data: upgrade.Data})
+	again := begin()
+	again.mark(context.Background()) // returns once it has seen all
+	if old := again.older(); len(old) > 0 || again.recordSize() != 40 {
+		t.Errorf("older %v, %d tasks a record", old, again.recordSize())
+	}
+}
+
+// The limits sink while a new leader takes over: what it writes from the first is within them.
+func TestLimitsSinkDuringTakeover(t *testing.T) {
+	s := newStage(t)
+	for i := range 20 {
+		s.report(fmt.Sprintf("a%02d", i), 1)
+	}
+	s.submit("run-000001", 120, func(x *api.Submission) { x.CPUs, x.MemoryGB = 1, 1 })
+	s.submit("run-000002", 1, await("run-000001"))
+	s.Place()
+	s.commit()
+	s.state.Limit(standin.Limits{ValueKB: 2, TxnOps: 4})
+	s.limits.Next = settings.NextState{ValueKB: 2, TxnOps: 4}
+	s.elect()
+	s.SizeRecords(store.ShardSize(2048))
+	for i := range 20 {
+		s.report(fmt.Sprintf("a%02d", i), 1)
+	}
+	s.imagesNew = true
+	s.keepImages(s.clock.Now().Add(time.Hour))
+	s.Place()
+	s.Cancel(gaveUp(), "run-000001")
+	s.commit()
+	if r := s.state.Refusals(); len(r) > 0 || s.state.Largest.Ops > 12 {
+		t.Errorf("refused %v", r)
+	}
+	if st := s.status("run-000002"); st != api.Withdrawn {
+		t.Errorf("the job behind it is %q", st)
+	}
+}
--- a/store/commit_test.go
+++ b/store/commit_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"runtime"
 	"slices"
 	"strings"
@@ -362,3 +363,81 @@
 		t.Errorf("after the pause: told %v %v", told[large], told[spaced])
 	}
 }
+
+// The announced rate is kept to from the first refusal on, in the middle of a burst: nothing is
+// refused after that, and accepts still go before what waits.
+func TestRateSinksAtTheFirstRefusal(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	st, src := standin.NewState(clock), &scripted{values: map[string]any{}}
+	st.Limit(standin.Limits{WriteRPS: 60, ValueKB: 16, TxnOps: 12})
+	limits := settings.State{WriteRPS: 60, TxnOps: 12, ValueKB: 16, Next: settings.NextState{WriteRPS: 42, ValueKB: 2, TxnOps: 4}}
+	src.lead = Cond{LeaderKey, st.Put(LeaderKey, Leader{Member: "a"})}
+	c := NewCommitter(NewClient("state:1", st), src, clock, limits, map[string]uint64{})
+	burst := func(from, to int) {
+		for i := from; i < to; i++ {
+			key := Shard{"run-1", i, 40}.Key()
+			src.values[key] = "x"
+			c.Touch(key, Lazy, nil)
+		}
+	}
+	ctx := context.Background()
+	play := func(d time.Duration) {
+		for end := clock.Now().Add(d); clock.Now().Before(end); {
+			clock.Advance(max(time.Millisecond, c.Step(ctx)))
+		}
+	}
+	burst(0, 900)
+	play(2 * time.Second)
+	st.Limit(standin.Limits{WriteRPS: 42, ValueKB: 2, TxnOps: 4})
+	play(9 * time.Second)
+	if n := st.Refusals()["too many changes"]; n < 1 || n > 2 {
+		t.Fatalf("%d refusals, want one or two", n)
+	}
+	before := st.Refusals()
+	burst(900, 1400)
+	stored := false
+	src.values[JobKey("run-2")] = "job"
+	c.Touch(JobKey("run-2"), Urgent, func() { stored = true })
+	if c.Step(ctx); !stored {
+		t.Error("an accept waits though a part of the limit is kept for it")
+	}
+	play(5 * time.Second)
+	if after := st.Refusals(); !maps.Equal(before, after) || st.Largest.Ops > 4 {
+		t.Errorf("refused %v, then %v; %d changes at once", before, after, st.Largest.Ops)
+	}
+	if c.Waiting() > 800 {
+		t.Errorf("%d still wait", c.Waiting())
+	}
+}
+
+// Ends of tasks wait for others of their record; a start of the same record takes them along,
+// and an accept does not wait for them.
+func TestEndsWaitForOthers(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	st, src, c := setUpAt(clock)
+	ctx := context.Background()
+	shard, other := Shard{"run-1", 0, 40}.Key(), Shard{"run-1", 1, 40}.Key()
+	src.values[shard], src.values[other], src.values[JobKey("run-2")] = "ends", "ends", "job"
+	ends, accepted := 0, false
+	c.TouchLater(shard, Ordinary+2, 2*time.Second, func() { ends++ })
+	c.TouchLater(other, Ordinary+2, 2*time.Second, func() { ends++ })
+	if c.Step(ctx) == 0 || ends > 0 {
+		t.Fatal("written at once")
+	}
+	c.Touch(JobKey("run-2"), Urgent, func() { accepted = true })
+	c.Step(ctx)
+	if !accepted || ends > 0 || st.Get(shard) != nil {
+		t.Fatal("an accept waits, or takes ends along that wait for others")
+	}
+	c.TouchLater(shard, Ordinary+2, 2*time.Second, func() { ends++ })
+	c.Touch(shard, Ordinary+2, nil)
+	c.Step(ctx)
+	if ends != 2 || st.Get(other) != nil {
+		t.Fatalf("%d ends are told after a start of their record", ends)
+	}
+	clock.Advance(2 * time.Second)
+	c.Step(ctx)
+	if ends != 3 {
+		t.Error("not written when its time has come")
+	}
+}
