--- a/controller/awaits.go
+++ b/controller/awaits.go
@@ -76,55 +76,55 @@
 
 // checkAwaits looks at the jobs that a submission awaits. Not decided: why it cannot be told
 // yet whether all of them were accepted.
-func (n *Node) checkAwaits(ctx context.Context, core *Core, s *api.Submission) (err error, undecided string) {
+func (n *Node) checkAwaits(ctx context.Context, core *Core, s *api.Submission) (undecided string, err error) {
 	if len(s.Awaits) > tuning.AwaitsMost {
-		return &api.FieldError{Field: "awaits", Want: fmt.Sprintf("names %d jobs, at most %d can be awaited; let a job between them await some", len(s.Awaits), tuning.AwaitsMost)}, ""
+		return "", &api.FieldError{Field: "awaits", Want: fmt.Sprintf("names %d jobs, at most %d can be awaited; let a job between them await some", len(s.Awaits), tuning.AwaitsMost)}
 	}
 	if old := n.older(); len(old) > 0 {
-		return nil, "a job can only await others once all controllers have the new version; not seen yet of " + strings.Join(old, ", ")
+		return "a job can only await others once all controllers have the new version; not seen yet of " + strings.Join(old, ", "), nil
 	}
 	refused := make([]error, len(s.Awaits))
 	late := make([]string, len(s.Awaits))
-	each(s.Awaits, func(i int, id string) { refused[i], late[i] = n.awaitable(ctx, core, s.ID, id) })
+	each(s.Awaits, func(i int, id string) { late[i], refused[i] = n.awaitable(ctx, core, s.ID, id) })
 	for i := range s.Awaits {
 		if refused[i] != nil {
-			return refused[i], ""
+			return "", refused[i]
 		}
 		undecided = max(undecided, late[i])
 	}
-	return nil, undecided
+	return undecided, nil
 }
 
 // awaitable tells whether a job may await another.
-func (n *Node) awaitable(ctx context.Context, core *Core, job, id string) (err error, undecided string) {
+func (n *Node) awaitable(ctx context.Context, core *Core, job, id string) (undecided string, err error) {
 	bad := func(why string) error { return &api.FieldError{Field: "awaits", Want: id + " " + why} }
 	if id == job {
-		return bad("is the job itself"), ""
+		return "", bad("is the job itself")
 	}
 	for again := false; ; again = true {
 		if core != nil {
 			switch here, accepted, service := core.Awaitable(id); {
 			case service:
-				return bad("is a service, which is never done"), ""
+				return "", bad("is a service, which is never done")
 			case accepted:
-				return nil, ""
+				return "", nil
 			case here:
-				return nil, id + " is just being accepted"
+				return id + " is just being accepted", nil
 			}
 		}
 		if _, ok := n.finalOf(id); !ok && !n.reads.AllowN(n.clock.Now(), 1) {
-			return nil, "too many questions at once to look up " + id
+			return "too many questions at once to look up " + id, nil
 		}
 		x, err := n.readAwaited(ctx, id)
 		switch {
 		case err != nil:
-			return nil, "the state service is out of reach"
+			return "the state service is out of reach", nil
 		case x.service:
-			return bad("is a service, which is never done"), ""
+			return "", bad("is a service, which is never done")
 		case x.found:
-			return nil, ""
+			return "", nil
 		case again:
-			return bad("was never accepted"), ""
+			return "", bad("was never accepted")
 		}
 		n.sleep(ctx, tuning.AwaitsAgain)
 	}
--- a/controller/node.go
+++ b/controller/node.go
@@ -947,7 +947,7 @@
 		}
 		if err == nil && !undecided && len(s.Awaits) > 0 {
 			var why string
-			if err, why = n.checkAwaits(ctx, core, s); why != "" {
+			if why, err = n.checkAwaits(ctx, core, s); why != "" {
 				return later(why)
 			}
 			status = http.StatusUnprocessableEntity
--- a/experiment/upgrade.go
+++ b/experiment/upgrade.go
@@ -98,12 +98,11 @@
 	nodes []*member
 	http  *http.Client
 
-	mu       sync.Mutex
-	res      Upgraded
-	on       map[string]string // task -> machine that runs it
-	ended    map[string]bool   // tasks that are done
-	jobs     map[string]*asked
-	switched time.Time
+	mu    sync.Mutex
+	res   Upgraded
+	on    map[string]string // task -> machine that runs it
+	ended map[string]bool   // tasks that are done
+	jobs  map[string]*asked
 }
 
 type member struct {
