--- a/peer/wire/Frame.go
+++ b/peer/wire/Frame.go
@@ -187,8 +187,49 @@
 	return rcv._tab.MutateBoolSlot(26, n)
 }
 
+func (rcv *Frame) BornMs() uint64 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(28))
+	if o != 0 {
+		return rcv._tab.GetUint64(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *Frame) MutateBornMs(n uint64) bool {
+	return rcv._tab.MutateUint64Slot(28, n)
+}
+
+func (rcv *Frame) Hears(j int) []byte {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(30))
+	if o != 0 {
+		a := rcv._tab.Vector(o)
+		return rcv._tab.ByteVector(a + flatbuffers.UOffsetT(j*4))
+	}
+	return nil
+}
+
+func (rcv *Frame) HearsLength() int {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(30))
+	if o != 0 {
+		return rcv._tab.VectorLen(o)
+	}
+	return 0
+}
+
+func (rcv *Frame) Leaving() bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(32))
+	if o != 0 {
+		return rcv._tab.GetBool(o + rcv._tab.Pos)
+	}
+	return false
+}
+
+func (rcv *Frame) MutateLeaving(n bool) bool {
+	return rcv._tab.MutateBoolSlot(32, n)
+}
+
 func FrameStart(builder *flatbuffers.Builder) {
-	builder.StartObject(12)
+	builder.StartObject(15)
 }
 func FrameAddKind(builder *flatbuffers.Builder, kind Kind) {
 	builder.PrependByteSlot(0, byte(kind), 0)
@@ -229,6 +270,18 @@
 func FrameAddHearsWorkers(builder *flatbuffers.Builder, hearsWorkers bool) {
 	builder.PrependBoolSlot(11, hearsWorkers, false)
 }
+func FrameAddBornMs(builder *flatbuffers.Builder, bornMs uint64) {
+	builder.PrependUint64Slot(12, bornMs, 0)
+}
+func FrameAddHears(builder *flatbuffers.Builder, hears flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(13, flatbuffers.UOffsetT(hears), 0)
+}
+func FrameStartHearsVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
+	return builder.StartVector(4, numElems, 4)
+}
+func FrameAddLeaving(builder *flatbuffers.Builder, leaving bool) {
+	builder.PrependBoolSlot(14, leaving, false)
+}
 func FrameEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
--- a/tuning/tuning.go
+++ b/tuning/tuning.go
@@ -228,6 +228,39 @@
 	StageGapMS = 1500
 )
 
+// Membership: how controllers judge each other by their greetings, which come every PeerHello.
+const (
+	// ArrivalsKept are the last times between greetings that count, some 50 s of them;
+	// ArrivalsPrior is how many of them the priors weigh, ArrivalsSpread the priors' deviation
+	// as a part of the usual time, and the least at any time.
+	ArrivalsKept   = 100
+	ArrivalsPrior  = 10.0
+	ArrivalsSpread = 0.25
+	// PhiSuspect is the phi from which on a member is suspected: one silence in 100,000 by
+	// chance, 1.05 s with greetings as usual. PhiFail, after FailQuiet at least, which a pause
+	// seldom reaches, and with another controller that does not hear it either, is a verdict.
+	// PhiMost bounds it, where numbers end.
+	PhiSuspect = 5.0
+	PhiFail    = 12.0
+	PhiMost    = 40.0
+	FailQuiet  = 3500 * time.Millisecond
+	// PauseLeast between two steps, which come four times a second or more, is a standstill of
+	// our own.
+	PauseLeast = 700 * time.Millisecond
+	// HealthMost bounds how many times our own troubles stretch the time before others are
+	// suspected; one of them is forgotten every HealthAgain; from HealthSlow on we call
+	// ourselves slow.
+	HealthMost  = 8
+	HealthAgain = 5 * time.Second
+	HealthSlow  = 2
+	// CrashFresh is how long a refused connection counts.
+	CrashFresh = 3 * time.Second
+	// ViewFresh is how old a greeting may be for what it says of others to count: three of them.
+	ViewFresh = 1500 * time.Millisecond
+	// MembersEvery is the pace of steps without observations.
+	MembersEvery = 200 * time.Millisecond
+)
+
 // UpgradeEvery is how often a controller looks for the marks of those that have none yet.
 const UpgradeEvery = time.Second
 
