Controllers watch each other and hand over when told to end (off); former leaders are passed by

Package membership steps over greetings, connections and own pauses; with [membership] on its table is logged, shown by members, and SIGTERM hands over. Cause of refused users in a planned roll: a leader that had just resigned answered 503 until its next greeting; what it was asked is now served without it.

--- a/cli/experiment.go
+++ b/cli/experiment.go
@@ -23,7 +23,7 @@
 // experimentCommand plays workloads and measures them.
 func experimentCommand() *cobra.Command {
 	cmd := &cobra.Command{Use: "experiment", Short: "Play workloads on this machine and measure them"}
-	cmd.AddCommand(localityCommand(), recoveryCommand(), orderCommand(), topologyExperiment(), upgradeExperiment(), gapsCommand())
+	cmd.AddCommand(localityCommand(), recoveryCommand(), orderCommand(), topologyExperiment(), upgradeExperiment(), handoverExperiment(), gapsCommand())
 	return cmd
 }
 
@@ -94,6 +94,31 @@
 	return cmd
 }
 
+func handoverExperiment() *cobra.Command {
+	x := experiment.HandoverDefaults()
+	var asJSON bool
+	cmd := &cobra.Command{Use: "handover", Short: "Roll all controllers, told to end or killed, and measure what users meet", Args: cobra.NoArgs,
+		Long: "Three processes of this program with membership on serve on loopback, with the project's stand-ins. Each is told to end, or killed,\n" +
+			"and begun again 4 s before the next, while users submit 50 jobs a second to those that are ready. About a minute a roll and way.",
+		Example: "  switchferry experiment handover --rolls 1\n  switchferry experiment handover --json",
+		RunE: func(cmd *cobra.Command, _ []string) (err error) {
+			if x.Program, err = os.Executable(); err != nil {
+				return coded(ExitUsage, err)
+			}
+			return play(cmd, asJSON, &x.Progress, x.Run, func(res []experiment.HandedOver, t table.Writer) {
+				t.SetTitle("real processes over loopback on this machine; simulated workers, state service and cloud")
+				t.AppendHeader(table.Row{"way", "ends", "submissions", "refused", "p50 ms", "p99 ms", "longest ms", "longest without an accept ms", "without a start ms", "an end takes ms"})
+				for _, h := range res {
+					t.AppendRow(table.Row{h.Way, h.Ends, h.Asked, h.Refused, h.P50MS, h.P99MS, h.MostMS, h.GapMS, h.IdleMS, h.EndP50MS})
+				}
+			})
+		}}
+	cmd.Flags().IntVar(&x.Rolls, "rolls", x.Rolls, "rolls of all three, each way")
+	cmd.Flags().Uint64Var(&x.Seed, "seed", x.Seed, "of the users' choices")
+	cmd.Flags().BoolVar(&asJSON, "json", false, "print as JSON")
+	return cmd
+}
+
 func upgradeExperiment() *cobra.Command {
 	x := experiment.UpgradeDefaults()
 	var asJSON bool
--- a/cli/serve.go
+++ b/cli/serve.go
@@ -71,7 +71,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(stagerCommand(), dataCommand(), topologyCommand(), explainCommand(), experimentCommand(), serveCommand(), checkCommand(), versionCommand(), policyCommand(), submitCommand(),
+	root.AddCommand(membersCommand(), stagerCommand(), dataCommand(), topologyCommand(), explainCommand(), experimentCommand(), serveCommand(), checkCommand(), versionCommand(), policyCommand(), submitCommand(),
 		jobCommand("status", "Show a job's state", http.MethodGet, ""),
 		jobCommand("cancel", "Cancel a job", http.MethodPost, "/cancel"))
 	return root
@@ -205,10 +205,19 @@
 	}
 	slog.Info("controller starts", "member", set.Member, "zone", set.Zone, "version", Version)
 	budget := sockets.NewBudget(set.Facts.Resources.Sockets)
-	n := controller.NewNode(ctx, set, pol, clockwork.NewRealClock(), controller.Transport(set, budget))
+	// Told to end, it hands over first; told again, it ends at once.
+	running, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	n := controller.NewNode(running, set, pol, clockwork.NewRealClock(), controller.Transport(set, budget))
 	n.Keep(budget)
 	n.Enable(on)
 	n.PlaceBy(where)
+	context.AfterFunc(ctx, func() {
+		again, stop := signal.NotifyContext(running, os.Interrupt, syscall.SIGTERM)
+		defer stop()
+		n.Leave(again)
+		end()
+	})
 	go n.Run(budget.Listen(back, sockets.Sibling))
-	return coded(ExitFailed, httpapi.Serve(ctx, budget.Listen(front, sockets.New), httpapi.New(n, budget), budget))
+	return coded(ExitFailed, httpapi.Serve(running, budget.Listen(front, sockets.New), httpapi.New(n, budget), budget))
 }
--- a/controller/awaits.go
+++ b/controller/awaits.go
@@ -208,7 +208,7 @@
 func (n *Node) older() []string {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.members.Older()
+	return n.marks.Older()
 }
 
 // mark puts on record which version this controller has, and looks for the others' marks until
@@ -246,7 +246,7 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.members.Seen(member, m)
+	n.marks.Seen(member, m)
 }
 
 // markOwn puts this controller's mark on record, unless it stands there; true: it does.
--- a/controller/dataport.go
+++ b/controller/dataport.go
@@ -35,6 +35,9 @@
 	n.sets = map[string]*dataset.Entry{}
 	n.agentBounces = newBounces()
 	n.agentRelay = newAgentRelay(n)
+	if f.Membership.On {
+		n.watchMembers()
+	}
 }
 
 // DataOn tells whether datasets are on.
--- a/controller/node.go
+++ b/controller/node.go
@@ -22,6 +22,7 @@
 	"switchferry/dataset"
 	"switchferry/election"
 	"switchferry/features"
+	"switchferry/membership"
 	"switchferry/peer"
 	"switchferry/policy"
 	"switchferry/retry"
@@ -76,8 +77,12 @@
 	// retries spreads the users that were refused over the time that it takes to take them.
 	retries *retry.Spread
 
-	// members tells whose processes may be of an older version.
-	members *upgrade.Members
+	// older tells whose processes may be of an older version.
+	marks *upgrade.Members
+	// members watches the siblings; nil unless that feature is on. leaving: this process ends
+	// by plan.
+	members *membership.Watcher
+	leaving bool
 
 	relay *relay
 	pace  pace
@@ -102,7 +107,7 @@
 	for _, s := range set.Siblings {
 		all = append(all, s.Member)
 	}
-	n.members = upgrade.NewMembers(all...)
+	n.marks = upgrade.NewMembers(all...)
 	n.client = store.NewClient(set.External.State, transport)
 	n.client.Seen = n.stateSeen
 	n.cloud = cloud.New(set.External.Cloud, set.Facts.Cloud.RPS, transport)
@@ -170,6 +175,9 @@
 		go n.watchTopology()
 	}
 	go n.pace.run(n.ctx)
+	if n.members != nil {
+		go n.members.Run(n.ctx, func() membership.Own { return membership.Own{StateOK: n.stateOK(), Worked: n.hears()} })
+	}
 	n.elector.Run(n.ctx)
 }
 
@@ -191,7 +199,11 @@
 
 func (n *Node) hello() peer.Hello {
 	term, _ := n.elector.Term()
-	return peer.Hello{Member: n.set.Member, Term: term, StateOK: n.stateOK(), PaceUS: n.pace.us(), HearsWorkers: n.hears()}
+	h := peer.Hello{Member: n.set.Member, Term: term, StateOK: n.stateOK(), PaceUS: n.pace.us(), HearsWorkers: n.hears()}
+	if n.members != nil {
+		h.BornMS, h.Hears, h.Leaving = uint64(n.born.UnixMilli()), n.members.Hears(), n.leaves()
+	}
+	return h
 }
 
 // hears tells whether a worker reported to this node itself a moment ago.
@@ -211,6 +223,9 @@
 // every node is as good, and the load balancer would take seconds to come back
 // to nodes that it had given up.
 func (n *Node) Ready() bool {
+	if n.leaves() {
+		return false
+	}
 	if n.stateOK() {
 		return true
 	}
@@ -860,6 +875,9 @@
 }
 
 func (n *Node) handle(ctx context.Context, r peer.Request, forwarded bool) peer.Answer {
+	if r.Verb == VerbMembers {
+		return n.aboutMembers()
+	}
 	if r.Verb == VerbTopology || r.Verb == VerbExplain {
 		return n.aboutPlaces(ctx, r, forwarded)
 	}
@@ -881,15 +899,18 @@
 		return n.serve(ctx, nil, r)
 	}
 	if forwarded {
-		return later("not the leader")
+		return later(notLeading)
 	}
 	leader, term := n.elector.Leader()
 	leader, _, there := whoLeads(leader, term, n.peers.Alive())
 	if there {
 		a, err := n.peers.Ask(ctx, leader, r, patience(r.Verb))
 		switch {
-		case err == nil:
+		case err == nil && leads(a):
 			return a
+		case err == nil:
+			// It leads no more, and has not greeted since: whoever follows it need not be waited
+			// for. Users were told to come back by the one that had just handed over.
 		case errors.Is(err, peer.ErrBusy):
 			// To do its work beside it would only take more of what it lacks.
 			return later("the leader is busy")
@@ -901,6 +922,15 @@
 	return n.serve(ctx, nil, r)
 }
 
+// notLeading is what a controller answers to what only a leader may be asked.
+const notLeading = "not the leader"
+
+// leads tells whether an answer is a leader's.
+func leads(a peer.Answer) bool {
+	var e api.Error
+	return a.Status != http.StatusServiceUnavailable || json.Unmarshal(a.Body, &e) != nil || e.Error != notLeading
+}
+
 // patience is how long the leader is waited for.
 func patience(verb string) time.Duration {
 	switch verb {
--- a/controller/pipes_test.go
+++ b/controller/pipes_test.go
@@ -34,7 +34,7 @@
 	set.Facts.Teams = []settings.Team{{Name: "t"}}
 	n := NewNode(context.Background(), set, policy.Default(), s.clock, s.state)
 	n.types = testTypes
-	n.members.Seen("y", upgrade.Mark{Data: upgrade.Data})
+	n.marks.Seen("y", upgrade.Mark{Data: upgrade.Data})
 	return n
 }
 
@@ -314,8 +314,8 @@
 	s := newStage(t)
 	s.submit("run-000001", 1, tiny)
 	n := s.beside()
-	n.members = upgrade.NewMembers("y", "z")
-	n.members.Seen("y", upgrade.Mark{Data: upgrade.Data})
+	n.marks = upgrade.NewMembers("y", "z")
+	n.marks.Seen("y", upgrade.Mark{Data: upgrade.Data})
 	body := strings.Replace(submission("run-000009", 1, `,"awaits":["run-000001"]`), `"team"`, `"t"`, 1)
 	ask := func() peer.Answer {
 		return n.Handle(context.Background(), peer.Request{Verb: VerbSubmit, Body: []byte(body)}, false)
@@ -323,11 +323,11 @@
 	if a := ask(); a.Status != 503 || a.RetryAfterS == 0 || !strings.Contains(string(a.Body), "not seen yet of z") {
 		t.Errorf("%d %s", a.Status, a.Body)
 	}
-	n.members.Seen("z", upgrade.Mark{Data: 1})
+	n.marks.Seen("z", upgrade.Mark{Data: 1})
 	if a := ask(); a.Status != 503 {
 		t.Errorf("beside data of version 1: %d", a.Status)
 	}
-	n.members.Seen("z", upgrade.Mark{Data: upgrade.Data})
+	n.marks.Seen("z", upgrade.Mark{Data: upgrade.Data})
 	if a := ask(); a.Status != 201 {
 		t.Errorf("%d %s", a.Status, a.Body)
 	}
--- a/controller/user_test.go
+++ b/controller/user_test.go
@@ -91,6 +91,20 @@
 	}
 }
 
+// A leader that has just handed over says so, before its next greeting does: what it was asked
+// is served without it, and its users are not sent away.
+func TestFormerLeaderIsPassedBy(t *testing.T) {
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	n, _, st := follower(t, ctx, new(atomic.Bool), func(context.Context, peer.Request) peer.Answer { return later(notLeading) })
+	if a := n.Handle(ctx, peer.Request{Verb: VerbSubmit, Body: []byte(aJob)}, false); a.Status != 201 || st.Get(store.InboxKey("run-000001")) == nil {
+		t.Errorf("%d %s", a.Status, a.Body)
+	}
+	if a := n.Handle(ctx, peer.Request{Verb: VerbStatus, Job: "run-000001"}, false); a.Status != 200 {
+		t.Errorf("%d %s", a.Status, a.Body)
+	}
+}
+
 // A leader that is only busy, with more submissions than the limit of writes allows, had
 // each of them stored beside it as well, which took twice the writes that it lacked.
 func TestBusyLeaderIsNotPassedBy(t *testing.T) {
--- a/experiment/upgrade.go
+++ b/experiment/upgrade.go
@@ -97,12 +97,19 @@
 	clock clockwork.Clock
 	nodes []*member
 	http  *http.Client
+	// args are further arguments of the programs.
+	args   []string
+	state  *standin.State
+	limits standin.Limits
 
 	mu    sync.Mutex
 	res   Upgraded
 	on    map[string]string // task -> machine that runs it
 	ended map[string]bool   // tasks that are done
 	jobs  map[string]*asked
+	// lastStart is when a task was last started, idle the longest time without.
+	lastStart time.Time
+	idle      time.Duration
 }
 
 type member struct {
@@ -146,44 +153,22 @@
 	}
 	defer os.RemoveAll(dir)
 	r := &upgraded{Upgrade: x, dir: dir, rng: rand.New(rand.NewPCG(seed, 0)), clock: clockwork.NewRealClock(), http: &http.Client{Timeout: 4 * time.Second},
-		res: Upgraded{Seed: seed}, on: map[string]string{}, ended: map[string]bool{}, jobs: map[string]*asked{}}
-	state := standin.NewState(r.clock)
-	limits := standin.Limits{RPS: 400, WriteRPS: 60, ValueKB: 16, TxnOps: 12}
-	state.Limit(limits)
-	types := []api.MachineType{{Name: "m", CPUs: 8, MemoryGB: 32, CacheGB: 50, PullGBs: 1, BootS: 40, Price: 1, SpotPrice: 0.5, Zones: []string{"east"}}}
-	cloud := standin.NewCloud(r.clock, types, 20)
-	stateAddr, end, err := serve(state)
+		limits: standin.Limits{RPS: 400, WriteRPS: 60, ValueKB: 16, TxnOps: 12},
+		res:    Upgraded{Seed: seed}, on: map[string]string{}, ended: map[string]bool{}, jobs: map[string]*asked{}}
+	end, err := r.world(ctx)
 	if err != nil {
 		return nil, err
 	}
 	defer end()
-	cloudAddr, end, err := serve(cloud)
-	if err != nil {
-		return nil, err
-	}
-	defer end()
-	if err := r.configure(stateAddr, cloudAddr, limits); err != nil {
-		return nil, err
-	}
-	defer func() {
-		for _, m := range r.nodes {
-			m.end()
-		}
-	}()
 	for _, m := range r.nodes {
 		if err := r.start(m, x.From); err != nil {
 			return nil, err
 		}
 	}
-	for range x.Workers {
-		if err := r.work(ctx, cloud); err != nil {
-			return nil, err
-		}
-	}
-	if err := r.users(ctx, state, limits); err != nil {
+	if err := r.users(ctx); err != nil {
 		return nil, err
 	}
-	for why, n := range state.Refusals() {
+	for why, n := range r.state.Refusals() {
 		if !strings.HasPrefix(why, "too many requests") && why != "too many changes" {
 			slog.Info("refused", "why", why, "times", n)
 			r.res.TooLarge += n
@@ -192,6 +177,41 @@
 	return &r.res, ctx.Err()
 }
 
+// world starts the stand-ins and workers, and writes the controllers' settings. End stops what
+// was started, controllers as well.
+func (r *upgraded) world(ctx context.Context) (end func(), err error) {
+	r.state = standin.NewState(r.clock)
+	r.state.Limit(r.limits)
+	types := []api.MachineType{{Name: "m", CPUs: 8, MemoryGB: 32, CacheGB: 50, PullGBs: 1, BootS: 40, Price: 1, SpotPrice: 0.5, Zones: []string{"east"}}}
+	cloud := standin.NewCloud(r.clock, types, 20)
+	stateAddr, endState, err := serve(r.state)
+	if err != nil {
+		return nil, err
+	}
+	cloudAddr, endCloud, err := serve(cloud)
+	if err != nil {
+		endState()
+		return nil, err
+	}
+	end = func() {
+		for _, m := range r.nodes {
+			m.end()
+		}
+		endCloud()
+		endState()
+	}
+	if err = r.configure(stateAddr, cloudAddr, r.limits); err == nil {
+		for i := 0; i < r.Workers && err == nil; i++ {
+			err = r.work(ctx, cloud)
+		}
+	}
+	if err != nil {
+		end()
+		return nil, err
+	}
+	return end, nil
+}
+
 // configure makes the settings of three controllers.
 func (r *upgraded) configure(state, cloud string, l standin.Limits) error {
 	var addrs []string
@@ -226,7 +246,7 @@
 }
 
 func (r *upgraded) start(m *member, program string) error {
-	m.program, m.cmd = program, exec.Command(program, "serve", "--config", filepath.Join(r.dir, m.set.Member+".toml"))
+	m.program, m.cmd = program, exec.Command(program, append([]string{"serve", "--config", filepath.Join(r.dir, m.set.Member+".toml")}, r.args...)...)
 	m.cmd.Env = append(os.Environ(), "LOG_LEVEL=error")
 	return m.cmd.Start()
 }
@@ -319,6 +339,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.res.Tasks++
+	now := time.Now()
+	if !r.lastStart.IsZero() {
+		r.idle = max(r.idle, now.Sub(r.lastStart))
+	}
+	r.lastStart = now
 	if on, ok := r.on[task]; ok && on != machine {
 		r.res.RanTwice++
 	}
@@ -345,7 +370,7 @@
 }
 
 // users submit, ask and cancel while the processes are replaced, and look at all in the end.
-func (r *upgraded) users(ctx context.Context, state *standin.State, l standin.Limits) error {
+func (r *upgraded) users(ctx context.Context) error {
 	if err := r.until(ctx, 20*time.Second, func() bool { return r.submit(ctx, nil, 4) }); err != nil {
 		return fmt.Errorf("the older version takes no job: %w", err)
 	}
@@ -382,8 +407,7 @@
 		r.submit(ctx, r.some(), 1+r.rng.IntN(12))
 		switch {
 		case i == 10:
-			l.WriteRPS, l.ValueKB, l.TxnOps = 42, 2, 4
-			state.Limit(l)
+			r.state.Limit(standin.Limits{RPS: r.limits.RPS, WriteRPS: 42, ValueKB: 2, TxnOps: 4})
 		case i%7 == 3:
 			r.cancel(ctx)
 		case i%13 == 5:
--- a/features/features.go
+++ b/features/features.go
@@ -31,6 +31,14 @@
 type Features struct {
 	Data     Data     `toml:"data"`
 	Topology Topology `toml:"topology"`
+	// Membership has controllers tell each other whom they hear, watch each other, show how
+	// they stand, and hand over when told to end.
+	Membership Membership `toml:"membership"`
+}
+
+// Membership says whether controllers watch each other.
+type Membership struct {
+	On bool `toml:"on"`
 }
 
 // Topology says where the file is that tells what machines stand together, and so whether jobs
--- a/httpapi/httpapi.go
+++ b/httpapi/httpapi.go
@@ -35,8 +35,10 @@
 	// DataOn tells whether datasets are on; only then their paths exist. Stage answers
 	// an agent's report.
 	DataOn() bool
-	// PlacesOn tells whether a topology is declared; only then its paths exist.
+	// PlacesOn and MembersOn tell whether a topology is declared, and membership on; only then
+	// their paths exist.
 	PlacesOn() bool
+	MembersOn() bool
 	Stage(ctx context.Context, r *api.StageReport, raw []byte) (status int, body any)
 }
 
@@ -91,6 +93,9 @@
 	e.GET("/submissions/:id", user(controller.VerbStatus))
 	e.POST("/submissions/:id/cancel", user(controller.VerbCancel))
 	e.GET("/submissions/:id/explanation", user(controller.VerbExplain))
+	if n.MembersOn() {
+		e.GET("/members", user(controller.VerbMembers))
+	}
 	if n.PlacesOn() {
 		e.GET("/topology", user(controller.VerbTopology))
 	}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -12,14 +12,17 @@
 	"log/slog"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	flatbuffers "github.com/google/flatbuffers/go"
 	"github.com/jonboulle/clockwork"
 
+	"switchferry/membership"
 	"switchferry/peer/wire"
 	"switchferry/settings"
+	"switchferry/sockets"
 	"switchferry/tuning"
 )
 
@@ -50,6 +53,11 @@
 	// HearsWorkers: a worker reported to it a moment ago. That two controllers
 	// reach each other does not show that workers reach both.
 	HearsWorkers bool
+	// BornMS is when its process began, by its own time of day, Hears whom it hears, and Leaving
+	// that it leaves by plan. All are said only with membership on.
+	BornMS  uint64
+	Hears   []string
+	Leaving bool
 }
 
 // ErrUnreachable: the request may or may not have been handled.
@@ -85,6 +93,9 @@
 	handle Handler
 	// Dial opens connections to siblings; it may be replaced before Run.
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+	// Told is told of all that is seen of siblings; it may be replaced before Run and must not
+	// block.
+	Told func(membership.Observation)
 
 	mu       sync.Mutex
 	siblings map[string]*sibling
@@ -92,7 +103,8 @@
 
 // New makes the back network's end.
 func New(sibs []settings.Sibling, clock clockwork.Clock, self func() Hello, handle Handler) *Net {
-	n := &Net{clock: clock, self: self, handle: handle, Dial: (&net.Dialer{Timeout: tuning.PeerDead}).DialContext, siblings: map[string]*sibling{}}
+	n := &Net{clock: clock, self: self, handle: handle, Dial: (&net.Dialer{Timeout: tuning.PeerDead}).DialContext, siblings: map[string]*sibling{},
+		Told: func(membership.Observation) {}}
 	for _, s := range sibs {
 		n.siblings[s.Member] = &sibling{Sibling: s, waits: map[uint64]chan Answer{}}
 	}
@@ -205,7 +217,8 @@
 
 func (n *Net) helloFrame() frame {
 	h := n.self()
-	return frame{kind: wire.KindHello, member: h.Member, term: h.Term, stateOK: h.StateOK, pace: h.PaceUS, hears: h.HearsWorkers}
+	return frame{kind: wire.KindHello, member: h.Member, term: h.Term, stateOK: h.StateOK, pace: h.PaceUS, hears: h.HearsWorkers,
+		born: h.BornMS, whom: h.Hears, leaving: h.Leaving}
 }
 
 // Run keeps a connection to every sibling.
@@ -218,13 +231,20 @@
 func (n *Net) keep(ctx context.Context, s *sibling) {
 	for ctx.Err() == nil {
 		c, err := n.Dial(ctx, "tcp", s.Address)
-		if err == nil {
-			n.talk(ctx, s, c)
-		} else if errors.Is(err, syscall.ECONNREFUSED) {
+		switch {
+		case err == nil:
+			n.Told(membership.Connection{To: s.Member, Outcome: membership.Established})
+			n.Told(membership.Connection{To: s.Member, Outcome: n.talk(ctx, s, c)})
+		case errors.Is(err, syscall.ECONNREFUSED):
 			n.mu.Lock()
 			s.refused = n.clock.Now()
 			s.sign = s.refused
 			n.mu.Unlock()
+			n.Told(membership.Connection{To: s.Member, Outcome: membership.Refused})
+		case errors.Is(err, syscall.EMFILE), errors.Is(err, sockets.ErrScarce):
+			n.Told(membership.Connection{To: s.Member, Outcome: membership.NoSocket})
+		default:
+			n.Told(membership.Connection{To: s.Member, Outcome: membership.Hanging})
 		}
 		select {
 		case <-ctx.Done():
@@ -233,7 +253,9 @@
 	}
 }
 
-func (n *Net) talk(ctx context.Context, s *sibling, c net.Conn) {
+// talk greets a sibling until the connection ends, and gives how it did.
+func (n *Net) talk(ctx context.Context, s *sibling, c net.Conn) membership.Outcome {
+	var silent atomic.Bool
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	n.mu.Lock()
@@ -259,6 +281,7 @@
 			}
 			// A peer behind a cut says nothing and raises no error.
 			if n.clock.Since(last) > tuning.PeerDead {
+				silent.Store(true)
 				return
 			}
 		}
@@ -275,7 +298,7 @@
 		s.signs++
 		switch f.kind {
 		case wire.KindHello:
-			s.hello = Hello{s.Member, f.term, f.stateOK, f.pace, f.hears}
+			s.hello = Hello{s.Member, f.term, f.stateOK, f.pace, f.hears, f.born, f.whom, f.leaving}
 		case wire.KindReply:
 			if w := s.waits[f.seq]; w != nil {
 				w <- Answer{f.status, f.body, f.retry}
@@ -283,6 +306,9 @@
 			}
 		}
 		n.mu.Unlock()
+		if f.kind == wire.KindHello {
+			n.Told(membership.Greeting{From: s.Member, BornMS: f.born, Hears: f.whom, StateOK: f.stateOK, Worked: f.hears, PaceUS: f.pace, Leaving: f.leaving})
+		}
 	}
 	c.Close()
 	n.mu.Lock()
@@ -293,6 +319,10 @@
 		delete(s.waits, seq)
 	}
 	n.mu.Unlock()
+	if silent.Load() || ctx.Err() != nil {
+		return membership.Hanging
+	}
+	return membership.Reset
 }
 
 // Ask passes a request to a sibling, and a greeting with it, which is answered at once.
@@ -357,6 +387,9 @@
 	retry     int
 	pace      uint32
 	hears     bool
+	born      uint64
+	whom      []string
+	leaving   bool
 }
 
 func encode(f frame) []byte {
@@ -372,6 +405,14 @@
 	if len(f.body) > 0 {
 		body = b.CreateByteVector(f.body)
 	}
+	var whom flatbuffers.UOffsetT
+	if len(f.whom) > 0 {
+		var names []flatbuffers.UOffsetT
+		for _, m := range f.whom {
+			names = append(names, b.CreateString(m))
+		}
+		whom = b.CreateVectorOfTables(names)
+	}
 	wire.FrameStart(b)
 	wire.FrameAddKind(b, f.kind)
 	wire.FrameAddSeq(b, f.seq)
@@ -385,6 +426,9 @@
 	wire.FrameAddRetryAfterS(b, uint16(f.retry))
 	wire.FrameAddPaceUs(b, f.pace)
 	wire.FrameAddHearsWorkers(b, f.hears)
+	wire.FrameAddBornMs(b, f.born)
+	wire.FrameAddHears(b, whom)
+	wire.FrameAddLeaving(b, f.leaving)
 	b.FinishSizePrefixed(wire.FrameEnd(b))
 	return b.FinishedBytes()
 }
@@ -422,7 +466,11 @@
 	}()
 	w := wire.GetRootAsFrame(raw, 0)
 	f = frame{kind: w.Kind(), seq: w.Seq(), term: w.Term(), member: string(w.Member()), stateOK: w.StateOk(),
-		verb: string(w.Verb()), job: string(w.Job()), body: w.BodyBytes(), status: int(w.Status()), retry: int(w.RetryAfterS()), pace: w.PaceUs(), hears: w.HearsWorkers()}
+		verb: string(w.Verb()), job: string(w.Job()), body: w.BodyBytes(), status: int(w.Status()), retry: int(w.RetryAfterS()), pace: w.PaceUs(), hears: w.HearsWorkers(),
+		born: w.BornMs(), leaving: w.Leaving()}
+	for i := range min(w.HearsLength(), tuning.FrameMembers) {
+		f.whom = append(f.whom, string(w.Hears(i)))
+	}
 	if f.kind > wire.KindReply {
 		return f, fmt.Errorf("unknown kind %d", f.kind)
 	}
--- a/tuning/tuning.go
+++ b/tuning/tuning.go
@@ -113,6 +113,8 @@
 	BodyLimit = 64 << 10
 	// FrameLimit bounds a frame on the back port in bytes: a body and its names.
 	FrameLimit = 80 << 10
+	// FrameMembers bounds the members that a greeting names.
+	FrameMembers = 64
 	// AnswerLimit bounds what is read of an answer, in bytes. State lists
 	// reach 512 KiB; watches have no limit of their own.
 	AnswerLimit = 4 << 20
@@ -257,6 +259,12 @@
 	CrashFresh = 3 * time.Second
 	// ViewFresh is how old a greeting may be for what it says of others to count: three of them.
 	ViewFresh = 1500 * time.Millisecond
+	// LeaveMost bounds a planned end; LeaveTold is how long siblings and load balancer are given
+	// to hear of it (two probes, a second each), LeaveAfter how long requests that still came
+	// here are served once another leads.
+	LeaveMost  = 10 * time.Second
+	LeaveTold  = 2500 * time.Millisecond
+	LeaveAfter = 500 * time.Millisecond
 	// MembersEvery is the pace of steps without observations.
 	MembersEvery = 200 * time.Millisecond
 )
