--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -88,3 +88,28 @@
 		t.Errorf("exit %d, %s", code, out)
 	}
 }
+
+// Members are shown with what each is suspected of; with the feature off the remedy is named.
+func TestMembers(t *testing.T) {
+	on := node(t, 200, `[{"member":"n0","self":true,"level":"alive","parts":[],"why":"this controller","hears":["n1"]},
+		{"member":"n1","level":"suspected","parts":["link"],"why":"silent for 1.4 s, but heard by 1 other","phi":7.5}]`)
+	for _, c := range []struct {
+		want int
+		text string
+		args []string
+	}{
+		{0, "n0 (itself)", []string{"members", "--node", on}},
+		{0, "heard by 1 other", []string{"members", "--node", on}},
+		{0, `"phi":7.5`, []string{"members", "--json", "--node", on}},
+		{ExitRefused, "[membership]", []string{"members", "--node", node(t, 404, `{"message":"Not Found"}`)}},
+		{0, `"data":2`, []string{"version", "--json"}},
+		{ExitUsage, "--from is missing", []string{"experiment", "upgrade"}},
+		{ExitFailed, "is no program", []string{"experiment", "upgrade", "--from", "/no/such/file"}},
+		{0, "run-000002 pending", []string{"submit", "--id", "run-000002", "--class", "c", "--team", "t", "--image", "i", "--await", "run-000001", "--node", node(t, 201, `{"name_id":"run-000002","status":"pending"}`)}},
+		{ExitUsage, "awaits", []string{"submit", "--id", "run-000002", "--class", "c", "--team", "t", "--image", "i", "--await", "job-1"}},
+	} {
+		if code, out := call(c.args...); code != c.want || !strings.Contains(out, c.text) {
+			t.Errorf("%v: exit code %d, %s", c.args, code, out)
+		}
+	}
+}
--- a/controller/node.go
+++ b/controller/node.go
@@ -176,7 +176,9 @@
 	}
 	go n.pace.run(n.ctx)
 	if n.members != nil {
-		go n.members.Run(n.ctx, func() membership.Own { return membership.Own{StateOK: n.stateOK(), Worked: n.hears()} })
+		go n.members.Run(n.ctx, func() membership.Own {
+			return membership.Own{Leads: n.leading() != nil, StateOK: n.stateOK(), Worked: n.hears()}
+		})
 	}
 	n.elector.Run(n.ctx)
 }
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -46,10 +46,12 @@
 	// later process counts. 0: it does not say.
 	BornMS uint64
 	// Hears are the members that it hears.
-	Hears           []string
-	StateOK, Worked bool
-	PaceUS          uint32
-	Leaving         bool
+	Hears []string
+	// Leads tells whether it leads: only then must workers reach it in any case. Worked: one
+	// reported to it a moment ago.
+	Leads, StateOK, Worked bool
+	PaceUS                 uint32
+	Leaving                bool
 }
 
 // Outcome is what became of a connection to a member.
@@ -70,9 +72,8 @@
 	Outcome Outcome
 }
 
-// Own is what this controller says of itself: whether the state service serves it, whether workers
-// report to it.
-type Own struct{ StateOK, Worked bool }
+// Own is what this controller says of itself, as in Greeting.
+type Own struct{ Leads, StateOK, Worked bool }
 
 func (g Greeting) of() string   { return g.From }
 func (c Connection) of() string { return c.To }
@@ -277,7 +278,7 @@
 		if !m.last.StateOK && t.own.StateOK {
 			parts = append(parts, State)
 		}
-		if !m.last.Worked && t.anyWorked(m) {
+		if m.last.Leads && !m.last.Worked && t.anyWorked(m) {
 			parts = append(parts, Workers)
 		}
 		why := "it greets"
@@ -339,7 +340,7 @@
 	if others := slices.ContainsFunc(t.members, func(m *member) bool { return m.level == Alive && m.last.StateOK }); !t.own.StateOK && others {
 		parts = append(parts, State)
 	}
-	if !t.own.Worked && t.anyWorked(nil) {
+	if t.own.Leads && !t.own.Worked && t.anyWorked(nil) {
 		parts = append(parts, Workers)
 	}
 	switch {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -307,7 +307,7 @@
 		}
 		n.mu.Unlock()
 		if f.kind == wire.KindHello {
-			n.Told(membership.Greeting{From: s.Member, BornMS: f.born, Hears: f.whom, StateOK: f.stateOK, Worked: f.hears, PaceUS: f.pace, Leaving: f.leaving})
+			n.Told(membership.Greeting{From: s.Member, BornMS: f.born, Hears: f.whom, Leads: f.term > 0, StateOK: f.stateOK, Worked: f.hears, PaceUS: f.pace, Leaving: f.leaving})
 		}
 	}
 	c.Close()
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -6,13 +6,16 @@
 	"encoding/binary"
 	"math/rand/v2"
 	"net"
+	"reflect"
 	"testing"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 
+	"switchferry/membership"
 	"switchferry/peer/wire"
 	"switchferry/settings"
+	"switchferry/tuning"
 )
 
 func TestFrameRoundTrip(t *testing.T) {
@@ -88,3 +91,55 @@
 		t.Error("an unknown sibling answered")
 	}
 }
+
+// What is seen of a sibling is told as it is: connected, greeted with what it says of itself and
+// of others, reset when its process ends, refused after that.
+func TestSiblingsLifeIsTold(t *testing.T) {
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	clock := clockwork.NewFakeClock()
+	self := func() Hello {
+		return Hello{Member: "n0", StateOK: true, HearsWorkers: true, BornMS: 17, Hears: []string{"n1", "n2"}, Leaving: true}
+	}
+	life, end := context.WithCancel(ctx)
+	conns := make(chan net.Conn, 1)
+	server := New(nil, clock, self, nil)
+	go func() {
+		c, err := l.Accept()
+		if err == nil {
+			conns <- c
+			server.serveConn(life, c)
+		}
+	}()
+	seen := make(chan membership.Observation, 64)
+	n := New([]settings.Sibling{{Member: "n0", Address: l.Addr().String()}}, clock, func() Hello { return Hello{Member: "n1"} }, nil)
+	n.Told = func(o membership.Observation) { seen <- o }
+	n.Run(ctx)
+	want := func(w membership.Observation) {
+		t.Helper()
+		if got := <-seen; !reflect.DeepEqual(got, w) {
+			t.Fatalf("told %+v, want %+v", got, w)
+		}
+	}
+	want(membership.Connection{To: "n0", Outcome: membership.Established})
+	want(membership.Greeting{From: "n0", BornMS: 17, Hears: []string{"n1", "n2"}, StateOK: true, Worked: true, Leaving: true})
+	end()
+	l.Close()
+	(<-conns).Close()
+	want(membership.Connection{To: "n0", Outcome: membership.Reset})
+	for {
+		clock.Advance(tuning.PeerHello)
+		select {
+		case o := <-seen:
+			if o != (membership.Connection{To: "n0", Outcome: membership.Refused}) {
+				t.Fatalf("told %+v", o)
+			}
+			return
+		default:
+		}
+	}
+}
