--- a/stager/agent.go
+++ b/stager/agent.go
@@ -317,16 +317,21 @@
 		}
 	}
 	a.state, a.wants = s, next
-	a.mu.Unlock()
-	// What is no longer wanted may go from here on.
+	// What is no longer wanted may go from here on. It is found before the lock is let go: what
+	// keeps the new wants is at work on them from then on.
+	gone := map[*want]*roaring.Bitmap{}
 	for _, w := range old {
-		a.unpin(w, w.kept)
+		gone[w] = w.kept.Clone()
 	}
 	for _, w := range next {
 		if w.manifest != nil {
-			a.unpin(w, roaring.AndNot(w.kept, w.set.Parts.Bitmap))
+			gone[w] = roaring.AndNot(w.kept, w.set.Parts.Bitmap)
 		}
 	}
+	a.mu.Unlock()
+	for w, parts := range gone {
+		a.unpin(w, parts)
+	}
 	for _, t := range a.stale() {
 		t.cancel()
 	}
