Due times of pipelines count the waves of a small fleet; tests of pressing and of takeovers

Need: a stage with more tasks than the fleet has room for takes several times its estimate, so those before it must end sooner.

--- a/controller/core.go
+++ b/controller/core.go
@@ -369,7 +369,7 @@
 		}
 	}
 	waiting := 0.0
-	c.pipes.reach()
+	c.pipes.reach(fleet)
 	for _, j := range c.order {
 		if j.Final == "" && len(j.pending)+j.queued > 0 {
 			waiting++
--- a/controller/pipes.go
+++ b/controller/pipes.go
@@ -155,15 +155,16 @@
 }
 
 // reach brings down to each job the rank and the due times of those behind it. A rank is
-// not raised to that of production, which no pipeline may starve.
-func (p *pipes) reach() {
+// not raised to that of production, which no pipeline may starve. Cpus are those of the fleet
+// that is up.
+func (p *pipes) reach(cpus float64) {
 	c := p.core
 	got := p.graph.Reach(func(id string) (pipeline.Stage, bool) {
 		j := c.jobs[id]
 		if j == nil || j.Final != "" {
 			return pipeline.Stage{}, false
 		}
-		return pipeline.Stage{Rank: j.Job.RankLevel(), TakesMS: p.takes(j), DuesMS: c.dues(j)}, true
+		return pipeline.Stage{Rank: j.Job.RankLevel(), TakesMS: p.takes(j, cpus), DuesMS: c.dues(j)}, true
 	})
 	for _, j := range c.order {
 		own := j.Job.RankLevel()
@@ -174,8 +175,13 @@
 	}
 }
 
-// takes is how long a job that waits needs once it may start, in ms.
-func (p *pipes) takes(j *job) int64 {
+// takes is how long a job that waits needs once it may start, in ms: a fetch, and its tasks in as
+// many waves as the fleet, all of it, lets them have.
+func (p *pipes) takes(j *job, cpus float64) int64 {
+	waves := 1.0
+	if cpus > 0 {
+		waves = max(1, float64(j.total-j.done)*j.need.CPUs/cpus)
+	}
 	pull, n := 0.0, 0.0
 	for _, t := range p.core.types {
 		if t.Fits(&j.Job) && t.PullGBs > 0 {
@@ -186,7 +192,7 @@
 	if n > 0 {
 		fetch = j.Job.ImageGB / (pull / n)
 	}
-	return tuning.StageGapMS + int64(1000*(fetch+estimate(j)))
+	return tuning.StageGapMS + int64(1000*(fetch+waves*estimate(j)))
 }
 
 // soon tells whether machines for a job that waits are worth renting: all that it awaits runs,
--- a/controller/pipes_test.go
+++ b/controller/pipes_test.go
@@ -555,6 +555,62 @@
 	}
 }
 
+// What a pipeline's last job must keep reaches those before it: the rank below production's, and a
+// latest start that leaves time for what lies between, in waves where the fleet is small. It does
+// so again whenever something of that changes.
+func TestLastJobPressesThoseBeforeIt(t *testing.T) {
+	s := newStage(t)
+	s.report("a1", 1)
+	s.submit("run-000001", 1, func(x *api.Submission) { tiny(x); x.Rank = "low" })
+	s.submit("run-000002", 4, func(x *api.Submission) { x.Awaits, x.Rank = []string{"run-000001"}, "low" })
+	s.submit("run-000003", 1, func(x *api.Submission) {
+		await("run-000002")(x)
+		x.Rank, x.EstimateS, x.DeadlineS, x.ImageGB = "prod", 10, 200, 0
+	})
+	s.sortQueues()
+	first, second, last := s.jobs["run-000001"], s.jobs["run-000002"], s.jobs["run-000003"]
+	if first.rank != api.RankProduction-1 || second.rank != api.RankProduction-1 || last.rank != api.RankProduction {
+		t.Errorf("ranks %d, %d, %d", first.rank, second.rank, last.rank)
+	}
+	// 10 s for the last; 16 processors' worth of the second on 8 take two waves of 30 s, its
+	// fetch of 1 GB 2 s.
+	due := last.At + 200_000 - tuning.StageGapMS - 10_000
+	if got := second.reach.DuesMS; len(got) != 1 || got[0] != due {
+		t.Errorf("the second is due at %v, want %d", got, due)
+	}
+	if got := first.reach.DuesMS; len(got) != 1 || got[0] != due-tuning.StageGapMS-62_000 {
+		t.Errorf("the first is due at %v, want %d", got, due-tuning.StageGapMS-62_000)
+	}
+	s.Cancel(gaveUp(), "run-000003")
+	s.commit()
+	s.sortQueues()
+	if first.rank != api.RankLow || len(first.reach.DuesMS) > 0 {
+		t.Errorf("it is still pressed: rank %d, due at %v", first.rank, first.reach.DuesMS)
+	}
+}
+
+// After a takeover all that does not wait for a job over since before is placed at once; what
+// does starts when that is looked up.
+func TestTakeoverPlacesBeforeAllIsLookedUp(t *testing.T) {
+	s := newStage(t)
+	s.submit("run-000001", 1, tiny)
+	s.submit("run-000002", 1, await("run-000001"))
+	s.complete("run-000001", "a1")
+	s.submit("run-000003", 1, func(x *api.Submission) { tiny(x); x.Rank = "high" })
+	s.elect()
+	s.report("a1", 1)
+	s.Place()
+	if len(s.jobs["run-000003"].live) != 1 || len(s.jobs["run-000002"].live) != 0 || !slices.Equal(s.Missing(), []string{"run-000001"}) {
+		t.Fatalf("before the look-up: %d of the urgent one, %d of the one that waits, missing %v",
+			len(s.jobs["run-000003"].live), len(s.jobs["run-000002"].live), s.Missing())
+	}
+	s.beside().lookAwaited(context.Background(), s.Core, s.com, s.Missing())
+	s.Place()
+	if len(s.jobs["run-000002"].live) != 1 || len(s.Missing()) > 0 {
+		t.Error("after it the other does not start")
+	}
+}
+
 // A controller marks its version once, and knows that no older process can come back only when
 // every member's mark stands; one that begins anew learns it from the records.
 func TestMarksTellWhenNoOlderProcessCanComeBack(t *testing.T) {
