--- a/controller/core.go
+++ b/controller/core.go
@@ -810,45 +810,25 @@
 	return nil
 }
 
-// loadShards takes in the records of tasks. Of a task that stands in several, of shards of
-// another size, the newest tells where it is: the others are what has not been deleted yet.
-func (c *Core) loadShards(shards []store.Item) error {
-	on := map[string]map[int]store.Placed{}
-	slices.SortFunc(shards, func(a, b store.Item) int { return cmp.Or(cmp.Compare(a.Stamp, b.Stamp), strings.Compare(a.Key, b.Key)) })
-	for _, it := range shards {
-		shard, ok := store.ParseShard(it.Key)
-		j := c.jobs[shard.Job]
-		if !ok || j == nil {
-			c.hooks.Touch(it.Key, store.Lazy, nil)
-			continue
-		}
-		j.shards[shard] = true
-		var rec store.ShardRecord
-		if err := json.Unmarshal(it.Value, &rec); err != nil {
-			return fmt.Errorf("record %s is damaged: %w", it.Key, err)
-		}
-		if err := j.bits.Unpack(shard, rec.Done); err != nil {
-			return fmt.Errorf("record %s is damaged: %w", it.Key, err)
-		}
-		if on[j.id] == nil {
-			on[j.id] = map[int]store.Placed{}
-		}
-		from, to := shard.Range(j.total)
-		for t := from; t < to; t++ {
-			delete(on[j.id], t)
-		}
-		for _, p := range rec.On {
-			if p.Task >= from && p.Task < to {
-				on[j.id][p.Task] = p
-			}
+// loadShards takes in the records of tasks.
+func (c *Core) loadShards(items []store.Item) error {
+	on, stray, err := store.ReadShards(items, func(id string, s store.Shard) (store.Bits, int) {
+		j := c.jobs[id]
+		if j == nil {
+			return nil, 0
 		}
+		j.shards[s] = true
+		return j.bits, j.total
+	})
+	if err != nil {
+		return err
+	}
+	for _, key := range stray {
+		c.hooks.Touch(key, store.Lazy, nil)
 	}
 	for id, placed := range on {
 		j := c.jobs[id]
 		for _, t := range slices.Sorted(maps.Keys(placed)) {
-			if j.bits.Has(t) {
-				continue
-			}
 			// It may run there, or its command was never sent: until the
 			// machine proves otherwise it counts as running.
 			a := c.hold(j, t, c.machine(placed[t].Machine), placed[t].Attempt)
--- a/controller/node.go
+++ b/controller/node.go
@@ -77,8 +77,8 @@
 	// retries spreads the users that were refused over the time that it takes to take them.
 	retries *retry.Spread
 
-	// older tells whose processes may be of an older version.
-	marks *upgrade.Members
+	// marks tells whose processes may be of an older version.
+	marks *upgrade.Marker
 	// members watches the siblings; nil unless that feature is on. leaving: this process ends
 	// by plan.
 	members *membership.Watcher
@@ -107,8 +107,8 @@
 	for _, s := range set.Siblings {
 		all = append(all, s.Member)
 	}
-	n.marks = upgrade.NewMembers(all...)
 	n.client = store.NewClient(set.External.State, transport)
+	n.marks = upgrade.NewMarker(set.Member, all, n.client, clock)
 	n.client.Seen = n.stateSeen
 	n.cloud = cloud.New(set.External.Cloud, set.Facts.Cloud.RPS, transport)
 	n.worker = worker.New(transport)
@@ -165,7 +165,7 @@
 	}()
 	n.peers.Run(n.ctx)
 	go n.catalog()
-	go n.mark(n.ctx)
+	go n.markVersion(n.ctx)
 	go n.logUsers()
 	go n.relay.post.run(n.ctx)
 	if n.data.On {
@@ -1099,7 +1099,7 @@
 		st := api.JobStatus{ID: id, State: api.Pending}
 		if rec.Final != "" {
 			st.State = rec.Final
-		} else if gone, err := n.withdrawnBefore(ctx, rec.Job.Awaits); err != nil {
+		} else if gone, err := n.records().Withdrawn(ctx, rec.Job.Awaits); err != nil {
 			return st, false, err
 		} else if gone {
 			st.State = api.Withdrawn
--- a/controller/pipes_test.go
+++ b/controller/pipes_test.go
@@ -34,7 +34,7 @@
 	set.Facts.Teams = []settings.Team{{Name: "t"}}
 	n := NewNode(context.Background(), set, policy.Default(), s.clock, s.state)
 	n.types = testTypes
-	n.marks.Seen("y", upgrade.Mark{Data: upgrade.Data})
+	n.marks.Saw("y", upgrade.Mark{Data: upgrade.Data})
 	return n
 }
 
@@ -314,8 +314,8 @@
 	s := newStage(t)
 	s.submit("run-000001", 1, tiny)
 	n := s.beside()
-	n.marks = upgrade.NewMembers("y", "z")
-	n.marks.Seen("y", upgrade.Mark{Data: upgrade.Data})
+	n.marks = upgrade.NewMarker("y", []string{"y", "z"}, n.client, s.clock)
+	n.marks.Saw("y", upgrade.Mark{Data: upgrade.Data})
 	body := strings.Replace(submission("run-000009", 1, `,"awaits":["run-000001"]`), `"team"`, `"t"`, 1)
 	ask := func() peer.Answer {
 		return n.Handle(context.Background(), peer.Request{Verb: VerbSubmit, Body: []byte(body)}, false)
@@ -323,11 +323,11 @@
 	if a := ask(); a.Status != 503 || a.RetryAfterS == 0 || !strings.Contains(string(a.Body), "not seen yet of z") {
 		t.Errorf("%d %s", a.Status, a.Body)
 	}
-	n.marks.Seen("z", upgrade.Mark{Data: 1})
+	n.marks.Saw("z", upgrade.Mark{Data: 1})
 	if a := ask(); a.Status != 503 {
 		t.Errorf("beside data of version 1: %d", a.Status)
 	}
-	n.marks.Seen("z", upgrade.Mark{Data: upgrade.Data})
+	n.marks.Saw("z", upgrade.Mark{Data: upgrade.Data})
 	if a := ask(); a.Status != 201 {
 		t.Errorf("%d %s", a.Status, a.Body)
 	}
@@ -621,20 +621,20 @@
 		return NewNode(context.Background(), set, policy.Default(), s.clock, s.state)
 	}
 	n := begin()
-	if n.markOwn(context.Background()) || string(s.state.Get("sf/version/y")) != `{"data":2}` {
+	if n.marks.Mark(context.Background()) || string(s.state.Get("sf/version/y")) != `{"data":2}` {
 		t.Fatalf("marked %s", s.state.Get("sf/version/y"))
 	}
 	stamp := s.state.Put("sf/test", 1)
-	if !n.markOwn(context.Background()) || s.state.Put("sf/test", 1) != stamp+1 {
+	if !n.marks.Mark(context.Background()) || s.state.Put("sf/test", 1) != stamp+1 {
 		t.Error("its mark was written again")
 	}
-	if old := n.older(); !slices.Equal(old, []string{"z"}) || n.recordSize() != tuning.ShardTasks {
+	if old := n.marks.Older(); !slices.Equal(old, []string{"z"}) || n.recordSize() != tuning.ShardTasks {
 		t.Errorf("older %v, %d tasks a record", old, n.recordSize())
 	}
 	s.state.Put("sf/version/z", upgrade.Mark{Data: upgrade.Data})
 	again := begin()
-	again.mark(context.Background()) // returns once it has seen all
-	if old := again.older(); len(old) > 0 || again.recordSize() != 40 {
+	again.markVersion(context.Background()) // returns once it has seen all
+	if old := again.marks.Older(); len(old) > 0 || again.recordSize() != 40 {
 		t.Errorf("older %v, %d tasks a record", old, again.recordSize())
 	}
 }
--- /dev/null
+++ b/lookup/lookup.go
@@ -0,0 +1,121 @@
+// Package lookup reads what the records tell of jobs, for whoever does not have them in memory: a
+// controller that answers without the leader, and a new leader that has yet to learn what was over
+// before its term.
+package lookup
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+
+	"switchferry/api"
+	"switchferry/store"
+	"switchferry/tuning"
+)
+
+// ErrTooDeep: more jobs stand before one than are looked at to answer a question.
+var ErrTooDeep = errors.New("too many jobs before this one to look at without the leader")
+
+// Jobs reads jobs' records. Its functions are safe for use from several goroutines at once if what it
+// is made of is.
+type Jobs struct {
+	Client *store.Client
+	// Ended is what is remembered of a job that is over, Keep remembers it.
+	Ended func(id string) (store.FinalRecord, bool)
+	Keep  func(id string, f store.FinalRecord)
+	// Allow tells whether one more job may be read now, for a question.
+	Allow func() bool
+}
+
+// Job is what the records tell of a job.
+type Job struct {
+	Found, Service bool
+	// Final is empty while the job is not over by its own records; Awaits are then what it waits
+	// for itself.
+	Final  string
+	Awaits []string
+	// Record is its own record, while it has one.
+	Record *store.Item
+}
+
+// Read reads a job: its own key first, since the final one is written before that goes. The error
+// is that of the state service, or names a damaged record.
+func (j *Jobs) Read(ctx context.Context, id string) (x Job, err error) {
+	if f, ok := j.Ended(id); ok {
+		return Job{Found: true, Final: f.State}, nil
+	}
+	it, err := j.Client.Get(ctx, store.JobKey(id))
+	if err == nil {
+		var rec store.JobRecord
+		if err := json.Unmarshal(it.Value, &rec); err != nil {
+			return x, fmt.Errorf("record %s is damaged: %w", it.Key, err)
+		}
+		return Job{true, rec.Job.Shape == api.Service, rec.Final, rec.Job.Awaits, &it}, nil
+	}
+	if !errors.Is(err, store.ErrNotFound) {
+		return x, err
+	}
+	it, err = j.Client.Get(ctx, store.FinalKey(id))
+	if errors.Is(err, store.ErrNotFound) {
+		return x, nil
+	}
+	var f store.FinalRecord
+	if err == nil {
+		err = json.Unmarshal(it.Value, &f)
+	}
+	if err != nil {
+		return x, err
+	}
+	j.Keep(id, f)
+	return Job{Found: true, Final: f.State}, nil
+}
+
+// Withdrawn tells, from the records alone, whether one of the jobs that a job awaits is cancelled,
+// itself or through others: whoever answers without the leader must not call the job anything
+// else. It is store.ErrBusy where no more may be read, ErrTooDeep after tuning.AwaitsReads.
+func (j *Jobs) Withdrawn(ctx context.Context, awaits []string) (bool, error) {
+	seen := map[string]bool{}
+	for todo := slices.Clone(awaits); len(todo) > 0; {
+		id := todo[0]
+		todo = todo[1:]
+		if seen[id] {
+			continue
+		}
+		seen[id] = true
+		if _, ok := j.Ended(id); !ok {
+			if len(seen) > tuning.AwaitsReads {
+				return false, ErrTooDeep
+			}
+			if !j.Allow() {
+				return false, store.ErrBusy
+			}
+		}
+		x, err := j.Read(ctx, id)
+		switch {
+		case err != nil:
+			return false, err
+		case x.Final == api.Withdrawn:
+			return true, nil
+		case x.Final == "":
+			todo = append(todo, x.Awaits...)
+		}
+	}
+	return false, nil
+}
+
+// Each calls f for all ids, tuning.AwaitsAtOnce at once, and waits for all.
+func Each(ids []string, f func(i int, id string)) {
+	slots := make(chan struct{}, tuning.AwaitsAtOnce)
+	var all sync.WaitGroup
+	for i, id := range ids {
+		slots <- struct{}{}
+		all.Go(func() {
+			defer func() { <-slots }()
+			f(i, id)
+		})
+	}
+	all.Wait()
+}
--- a/store/records.go
+++ b/store/records.go
@@ -1,9 +1,12 @@
 package store
 
 import (
+	"cmp"
 	"encoding/base64"
 	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -227,3 +230,49 @@
 	}
 	return nil
 }
+
+// ReadShards joins records of tasks: where each task that is not done is, by job. Of a task that
+// stands in several, of shards of different sizes, the newest tells: the others are what has not
+// been deleted yet. What is done in any is done. Of gives a job's bits, to be added to, and its
+// number of tasks, 0 if there is no such job; the keys of such are given as stray.
+func ReadShards(items []Item, of func(id string, s Shard) (Bits, int)) (on map[string]map[int]Placed, stray []string, err error) {
+	on = map[string]map[int]Placed{}
+	items = slices.SortedFunc(slices.Values(items), func(a, b Item) int { return cmp.Or(cmp.Compare(a.Stamp, b.Stamp), strings.Compare(a.Key, b.Key)) })
+	jobs := map[string]Bits{}
+	for _, it := range items {
+		shard, ok := ParseShard(it.Key)
+		var bits Bits
+		total := 0
+		if ok {
+			bits, total = of(shard.Job, shard)
+		}
+		if total == 0 {
+			stray = append(stray, it.Key)
+			continue
+		}
+		var rec ShardRecord
+		err := json.Unmarshal(it.Value, &rec)
+		if err == nil {
+			err = bits.Unpack(shard, rec.Done)
+		}
+		if err != nil {
+			return nil, nil, fmt.Errorf("record %s is damaged: %w", it.Key, err)
+		}
+		if jobs[shard.Job] = bits; on[shard.Job] == nil {
+			on[shard.Job] = map[int]Placed{}
+		}
+		from, to := shard.Range(total)
+		for t := from; t < to; t++ {
+			delete(on[shard.Job], t)
+		}
+		for _, p := range rec.On {
+			if p.Task >= from && p.Task < to {
+				on[shard.Job][p.Task] = p
+			}
+		}
+	}
+	for id, placed := range on {
+		maps.DeleteFunc(placed, func(t int, _ Placed) bool { return jobs[id].Has(t) })
+	}
+	return on, stray, nil
+}
