Nothing larger than the announced limits is sent once all members are marked

Cause: records of tasks on machines with long names, and jobs accepted before the limits were announced, were sent once and refused. Records are sized by the longest name known, a finished job's record leaves out what only its starts need, the committer keeps back what is larger; final records say of services that they were such, so that none can be awaited.

--- a/controller/awaits.go
+++ b/controller/awaits.go
@@ -114,20 +114,14 @@
 }
 
 // markVersion puts this controller's version on record; once all have this one, records are
-// written in sizes of its own.
+// written as it has them.
 func (n *Node) markVersion(ctx context.Context) {
 	if n.marks.Run(ctx) {
-		if core := n.leading(); core != nil {
-			core.SizeRecords(n.recordSize())
+		n.mu.Lock()
+		own := n.own
+		n.mu.Unlock()
+		if own != nil {
+			own()
 		}
 	}
 }
-
-// recordSize is how many tasks share a record: as the first version has it until no process of
-// it can come back, then what always fits.
-func (n *Node) recordSize() int {
-	if len(n.marks.Older()) > 0 {
-		return tuning.ShardTasks
-	}
-	return store.ShardSize(n.set.Facts.State.Least().ValueBytes())
-}
--- a/controller/core.go
+++ b/controller/core.go
@@ -259,8 +259,11 @@
 	workerMail *mailroom
 	// data is nil unless datasets are on.
 	data *data
-	// shardTasks is how many tasks share a record that is written now.
+	// shardTasks is how many tasks share a record that is written now; own: it is this version's
+	// number, which keeps to the least limit, for machines with names of nameBytes.
 	shardTasks int
+	own        bool
+	nameBytes  int
 	pipes      *pipes
 }
 
@@ -502,6 +505,11 @@
 			assigns: map[string]*assign{}, images: map[string]int{}, ended: map[string]*ended{}, idle: c.now()}
 		c.machines[name] = m
 		c.sorted = nil
+		if len(name) > c.nameBytes {
+			if c.nameBytes = len(name); c.own && c.loaded {
+				c.sizeRecords()
+			}
+		}
 	}
 	return m
 }
@@ -680,7 +688,7 @@
 }
 
 func (c *Core) final(j *job) store.FinalRecord {
-	return store.FinalRecord{State: j.Final, Tasks: j.done}
+	return store.FinalRecord{State: j.Final, Tasks: j.done, Service: c.own && j.Job.Shape == api.Service}
 }
 
 // settle files a job that is over and has nothing left on machines: its final
@@ -716,7 +724,12 @@
 			// A job that is over must not come back to life.
 			more = append([]store.Cond{{Key: store.FinalKey(j.id), Stamp: 0}}, c.inputConds(j)...)
 		}
-		return j.JobRecord, true, more
+		rec := j.JobRecord
+		if raw, err := json.Marshal(rec); j.Final != "" && err == nil && len(raw) > c.set.Facts.State.Least().ValueBytes() {
+			// It was accepted when values could be larger. What only its starts need may go.
+			rec.Job.Types, rec.Job.Inputs, rec.Job.Awaits, rec.Job.Image = nil, nil, nil, ""
+		}
+		return rec, true, more
 	case strings.HasPrefix(key, store.FinalPrefix):
 		j := c.jobs[strings.TrimPrefix(key, store.FinalPrefix)]
 		if j == nil || j.Final == "" {
@@ -803,7 +816,9 @@
 			c.finish(j, api.Done)
 		}
 	}
-	c.resizeAll()
+	if c.own {
+		c.sizeRecords()
+	}
 	c.loaded = true
 	c.kick()
 	slog.Info("records loaded", "jobs", len(c.jobs))
@@ -875,11 +890,17 @@
 	stored()
 }
 
-// SizeRecords sets how many tasks share a record from now on.
-func (c *Core) SizeRecords(tasks int) {
+// OwnRecords writes records as this version has them from now on: no older process reads them.
+func (c *Core) OwnRecords() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.shardTasks = tasks
+	c.own = true
+	c.sizeRecords()
+}
+
+// sizeRecords has as many tasks share a record as always fit.
+func (c *Core) sizeRecords() {
+	c.shardTasks = store.ShardSize(c.set.Facts.State.Least().ValueBytes(), c.nameBytes)
 	c.resizeAll()
 }
 
--- a/controller/node.go
+++ b/controller/node.go
@@ -79,6 +79,8 @@
 
 	// marks tells whose processes may be of an older version.
 	marks *upgrade.Marker
+	// own has the records of the term written as this version has them; nil without a term.
+	own func()
 	// members watches the siblings; nil unless that feature is on. leaving: this process ends
 	// by plan.
 	members *membership.Watcher
@@ -345,12 +347,17 @@
 	if n.topology != nil {
 		core.UseTopology(n.topology.Map())
 	}
-	core.SizeRecords(n.recordSize())
 	com = store.NewCommitter(n.client, source{core, n}, n.clock, n.set.Facts.State, map[string]uint64{})
+	own := func() {
+		core.OwnRecords()
+		com.Keep(n.set.Facts.State.Least().ValueBytes())
+	}
 	n.mu.Lock()
-	n.core, n.end = core, end
+	n.core, n.end, n.own = core, end, own
 	n.mu.Unlock()
-	core.SizeRecords(n.recordSize()) // the last mark may have been seen since
+	if len(n.marks.Older()) == 0 {
+		own()
+	}
 	go n.term(ctx, core, com)
 }
 
@@ -375,7 +382,7 @@
 	if n.end != nil {
 		n.end()
 	}
-	n.core, n.end = nil, nil
+	n.core, n.end, n.own = nil, nil, nil
 }
 
 func (n *Node) term(ctx context.Context, core *Core, com *store.Committer) {
--- a/lookup/lookup.go
+++ b/lookup/lookup.go
@@ -45,7 +45,7 @@
 // is that of the state service, or names a damaged record.
 func (j *Jobs) Read(ctx context.Context, id string) (x Job, err error) {
 	if f, ok := j.Ended(id); ok {
-		return Job{Found: true, Final: f.State}, nil
+		return Job{Found: true, Final: f.State, Service: f.Service}, nil
 	}
 	it, err := j.Client.Get(ctx, store.JobKey(id))
 	if err == nil {
@@ -70,7 +70,7 @@
 		return x, err
 	}
 	j.Keep(id, f)
-	return Job{Found: true, Final: f.State}, nil
+	return Job{Found: true, Final: f.State, Service: f.Service}, nil
 }
 
 // Withdrawn tells, from the records alone, whether one of the jobs that a job awaits is cancelled,
--- a/store/records.go
+++ b/store/records.go
@@ -141,9 +141,10 @@
 	return s, ok
 }
 
-// ShardSize is how many tasks' records always fit into a value of so many bytes.
-func ShardSize(valueBytes int) int {
-	n := (valueBytes - tuning.ShardMargin) / tuning.PlacedBytes
+// ShardSize is how many tasks' records always fit into a value of so many bytes, on machines whose
+// names have nameBytes at most.
+func ShardSize(valueBytes, nameBytes int) int {
+	n := (valueBytes - tuning.ShardMargin) / (tuning.PlacedBytes + max(nameBytes, tuning.NameBytes))
 	return min(tuning.ShardTasks, max(8, n/8*8))
 }
 
@@ -166,6 +167,8 @@
 type FinalRecord struct {
 	State string `json:"s"`
 	Tasks int    `json:"n"`
+	// Service: it ran until it was cancelled. Version 1 of data does not say.
+	Service bool `json:"v,omitempty"`
 }
 
 // Placed is a task that is, or may be, on a machine.
--- a/tuning/tuning.go
+++ b/tuning/tuning.go
@@ -150,9 +150,11 @@
 	// ShardTasks is how many tasks share one record: with all of them on
 	// machines, at under 30 bytes each, the record stays within 16 KiB.
 	ShardTasks = 400
-	// PlacedBytes is what a task on a machine takes in its record at most, with a name of 20
-	// bytes; ShardMargin the rest of the record without the bits of what is done.
-	PlacedBytes = 48
+	// PlacedBytes is what a task on a machine takes in its record at most beside the machine's
+	// name, NameBytes how long names are taken for at least; ShardMargin is the rest of the
+	// record.
+	PlacedBytes = 28
+	NameBytes   = 20
 	ShardMargin = 100
 	// FinalCache is how many final jobs a controller keeps in memory.
 	FinalCache = 4000
