One look-up of jobs serves users' questions and awaited jobs; records of accepts made once

Read again: lookUp and lookup.Jobs read the same two keys in two places; Record packed a job twice for every accept; the committer's reserve was kept beside what it follows from. What was looked up of an awaited job forgot how many tasks it had done: its user was shown 0 after a takeover; the whole final record is carried now, with a test.

--- a/controller/awaits.go
+++ b/controller/awaits.go
@@ -55,10 +55,7 @@
 				return id + " is just being accepted", nil
 			}
 		}
-		if _, ok := n.finalOf(id); !ok && !n.reads.AllowN(n.clock.Now(), 1) {
-			return "too many questions at once to look up " + id, nil
-		}
-		x, err := n.records().Read(ctx, id)
+		x, err := n.records().Ask(ctx, id)
 		switch {
 		case err != nil:
 			return "the state service is out of reach", nil
@@ -106,7 +103,7 @@
 				core.Conflict(x.Record.Key, x.Record)
 			}
 		case x.Found:
-			core.Learned(id, store.FinalRecord{State: x.Final})
+			core.Learned(id, x.Final)
 		default:
 			slog.Error("a job is awaited of which nothing is on record", "job", id)
 		}
--- a/controller/core.go
+++ b/controller/core.go
@@ -574,10 +574,7 @@
 }
 
 func (c *Core) requeue(j *job, task int) {
-	if j.Final != "" || j.bits.Has(task) {
-		return
-	}
-	if j.waits {
+	if j.Final != "" || j.waits || j.bits.Has(task) {
 		return
 	}
 	j.pending = append(j.pending, int32(task))
@@ -725,9 +722,11 @@
 			more = append([]store.Cond{{Key: store.FinalKey(j.id), Stamp: 0}}, c.inputConds(j)...)
 		}
 		rec := j.JobRecord
-		if raw, err := json.Marshal(rec); j.Final != "" && err == nil && len(raw) > c.set.Facts.State.Least().ValueBytes() {
-			// It was accepted when values could be larger. What only its starts need may go.
-			rec.Job.Types, rec.Job.Inputs, rec.Job.Awaits, rec.Job.Image = nil, nil, nil, ""
+		if j.Final != "" {
+			if raw, err := json.Marshal(rec); err == nil && len(raw) > c.set.Facts.State.Least().ValueBytes() {
+				// It was accepted when values could be larger. What only its starts need may go.
+				rec.Job.Types, rec.Job.Inputs, rec.Job.Awaits, rec.Job.Image = nil, nil, nil, ""
+			}
 		}
 		return rec, true, more
 	case strings.HasPrefix(key, store.FinalPrefix):
--- a/controller/node.go
+++ b/controller/node.go
@@ -1083,52 +1083,33 @@
 	if !api.ValidID(id) {
 		return api.JobStatus{}, false, nil
 	}
-	if !n.reads.AllowN(n.clock.Now(), 1) {
-		// Questions must not take the requests that leading needs.
-		return api.JobStatus{}, false, store.ErrBusy
-	}
-	it, err := n.client.Get(ctx, store.JobKey(id))
-	if err == nil {
-		var rec store.JobRecord
-		if err := json.Unmarshal(it.Value, &rec); err != nil {
-			return api.JobStatus{}, false, err
-		}
-		if f, ok := n.finalOf(id); ok {
-			// It ended while we read: the record is old by now.
-			return finalStatus(id, f), true, nil
-		}
-		if core != nil {
-			core.Conflict(it.Key, &it)
-			if st, ok := core.Known(id); ok {
-				return st, true, nil
-			}
-		}
-		st := api.JobStatus{ID: id, State: api.Pending}
-		if rec.Final != "" {
-			st.State = rec.Final
-		} else if gone, err := n.records().Withdrawn(ctx, rec.Job.Awaits); err != nil {
-			return st, false, err
-		} else if gone {
-			st.State = api.Withdrawn
-		}
-		return st, true, nil
-	}
-	if !errors.Is(err, store.ErrNotFound) {
+	// Questions must not take the requests that leading needs.
+	x, err := n.records().Ask(ctx, id)
+	switch {
+	case err != nil || !x.Found:
 		return api.JobStatus{}, false, err
+	case x.Record == nil:
+		return finalStatus(id, x.Final), true, nil
 	}
-	it, err = n.client.Get(ctx, store.FinalKey(id))
-	if errors.Is(err, store.ErrNotFound) {
-		return api.JobStatus{}, false, nil
+	if f, ok := n.finalOf(id); ok {
+		// It ended while we read: the record is old by now.
+		return finalStatus(id, f), true, nil
 	}
-	if err != nil {
-		return api.JobStatus{}, false, err
+	if core != nil {
+		core.Conflict(x.Record.Key, x.Record)
+		if st, ok := core.Known(id); ok {
+			return st, true, nil
+		}
 	}
-	var f store.FinalRecord
-	if err := json.Unmarshal(it.Value, &f); err != nil {
-		return api.JobStatus{}, false, err
+	st := api.JobStatus{ID: id, State: api.Pending}
+	if x.Final.State != "" {
+		st.State = x.Final.State
+	} else if gone, err := n.records().Withdrawn(ctx, x.Awaits); err != nil {
+		return st, false, err
+	} else if gone {
+		st.State = api.Withdrawn
 	}
-	n.final(id, f)
-	return finalStatus(id, f), true, nil
+	return st, true, nil
 }
 
 // submitAlone accepts a job without the leader, which learns of it by the
--- a/controller/pipes.go
+++ b/controller/pipes.go
@@ -167,11 +167,8 @@
 		return pipeline.Stage{Rank: j.Job.RankLevel(), TakesMS: p.takes(j, cpus), DuesMS: c.dues(j)}, true
 	})
 	for _, j := range c.order {
-		own := j.Job.RankLevel()
-		j.rank, j.reach = own, got[j.id]
-		if len(j.reach.DuesMS) > 0 || j.reach.Rank > own {
-			j.rank = max(own, min(j.reach.Rank, api.RankProduction-1))
-		}
+		j.reach = got[j.id]
+		j.rank = max(j.Job.RankLevel(), min(j.reach.Rank, api.RankProduction-1))
 	}
 }
 
--- a/controller/pipes_test.go
+++ b/controller/pipes_test.go
@@ -545,7 +545,7 @@
 	}
 	s.Cancel(gaveUp(), "run-000002")
 	s.commit()
-	if x, err := s.beside().records().Read(context.Background(), "run-000002"); err != nil || !x.Service || x.Final != api.Withdrawn {
+	if x, err := s.beside().records().Read(context.Background(), "run-000002"); err != nil || !x.Service || x.Final.State != api.Withdrawn {
 		t.Errorf("%+v %v", x, err)
 	}
 }
@@ -635,6 +635,9 @@
 	if len(s.jobs["run-000002"].live) != 1 || len(s.Missing()) > 0 {
 		t.Error("after it the other does not start")
 	}
+	if f := s.finals["run-000001"]; f.Tasks != 1 {
+		t.Errorf("of the job that was looked up %+v is remembered", f)
+	}
 }
 
 // A controller marks its version once, and knows that no older process can come back only when
--- a/lookup/lookup.go
+++ b/lookup/lookup.go
@@ -33,9 +33,9 @@
 // Job is what the records tell of a job.
 type Job struct {
 	Found, Service bool
-	// Final is empty while the job is not over by its own records; Awaits are then what it waits
-	// for itself.
-	Final  string
+	// Final has no state while the job is not over by its own records; Awaits are then what it
+	// waits for itself.
+	Final  store.FinalRecord
 	Awaits []string
 	// Record is its own record, while it has one.
 	Record *store.Item
@@ -45,7 +45,7 @@
 // is that of the state service, or names a damaged record.
 func (j *Jobs) Read(ctx context.Context, id string) (x Job, err error) {
 	if f, ok := j.Ended(id); ok {
-		return Job{Found: true, Final: f.State, Service: f.Service}, nil
+		return Job{Found: true, Final: f, Service: f.Service}, nil
 	}
 	it, err := j.Client.Get(ctx, store.JobKey(id))
 	if err == nil {
@@ -53,7 +53,7 @@
 		if err := json.Unmarshal(it.Value, &rec); err != nil {
 			return x, fmt.Errorf("record %s is damaged: %w", it.Key, err)
 		}
-		return Job{true, rec.Job.Shape == api.Service, rec.Final, rec.Job.Awaits, &it}, nil
+		return Job{true, rec.Job.Shape == api.Service, store.FinalRecord{State: rec.Final}, rec.Job.Awaits, &it}, nil
 	}
 	if !errors.Is(err, store.ErrNotFound) {
 		return x, err
@@ -70,7 +70,15 @@
 		return x, err
 	}
 	j.Keep(id, f)
-	return Job{Found: true, Final: f.State, Service: f.Service}, nil
+	return Job{Found: true, Final: f, Service: f.Service}, nil
+}
+
+// Ask is Read for a question: store.ErrBusy where nothing more may be read for one now.
+func (j *Jobs) Ask(ctx context.Context, id string) (Job, error) {
+	if _, ok := j.Ended(id); !ok && !j.Allow() {
+		return Job{}, store.ErrBusy
+	}
+	return j.Read(ctx, id)
 }
 
 // Withdrawn tells, from the records alone, whether one of the jobs that a job awaits is cancelled,
@@ -85,21 +93,16 @@
 			continue
 		}
 		seen[id] = true
-		if _, ok := j.Ended(id); !ok {
-			if len(seen) > tuning.AwaitsReads {
-				return false, ErrTooDeep
-			}
-			if !j.Allow() {
-				return false, store.ErrBusy
-			}
+		if _, ok := j.Ended(id); !ok && len(seen) > tuning.AwaitsReads {
+			return false, ErrTooDeep
 		}
-		x, err := j.Read(ctx, id)
+		x, err := j.Ask(ctx, id)
 		switch {
 		case err != nil:
 			return false, err
-		case x.Final == api.Withdrawn:
+		case x.Final.State == api.Withdrawn:
 			return true, nil
-		case x.Final == "":
+		case x.Final.State == "":
 			todo = append(todo, x.Awaits...)
 		}
 	}
--- a/store/commit.go
+++ b/store/commit.go
@@ -50,9 +50,7 @@
 	// lower is the rate that the limiter sinks to once changes are refused for their number;
 	// 0: no lower limit is announced.
 	lower rate.Limit
-	// reserve are the changes that are left for what users wait for, when others would take all.
-	reserve float64
-	hedge   *Hedge
+	hedge *Hedge
 	// resting: nothing that waits may be written yet; used by the loop alone.
 	resting bool
 	// written counts changes by the prefix of their keys since told.
@@ -100,7 +98,6 @@
 		hedge:   NewHedge(client, clock, limiter, least.WriteRPS),
 		dirty:   map[string]*entry{}, stamps: stamps, wake: make(chan struct{}, 1),
 		written: map[string]int{}, told: clock.Now()}
-	c.keepReserve()
 	if least.WriteRPS < limits.WriteRPS {
 		c.lower = rate.Limit(least.WriteRPS * tuning.QuotaShare)
 	}
@@ -117,12 +114,12 @@
 	now := c.clock.Now()
 	c.limiter.SetLimitAt(now, c.lower)
 	c.limiter.SetBurstAt(now, max(1, int(c.lower)))
-	c.keepReserve()
 }
 
-// keepReserve leaves room for one change at least beside the reserve.
-func (c *Committer) keepReserve() {
-	c.reserve = min(tuning.UrgentReserve*float64(c.limiter.Limit()), float64(c.limiter.Burst()-1))
+// reserve are the changes that are left for what users wait for, when others would take all; there
+// is room for one beside it.
+func (c *Committer) reserve() float64 {
+	return min(tuning.UrgentReserve*float64(c.limiter.Limit()), float64(c.limiter.Burst()-1))
 }
 
 // Keep bounds values to so many bytes from now on: larger ones are not sent.
@@ -249,7 +246,7 @@
 	if room < 1 {
 		return c.until(1 - room)
 	}
-	batch, pause := c.take(int(room), int(max(0, room-c.reserve)))
+	batch, pause := c.take(int(room), int(max(0, room-c.reserve())))
 	c.resting = len(batch) == 0
 	if c.resting {
 		return pause
