One way to end a job, one reader of records a controller

Read again: a job that is withdrawn with another repeated what finish decides, and the reader of records was made anew for each question.

--- a/controller/awaits.go
+++ b/controller/awaits.go
@@ -12,11 +12,6 @@
 	"switchferry/tuning"
 )
 
-// records reads jobs' records, within the share of requests that answers users.
-func (n *Node) records() *lookup.Jobs {
-	return &lookup.Jobs{Client: n.client, Ended: n.finalOf, Keep: n.final, Allow: func() bool { return n.reads.AllowN(n.clock.Now(), 1) }}
-}
-
 // checkAwaits looks at the jobs that a submission awaits. Not decided: why it cannot be told
 // yet whether all of them were accepted.
 func (n *Node) checkAwaits(ctx context.Context, core *Core, s *api.Submission) (undecided string, err error) {
@@ -55,7 +50,7 @@
 				return id + " is just being accepted", nil
 			}
 		}
-		x, err := n.records().Ask(ctx, id)
+		x, err := n.records.Ask(ctx, id)
 		switch {
 		case err != nil:
 			return "the state service is out of reach", nil
@@ -93,7 +88,7 @@
 // lookAwaited looks some jobs up and tells the leader.
 func (n *Node) lookAwaited(ctx context.Context, core *Core, com *store.Committer, ids []string) {
 	lookup.Each(ids, func(_ int, id string) {
-		x, err := n.records().Read(ctx, id)
+		x, err := n.records.Read(ctx, id)
 		switch {
 		case err != nil:
 			slog.Info("an awaited job is not looked up yet", "job", id, "err", err)
--- a/controller/core.go
+++ b/controller/core.go
@@ -655,12 +655,7 @@
 	if j.Final != "" {
 		return
 	}
-	j.Final, j.withdrawn = state, c.now()
-	if state == api.Withdrawn {
-		j.FinalAt = j.withdrawn.UnixMilli()
-	}
-	c.unqueue(j)
-	c.forgive(j)
+	j.decide(c, state)
 	slog.Info("job over", "job", j.id, "class", j.Job.Class, "state", state, "after", c.since(time.UnixMilli(j.At)).Round(time.Millisecond))
 	urgency := store.Urgent
 	if state == api.Done && j.rank == api.RankLow {
@@ -671,6 +666,16 @@
 	}))
 }
 
+// decide ends a job; nobody may be told before that is on record.
+func (j *job) decide(c *Core, state string) {
+	j.Final, j.withdrawn = state, c.now()
+	if state == api.Withdrawn {
+		j.FinalAt = j.withdrawn.UnixMilli()
+	}
+	c.unqueue(j)
+	c.forgive(j)
+}
+
 // overNow: the final state is on record, or follows from what is.
 func (c *Core) overNow(j *job) {
 	j.stored = true
--- a/controller/node.go
+++ b/controller/node.go
@@ -22,6 +22,7 @@
 	"switchferry/dataset"
 	"switchferry/election"
 	"switchferry/features"
+	"switchferry/lookup"
 	"switchferry/membership"
 	"switchferry/peer"
 	"switchferry/policy"
@@ -65,8 +66,10 @@
 	bounces bounces
 	users   users
 
-	// reads limits what questions of users take of the state service.
-	reads *rate.Limiter
+	// reads limits what questions of users take of the state service, records reads jobs' records
+	// within that.
+	reads   *rate.Limiter
+	records *lookup.Jobs
 
 	// topology is nil unless that feature is on.
 	topology *topology.File
@@ -118,6 +121,7 @@
 	n.elector = election.New(set.Member, n.client, clock, n)
 	share := tuning.ReadShare * set.Facts.State.RPS / float64(1+len(set.Siblings))
 	n.reads = rate.NewLimiter(rate.Limit(share), max(1, int(share)))
+	n.records = &lookup.Jobs{Client: n.client, Ended: n.finalOf, Keep: n.final, Allow: func() bool { return n.reads.AllowN(clock.Now(), 1) }}
 	n.letterRate = letterRate(n)
 	writes := set.Facts.State.Least().WriteRPS
 	rest := writes * (1 - tuning.QuotaShare)
@@ -1084,7 +1088,7 @@
 		return api.JobStatus{}, false, nil
 	}
 	// Questions must not take the requests that leading needs.
-	x, err := n.records().Ask(ctx, id)
+	x, err := n.records.Ask(ctx, id)
 	switch {
 	case err != nil || !x.Found:
 		return api.JobStatus{}, false, err
@@ -1104,7 +1108,7 @@
 	st := api.JobStatus{ID: id, State: api.Pending}
 	if x.Final.State != "" {
 		st.State = x.Final.State
-	} else if gone, err := n.records().Withdrawn(ctx, x.Awaits); err != nil {
+	} else if gone, err := n.records.Withdrawn(ctx, x.Awaits); err != nil {
 		return st, false, err
 	} else if gone {
 		st.State = api.Withdrawn
--- a/controller/pipes.go
+++ b/controller/pipes.go
@@ -133,9 +133,7 @@
 func (p *pipes) withdraw(j *job, with string) {
 	c := p.core
 	j.waits = false
-	j.Final, j.withdrawn = api.Withdrawn, c.now()
-	j.FinalAt = j.withdrawn.UnixMilli()
-	c.unqueue(j)
+	j.decide(c, api.Withdrawn)
 	slog.Info("job over", "job", j.id, "class", j.Job.Class, "state", j.Final, "with", with)
 	for _, a := range j.live {
 		// Only a damaged record says so.
--- a/controller/pipes_test.go
+++ b/controller/pipes_test.go
@@ -545,7 +545,7 @@
 	}
 	s.Cancel(gaveUp(), "run-000002")
 	s.commit()
-	if x, err := s.beside().records().Read(context.Background(), "run-000002"); err != nil || !x.Service || x.Final.State != api.Withdrawn {
+	if x, err := s.beside().records.Read(context.Background(), "run-000002"); err != nil || !x.Service || x.Final.State != api.Withdrawn {
 		t.Errorf("%+v %v", x, err)
 	}
 }
