Leases are renewed by what is known of cancellations, not by who is alive

Cause: keeps() took 'all siblings are alive' for 'no cancellation was told that I have not heard of'. A leader that told some and came back within a second was alive and knew nothing, and the old leader renewed leases of cancelled tasks to the end of an outage. Any answer of the state service counted as word, from its arrival. Change: package word. Controllers ask each other twice a second what they told; an answer counts from its question, vouches for one life of a process alone, and gives how far its sender knows. A leader is certain by its key, a follower that answers workers alone by the records of jobs, which it then reads and follows. What is known to be cancelled is ended under the token at hand. Nothing new is sent before all members' marks stand.

--- a/controller/keep.go
+++ b/controller/keep.go
@@ -1,50 +1,158 @@
 package controller
 
 import (
+	"bytes"
+	"context"
+	"encoding/json"
 	"log/slog"
 	"net/http"
+	"slices"
+	"strings"
 	"time"
 
 	"switchferry/api"
 	"switchferry/contact"
+	"switchferry/peer"
+	"switchferry/store"
 	"switchferry/tuning"
+	"switchferry/word"
 )
 
 // Whoever answers a worker renews its lease, and so keeps its tasks alive. A controller
 // that is cut off may do so for its zone's workers ("inside, a cut-off zone keeps
 // working"), but not for as long as it likes: on the other side a user may be told that a
 // job is cancelled, and within cancel_s its tasks must be gone, which nobody can order
-// here. So leases are renewed only while the last one ends in time, counted from when this
-// controller was last certain to hear of a cancellation
-// (docs/incidents/fleet-cancelled-behind-a-cut.md).
+// here. So leases are renewed only while the last one ends in time, counted from the moment
+// up to which this controller knows of all that was told (package word): that all
+// siblings were alive was once taken for that, and cancelled tasks ran on through an outage
+// (docs/incidents/hunt-told-before-an-outage.md). What it knows of it ends itself.
 
-// keepLimit is how long leases are renewed without word of cancellations.
-func (n *Node) keepLimit() time.Duration {
-	w := n.set.Facts.Workers
-	return seconds(w.CancelS-w.LeaseS) - tuning.KeepMargin
+// sure tells whether this controller leads for certain, and has read the records: then all that anyone told
+// until now is known here, since only a leader cancels while its key stands.
+func (n *Node) sure() bool {
+	now := n.clock.Now()
+	term, valid := n.elector.Term()
+	if !valid || term != n.loaded.Load() {
+		return false
+	}
+	n.word.Certain(now)
+	return true
 }
 
-// keeps tells whether a worker's lease may be renewed now. This controller hears of
-// cancellations through the state service; and where it hears every sibling and none of
-// them leads, none can be told, since nobody stores one.
+// keeps tells whether a worker's lease may be renewed now by a controller that does not lead for certain.
 func (n *Node) keeps() bool {
-	all := len(n.peers.Alive()) == len(n.set.Siblings)
-	n.mu.Lock()
-	defer n.mu.Unlock()
+	n.sure()
 	now := n.clock.Now()
-	if all {
-		n.word = now
+	ok, without := n.word.Renews(now)
+	n.mu.Lock()
+	n.lone = now
+	changed := ok != n.keeping
+	n.keeping = ok
+	n.mu.Unlock()
+	if changed {
+		slog.Info("leases of workers", "kept", ok, "without_word", without.Round(time.Millisecond), "why", n.word.Why())
 	}
-	word := latest(n.word, n.served)
-	if word.IsZero() {
-		word = n.born
+	return ok
+}
+
+// ending adds to an answer what ends the tasks of cancelled jobs that the worker reports. The token is the one
+// that it has: a stop is safe under any.
+func (n *Node) ending(r *api.Report, o api.Orders) api.Orders {
+	if more := n.word.Stops(r.Tasks, o.Commands); len(more) > 0 {
+		slog.Info("ending tasks of cancelled jobs for the leader", "machine", r.Machine, "tasks", len(more), "first", more[0].Task)
+		o.Commands = append(slices.Clone(o.Commands), more...)
 	}
-	ok := now.Sub(word) < n.keepLimit()
-	if ok != n.keeping {
-		n.keeping = ok
-		slog.Info("leases of workers", "kept", ok, "without_word", now.Sub(word).Round(time.Millisecond))
+	return o
+}
+
+// note has a cancellation known to the siblings before its user is told.
+func (n *Node) note(a peer.Answer) {
+	if a.Status != http.StatusOK && a.Status != http.StatusCreated || !bytes.Contains(a.Body, []byte(api.Withdrawn)) {
+		return
 	}
-	return ok
+	var st api.JobStatus
+	if json.Unmarshal(a.Body, &st) == nil && st.State == api.Withdrawn {
+		n.word.Tell(n.clock.Now(), st.ID)
+	}
+}
+
+// words is a node's side of what controllers tell each other of cancellations.
+type words struct{ n *Node }
+
+// Have is what is known of a sibling's word; nothing is asked while an older process may be there.
+func (w words) Have(member string) (life, have uint64, ok bool) {
+	if len(w.n.marks.Older()) > 0 {
+		return 0, 0, false
+	}
+	life, have = w.n.word.Have(member)
+	return life, have, true
+}
+
+// Say answers a sibling.
+func (w words) Say(life, have uint64) (word.Saying, bool) {
+	if len(w.n.marks.Older()) > 0 {
+		return word.Saying{}, false
+	}
+	w.n.sure()
+	return w.n.word.Say(w.n.clock.Now(), life, have), true
+}
+
+// Heard takes in a sibling's answer.
+func (w words) Heard(member string, sent time.Time, s word.Saying) {
+	if err := w.n.word.Heard(w.n.clock.Now(), member, sent, s); err != nil {
+		slog.Info("a sibling's word is not believed", "member", member, "err", err)
+	}
+}
+
+// readCancellations reads the records of jobs while this controller answers workers by itself and reaches the
+// state service: what it has read was told to nobody before without being here.
+func (n *Node) readCancellations(ctx context.Context) {
+	after := uint64(0)
+	for ctx.Err() == nil {
+		n.mu.Lock()
+		needed := !n.lone.IsZero() && n.clock.Since(n.lone) < tuning.WordNeeded
+		n.mu.Unlock()
+		if needed && n.leading() == nil {
+			if next, err := n.readJobs(ctx, after); err == nil {
+				after = next
+				n.sleep(ctx, tuning.RelayEvery)
+				continue
+			}
+		}
+		after = 0
+		n.sleep(ctx, tuning.RelayEvery)
+	}
+}
+
+// readJobs notes the cancellations on record, or, after a revision, those since. It gives the revision to go on
+// from. What is known then is known from when that was asked for.
+func (n *Node) readJobs(ctx context.Context, after uint64) (uint64, error) {
+	sent := n.clock.Now()
+	var all []store.Item
+	var log []store.Event
+	var epoch uint64
+	var err error
+	if after == 0 {
+		all, epoch, err = n.client.List(ctx, store.JobPrefix)
+	} else {
+		log, epoch, err = n.client.Watch(ctx, store.JobPrefix, after, tuning.WordBlock)
+	}
+	if err != nil {
+		return 0, err
+	}
+	for _, e := range log {
+		all = append(all, store.Item{Key: e.Set, Value: e.Value})
+	}
+	for _, it := range all {
+		var rec struct {
+			Final string `json:"final"`
+		}
+		if bytes.Contains(it.Value, []byte(api.Withdrawn)) && json.Unmarshal(it.Value, &rec) == nil && rec.Final == api.Withdrawn {
+			n.word.Tell(n.clock.Now(), strings.TrimPrefix(it.Key, store.JobPrefix))
+		}
+	}
+	n.word.Certain(sent)
+	return max(after, epoch), nil
 }
 
 // unkept is what a worker is told whose lease must not be renewed. One that was sent away
--- a/controller/node.go
+++ b/controller/node.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -34,6 +35,7 @@
 	"switchferry/topology"
 	"switchferry/tuning"
 	"switchferry/upgrade"
+	"switchferry/word"
 	"switchferry/worker"
 )
 
@@ -61,9 +63,11 @@
 	// hearing is when a worker last reported to this node itself; newest are the reports that did.
 	hearing time.Time
 	newest  *contact.Newest
-	// word is when it was last certain, apart from the state service's answers, that no
-	// cancellation could be missed here; keeping: leases were renewed at the last report.
-	word    time.Time
+	// word is what it knows of cancellations; loaded is the term whose records it has read, lone when it
+	// last answered a worker by itself. keeping: leases were renewed at the last report.
+	word    *word.Book
+	loaded  atomic.Uint64
+	lone    time.Time
 	keeping bool
 	bounces bounces
 	users   users
@@ -115,12 +119,14 @@
 	for _, s := range set.Siblings {
 		all = append(all, s.Member)
 	}
+	n.word = word.New(n.born, all[1:], word.LimitsOf(seconds(set.Facts.Workers.CancelS), seconds(set.Facts.Workers.LeaseS)))
 	n.client = store.NewClient(set.External.State, transport)
 	n.marks = upgrade.NewMarker(set.Member, all, n.client, clock)
 	n.client.Seen = n.stateSeen
 	n.cloud = cloud.New(set.External.Cloud, set.Facts.Cloud.RPS, transport)
 	n.worker = worker.New(transport)
 	n.peers = peer.New(set.Siblings, clock, n.hello, func(ctx context.Context, r peer.Request) peer.Answer { return n.Handle(ctx, r, true) })
+	n.peers.Words = words{n}
 	n.elector = election.New(set.Member, n.client, clock, n)
 	share := tuning.ReadShare * set.Facts.State.RPS / float64(1+len(set.Siblings))
 	n.reads = rate.NewLimiter(rate.Limit(share), max(1, int(share)))
@@ -189,6 +195,7 @@
 		go n.watchTopology()
 	}
 	go n.pace.run(n.ctx)
+	go n.readCancellations(n.ctx)
 	if n.members != nil {
 		go n.members.Run(n.ctx, func() membership.Own {
 			return membership.Own{Leads: n.leading() != nil, StateOK: n.stateOK(), Worked: n.hears()}
@@ -287,6 +294,9 @@
 }
 
 func (n *Node) final(id string, f store.FinalRecord) {
+	if f.State == api.Withdrawn {
+		n.word.Tell(n.clock.Now(), id)
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if _, ok := n.finals[id]; !ok {
@@ -317,6 +327,15 @@
 	return store.Cond{Key: store.LeaderKey, Stamp: s.term}, valid && term == s.term
 }
 
+// Record has a cancellation known to the siblings before it can be read by anyone.
+func (s source) Record(key string) (value any, exists bool, more []store.Cond) {
+	value, exists, more = s.Core.Record(key)
+	if rec, ok := value.(store.JobRecord); ok && rec.Final == api.Withdrawn {
+		s.n.word.Tell(s.n.clock.Now(), rec.Job.ID)
+	}
+	return value, exists, more
+}
+
 // Conflict lets this node forget what it believed of a dataset.
 func (s source) Conflict(key string, found *store.Item) {
 	if strings.HasPrefix(key, store.DatasetPrefix) {
@@ -434,6 +453,7 @@
 			err = core.Load(jobs, shards)
 		}
 		if err == nil {
+			n.loaded.Store(core.term)
 			inbox = epoch
 			break
 		}
@@ -710,7 +730,7 @@
 		}
 		// Between two leaders the last one's token still keeps leases. Sent
 		// away, a worker might try nodes beyond a cut until its lease ends.
-		return http.StatusOK, api.Orders{Helm: last, Commands: []api.Command{}}
+		return http.StatusOK, n.ending(r, api.Orders{Helm: last, Commands: []api.Command{}})
 	}
 	if there {
 		if to := n.nodeFor(r.Zone, leader); to != n.set.Member && n.bounce(r.Machine, to) {
@@ -728,7 +748,7 @@
 	if !n.keeps() {
 		return n.unkept()
 	}
-	return http.StatusOK, n.relay.report(r, term)
+	return http.StatusOK, n.ending(r, n.relay.report(r, term))
 }
 
 // previous is the sibling that comes before us in the order in which workers try
@@ -777,6 +797,7 @@
 
 // judge answers a report as the leader. Via is the sibling that passes it on.
 func (n *Node) judge(core *Core, r *api.Report, via string) (status int, body any) {
+	sure := n.sure()
 	if !core.hooks.Valid() && !n.keeps() {
 		return http.StatusServiceUnavailable, api.Error{Error: "cut off for too long to keep tasks alive"}
 	}
@@ -789,6 +810,9 @@
 	case refused:
 		return http.StatusServiceUnavailable, api.Error{Error: "this machine was returned"}
 	}
+	if !sure {
+		o = n.ending(r, o)
+	}
 	return http.StatusOK, o
 }
 
@@ -851,6 +875,7 @@
 	}
 	from := n.clock.Now()
 	a := n.handle(ctx, r, forwarded)
+	n.note(a)
 	if took := n.clock.Since(from); r.Verb == VerbSubmit && took > tuning.AcceptPatience {
 		slog.Debug("submission answered late", "ms", took.Milliseconds(), "status", a.Status, "forwarded", forwarded, "leading", n.leading() != nil)
 	}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -24,6 +25,7 @@
 	"switchferry/settings"
 	"switchferry/sockets"
 	"switchferry/tuning"
+	"switchferry/word"
 )
 
 // Request is what a user asked of a sibling. Answer is what to say.
@@ -69,8 +71,18 @@
 // Handler serves a sibling's requests.
 type Handler func(ctx context.Context, r Request) Answer
 
+// Words is what this controller knows of cancellations. False: older processes may be there, to which
+// nothing is said that they did not always hear.
+type Words interface {
+	Have(member string) (life, have uint64, ok bool)
+	Say(life, have uint64) (word.Saying, bool)
+	Heard(member string, sent time.Time, s word.Saying)
+}
+
 type sibling struct {
 	settings.Sibling
+	// asked is when each question of this connection was sent that has no answer yet.
+	asked map[uint64]time.Time
 	conn  net.Conn
 	wmu   sync.Mutex
 	heard time.Time
@@ -96,6 +108,8 @@
 	// Told is told of all that is seen of siblings; it may be replaced before Run and must not
 	// block.
 	Told func(membership.Observation)
+	// Words is nil, or set before Run.
+	Words Words
 
 	mu       sync.Mutex
 	siblings map[string]*sibling
@@ -203,7 +217,7 @@
 		}
 		switch f.kind {
 		case wire.KindHello:
-			if write(c, &wmu, n.helloFrame()) != nil {
+			if write(c, &wmu, n.answer(f)) != nil {
 				return
 			}
 		case wire.KindRequest:
@@ -221,6 +235,40 @@
 		born: h.BornMS, whom: h.Hears, leaving: h.Leaving}
 }
 
+// answer greets back, and answers what a greeting asks.
+func (n *Net) answer(f frame) frame {
+	h := n.helloFrame()
+	if f.seq == 0 || n.Words == nil {
+		return h
+	}
+	if s, ok := n.Words.Say(f.life, f.toldFrom); ok {
+		h.seq, h.life, h.toldFrom, h.toldTo, h.toldLatest, h.told, h.knows, h.wordAge = f.seq, s.Life, s.From, s.To, s.Latest, s.Told, s.Knows, s.Age
+	}
+	return h
+}
+
+// question greets a sibling, and asks it for word.
+func (n *Net) question(s *sibling) frame {
+	h := n.helloFrame()
+	if n.Words == nil {
+		return h
+	}
+	life, have, ok := n.Words.Have(s.Member)
+	if !ok {
+		return h
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(s.asked) == tuning.AskedWords {
+		// An older process answers none.
+		clear(s.asked)
+	}
+	s.seq++
+	h.seq, h.life, h.toldFrom = s.seq, life, have
+	s.asked[s.seq] = n.clock.Now()
+	return h
+}
+
 // Run keeps a connection to every sibling.
 func (n *Net) Run(ctx context.Context) {
 	for _, s := range n.siblings {
@@ -260,12 +308,13 @@
 	defer stop()
 	n.mu.Lock()
 	s.conn = c
+	s.asked = map[uint64]time.Time{}
 	n.mu.Unlock()
 	go func() {
 		defer c.Close()
 		started := n.clock.Now()
 		for {
-			if write(c, &s.wmu, n.helloFrame()) != nil {
+			if write(c, &s.wmu, n.question(s)) != nil {
 				return
 			}
 			select {
@@ -296,9 +345,11 @@
 		s.heard = n.clock.Now()
 		s.sign = s.heard
 		s.signs++
+		sent, asked := s.asked[f.seq]
 		switch f.kind {
 		case wire.KindHello:
 			s.hello = Hello{s.Member, f.term, f.stateOK, f.pace, f.hears, f.born, f.whom, f.leaving}
+			delete(s.asked, f.seq)
 		case wire.KindReply:
 			if w := s.waits[f.seq]; w != nil {
 				w <- Answer{f.status, f.body, f.retry}
@@ -306,6 +357,13 @@
 			}
 		}
 		n.mu.Unlock()
+		if f.kind == wire.KindHello && f.seq != 0 {
+			if asked {
+				n.Words.Heard(s.Member, sent, word.Saying{Life: f.life, From: f.toldFrom, To: f.toldTo, Latest: f.toldLatest, Told: f.told, Knows: f.knows, Age: f.wordAge})
+			} else {
+				slog.Info("a sibling answers what it was not asked", "member", s.Member, "seq", f.seq)
+			}
+		}
 		if f.kind == wire.KindHello {
 			n.Told(membership.Greeting{From: s.Member, BornMS: f.born, Hears: f.whom, Leads: f.term > 0, StateOK: f.stateOK, Worked: f.hears, PaceUS: f.pace, Leaving: f.leaving})
 		}
@@ -390,6 +448,16 @@
 	born      uint64
 	whom      []string
 	leaving   bool
+
+	life, toldFrom, toldTo, toldLatest uint64
+	told                               []word.Told
+	knows                              bool
+	wordAge                            time.Duration
+}
+
+// ms is a duration in whole milliseconds; what does not fit is the most that does.
+func ms(d time.Duration) uint32 {
+	return uint32(min(max(d.Milliseconds(), 0), math.MaxUint32))
 }
 
 func encode(f frame) []byte {
@@ -413,6 +481,18 @@
 		}
 		whom = b.CreateVectorOfTables(names)
 	}
+	var told flatbuffers.UOffsetT
+	if len(f.told) > 0 {
+		var all []flatbuffers.UOffsetT
+		for _, t := range f.told {
+			job := b.CreateString(t.Job)
+			wire.ToldStart(b)
+			wire.ToldAddJob(b, job)
+			wire.ToldAddAgeMs(b, ms(t.Age))
+			all = append(all, wire.ToldEnd(b))
+		}
+		told = b.CreateVectorOfTables(all)
+	}
 	wire.FrameStart(b)
 	wire.FrameAddKind(b, f.kind)
 	wire.FrameAddSeq(b, f.seq)
@@ -429,6 +509,14 @@
 	wire.FrameAddBornMs(b, f.born)
 	wire.FrameAddHears(b, whom)
 	wire.FrameAddLeaving(b, f.leaving)
+	wire.FrameAddLife(b, f.life)
+	wire.FrameAddToldFrom(b, f.toldFrom)
+	wire.FrameAddToldTo(b, f.toldTo)
+	wire.FrameAddToldLatest(b, f.toldLatest)
+	wire.FrameAddTold(b, told)
+	wire.FrameAddKnows(b, f.knows)
+	// Rounded up: what is said is known is never more than what is.
+	wire.FrameAddWordAgeMs(b, ms(f.wordAge+time.Millisecond-1))
 	b.FinishSizePrefixed(wire.FrameEnd(b))
 	return b.FinishedBytes()
 }
@@ -471,6 +559,17 @@
 	for i := range min(w.HearsLength(), tuning.FrameMembers) {
 		f.whom = append(f.whom, string(w.Hears(i)))
 	}
+	f.life, f.toldFrom, f.toldTo, f.toldLatest, f.knows = w.Life(), w.ToldFrom(), w.ToldTo(), w.ToldLatest(), w.Knows()
+	f.wordAge = time.Duration(w.WordAgeMs()) * time.Millisecond
+	if w.ToldLength() > tuning.WordsAtOnce {
+		return f, fmt.Errorf("%d cancellations", w.ToldLength())
+	}
+	for i := range w.ToldLength() {
+		var t wire.Told
+		if w.Told(&t, i) {
+			f.told = append(f.told, word.Told{Job: string(t.Job()), Age: time.Duration(t.AgeMs()) * time.Millisecond})
+		}
+	}
 	if f.kind > wire.KindReply {
 		return f, fmt.Errorf("unknown kind %d", f.kind)
 	}
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"reflect"
+	"sync"
 	"testing"
 	"time"
 
@@ -16,6 +17,7 @@
 	"switchferry/peer/wire"
 	"switchferry/settings"
 	"switchferry/tuning"
+	"switchferry/word"
 )
 
 func TestFrameRoundTrip(t *testing.T) {
@@ -143,3 +145,65 @@
 		}
 	}
 }
+
+// spoken is what a test says and hears of cancellations.
+type spoken struct {
+	say   word.Saying
+	heard chan time.Time
+	got   word.Saying
+}
+
+func (s *spoken) Have(string) (uint64, uint64, bool) { return 3, 1, true }
+func (s *spoken) Say(life, have uint64) (word.Saying, bool) {
+	s.say.Life, s.say.From = life, have
+	return s.say, true
+}
+func (s *spoken) Heard(_ string, sent time.Time, w word.Saying) { s.got = w; s.heard <- sent }
+
+// Word goes from question to answer, and counts from when the question was sent, however late the answer is. An
+// answer that nobody asked for is passed over, and too many cancellations end the connection.
+func TestWordCountsFromTheQuestion(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	here, there := net.Pipe()
+	defer there.Close()
+	n := New([]settings.Sibling{{Member: "n1"}}, clock, func() Hello { return Hello{Member: "n0"} }, nil)
+	mine := &spoken{heard: make(chan time.Time, 4)}
+	n.Words = mine
+	other := New(nil, clock, func() Hello { return Hello{Member: "n1"} }, nil)
+	other.Words = &spoken{say: word.Saying{To: 2, Latest: 5, Told: []word.Told{{Job: "run-1", Age: 1500 * time.Millisecond}}, Knows: true, Age: 20*time.Millisecond + 1}}
+	sent := clock.Now()
+	done := make(chan membership.Outcome)
+	go func() { done <- n.talk(context.Background(), n.siblings["n1"], here) }()
+	q, err := readFrame(there)
+	if err != nil || q.seq == 0 || q.life != 3 || q.toldFrom != 1 {
+		t.Fatalf("question %+v, %v", q, err)
+	}
+	clock.Advance(time.Second)
+	a := other.answer(q)
+	stray := a
+	stray.seq += 7
+	var mu sync.Mutex
+	for _, f := range []frame{stray, a, a} {
+		if err := write(there, &mu, f); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if at := <-mine.heard; !at.Equal(sent) {
+		t.Errorf("counts from %v after the question", at.Sub(sent))
+	}
+	want := word.Saying{Life: 3, From: 1, To: 2, Latest: 5, Told: []word.Told{{Job: "run-1", Age: 1500 * time.Millisecond}}, Knows: true, Age: 21 * time.Millisecond}
+	if !reflect.DeepEqual(mine.got, want) {
+		t.Errorf("heard %+v, want %+v", mine.got, want)
+	}
+	for range tuning.WordsAtOnce {
+		a.told = append(a.told, word.Told{Job: "run-1"})
+	}
+	a.told = append(a.told, a.told[0])
+	if err := write(there, &mu, a); err != nil {
+		t.Fatal(err)
+	}
+	<-done
+	if len(mine.heard) > 0 {
+		t.Error("an answer that nobody asked for, or one that came twice, was taken")
+	}
+}
--- a/peer/wire/Frame.go
+++ b/peer/wire/Frame.go
@@ -228,8 +228,100 @@
 	return rcv._tab.MutateBoolSlot(32, n)
 }
 
+func (rcv *Frame) Life() uint64 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(34))
+	if o != 0 {
+		return rcv._tab.GetUint64(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *Frame) MutateLife(n uint64) bool {
+	return rcv._tab.MutateUint64Slot(34, n)
+}
+
+func (rcv *Frame) ToldFrom() uint64 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(36))
+	if o != 0 {
+		return rcv._tab.GetUint64(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *Frame) MutateToldFrom(n uint64) bool {
+	return rcv._tab.MutateUint64Slot(36, n)
+}
+
+func (rcv *Frame) ToldTo() uint64 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(38))
+	if o != 0 {
+		return rcv._tab.GetUint64(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *Frame) MutateToldTo(n uint64) bool {
+	return rcv._tab.MutateUint64Slot(38, n)
+}
+
+func (rcv *Frame) ToldLatest() uint64 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(40))
+	if o != 0 {
+		return rcv._tab.GetUint64(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *Frame) MutateToldLatest(n uint64) bool {
+	return rcv._tab.MutateUint64Slot(40, n)
+}
+
+func (rcv *Frame) Told(obj *Told, j int) bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(42))
+	if o != 0 {
+		x := rcv._tab.Vector(o)
+		x += flatbuffers.UOffsetT(j) * 4
+		x = rcv._tab.Indirect(x)
+		obj.Init(rcv._tab.Bytes, x)
+		return true
+	}
+	return false
+}
+
+func (rcv *Frame) ToldLength() int {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(42))
+	if o != 0 {
+		return rcv._tab.VectorLen(o)
+	}
+	return 0
+}
+
+func (rcv *Frame) Knows() bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(44))
+	if o != 0 {
+		return rcv._tab.GetBool(o + rcv._tab.Pos)
+	}
+	return false
+}
+
+func (rcv *Frame) MutateKnows(n bool) bool {
+	return rcv._tab.MutateBoolSlot(44, n)
+}
+
+func (rcv *Frame) WordAgeMs() uint32 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(46))
+	if o != 0 {
+		return rcv._tab.GetUint32(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *Frame) MutateWordAgeMs(n uint32) bool {
+	return rcv._tab.MutateUint32Slot(46, n)
+}
+
 func FrameStart(builder *flatbuffers.Builder) {
-	builder.StartObject(15)
+	builder.StartObject(22)
 }
 func FrameAddKind(builder *flatbuffers.Builder, kind Kind) {
 	builder.PrependByteSlot(0, byte(kind), 0)
@@ -282,6 +374,30 @@
 func FrameAddLeaving(builder *flatbuffers.Builder, leaving bool) {
 	builder.PrependBoolSlot(14, leaving, false)
 }
+func FrameAddLife(builder *flatbuffers.Builder, life uint64) {
+	builder.PrependUint64Slot(15, life, 0)
+}
+func FrameAddToldFrom(builder *flatbuffers.Builder, toldFrom uint64) {
+	builder.PrependUint64Slot(16, toldFrom, 0)
+}
+func FrameAddToldTo(builder *flatbuffers.Builder, toldTo uint64) {
+	builder.PrependUint64Slot(17, toldTo, 0)
+}
+func FrameAddToldLatest(builder *flatbuffers.Builder, toldLatest uint64) {
+	builder.PrependUint64Slot(18, toldLatest, 0)
+}
+func FrameAddTold(builder *flatbuffers.Builder, told flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(19, flatbuffers.UOffsetT(told), 0)
+}
+func FrameStartToldVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
+	return builder.StartVector(4, numElems, 4)
+}
+func FrameAddKnows(builder *flatbuffers.Builder, knows bool) {
+	builder.PrependBoolSlot(20, knows, false)
+}
+func FrameAddWordAgeMs(builder *flatbuffers.Builder, wordAgeMs uint32) {
+	builder.PrependUint32Slot(21, wordAgeMs, 0)
+}
 func FrameEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
