Of a task in several records the highest attempt tells, not the newest revision

TestNewestRecordOfATaskCounts held revisions to be right; TestHighestAttemptOfATaskCounts replaces it, in both orders of writing. A task that one record has and another not counts as there until its machine says otherwise: the old test let it go without a word of the machine.

--- a/store/records.go
+++ b/store/records.go
@@ -1,12 +1,10 @@
 package store
 
 import (
-	"cmp"
 	"encoding/base64"
 	"encoding/json"
 	"fmt"
 	"maps"
-	"slices"
 	"strconv"
 	"strings"
 
@@ -235,12 +233,14 @@
 }
 
 // ReadShards joins records of tasks: where each task that is not done is, by job. Of a task that
-// stands in several, of shards of different sizes, the newest tells: the others are what has not
-// been deleted yet. What is done in any is done. Of gives a job's bits, to be added to, and its
+// stands in several, of shards of different sizes, the highest attempt tells, since attempts only grow; the
+// revision does not: a record that was created, replaced and deleted within seconds can be created once more
+// by the first transaction, carried out late, and is then the newest. One in which the task is nowhere tells
+// nothing against one in which it has a machine: that one's word is asked for first. What is done in any is
+// done. Of gives a job's bits, to be added to, and its
 // number of tasks, 0 if there is no such job; the keys of such are given as stray.
 func ReadShards(items []Item, of func(id string, s Shard) (Bits, int)) (on map[string]map[int]Placed, stray []string, err error) {
 	on = map[string]map[int]Placed{}
-	items = slices.SortedFunc(slices.Values(items), func(a, b Item) int { return cmp.Or(cmp.Compare(a.Stamp, b.Stamp), strings.Compare(a.Key, b.Key)) })
 	jobs := map[string]Bits{}
 	for _, it := range items {
 		shard, ok := ParseShard(it.Key)
@@ -265,11 +265,8 @@
 			on[shard.Job] = map[int]Placed{}
 		}
 		from, to := shard.Range(total)
-		for t := from; t < to; t++ {
-			delete(on[shard.Job], t)
-		}
 		for _, p := range rec.On {
-			if p.Task >= from && p.Task < to {
+			if was, ok := on[shard.Job][p.Task]; p.Task >= from && p.Task < to && (!ok || p.Attempt > was.Attempt) {
 				on[shard.Job][p.Task] = p
 			}
 		}
