--- a/internal/world/world_test.go
+++ b/internal/world/world_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -153,6 +154,43 @@
 	}
 }
 
+// The operators' meetings of two troubles (docs/meetings.md), in their order, each alone and with an end of the
+// leader in the middle, which is back within a second.
+func TestMeetings(t *testing.T) {
+	at := func(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+	for name, troubles := range map[string][]Trouble{
+		"slow and refused, then an outage, users cancel and ask": {{At: at(20), For: at(30), Kind: LateWrites}, {At: at(30), For: at(14), Kind: Refused}, {At: at(31), For: at(0.5), Kind: Wave, Count: 5},
+			{At: at(33), For: at(62), Kind: Outage}, {At: at(100), For: at(0.5), Kind: Wave, Count: 5}},
+		"commands and answers held": {{At: at(15), For: at(60), Kind: Held}, {At: at(30), For: at(0.5), Kind: Wave, Count: 5}, {At: at(35), Kind: Restart, Count: 3}, {At: at(45), Kind: Die, Count: 1}},
+		"over and back, all end, one returns at once": {{At: at(25), For: at(3), Kind: Refused}, {At: at(27), For: at(3), Kind: Refused}, {At: at(31), For: at(3), Kind: Crash, Count: 3}, {At: at(35), For: at(0.2), Kind: Crash, Count: 1},
+			{At: at(35.5), For: at(0.1), Kind: Crash, Count: 2}, {At: at(24), For: at(20), Kind: LateWrites}},
+		"leader cut from state and controllers, cancelled through the new one": {{At: at(25), For: at(60), Kind: Lone}, {At: at(28), For: at(1), Kind: Wave, Count: 6}, {At: at(60), For: at(1), Kind: Wave, Count: 6}},
+		"old reports after newer ones":                                         {{At: at(15), For: at(90), Kind: Copies}, {At: at(25), Kind: Restart, Count: 3}, {At: at(40), Kind: Restart, Count: 3}, {At: at(50), Kind: Die, Count: 2}},
+		"transactions late, after newer ones":                                  {{At: at(15), For: at(60), Kind: LateWrites}, {At: at(30), For: at(0.5), Kind: Wave, Count: 4}, {At: at(50), For: at(0.5), Kind: Wave, Count: 4}},
+		"ends far apart across a change of leader":                             {{At: at(20), For: at(0.3), Kind: Crash, Count: 1}, {At: at(32), For: at(3), Kind: Crash, Count: 1}, {At: at(44), For: at(3), Kind: Crash, Count: 3}, {At: at(18), For: at(40), Kind: LateWrites}},
+		"leader ends while machines are out of reach, or deaf":                 {{At: at(22), For: at(50), Kind: CutZone}, {At: at(24), For: at(3), Kind: Crash, Count: 1}, {At: at(30), For: at(50), Kind: HalfDeaf, Count: 3}, {At: at(34), For: at(0.5), Kind: Wave, Count: 4}},
+	} {
+		for i, pace := range paces {
+			for _, crash := range []bool{false, true} {
+				if raced && (i > 0 || crash == (len(name)%2 == 0)) {
+					continue
+				}
+				t.Run(fmt.Sprintf("%s, reports every %g s, leader ends %v", name, pace.ReportS, crash), func(t *testing.T) {
+					t.Parallel()
+					d := NewDay(uint64(len(name)), 12)
+					d.Workers, d.Cancels, d.RunS, d.PerSecond = pace, 0.15, 40, 1
+					d.Lasts = 100 * time.Second
+					d.Troubles = troubles
+					if crash {
+						d.Troubles = append(slices.Clone(troubles), Trouble{At: at(33), For: at(0.7), Kind: Crash, Count: 1})
+					}
+					play(t, d)
+				})
+			}
+		}
+	}
+}
+
 // An outage in which nobody cancels anything, all controllers well, or apart for a while, costs no task.
 func TestOutageCostsNoTask(t *testing.T) {
 	for _, apart := range []bool{false, true} {
