A damaged record costs its job alone; explain tells why leases are not renewed

Cause: Load failed as a whole on one damaged record, and every new leader read it again for ever. The job is left out now and logged, its records are neither deleted nor written over, a user who submits it again is answered 503 with Retry-After. An operator who asks why a job waits is told when its leader renews no leases, since when, and which sibling's word is missing. TestDamagedRecordsCostTheirJobAlone failed before.

--- a/controller/core.go
+++ b/controller/core.go
@@ -5,7 +5,6 @@
 import (
 	"cmp"
 	"encoding/json"
-	"fmt"
 	"log/slog"
 	"maps"
 	"math"
@@ -286,6 +285,8 @@
 	own        bool
 	nameBytes  int
 	pipes      *pipes
+	// damaged are jobs of which a record could not be read.
+	damaged map[string]bool
 }
 
 // NewCore makes the state of a term.
@@ -814,22 +815,23 @@
 	return nil, false, nil
 }
 
-// Load takes in what the state service holds.
-func (c *Core) Load(jobs, shards []store.Item) error {
+// Load takes in what the state service holds. A job of which a record is damaged is left out, and its records as
+// they stand: nothing of it is started or written, what runs of it is ended, and questions about it are answered
+// with 503 until the records are mended. Every leader once tried to read it for ever, and led nothing.
+func (c *Core) Load(jobs, shards []store.Item) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.damaged = map[string]bool{}
 	for _, it := range jobs {
 		var rec store.JobRecord
-		if err := json.Unmarshal(it.Value, &rec); err != nil || rec.Job.ID != strings.TrimPrefix(it.Key, store.JobPrefix) {
-			return fmt.Errorf("record %s is damaged: %v", it.Key, err)
-		}
-		if c.jobs[rec.Job.ID] == nil {
+		if id := strings.TrimPrefix(it.Key, store.JobPrefix); json.Unmarshal(it.Value, &rec) != nil || rec.Job.ID != id || rec.Job.Tasks < 1 || rec.Job.Tasks > api.MaxTasks {
+			slog.Error("a job's record is damaged, and the job left out", "key", it.Key)
+			c.damaged[id] = true
+		} else if c.jobs[id] == nil {
 			c.addJob(rec, true)
 		}
 	}
-	if err := c.loadShards(shards); err != nil {
-		return err
-	}
+	c.loadShards(shards)
 	all := slices.Clone(c.order)
 	for _, j := range all {
 		for t := range j.total {
@@ -864,13 +866,12 @@
 	}
 	c.loaded = true
 	c.kick()
-	slog.Info("records loaded", "jobs", len(c.jobs))
-	return nil
+	slog.Info("records loaded", "jobs", len(c.jobs), "damaged", len(c.damaged))
 }
 
-// loadShards takes in the records of tasks.
-func (c *Core) loadShards(items []store.Item) error {
-	on, stray, err := store.ReadShards(items, func(id string, s store.Shard) (store.Bits, int) {
+// loadShards takes in the records of tasks, but of damaged jobs.
+func (c *Core) loadShards(items []store.Item) {
+	on, stray, bad := store.ReadShards(items, func(id string, s store.Shard) (store.Bits, int) {
 		j := c.jobs[id]
 		if j == nil {
 			return nil, 0
@@ -878,11 +879,15 @@
 		j.shards[s] = true
 		return j.bits, j.total
 	})
-	if err != nil {
-		return err
+	for id, err := range bad {
+		slog.Error("a record of a job's tasks is damaged, and the job left out", "job", id, "err", err)
+		c.damaged[id] = true
+		c.dropJob(c.jobs[id])
 	}
 	for _, key := range stray {
-		c.hooks.Touch(key, store.Lazy, nil)
+		if s, ok := store.ParseShard(key); !ok || !c.damaged[s.Job] {
+			c.hooks.Touch(key, store.Lazy, nil)
+		}
 	}
 	for id, placed := range on {
 		j := c.jobs[id]
@@ -894,7 +899,6 @@
 			j.started = c.now()
 		}
 	}
-	return nil
 }
 
 // resize writes what a job has in records of another size into such of the size that is
--- a/controller/core_test.go
+++ b/controller/core_test.go
@@ -97,9 +97,7 @@
 	for _, it := range append(append(jobs, shards...), images...) {
 		s.com.Know(it.Key, it.Stamp)
 	}
-	if err := s.Load(jobs, shards); err != nil {
-		s.Fatal(err)
-	}
+	s.Load(jobs, shards)
 	return s
 }
 
@@ -1263,3 +1261,44 @@
 		t.Errorf("order %v: one that came within its team's guarantee goes first", got)
 	}
 }
+
+// A damaged record, of a job or of its tasks, costs a new leader that job alone, and nothing more of it: no leader
+// could begin before, and none must write over what it cannot read.
+func TestDamagedRecordsCostTheirJobAlone(t *testing.T) {
+	s := newStage(t)
+	s.report("a1", 1)
+	for _, id := range []string{"run-000001", "run-000002", "run-000003"} {
+		s.submit(id, 1, tiny)
+	}
+	s.Place()
+	s.commit()
+	shards := map[string]string{}
+	for _, id := range []string{"run-000001", "run-000002"} {
+		shards[id] = store.ShardOf(id, 0, s.shardTasks).Key()
+		if s.state.Get(shards[id]) == nil {
+			t.Fatalf("no record of the task of %s", id)
+		}
+	}
+	s.state.Put(store.JobKey("run-000001"), "damaged")
+	s.state.Put(shards["run-000002"], "damaged")
+	s.elect()
+	s.report("a1", 1)
+	s.Place()
+	s.commit()
+	if _, ok := s.Known("run-000003"); !ok {
+		t.Error("a job whose records are sound is not known")
+	}
+	for _, id := range []string{"run-000001", "run-000002"} {
+		if _, ok := s.Known(id); ok {
+			t.Errorf("%s is answered for", id)
+		}
+		sub := api.Submission{ID: id, Class: "c", Team: "t", Shape: api.Array, Rank: "normal", Tasks: 1, CPUs: 1, MemoryGB: 1, Image: "img", ImageGB: 1, EstimateS: 30}
+		if a, ok := s.Submit(gaveUp(), &sub, s.clock.Now()); !ok || a.Status != 503 || a.RetryAfterS < 1 {
+			t.Errorf("%s submitted again: %d", id, a.Status)
+		}
+	}
+	s.commit()
+	if string(s.state.Get(store.JobKey("run-000001"))) != `"damaged"` || string(s.state.Get(shards["run-000002"])) != `"damaged"` || s.state.Get(shards["run-000001"]) == nil || s.state.Get(store.JobKey("run-000002")) == nil {
+		t.Error("records that could not be read, or those beside them, were written over or deleted")
+	}
+}
--- a/controller/keep.go
+++ b/controller/keep.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"log/slog"
 	"net/http"
 	"slices"
@@ -50,11 +51,31 @@
 	n.keeping = ok
 	n.mu.Unlock()
 	if changed {
-		slog.Info("leases of workers", "kept", ok, "without_word", without.Round(time.Millisecond), "why", n.word.Why())
+		slog.Info("leases of workers", "kept", ok, "without_word", span(without), "why", n.word.Why())
 	}
 	return ok
 }
 
+// span is how long ago there was word, for operators.
+func span(without time.Duration) string {
+	if without < 0 {
+		return "never"
+	}
+	return without.Round(time.Millisecond).String()
+}
+
+// stopped tells an operator why this controller renews no leases, if it does not.
+func (n *Node) stopped() []string {
+	n.mu.Lock()
+	kept := n.keeping
+	n.mu.Unlock()
+	if kept || n.sure() {
+		return nil
+	}
+	_, without := n.word.Renews(n.clock.Now())
+	return []string{fmt.Sprintf("leases of workers are not renewed here: last word of cancellations %s ago; %s", span(without), strings.Join(n.word.Why(), ", "))}
+}
+
 // ending adds to an answer what ends the tasks of cancelled jobs that the worker reports. The token is the one
 // that it has: a stop is safe under any.
 func (n *Node) ending(r *api.Report, o api.Orders) api.Orders {
--- a/controller/keep_test.go
+++ b/controller/keep_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"time"
 
@@ -58,6 +59,9 @@
 		if last > most || last < most-tuning.KeepMargin-time.Second {
 			t.Errorf("led %v: the last lease was renewed %v after the cut began; a cancelled task has %v", led, last, most)
 		}
+		if why := strings.Join(n.stopped(), ""); !strings.Contains(why, "n0 has said nothing") || !strings.Contains(why, "not renewed") {
+			t.Errorf("led %v: an operator is told %q", led, why)
+		}
 		// Meanwhile a worker that finds nobody else is held, without a lease.
 		if !led {
 			status, body := n.Report(context.Background(), &api.Report{Machine: "b1", Zone: "b", Session: 1, Seq: 999, Helm: term}, nil)
@@ -155,10 +159,8 @@
 		return len(n.word.Stops([]api.TaskReport{task(job+"/0", 1, api.TaskRunning, "")}, nil)) > 0
 	}
 	core := NewCore(7, clock, n.set, n.policy, testTypes, Hooks{Touch: func(string, int, func()) {}, Valid: func() bool { return true }, Final: n.final})
-	if err := core.Load([]store.Item{{Key: store.JobKey("run-1"), Value: []byte(`{"job":{"name_id":"run-1","parts":1},"at":1}`)},
-		{Key: store.JobKey("run-2"), Value: []byte(`{"job":{"name_id":"run-2","parts":1},"at":1,"final":"withdrawn"}`)}}, nil); err != nil {
-		t.Fatal(err)
-	}
+	core.Load([]store.Item{{Key: store.JobKey("run-1"), Value: []byte(`{"job":{"name_id":"run-1","parts":1},"at":1}`)},
+		{Key: store.JobKey("run-2"), Value: []byte(`{"job":{"name_id":"run-2","parts":1},"at":1,"final":"withdrawn"}`)}}, nil)
 	if knows("run-1") || !knows("run-2") {
 		t.Errorf("after loading: knows run-1 %v, run-2 %v", knows("run-1"), knows("run-2"))
 	}
--- a/controller/node.go
+++ b/controller/node.go
@@ -450,7 +450,7 @@
 			for _, it := range append(jobs, shards...) {
 				com.Know(it.Key, it.Stamp)
 			}
-			err = core.Load(jobs, shards)
+			core.Load(jobs, shards)
 		}
 		if err == nil {
 			n.loaded.Store(core.term)
--- a/controller/places.go
+++ b/controller/places.go
@@ -90,6 +90,7 @@
 		return answer(http.StatusOK, core.Topology())
 	}
 	if x, ok := core.Explain(r.Job); ok {
+		x.Why = append(x.Why, n.stopped()...)
 		return answer(http.StatusOK, x)
 	}
 	// Over, or not known: its record tells.
--- a/controller/user.go
+++ b/controller/user.go
@@ -133,6 +133,11 @@
 		c.mu.Unlock()
 		return laterBy("more jobs come in than can be stored", delay), true
 	}
+	if c.damaged[s.ID] {
+		// What its user was told before is not known: to write it anew might go back on that.
+		c.mu.Unlock()
+		return later("the job's record is damaged"), true
+	}
 	if fresh {
 		j = c.addJob(store.JobRecord{Job: *s, At: now.UnixMilli()}, false)
 		c.hooks.Touch(store.JobKey(s.ID), store.Urgent, c.locked(func() { c.accept(s.ID) }))
--- a/experiment/locality.go
+++ b/experiment/locality.go
@@ -228,9 +228,7 @@
 	})
 	p.core.UseData(features.Data{On: true, Placement: mode, CacheGB: 1, LinkMBs: l.LinkRate / 1e6, StoreMBs: l.StoreRate / 1e6,
 		PerLink: tuning.StagePerLink, AtStore: max(tuning.StageAtStore, l.Machines/2), Ahead: tuning.StageAhead})
-	if err := p.core.Load(nil, nil); err != nil {
-		return Figure{}, err
-	}
+	p.core.Load(nil, nil)
 	for _, s := range p.store.sets {
 		p.core.Learn(&dataset.Entry{Summary: *s})
 	}
--- a/experiment/topology.go
+++ b/experiment/topology.go
@@ -507,9 +507,7 @@
 		}
 		p.core.UseTopology(m)
 	}
-	if err := p.core.Load(nil, nil); err != nil {
-		return nil, err
-	}
+	p.core.Load(nil, nil)
 	w.live(p)
 	return p, nil
 }
--- a/store/records.go
+++ b/store/records.go
@@ -238,9 +238,10 @@
 // by the first transaction, carried out late, and is then the newest. One in which the task is nowhere tells
 // nothing against one in which it has a machine: that one's word is asked for first. What is done in any is
 // done. Of gives a job's bits, to be added to, and its
-// number of tasks, 0 if there is no such job; the keys of such are given as stray.
-func ReadShards(items []Item, of func(id string, s Shard) (Bits, int)) (on map[string]map[int]Placed, stray []string, err error) {
-	on = map[string]map[int]Placed{}
+// number of tasks, 0 if there is no such job; the keys of such are given as stray. Of the jobs in damaged nothing
+// can be said, since a record of theirs cannot be read.
+func ReadShards(items []Item, of func(id string, s Shard) (Bits, int)) (on map[string]map[int]Placed, stray []string, damaged map[string]error) {
+	on, damaged = map[string]map[int]Placed{}, map[string]error{}
 	jobs := map[string]Bits{}
 	for _, it := range items {
 		shard, ok := ParseShard(it.Key)
@@ -259,7 +260,8 @@
 			err = bits.Unpack(shard, rec.Done)
 		}
 		if err != nil {
-			return nil, nil, fmt.Errorf("record %s is damaged: %w", it.Key, err)
+			damaged[shard.Job] = fmt.Errorf("record %s is damaged: %w", it.Key, err)
+			continue
 		}
 		if jobs[shard.Job] = bits; on[shard.Job] == nil {
 			on[shard.Job] = map[int]Placed{}
@@ -271,8 +273,11 @@
 			}
 		}
 	}
+	for id := range damaged {
+		delete(on, id)
+	}
 	for id, placed := range on {
 		maps.DeleteFunc(placed, func(t int, _ Placed) bool { return jobs[id].Has(t) })
 	}
-	return on, stray, nil
+	return on, stray, damaged
 }
