--- a/controller/core.go
+++ b/controller/core.go
@@ -719,7 +719,7 @@
 // overNow: the final state is on record, or follows from what is.
 func (c *Core) overNow(j *job) {
 	j.stored = true
-	c.hooks.Final(j.id, c.final(j))
+	c.hooks.Final(j.id, j.finalRecord(c.own))
 	j.notify()
 	for _, f := range j.told {
 		f()
@@ -729,8 +729,9 @@
 	c.settle(j)
 }
 
-func (c *Core) final(j *job) store.FinalRecord {
-	return store.FinalRecord{State: j.Final, Tasks: j.done, Service: c.own && j.Job.Shape == api.Service}
+// finalRecord is what is kept of a job that is over; own: as this version has it.
+func (j *job) finalRecord(own bool) store.FinalRecord {
+	return store.FinalRecord{State: j.Final, Tasks: j.done, Service: own && j.Job.Shape == api.Service}
 }
 
 // settle files a job that is over and has nothing left on machines: its final
@@ -779,7 +780,7 @@
 		if j == nil || j.Final == "" {
 			return nil, false, nil
 		}
-		return c.final(j), true, nil
+		return j.finalRecord(c.own), true, nil
 	case strings.HasPrefix(key, store.DatasetPrefix):
 		return c.datasetRecord(strings.TrimPrefix(key, store.DatasetPrefix))
 	case strings.HasPrefix(key, store.ImagesPrefix):
@@ -841,7 +842,7 @@
 		}
 		if j.Final != "" {
 			j.stored = true
-			c.hooks.Final(j.id, c.final(j))
+			c.hooks.Final(j.id, j.finalRecord(c.own))
 		}
 	}
 	for _, j := range all {
--- a/controller/dataport.go
+++ b/controller/dataport.go
@@ -13,6 +13,7 @@
 	"switchferry/features"
 	"switchferry/internal/rest"
 	"switchferry/peer"
+	"switchferry/steering"
 	"switchferry/store"
 	"switchferry/tuning"
 )
@@ -33,7 +34,7 @@
 func (n *Node) Enable(f *features.Features) {
 	n.data = f.Data
 	n.sets = map[string]*dataset.Entry{}
-	n.agentBounces = newBounces()
+	n.agentBounces = steering.NewBounces()
 	n.agentRelay = newAgentRelay(n)
 	if f.Membership.On {
 		n.watchMembers()
@@ -220,7 +221,7 @@
 	}
 	if there {
 		n.mu.Lock()
-		may := n.agentBounces.allow(n.clock.Now(), r.Machine, leader, true)
+		may := n.agentBounces.Allow(n.clock.Now(), r.Machine, leader, true)
 		n.mu.Unlock()
 		if may {
 			return http.StatusMisdirectedRequest, api.Redirect{Node: leader}
--- a/controller/node.go
+++ b/controller/node.go
@@ -26,11 +26,13 @@
 	"switchferry/features"
 	"switchferry/lookup"
 	"switchferry/membership"
+	"switchferry/pace"
 	"switchferry/peer"
 	"switchferry/policy"
 	"switchferry/retry"
 	"switchferry/settings"
 	"switchferry/sockets"
+	"switchferry/steering"
 	"switchferry/store"
 	"switchferry/topology"
 	"switchferry/tuning"
@@ -69,7 +71,7 @@
 	loaded  atomic.Uint64
 	lone    time.Time
 	keeping bool
-	bounces bounces
+	bounces steering.Bounces
 	users   users
 
 	// reads limits what questions of users take of the state service, records reads jobs' records
@@ -96,9 +98,9 @@
 	leaving bool
 
 	relay *relay
-	pace  pace
+	pace  *pace.Pace
 	// slow is used by the loop of a term alone.
-	slow handover
+	slow pace.Handover
 
 	// data says whether datasets are on; sets are those read lately, agents the client
 	// for orders to their agents.
@@ -107,13 +109,13 @@
 	agents *http.Client
 	// agentBounces remembers agents that were sent to the leader; agentRelay answers
 	// those that do not reach it.
-	agentBounces bounces
+	agentBounces steering.Bounces
 	agentRelay   *agentRelay
 }
 
 // NewNode makes a controller. Transport carries its calls to other services.
 func NewNode(ctx context.Context, set *settings.Settings, pol *policy.Policy, clock clockwork.Clock, transport http.RoundTripper) *Node {
-	n := &Node{set: set, policy: pol, clock: clock, ctx: ctx, born: clock.Now(), keeping: true, bounces: newBounces(), finals: map[string]store.FinalRecord{},
+	n := &Node{set: set, policy: pol, clock: clock, ctx: ctx, born: clock.Now(), keeping: true, bounces: steering.NewBounces(), finals: map[string]store.FinalRecord{},
 		newest: contact.NewNewest(tuning.NewestKept)}
 	all := []string{set.Member}
 	for _, s := range set.Siblings {
@@ -142,7 +144,7 @@
 		panic(err) // only for a limit below one
 	}
 	n.relay = newRelay(n)
-	n.pace.clock = clock
+	n.pace = pace.New(clock)
 	n.agents = &http.Client{Transport: transport}
 	return n
 }
@@ -194,7 +196,7 @@
 	if n.topology != nil {
 		go n.watchTopology()
 	}
-	go n.pace.run(n.ctx)
+	go n.pace.Run(n.ctx)
 	go n.readCancellations(n.ctx)
 	if n.members != nil {
 		go n.members.Run(n.ctx, func() membership.Own {
@@ -222,7 +224,7 @@
 
 func (n *Node) hello() peer.Hello {
 	term, _ := n.elector.Term()
-	h := peer.Hello{Member: n.set.Member, Term: term, StateOK: n.stateOK(), PaceUS: n.pace.us(), HearsWorkers: n.hears()}
+	h := peer.Hello{Member: n.set.Member, Term: term, StateOK: n.stateOK(), PaceUS: n.pace.US(), HearsWorkers: n.hears()}
 	if n.members != nil {
 		h.BornMS, h.Hears, h.Leaving = uint64(n.born.UnixMilli()), n.members.Hears(), n.leaves()
 	}
@@ -494,7 +496,7 @@
 			return "a sibling has a higher term"
 		}
 	}
-	if core.hooks.Valid() && n.slow.due(n.clock.Now(), core.started, n.pace.own(), n.peers.Alive()) {
+	if core.hooks.Valid() && n.slow.Due(n.clock.Now(), core.started, n.pace.Own(), n.peers.Alive()) {
 		return "computes slower than a sibling"
 	}
 	if core.hooks.Valid() && core.deafened(n.peers.Alive()) {
@@ -778,7 +780,7 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.bounces.allow(n.clock.Now(), worker, to, hears)
+	return n.bounces.Allow(n.clock.Now(), worker, to, hears)
 }
 
 // whoLeads is the leader by the siblings' own word, or else as last read; there:
@@ -826,7 +828,7 @@
 		}
 	}
 	ring := append([]settings.Sibling{{Member: n.set.Member, Zone: n.set.Zone}}, n.set.Siblings...)
-	return shelter(ring, to, zone, func(m string) bool {
+	return steering.Shelter(ring, to, zone, func(m string) bool {
 		return m != n.set.Member && n.clock.Since(n.born) > tuning.PeerDead+tuning.PeerHello && n.peers.Silent(m)
 	})
 }
--- a/controller/user.go
+++ b/controller/user.go
@@ -61,7 +61,7 @@
 // status is what a user is told of a job, with the lock held.
 func (c *Core) status(j *job) api.JobStatus {
 	if j.stored {
-		return finalStatus(j.id, c.final(j))
+		return finalStatus(j.id, j.finalRecord(c.own))
 	}
 	st := api.JobStatus{ID: j.id, State: api.Pending, Done: j.done}
 	for _, a := range j.live {
@@ -225,7 +225,7 @@
 		}
 		if rec.Final != "" {
 			j.stored = true
-			c.hooks.Final(id, c.final(j))
+			c.hooks.Final(id, j.finalRecord(c.own))
 		}
 		c.accept(id)
 		if j.stored {
--- a/controller/pace.go
+++ b/pace/pace.go
@@ -1,4 +1,6 @@
-package controller
+// Package pace measures how fast a controller computes, and tells when a leader should hand over to a sibling
+// that is several times faster.
+package pace
 
 import (
 	"context"
@@ -16,22 +18,25 @@
 	"switchferry/tuning"
 )
 
-// pace is how fast this controller computes: the processor time of a fixed piece of work.
+// Pace is how fast this controller computes: the processor time of a fixed piece of work.
 // Processor time does not count moments in which others ran. Where it is counted in steps, most
 // short tries take none at all, on an idle controller more than on a busy one, so that the least
 // of some tells nothing: with it leaders that were only busy handed over several times a day
 // (docs/incidents/fleet-busy-taken-for-slow.md). So a controller says of itself, for others to
 // compare with, the most that a try took in half a minute, and compares one of the larger of its
 // last ones: each errs to the side on which a leader keeps its post.
-type pace struct {
+type Pace struct {
 	clock clockwork.Clock
 
 	mu    sync.Mutex
 	tries []time.Duration
 }
 
-// run measures until the context ends.
-func (p *pace) run(ctx context.Context) {
+// New makes a measure that has no tries yet.
+func New(clock clockwork.Clock) *Pace { return &Pace{clock: clock} }
+
+// Run measures until the context ends.
+func (p *Pace) Run(ctx context.Context) {
 	work := make([]byte, tuning.PaceBytes)
 	for ctx.Err() == nil {
 		if took, err := processorTime(func() {
@@ -64,7 +69,7 @@
 	return time.Duration(to.Nano() - from.Nano()), err
 }
 
-func (p *pace) add(took time.Duration) {
+func (p *Pace) add(took time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.tries = append(p.tries, took); len(p.tries) > tuning.PaceTries {
@@ -72,8 +77,8 @@
 	}
 }
 
-// us is the pace that others compare with, in microseconds; 0: not known yet.
-func (p *pace) us() uint32 {
+// US is the pace that others compare with, in microseconds; 0: not known yet.
+func (p *Pace) US() uint32 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.tries) < tuning.PaceTries/2 {
@@ -82,8 +87,8 @@
 	return uint32(max(1, slices.Max(p.tries).Microseconds()))
 }
 
-// own is the pace that this controller compares, in microseconds; 0: not known yet.
-func (p *pace) own() uint32 {
+// Own is the pace that this controller compares, in microseconds; 0: not known yet.
+func (p *Pace) Own() uint32 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.tries) < tuning.PaceLast {
@@ -93,15 +98,16 @@
 	return uint32(max(1, last[len(last)-tuning.PaceRank].Microseconds()))
 }
 
-// handover tells when a leader should leave the post to a sibling because it
+// Handover tells when a leader should leave the post to a sibling because it
 // computes several times slower: with hundreds of machines its answers would be
 // late for as long as that lasts. A load that is merely high slows every leader
 // alike and is no reason.
-type handover struct {
+type Handover struct {
 	since time.Time
 }
 
-func (h *handover) due(now, elected time.Time, mine uint32, siblings []peer.Hello) bool {
+// Due tells whether a leader elected then, of this pace, should leave the post now.
+func (h *Handover) Due(now, elected time.Time, mine uint32, siblings []peer.Hello) bool {
 	best := uint32(0)
 	for _, s := range siblings {
 		if s.StateOK && s.PaceUS > 0 && (best == 0 || s.PaceUS < best) {
--- a/controller/pace_test.go
+++ b/pace/pace_test.go
@@ -1,4 +1,4 @@
-package controller
+package pace
 
 import (
 	"testing"
@@ -16,20 +16,20 @@
 	clock := clockwork.NewFakeClock()
 	elected := clock.Now().Add(-time.Hour)
 	fast := []peer.Hello{{Member: "b", StateOK: true, PaceUS: 100}}
-	var h handover
-	if h.due(clock.Now(), elected, 300, fast) {
+	var h Handover
+	if h.Due(clock.Now(), elected, 300, fast) {
 		t.Error("at the first sight")
 	}
 	clock.Advance(tuning.SlowFor)
-	if !h.due(clock.Now(), elected, 300, fast) {
+	if !h.Due(clock.Now(), elected, 300, fast) {
 		t.Error("kept the post though slow")
 	}
-	if h.due(clock.Now(), clock.Now().Add(-time.Second), 300, fast) {
+	if h.Due(clock.Now(), clock.Now().Add(-time.Second), 300, fast) {
 		t.Error("right after the election")
 	}
 	for _, s := range [][]peer.Hello{nil, {{PaceUS: 100}}, {{StateOK: true, PaceUS: 290}}, {{StateOK: true}}} {
-		h = handover{since: elected}
-		if h.due(clock.Now(), elected, 300, s) {
+		h = Handover{since: elected}
+		if h.Due(clock.Now(), elected, 300, s) {
 			t.Errorf("handed over to %+v", s)
 		}
 		if !h.since.IsZero() {
@@ -43,9 +43,9 @@
 // however many. With the least of some tries leaders handed over five times on a calm day, with
 // one measure for both twelve times on another.
 func TestPaceIsNeitherDisturbedNorCoarse(t *testing.T) {
-	var p pace
+	var p Pace
 	for i := range tuning.PaceTries {
-		if i < tuning.PaceLast && p.own() != 0 || i < tuning.PaceTries/2 && p.us() != 0 {
+		if i < tuning.PaceLast && p.Own() != 0 || i < tuning.PaceTries/2 && p.US() != 0 {
 			t.Fatalf("told after %d tries", i)
 		}
 		took := time.Duration(i%2) * time.Microsecond
@@ -54,19 +54,19 @@
 		}
 		p.add(took)
 	}
-	if p.us() != 83 || p.own() != 1 {
-		t.Errorf("idle: %d for others, %d for itself", p.us(), p.own())
+	if p.US() != 83 || p.Own() != 1 {
+		t.Errorf("idle: %d for others, %d for itself", p.US(), p.Own())
 	}
 	p.add(9 * time.Millisecond)
 	p.add(9 * time.Millisecond)
-	if p.own() != 1 {
-		t.Errorf("two disturbed tries count: %d", p.own())
+	if p.Own() != 1 {
+		t.Errorf("two disturbed tries count: %d", p.Own())
 	}
 	for range tuning.PaceRank {
 		p.add(240 * time.Microsecond)
 	}
-	if p.own() != 240 {
-		t.Errorf("pace %d: slow tries do not show", p.own())
+	if p.Own() != 240 {
+		t.Errorf("pace %d: slow tries do not show", p.Own())
 	}
 	if took, err := processorTime(func() { time.Sleep(0) }); err != nil || took < 0 || took > time.Second {
 		t.Error(took, err)
--- a/controller/bounce_test.go
+++ b/steering/steering_test.go
@@ -1,4 +1,4 @@
-package controller
+package steering
 
 import (
 	"strings"
@@ -15,32 +15,32 @@
 // turned away from it were all sent back, and a second dead end ends a lease.
 func TestWorkersAreNotSentToADeafController(t *testing.T) {
 	clock := clockwork.NewFakeClock()
-	b := newBounces()
+	b := NewBounces()
 	sent := 0
 	for _, w := range []string{"n-1", "n-2", "n-3", "n-4"} {
-		if b.allow(clock.Now(), w, "deaf", false) {
+		if b.Allow(clock.Now(), w, "deaf", false) {
 			sent++
 		}
 	}
 	if sent != 1 {
 		t.Errorf("%d of 4 workers were sent to a controller that hears none, want one to try", sent)
 	}
-	if !b.allow(clock.Now(), "n-2", "other", true) {
+	if !b.Allow(clock.Now(), "n-2", "other", true) {
 		t.Error("not sent to a controller that hears workers")
 	}
 	clock.Advance(tuning.BounceProbe)
-	if b.allow(clock.Now(), "n-1", "deaf", false) {
+	if b.Allow(clock.Now(), "n-1", "deaf", false) {
 		t.Error("the worker that had tried was sent again")
 	}
-	if !b.allow(clock.Now(), "n-3", "deaf", false) {
+	if !b.Allow(clock.Now(), "n-3", "deaf", false) {
 		t.Error("nobody tries whether it hears again")
 	}
 	clock.Advance(tuning.BounceTrip / 2)
-	if !b.allow(clock.Now(), "n-4", "deaf", true) {
+	if !b.Allow(clock.Now(), "n-4", "deaf", true) {
 		t.Error("not sent although it hears workers again")
 	}
 	clock.Advance(5 * time.Second)
-	if b.allow(clock.Now(), "n-4", "deaf", true) {
+	if b.Allow(clock.Now(), "n-4", "deaf", true) {
 		t.Error("a worker that came back was sent again")
 	}
 }
@@ -58,7 +58,7 @@
 		{"n0 n2", "n1", "b", "n1"},
 	} {
 		silent := func(m string) bool { return strings.Contains(c.silent, m) }
-		if got := shelter(ring, c.to, c.zone, silent); got != c.want {
+		if got := Shelter(ring, c.to, c.zone, silent); got != c.want {
 			t.Errorf("%q silent, workers of %s: %s, want %s", c.silent, c.to, got, c.want)
 		}
 	}
