--- a/upgrade/upgrade.go
+++ b/upgrade/upgrade.go
@@ -12,8 +12,8 @@
 	// Data is the version of the records in the state service: 2 has jobs that await others
 	// and records of tasks of other sizes; 1 has neither, and marks no members.
 	Data = 2
-	// Frames is that of what goes over the back port; 1 since the first.
-	Frames = 1
+	// Frames is that of what goes over the back port: 2 has word of cancellations, 1 has none.
+	Frames = 2
 )
 
 // MarkPrefix holds one key a member: the version of data that its processes write at least.
