--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -37,6 +37,8 @@
 const (
 	// Crash ends Count controllers, the leader first, which are back after For.
 	Crash = "crash"
+	// Roll ends all controllers, one each 5 s, each back after For.
+	Roll = "roll"
 	// Lone takes the state service and the other controllers away from the leader, or with Follower
 	// from another, for For; its workers still reach it.
 	Lone = "lone"
@@ -555,6 +557,18 @@
 		cut(false, pairs...)
 	}
 	switch t.Kind {
+	case Roll:
+		for _, name := range members {
+			w.end(name)
+			w.crowd.Go(func() {
+				if w.sleep(ctx, t.For) {
+					w.start(ctx, name)
+				}
+			})
+			if !w.sleep(ctx, 5*time.Second) {
+				return
+			}
+		}
 	case Crash:
 		for i := range min(t.Count, 3) {
 			name := members[(slices.Index(members, who)+i)%3]
--- a/internal/world/world_test.go
+++ b/internal/world/world_test.go
@@ -63,7 +63,7 @@
 	d := NewDay(seed, 12)
 	rng := rand.New(rand.NewPCG(seed, 1))
 	d.Workers = paces[rng.IntN(len(paces))]
-	kinds := []string{Crash, Crash, Lone, HalfDeaf, DeafNode, Copies, Die, Restart, Outage, CutZone, Refused, Refused, Wave, Silence, Apart, LateWrites, LateWrites, Held}
+	kinds := []string{Crash, Crash, Roll, Lone, HalfDeaf, DeafNode, Copies, Die, Restart, Outage, CutZone, Refused, Refused, Wave, Silence, Apart, LateWrites, LateWrites, Held}
 	lasts := []time.Duration{300 * time.Millisecond, time.Second, 10 * time.Second, 40 * time.Second}
 	if rng.IntN(2) == 0 {
 		d.Cancels, d.RunS = 0.3, 80
@@ -77,7 +77,7 @@
 		case Outage:
 			x.For = max(x.For, time.Duration(rng.IntN(70))*time.Second)
 		}
-		if x.Kind == Crash {
+		if x.Kind == Crash || x.Kind == Roll {
 			// Back at once, or as a platform brings it back.
 			x.For = []time.Duration{0, 100 * time.Millisecond, 700 * time.Millisecond, 3 * time.Second}[rng.IntN(4)]
 		}
