A leader that has not read the records renews no lease unless a sibling's word reaches far enough

Cause (by reading): a leader whose key stands was let renew before it had loaded anything, however long that took; after an end of all controllers nobody knows what had been told. It answers without a token until it knows, which keeps the worker there.

--- a/controller/keep_test.go
+++ b/controller/keep_test.go
@@ -15,6 +15,7 @@
 	"switchferry/settings"
 	"switchferry/store"
 	"switchferry/tuning"
+	"switchferry/word"
 )
 
 // A controller that is cut off with its zone keeps its workers' leases only as long as the
@@ -188,3 +189,27 @@
 		t.Error("answers a sibling without a mark")
 	}
 }
+
+// A leader that has just begun, and has not read the records, knows of no cancellation that was told before: it
+// renews no lease, and keeps the worker there until it knows. It used to renew as long as its key stood.
+func TestFreshLeaderRenewsNothingBeforeItKnows(t *testing.T) {
+	n, clock := threeNodes(t)
+	n.set.Facts.Workers.CancelS = 40
+	n.word = word.New(clock.Now(), []string{"n0", "n2"}, word.LimitsOf(40*time.Second, 10*time.Second))
+	core := NewCore(7, clock, n.set, n.policy, testTypes, Hooks{Valid: func() bool { return true }})
+	ask := func(seq uint64) api.Orders {
+		status, body := n.judge(core, &api.Report{Machine: "b1", Zone: "b", Session: 1, Seq: seq}, "")
+		o, ok := body.(api.Orders)
+		if status != 200 || !ok {
+			t.Errorf("%d %+v", status, body)
+		}
+		return o
+	}
+	if o := ask(1); o.Helm != 0 {
+		t.Errorf("a lease is renewed under token %d by a leader that knows nothing", o.Helm)
+	}
+	n.word.Certain(clock.Now())
+	if o := ask(2); o.Helm != 7 {
+		t.Errorf("token %d from a leader that knows", o.Helm)
+	}
+}
--- a/controller/node.go
+++ b/controller/node.go
@@ -799,8 +799,10 @@
 
 // judge answers a report as the leader. Via is the sibling that passes it on.
 func (n *Node) judge(core *Core, r *api.Report, via string) (status int, body any) {
+	// A leader that has not read the records knows of cancellations what its siblings say, or nothing.
 	sure := n.sure()
-	if !core.hooks.Valid() && !n.keeps() {
+	kept := sure || n.keeps()
+	if !kept && !core.hooks.Valid() {
 		return http.StatusServiceUnavailable, api.Error{Error: "cut off for too long to keep tasks alive"}
 	}
 	o, deposed, refused := core.Report(r, via)
@@ -811,8 +813,10 @@
 		return http.StatusBadRequest, api.Error{Error: "helm: is higher than any token that was given", Field: "helm"}
 	case refused:
 		return http.StatusServiceUnavailable, api.Error{Error: "this machine was returned"}
-	}
-	if !sure {
+	case !kept:
+		// The worker waits here, unanswered as far as its lease goes, until the records are read.
+		return http.StatusOK, api.Orders{Commands: []api.Command{}}
+	case !sure:
 		o = n.ending(r, o)
 	}
 	return http.StatusOK, o
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -37,7 +37,7 @@
 const (
 	// Crash ends Count controllers, the leader first, which are back after For.
 	Crash = "crash"
-	// Roll ends all controllers, one each 5 s, each back after For.
+	// Roll ends all controllers, one each rollEvery, each back after For.
 	Roll = "roll"
 	// Lone takes the state service and the other controllers away from the leader, or with Follower
 	// from another, for For; its workers still reach it.
@@ -70,6 +70,9 @@
 	Wave = "wave"
 )
 
+// rollEvery is the pace of a roll.
+const rollEvery = 5 * time.Second
+
 // Trouble is one trouble of a day.
 type Trouble struct {
 	At, For  time.Duration
@@ -178,6 +181,9 @@
 	last := time.Duration(0)
 	for _, t := range d.Troubles {
 		last = max(last, t.At+t.For)
+		if t.Kind == Roll {
+			last = max(last, t.At+t.For+2*rollEvery)
+		}
 		w.crowd.Go(func() {
 			if w.sleep(ctx, t.At-time.Since(began)) {
 				w.trouble(ctx, t)
@@ -565,7 +571,7 @@
 					w.start(ctx, name)
 				}
 			})
-			if !w.sleep(ctx, 5*time.Second) {
+			if !w.sleep(ctx, rollEvery) {
 				return
 			}
 		}
