No start of a cancelled job is handed on by a controller that knows

A relay's mail, or an unsure leader's answer, may carry a start that was derived before the cancellation was known here.

--- a/controller/keep.go
+++ b/controller/keep.go
@@ -76,9 +76,10 @@
 	return []string{fmt.Sprintf("leases of workers are not renewed here: last word of cancellations %s ago; %s", span(without), strings.Join(n.word.Why(), ", "))}
 }
 
-// ending adds to an answer what ends the tasks of cancelled jobs that the worker reports. The token is the one
-// that it has: a stop is safe under any.
+// ending adds to an answer what ends the tasks of cancelled jobs that the worker reports, and takes out what would
+// start more. The token is the one that it has: a stop is safe under any.
 func (n *Node) ending(r *api.Report, o api.Orders) api.Orders {
+	o.Commands = n.word.Without(o.Commands)
 	if more := n.word.Stops(r.Tasks, o.Commands); len(more) > 0 {
 		slog.Info("ending tasks of cancelled jobs for the leader", "machine", r.Machine, "tasks", len(more), "first", more[0].Task)
 		o.Commands = append(slices.Clone(o.Commands), more...)
--- a/word/word.go
+++ b/word/word.go
@@ -320,8 +320,7 @@
 		return nil
 	}
 	for _, t := range tasks {
-		job, _, _ := strings.Cut(t.Task, "/")
-		if t.State == api.TaskEnded || b.told[job] == nil || slices.ContainsFunc(there, func(c api.Command) bool {
+		if t.State == api.TaskEnded || !b.has(t.Task) || slices.ContainsFunc(there, func(c api.Command) bool {
 			return c.Verb == api.Stop && c.Task == t.Task && c.Attempt == t.Attempt && c.GraceS != nil && *c.GraceS == tuning.CancelKill
 		}) {
 			continue
@@ -331,3 +330,20 @@
 	}
 	return out
 }
+
+// Without is what there is of commands without starts of cancelled jobs: some were derived before that was known.
+func (b *Book) Without(there []api.Command) []api.Command {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	starts := func(c api.Command) bool { return c.Verb == api.Start && b.has(c.Task) }
+	if !slices.ContainsFunc(there, starts) {
+		return there
+	}
+	return slices.DeleteFunc(slices.Clone(there), starts)
+}
+
+// has tells whether a task is one of a cancelled job.
+func (b *Book) has(task string) bool {
+	job, _, _ := strings.Cut(task, "/")
+	return b.told[job] != nil
+}
--- a/word/word_test.go
+++ b/word/word_test.go
@@ -305,4 +305,8 @@
 			t.Errorf("%+v, want %s", c, want[i])
 		}
 	}
+	mail := []api.Command{{Verb: api.Start, Task: "run-1/5"}, {Verb: api.Start, Task: "run-12/1"}, {Verb: api.Forget, Task: "run-1/2"}}
+	if left := b.Without(mail); len(left) != 2 || left[0].Task != "run-12/1" || left[1].Verb != api.Forget || len(mail) != 3 || mail[0].Task != "run-1/5" {
+		t.Errorf("of %+v %+v is left", mail, left)
+	}
 }
