--- a/internal/world/world_test.go
+++ b/internal/world/world_test.go
@@ -154,6 +154,42 @@
 	}
 }
 
+// The same with waves, outages and further troubles at random moments around the refusal.
+func TestRandomGaps(t *testing.T) {
+	n := *seeds
+	if n == 0 {
+		n = map[bool]int{false: 40, true: 4}[raced]
+	}
+	for i := range n {
+		seed := *first + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			rng := rand.New(rand.NewPCG(seed, 2))
+			within := func(from, to time.Duration) time.Duration { return from + time.Duration(rng.Int64N(int64(to-from))) }
+			d := NewDay(seed, 12)
+			d.Workers, d.Cancels, d.RunS, d.PerSecond = paces[rng.IntN(2)], 0.3, 110, 1.5
+			d.Lasts, d.After = 40*time.Second, 130*time.Second
+			at := 30 * time.Second
+			out := at + within(300*time.Millisecond, 6*time.Second)
+			d.Troubles = []Trouble{{At: at, For: within(2*time.Second, 60*time.Second), Kind: Refused, Hang: rng.IntN(3) == 0},
+				{At: out, For: within(20*time.Second, 100*time.Second), Kind: Outage},
+				{At: out - within(50*time.Millisecond, 500*time.Millisecond), For: 250 * time.Millisecond, Kind: Wave, Count: 8},
+				{At: out - within(0, 5*time.Second), For: 250 * time.Millisecond, Kind: Wave, Count: 4}}
+			more := []string{Crash, Crash, Crash, Roll, Apart, Silence, Lone, HalfDeaf, CutZone, LateWrites, Held, Copies, Restart, Refused}
+			for range 1 + rng.IntN(4) {
+				x := Trouble{At: out + within(-3*time.Second, 3*time.Second), For: within(time.Second, 50*time.Second), Kind: more[rng.IntN(len(more))],
+					Count: 1 + rng.IntN(3), Follower: rng.IntN(2) == 0, Hang: rng.IntN(2) == 0}
+				if x.Kind == Crash || x.Kind == Roll {
+					x.At = out + within(-600*time.Millisecond, 200*time.Millisecond)
+					x.For = within(50*time.Millisecond, 3*time.Second)
+				}
+				d.Troubles = append(d.Troubles, x)
+			}
+			play(t, d)
+		})
+	}
+}
+
 // The operators' meetings of two troubles (docs/meetings.md), in their order, each alone and with an end of the
 // leader in the middle, which is back within a second.
 func TestMeetings(t *testing.T) {
