World: machines that hang or are mute, controllers that stand still, slow answers, slow links, odd requests, ends called off

Machines hang and go on, within and past their lease, and over their return; a controller's clock wrapper and transport hold everything that waits while it stands still; a slow state service answers or executes up to 1.5 s late; images come one after the other over a link; users cancel, ask and repeat around a job's last end. New checks: jobs that wait 90 s in vain, starts after a confirmed cancellation, answers to odd requests.

--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -36,16 +36,28 @@
 	// Killed counts tasks that its lease ended; Started all that it started.
 	killed, started int
 	answered        time.Time
+	// hung is closed when the machine goes on, nil while it does; hungAt is since when it hangs.
+	hung   chan struct{}
+	hungAt time.Time
+	// fetch is how long a task waits for its image; busy until when the machine's link is taken.
+	fetch func(task string) (image string, d time.Duration)
+	has   map[string]time.Time
+	busy  time.Time
 	// Starts is told of each start, without the lock.
 	starts func(task string, helm uint64, at time.Time)
 	ends   func(task string, done bool)
 }
 
+// workerTask is a task on the machine: it has its image at ready, and completes at ends.
 type workerTask struct {
 	api.TaskReport
-	ends time.Time
+	helm        uint64
+	ready, ends time.Time
 }
 
+// answerPatience is how long a worker waits for the answer to a report.
+const answerPatience = 4 * time.Second
+
 // WorkerOptions are what a worker is made of.
 type WorkerOptions struct {
 	Host         Host
@@ -57,11 +69,14 @@
 	Starts       func(task string, helm uint64, at time.Time)
 	// Ends is told of each end, in order with the starts and with the lock; nil: not told.
 	Ends func(task string, done bool)
+	// Fetch is the image that a task needs and how long it takes to fetch alone: images come one after the other
+	// over the machine's link, and stay. Nil: tasks need none.
+	Fetch func(task string) (image string, d time.Duration)
 }
 
 // NewWorker makes a worker that has just begun.
 func NewWorker(o WorkerOptions) *Worker {
-	return &Worker{Host: o.Host, clock: o.Clock, nodes: o.Nodes, post: o.Post, every: o.Every, lease: o.Lease, runs: o.Runs, starts: o.Starts, ends: o.Ends,
+	return &Worker{Host: o.Host, clock: o.Clock, nodes: o.Nodes, post: o.Post, every: o.Every, lease: o.Lease, runs: o.Runs, starts: o.Starts, ends: o.Ends, fetch: o.Fetch, has: map[string]time.Time{},
 		session: 1, renewed: o.Clock.Now(), tasks: map[string]*workerTask{}, change: make(chan struct{}, 1)}
 }
 
@@ -79,8 +94,46 @@
 	return w.helm, w.answered, w.killed, running
 }
 
-// pass lets time pass: tasks end, and so may the lease.
+// Hang has the machine stand still, or go on: meanwhile it executes nothing, reports nothing and answers nobody,
+// while its clock runs on. What it was sent meanwhile it executes when it goes on, if it still may.
+func (w *Worker) Hang(on bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch {
+	case on && w.hung == nil:
+		w.pass()
+		w.hung, w.hungAt = make(chan struct{}), w.clock.Now()
+	case !on && w.hung != nil:
+		stood := w.clock.Since(w.hungAt)
+		for _, t := range w.tasks {
+			t.ready, t.ends = t.ready.Add(stood), t.ends.Add(stood)
+			w.passAt(t)
+		}
+		w.busy = w.busy.Add(stood)
+		close(w.hung)
+		w.hung = nil
+		w.pass()
+	}
+}
+
+// awake waits, without the lock, until the machine does not hang.
+func (w *Worker) awake() {
+	for {
+		w.mu.Lock()
+		hung := w.hung
+		w.mu.Unlock()
+		if hung == nil {
+			return
+		}
+		<-hung
+	}
+}
+
+// pass lets time pass: tasks get their images and end, and so may the lease.
 func (w *Worker) pass() {
+	if w.hung != nil {
+		return
+	}
 	now := w.clock.Now()
 	if now.Sub(w.renewed) > w.lease {
 		for _, t := range w.tasks {
@@ -94,6 +147,9 @@
 		w.renewed = now
 	}
 	for _, t := range w.tasks {
+		if t.State == api.TaskFetching && !now.Before(t.ready) {
+			w.begin(t)
+		}
 		if t.State == api.TaskRunning && !now.Before(t.ends) {
 			t.State, t.Cause = api.TaskEnded, api.CauseDone
 			w.over(t.Task, true)
@@ -102,12 +158,72 @@
 	}
 }
 
+// begin has a task run that has its image.
+func (w *Worker) begin(t *workerTask) {
+	t.State = api.TaskRunning
+	w.started++
+	w.changed()
+	switch {
+	case w.starts == nil:
+	case w.ends != nil:
+		w.starts(t.Task, t.helm, w.clock.Now())
+	default:
+		go w.starts(t.Task, t.helm, w.clock.Now())
+	}
+}
+
+// passAt lets time pass at the very moments at which a task has its image and completes.
+func (w *Worker) passAt(t *workerTask) {
+	for _, at := range []time.Time{t.ready, t.ends} {
+		if d := at.Sub(w.clock.Now()); d > 0 {
+			w.clock.AfterFunc(d, func() {
+				w.mu.Lock()
+				defer w.mu.Unlock()
+				w.pass()
+			})
+		}
+	}
+}
+
+// fetches is until when a task that is started now waits for its image.
+func (w *Worker) fetches(task string, now time.Time) time.Time {
+	if w.fetch == nil {
+		return now
+	}
+	image, d := w.fetch(task)
+	at, ok := w.has[image]
+	if !ok {
+		if w.busy.Before(now) {
+			w.busy = now
+		}
+		w.busy = w.busy.Add(d)
+		at = w.busy
+		w.has[image] = at
+	}
+	if at.Before(now) {
+		return now
+	}
+	return at
+}
+
 func (w *Worker) over(task string, done bool) {
 	if w.ends != nil {
 		w.ends(task, done)
 	}
 }
 
+// Taken is the sum of what its tasks take that have not ended.
+func (w *Worker) Taken(of func(task string) float64) (sum float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, t := range w.tasks {
+		if t.State != api.TaskEnded {
+			sum += of(t.Task)
+		}
+	}
+	return sum
+}
+
 func (w *Worker) changed() {
 	select {
 	case w.change <- struct{}{}:
@@ -144,19 +260,28 @@
 	w.tasks, w.helm = map[string]*workerTask{}, 0
 	w.session++
 	w.renewed = w.clock.Now()
+	if w.hung != nil {
+		close(w.hung)
+		w.hung = nil
+	}
 	w.changed()
 }
 
 // Run reports until the context ends.
 func (w *Worker) Run(ctx context.Context) {
 	for ctx.Err() == nil {
+		w.awake()
 		w.mu.Lock()
 		w.pass()
 		r, node, sent := w.report(), w.nodes[w.at], w.clock.Now()
 		w.mu.Unlock()
-		call, stop := context.WithTimeout(ctx, 4*time.Second)
+		call, stop := context.WithTimeout(ctx, answerPatience)
 		status, body := w.post(call, node, r)
 		stop()
+		w.awake()
+		if w.clock.Since(sent) > answerPatience {
+			status, body = 0, nil
+		}
 		wait := w.take(r, sent, status, body)
 		select {
 		case <-ctx.Done():
@@ -210,20 +335,22 @@
 		t := w.tasks[c.Task]
 		switch {
 		case c.Verb == api.Start && t == nil:
-			w.tasks[c.Task] = &workerTask{api.TaskReport{Task: c.Task, Attempt: c.Attempt, State: api.TaskRunning}, now.Add(w.runs(c.Task))}
-			w.started++
-			w.changed()
-			switch {
-			case w.starts == nil:
-			case w.ends != nil:
-				w.starts(c.Task, o.Helm, now)
-			default:
-				go w.starts(c.Task, o.Helm, now)
+			ready := w.fetches(c.Task, now)
+			t = &workerTask{TaskReport: api.TaskReport{Task: c.Task, Attempt: c.Attempt, State: api.TaskFetching}, helm: o.Helm, ready: ready, ends: ready.Add(w.runs(c.Task))}
+			w.tasks[c.Task] = t
+			w.passAt(t)
+			if !ready.After(now) {
+				w.begin(t)
+			} else {
+				w.changed()
 			}
 		case t == nil || t.Attempt != c.Attempt:
-		case c.Verb == api.Stop && t.State == api.TaskRunning:
+		case c.Verb == api.Stop && t.State != api.TaskEnded:
+			ran := t.State == api.TaskRunning
 			t.State, t.Cause = api.TaskEnded, api.CauseStopped
-			w.over(t.Task, false)
+			if ran {
+				w.over(t.Task, false)
+			}
 			w.changed()
 		case c.Verb == api.Forget && t.State == api.TaskEnded:
 			delete(w.tasks, c.Task)
@@ -233,6 +360,7 @@
 
 // Direct serves POST /orders: the report after them, and whether they were executed.
 func (w *Worker) Direct(o api.Orders) (*api.Report, bool) {
+	w.awake()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.pass()
--- a/internal/world/book.go
+++ b/internal/world/book.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"hash/fnv"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"sort"
@@ -24,6 +25,7 @@
 	forgottenIn  = 75 * time.Second
 	doneLag      = 3 * time.Second
 	beginIn      = 240 * time.Second
+	waitsInVain  = 90 * time.Second
 )
 
 // Result is what is found of a day.
@@ -50,6 +52,12 @@
 	// met in the last minute.
 	StartsInVain   float64 `json:"starts_in_vain"`
 	ReturnedInVain int     `json:"returned_in_vain"`
+	// StartedCancelled are tasks that began after their users were told of the cancellation; WaitedInVain are jobs
+	// that waited 90 s once troubles were over while a machine that fits had room and their team was under its
+	// limit; WrongAnswers are odd requests that were answered otherwise than the protocol says.
+	StartedCancelled int `json:"started_cancelled"`
+	WaitedInVain     int `json:"waited_in_vain"`
+	WrongAnswers     int `json:"wrong_answers"`
 }
 
 // book is what users and an all-seeing observer know.
@@ -77,6 +85,7 @@
 	accepted, cancelled, over time.Time
 	// told is the last state that a user was told for good; answered is when a question was.
 	told     string
+	toldAt   time.Time
 	answered time.Time
 	began    time.Time
 	// ready is when the last job that it awaits was done.
@@ -86,6 +95,9 @@
 	asked bool
 	// orphan is when a job before it was told to be cancelled.
 	orphan time.Time
+	// room is since when it waits in vain, with no break; vain: that was noted.
+	room time.Time
+	vain bool
 }
 
 func newBook(w *World) *book {
@@ -102,10 +114,15 @@
 
 // runs is how long a task runs, which its name fixes.
 func (b *book) runs(task string) time.Duration {
-	id, _, _ := strings.Cut(task, "/")
 	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.lasts(task)
+}
+
+// lasts is runs with the lock held.
+func (b *book) lasts(task string) time.Duration {
+	id, _, _ := strings.Cut(task, "/")
 	e := b.jobs[id]
-	b.mu.Unlock()
 	if e == nil || e.Shape == api.Service {
 		return time.Hour
 	}
@@ -134,6 +151,17 @@
 		b.broken("invented", "%s was started", task)
 		return
 	}
+	e.room = time.Time{}
+	if !e.cancelled.IsZero() {
+		b.res.StartedCancelled++
+		b.note("%s began on %s %v after its cancellation was told", task, m.Name, now.Sub(e.cancelled))
+	}
+	if e.Zone != "" && e.Zone != m.Zone {
+		b.broken("wrong_place", "%s of zone %s in %s", task, e.Zone, m.Zone)
+	}
+	if b.w.ends(e) && len(e.done) == e.Tasks-1 {
+		b.w.crowd.Go(func() { b.w.atLastEnd(e, b.runs(task)) })
+	}
 	if e.began.IsZero() {
 		e.began = now
 	}
@@ -155,7 +183,7 @@
 			here++
 		}
 	}
-	if use > float64(6*b.w.Machines)+1e-6 {
+	if use > b.w.limit()+1e-6 {
 		b.broken("quota", "%s uses %.0f", e.Team, use)
 	}
 	if e.Spread && here > (e.Tasks+1)/2 {
@@ -192,8 +220,106 @@
 	}
 }
 
+// note adds to what is said of the day; the lock is held.
+func (b *book) note(format string, a ...any) {
+	if len(b.res.Why) < 20 {
+		b.res.Why = append(b.res.Why, time.Now().Format("15:04:05.000 ")+fmt.Sprintf(format, a...))
+	}
+}
+
+// image is the image that a task needs.
+func (b *book) image(task string) string {
+	id, _, _ := strings.Cut(task, "/")
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if e := b.jobs[id]; e != nil {
+		return e.Image
+	}
+	return ""
+}
+
+// machineOf is a machine that runs a task of a job, the first by name; nil: none does.
+func (b *book) machineOf(id string) (found *machine) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for task, m := range b.on {
+		if job, _, _ := strings.Cut(task, "/"); job == id && (found == nil || m.Name < found.Name) {
+			found = m
+		}
+	}
+	return found
+}
+
+// inVainWaits looks for jobs that wait although a machine has room for them. One moment without room, or a start,
+// and the time counts anew. A service has to have room for all its tasks at once.
+func (b *book) inVainWaits() {
+	b.w.mu.Lock()
+	sound := map[string]*machine{}
+	for _, m := range b.w.machines {
+		if !m.dead && m.deaf.IsZero() && m.mute+m.hung == 0 {
+			sound[m.Name] = m
+		}
+	}
+	b.w.mu.Unlock()
+	taken := map[string]float64{}
+	for _, m := range sound {
+		taken[m.Name] = m.worker.Taken(b.cpus)
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	if b.calmAt.IsZero() {
+		return
+	}
+	use, placed := map[string]float64{}, map[string]int{}
+	for task := range b.on {
+		id, _, _ := strings.Cut(task, "/")
+		e := b.jobs[id]
+		use[e.Team] += e.CPUs
+		placed[id]++
+	}
+	for _, e := range b.order {
+		left := e.Tasks - len(e.done) - placed[e.ID]
+		fits := 0
+		for _, m := range sound {
+			if e.Zone == "" || e.Zone == m.Zone {
+				fits += int((machineType.CPUs - taken[m.Name] + 1e-9) / e.CPUs)
+			}
+		}
+		need := 1
+		if e.Shape == api.Service {
+			need = left
+		}
+		if e.accepted.IsZero() || e.told != "" || e.asked || !e.orphan.IsZero() || left <= 0 || b.waits(e) || fits < need ||
+			use[e.Team]+float64(need)*e.CPUs > b.w.limit()+1e-9 {
+			e.room = time.Time{}
+			continue
+		}
+		if e.room.IsZero() {
+			e.room = now
+		}
+		if now.Sub(e.room) > waitsInVain && !e.vain {
+			e.vain = true
+			b.res.WaitedInVain++
+			b.note("waits in vain: %s %s, %d of %d tasks, %g processors each", e.ID, e.Class, left, e.Tasks, e.CPUs)
+		}
+	}
+}
+
+// cpus is what a task takes.
+func (b *book) cpus(task string) float64 {
+	id, _, _ := strings.Cut(task, "/")
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if e := b.jobs[id]; e != nil {
+		return e.CPUs
+	}
+	return 0
+}
+
 // overdue looks for tasks of cancelled jobs that are on machines later than they may, also on silent ones.
 func (b *book) overdue() {
+	b.inVainWaits()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for task, m := range b.on {
@@ -230,7 +356,7 @@
 func (b *book) returned(m *machine) {
 	_, _, _, running := m.worker.Seen()
 	b.w.mu.Lock()
-	sound := !m.dead && m.deaf.IsZero() && (m.touched.IsZero() || time.Since(m.touched) > time.Minute)
+	sound := !m.dead && m.deaf.IsZero() && m.mute+m.hung == 0 && (m.touched.IsZero() || time.Since(m.touched) > time.Minute)
 	since := m.deaf
 	b.w.mu.Unlock()
 	b.mu.Lock()
@@ -291,6 +417,12 @@
 			w.book.mu.Unlock()
 			e.Class = "piped"
 		}
+		if w.ImageS > 0 {
+			e.Image = fmt.Sprint("img", rng.IntN(4))
+		}
+		if w.Berth && e.Shape == api.Array && e.Class != "large" && rng.IntN(3) == 0 {
+			e.Zone = []string{"east", "west"}[rng.IntN(2)]
+		}
 		if w.RunS > 0 && e.Shape == api.Array && e.Class != "large" && e.Class != "whole" {
 			e.EstimateS = w.RunS
 		}
@@ -315,35 +447,135 @@
 	}
 }
 
-// user submits one job and asks about it until it is over.
-func (w *World) user(ctx context.Context, e *entry, cancel time.Duration) {
-	rng := w.random(e.ID)
+// ask sends a request to a controller that takes requests; 0: nobody answered in time.
+func (w *World) ask(ctx context.Context, rng *rand.Rand, patience time.Duration, r peer.Request) (int, api.JobStatus) {
+	call, stop := context.WithTimeout(ctx, patience)
+	defer stop()
+	at := rng.IntN(3)
+	for i := range 3 {
+		name := members[(at+i)%3]
+		n := w.node(name)
+		if n == nil || !n.Ready() {
+			continue
+		}
+		got := make(chan peer.Answer, 1)
+		go func() {
+			w.thawed(name)
+			a := n.Handle(call, r, false)
+			w.thawed(name)
+			got <- a
+		}()
+		select {
+		case a := <-got:
+			var st api.JobStatus
+			_ = json.Unmarshal(a.Body, &st)
+			return a.Status, st
+		case <-call.Done():
+			return 0, api.JobStatus{}
+		}
+	}
+	return 0, api.JobStatus{}
+}
+
+// ends tells whether a job is called off as it ends.
+func (w *World) ends(e *entry) bool {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(e.ID))
+	return w.atEnd.Load() > 0 && e.Shape == api.Array && h.Sum32()%2 == 0
+}
+
+// atLastEnd calls a job off around the moment at which its last task ends, so long from now, and asks about it and
+// repeats its submission beside that.
+func (w *World) atLastEnd(e *entry, in time.Duration) {
 	body, err := json.Marshal(e.Submission)
 	if err != nil {
 		panic(err)
 	}
-	ask := func(patience time.Duration, r peer.Request) (int, api.JobStatus) {
-		call, stop := context.WithTimeout(ctx, patience)
-		defer stop()
-		at := rng.IntN(3)
-		for i := range 3 {
-			n := w.node(members[(at+i)%3])
-			if n == nil || !n.Ready() {
-				continue
+	for i, r := range []peer.Request{{Verb: controller.VerbCancel, Job: e.ID}, {Verb: controller.VerbStatus, Job: e.ID}, {Verb: controller.VerbSubmit, Body: body},
+		{Verb: controller.VerbStatus, Job: e.ID}, {Verb: controller.VerbCancel, Job: e.ID}} {
+		w.crowd.Go(func() {
+			rng := w.random(fmt.Sprint("at the end of ", e.ID, i))
+			at := time.Duration(rng.Int64N(int64(100*time.Millisecond))) - 50*time.Millisecond
+			if rng.IntN(2) == 0 {
+				at = time.Duration(rng.Int64N(int64(3*time.Second))) - 100*time.Millisecond
 			}
-			got := make(chan peer.Answer, 1)
-			go func() { got <- n.Handle(call, r, false) }()
-			select {
-			case a := <-got:
-				var st api.JobStatus
-				_ = json.Unmarshal(a.Body, &st)
-				return a.Status, st
-			case <-call.Done():
-				return 0, api.JobStatus{}
+			if !w.sleep(w.ctx, in+at) {
+				return
 			}
-		}
-		return 0, api.JobStatus{}
+			sent := time.Now()
+			w.book.mu.Lock()
+			e.asked = e.asked || r.Verb == controller.VerbCancel
+			if e.told != "" {
+				// Its user may have asked no more.
+				e.answered = sent
+			}
+			w.book.mu.Unlock()
+			status, st := w.ask(w.ctx, rng, 5*time.Second, r)
+			w.book.answered(e, sent, status, st, r.Verb)
+		})
+	}
+}
+
+// oddly sends what a user with a mistake would: about a job in any state, and jobs that cannot run.
+func (w *World) oddly(ctx context.Context, e *entry, rng *rand.Rand) {
+	body := func(change func(m map[string]any)) []byte {
+		raw, err := json.Marshal(e.Submission)
+		m := map[string]any{}
+		if err == nil {
+			err = json.Unmarshal(raw, &m)
+		}
+		if err != nil {
+			panic(err)
+		}
+		change(m)
+		raw, _ = json.Marshal(m)
+		return raw
+	}
+	fields := []string{"jobclass", "owner", "shape", "rank", "parts", "cores", "cards", "ram_gb", "bundle", "size_gb", "together", "apart", "standby", "expect_s", "snapshot_s", "stow_s"}
+	field := fields[rng.IntN(len(fields))]
+	changes := []struct {
+		refused int
+		change  func(m map[string]any)
+	}{
+		{http.StatusBadRequest, func(m map[string]any) { delete(m, field) }},
+		{http.StatusBadRequest, func(m map[string]any) { m[field] = nil }},
+		{http.StatusBadRequest, func(m map[string]any) { m[field] = []int{1} }},
+		{http.StatusUnprocessableEntity, func(m map[string]any) { m["cores"] = 1000 }},
+		{http.StatusUnprocessableEntity, func(m map[string]any) { m["owner"] = "nobody" }},
+		{http.StatusUnprocessableEntity, func(m map[string]any) { m["hulls"] = []string{"none"} }},
+		{http.StatusUnprocessableEntity, func(m map[string]any) { m["berth"] = "nowhere" }},
+		{http.StatusUnprocessableEntity, func(m map[string]any) { m["shape"], m["parts"] = "standing", 90_000 }},
+	}
+	odd := changes[rng.IntN(len(changes))]
+	// Known in other words, it has its state; unknown, it is refused.
+	sent := time.Now()
+	status, st := w.ask(ctx, rng, 5*time.Second, peer.Request{Verb: controller.VerbSubmit, Body: body(odd.change)})
+	w.book.answered(e, sent, status, st, controller.VerbSubmit)
+	id := fmt.Sprintf("run-7%s7", e.ID[4:])
+	status, _ = w.ask(ctx, rng, 5*time.Second, peer.Request{Verb: controller.VerbSubmit, Body: body(func(m map[string]any) { odd.change(m); m["name_id"] = id })})
+	if status != 0 && status != odd.refused && status < 500 {
+		w.book.wrong("a job that %s: %d for %d", body(odd.change), status, odd.refused)
+	}
+	for _, verb := range []string{controller.VerbStatus, controller.VerbCancel} {
+		if status, _ = w.ask(ctx, rng, 5*time.Second, peer.Request{Verb: verb, Job: id}); status != 0 && status != http.StatusNotFound && status < 500 {
+			w.book.wrong("%s of a job that was refused: %d", verb, status)
+		}
+	}
+	if w.book.over(e) {
+		sent = time.Now()
+		status, st = w.ask(ctx, rng, 5*time.Second, peer.Request{Verb: controller.VerbCancel, Job: e.ID})
+		w.book.answered(e, sent, status, st, controller.VerbCancel)
+	}
+}
+
+// user submits one job and asks about it until it is over.
+func (w *World) user(ctx context.Context, e *entry, cancel time.Duration) {
+	rng := w.random(e.ID)
+	body, err := json.Marshal(e.Submission)
+	if err != nil {
+		panic(err)
 	}
+	ask := func(patience time.Duration, r peer.Request) (int, api.JobStatus) { return w.ask(ctx, rng, patience, r) }
 	for from := time.Now(); ; {
 		status, st := ask(5*time.Second, peer.Request{Verb: controller.VerbSubmit, Body: body})
 		if status == http.StatusOK || status == http.StatusCreated {
@@ -372,6 +604,9 @@
 			e.asked = true
 			w.book.mu.Unlock()
 			cancel = 0
+			if t.HangFor > 0 {
+				w.hangOf(ctx, e, t.HangFor)
+			}
 			for from := time.Now(); time.Since(from) < t.For && e.told == ""; w.sleep(ctx, 50*time.Millisecond) {
 				if status, st := ask(time.Second, peer.Request{Verb: controller.VerbCancel, Job: e.ID}); status == http.StatusOK {
 					w.book.tell(e, status, st)
@@ -390,8 +625,13 @@
 				cancel = -1
 			}
 		}
+		sent := time.Now()
 		status, st := ask(pollPatience, peer.Request{Verb: controller.VerbStatus, Job: e.ID})
-		if w.book.tell(e, status, st) && rng.IntN(3) > 0 {
+		w.book.answered(e, sent, status, st, controller.VerbStatus)
+		if w.odd.Load() > 0 && rng.IntN(3) == 0 {
+			w.oddly(ctx, e, rng)
+		}
+		if w.book.over(e) && rng.IntN(3) > 0 {
 			// Most ask no more; some later once again.
 			return
 		}
@@ -416,6 +656,39 @@
 	b.tell(e, http.StatusOK, st)
 }
 
+// over tells whether a job is over for its user.
+func (b *book) over(e *entry) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return e.told != ""
+}
+
+// wrong notes an answer that the protocol does not have.
+func (b *book) wrong(format string, a ...any) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.res.WrongAnswers++
+	b.note("wrong answer: "+format, a...)
+}
+
+// answered takes in the answer to a request that was sent then, beside others: what the user was told meanwhile
+// may be newer, since the two crossed.
+func (b *book) answered(e *entry, sent time.Time, status int, st api.JobStatus, verb string) {
+	b.mu.Lock()
+	crossed := e.toldAt.After(sent) && st.State != api.Done && st.State != api.Withdrawn
+	known := !e.accepted.IsZero() && e.accepted.Before(sent)
+	b.mu.Unlock()
+	switch {
+	case crossed:
+	case verb == controller.VerbSubmit && known && (status == http.StatusBadRequest || status == http.StatusUnprocessableEntity):
+		b.refused(e, status)
+	case verb == controller.VerbCancel && status == http.StatusOK && st.State != api.Done && st.State != api.Withdrawn:
+		b.wrong("a cancellation of %s: %q", e.ID, st.State)
+	default:
+		b.tell(e, status, st)
+	}
+}
+
 func (b *book) refused(e *entry, status int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -450,7 +723,7 @@
 		if len(e.done) < e.Tasks {
 			b.broken("not_done", "%s with %d of %d tasks done", e.ID, len(e.done), e.Tasks)
 		}
-		e.told = st.State
+		b.final(e, st.State)
 	case api.Withdrawn:
 		if e.cancelled.IsZero() {
 			e.cancelled = now
@@ -458,7 +731,7 @@
 		if !e.asked && !b.behind(e) {
 			b.broken("went_back", "%s is called cancelled, and was not", e.ID)
 		}
-		e.told = st.State
+		b.final(e, st.State)
 		for _, x := range b.order {
 			if slices.Contains(x.Awaits, e.ID) && x.orphan.IsZero() {
 				x.orphan = now
@@ -472,6 +745,14 @@
 	return e.told != ""
 }
 
+// final notes the state that a user was told for good; the lock is held.
+func (b *book) final(e *entry, state string) {
+	if e.told == "" {
+		e.toldAt = time.Now()
+	}
+	e.told = state
+}
+
 // behind tells whether the user of a job before one has asked to cancel it: the one's may hear first that
 // it counts.
 func (b *book) behind(e *entry) bool {
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -21,6 +21,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -66,10 +67,27 @@
 	// command in three reach its machine up to 8 s late, or its answer come back so late.
 	LateWrites = "late-writes"
 	Held       = "held"
-	// Wave has the users of Count in 10 accepted jobs ask to cancel them, at once and every 50 ms for For.
+	// Wave has the users of Count in 10 accepted jobs ask to cancel them, at once and every 50 ms for For. With
+	// HangFor, up to eight machines that run tasks of these hang that long.
 	Wave = "wave"
+	// Hangs has Count machines stand still for For: they execute nothing, and then what they were sent.
+	Hangs = "hangs"
+	// Mute has Count machines, or with Follower all of the leader's zone, reach no controller; commands reach them.
+	Mute = "mute"
+	// Freeze has the leader, or with Follower another, stand still while its clock runs on.
+	Freeze = "freeze"
+	// Slow has the state service answer up to 1.5 s late, the leader alone with Count 1, else all.
+	Slow = "slow"
+	// AtEnd has users cancel half of the arrays around the moment at which the last task ends, and ask about them
+	// and repeat their submission beside that.
+	AtEnd = "at-end"
+	// Odd has users repeat submissions, in other words too, cancel what is over, and send what cannot run.
+	Odd = "odd"
 )
 
+// slowMost is how late a slow state service answers at most.
+const slowMost = 1500 * time.Millisecond
+
 // rollEvery is the pace of a roll.
 const rollEvery = 5 * time.Second
 
@@ -80,6 +98,7 @@
 	Count    int
 	Follower bool
 	Hang     bool
+	HangFor  time.Duration
 }
 
 // Day is what is played.
@@ -94,7 +113,19 @@
 	// Cancels is the share of arrays whose users cancel them, one in 15 if it is 0; RunS is how long the
 	// tasks of the small ones run, 5 to 15 s if it is 0.
 	Cancels, RunS float64
-	Workers       settings.Workers
+	// Room is how many processors a machine a team may use, 6 if it is 0; ImageS how long a machine's link takes
+	// for an image, of which there are four. Berth: a third of the arrays are bound to one zone.
+	Room, ImageS float64
+	Berth        bool
+	Workers      settings.Workers
+}
+
+// limit is what a team may use, in processors.
+func (d *Day) limit() float64 {
+	if d.Room > 0 {
+		return d.Room * float64(d.Machines)
+	}
+	return 6 * float64(d.Machines)
 }
 
 // NewDay is a quiet day of some machines.
@@ -106,6 +137,7 @@
 // World is a day being played.
 type World struct {
 	*Day
+	ctx   context.Context
 	clock clockwork.Clock
 	links *links
 	back  *back
@@ -120,9 +152,15 @@
 	copying  bool
 	// lateWrites and held count such troubles under way.
 	lateWrites, held int
-	refused          map[string]string
-	wave             chan Trouble
-	crowd            sync.WaitGroup
+	// atEnd and odd count such troubles, too; slow does so by controller, and for all under the empty name.
+	atEnd, odd atomic.Int32
+	slow       map[string]int
+	frozen     map[string]chan struct{}
+	refused    map[string]string
+	wave       chan Trouble
+	// hanging are the machines that the last wave has left to hang.
+	hanging int
+	crowd   sync.WaitGroup
 }
 
 // process is a controller's life; node is nil while it has none.
@@ -142,6 +180,8 @@
 	deaf    time.Time
 	dead    bool
 	touched time.Time
+	// mute counts the troubles in which it reaches no controller, hung those in which it stands still.
+	mute, hung int
 }
 
 var members = []string{"n0", "n1", "n2"}
@@ -153,8 +193,8 @@
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	clock := clockwork.NewRealClock()
-	w := &World{Day: d, clock: clock, links: newLinks(), state: standin.NewState(clock), cloud: standin.NewCloud(clock, []api.MachineType{machineType}, 20),
-		rng: rand.New(rand.NewPCG(d.Seed, 0)), nodes: map[string]*process{}, machines: map[string]*machine{}, refused: map[string]string{}, wave: make(chan Trouble)}
+	w := &World{Day: d, ctx: ctx, clock: clock, links: newLinks(), state: standin.NewState(clock), cloud: standin.NewCloud(clock, []api.MachineType{machineType}, 20),
+		rng: rand.New(rand.NewPCG(d.Seed, 0)), nodes: map[string]*process{}, machines: map[string]*machine{}, refused: map[string]string{}, slow: map[string]int{}, frozen: map[string]chan struct{}{}, wave: make(chan Trouble)}
 	w.book = newBook(w)
 	w.back = &back{links: w.links, ports: map[string]*port{}, conns: map[*half]string{}}
 	w.state.Limit(standin.Limits{RPS: 400, WriteRPS: 120, ValueKB: 16, TxnOps: 12})
@@ -241,7 +281,7 @@
 	set := &settings.Settings{Member: name, Zone: p.zone}
 	set.External = settings.External{State: "state:1", Cloud: "cloud:1"}
 	set.Facts = settings.Facts{Nodes: 3, Zones: []string{"east", "west"}, Workers: w.Workers,
-		Teams: []settings.Team{{Name: "one", CPUsMax: float64(6 * w.Machines)}, {Name: "two", CPUs: float64(w.Machines), CPUsMax: float64(6 * w.Machines)}},
+		Teams: []settings.Team{{Name: "one", CPUsMax: w.limit()}, {Name: "two", CPUs: min(w.limit(), float64(w.Machines)), CPUsMax: w.limit()}},
 		State: settings.State{RPS: 400, WriteRPS: 120, ValueKB: 16, TxnOps: 12}, Cloud: settings.Cloud{RPS: 20, ListLagS: 1}}
 	for _, m := range members {
 		if m != name {
@@ -249,7 +289,7 @@
 		}
 	}
 	ctx, p.stop = context.WithCancel(ctx)
-	p.node = controller.NewNode(ctx, set, policy.Default(), w.clock, &transport{w: w, from: name, rng: w.random("calls of " + name), name: name})
+	p.node = controller.NewNode(ctx, set, policy.Default(), &standing{w.clock, w, name}, &transport{w: w, from: name, rng: w.random("calls of " + name), name: name})
 	p.node.DialSiblings(w.back.dial(name))
 	n, l := p.node, w.back.listen(name)
 	w.crowd.Go(func() { n.Run(l) })
@@ -293,8 +333,14 @@
 	rng *rand.Rand
 }
 
-// RoundTrip carries one call.
+// RoundTrip carries one call. A process that stands still neither sends nor learns anything meanwhile.
 func (t *transport) RoundTrip(q *http.Request) (*http.Response, error) {
+	t.w.thawed(t.name)
+	defer t.w.thawed(t.name)
+	return t.carry(q)
+}
+
+func (t *transport) carry(q *http.Request) (*http.Response, error) {
 	host, _, _ := strings.Cut(q.URL.Host, ":")
 	ctx := q.Context()
 	var via http.RoundTripper
@@ -345,6 +391,7 @@
 	}
 	t.w.mu.Lock()
 	lateWrites, held := t.w.lateWrites > 0, t.w.held > 0
+	slow := host == "state" && (t.w.slow[""] > 0 || t.w.slow[t.from] > 0)
 	t.w.mu.Unlock()
 	if q.URL.Path == "/multi" {
 		t.mu.Lock()
@@ -358,6 +405,23 @@
 			return t.late(q, wait)
 		}
 	}
+	if slow {
+		t.mu.Lock()
+		before, after := time.Duration(t.rng.Int64N(int64(slowMost))), time.Duration(0)
+		if t.rng.IntN(2) == 0 {
+			before, after = 0, before
+		}
+		t.mu.Unlock()
+		return t.hold(q, via, before, after)
+	}
+	if d, ok := via.(direct); ok {
+		t.w.mu.Lock()
+		hung := d.m.hung > 0
+		t.w.mu.Unlock()
+		if hung {
+			return t.hold(q, via, 0, 0)
+		}
+	}
 	if _, ok := via.(direct); ok && held {
 		t.mu.Lock()
 		how := t.rng.IntN(6)
@@ -397,9 +461,12 @@
 
 // hold carries a call out after a while, whoever still waits for it, and lets its answer go after another.
 func (t *transport) hold(q *http.Request, via http.RoundTripper, before, after time.Duration) (*http.Response, error) {
-	body, err := io.ReadAll(q.Body)
-	if err != nil {
-		return nil, err
+	var body []byte
+	if q.Body != nil {
+		var err error
+		if body, err = io.ReadAll(q.Body); err != nil {
+			return nil, err
+		}
 	}
 	type outcome struct {
 		resp *http.Response
@@ -450,14 +517,22 @@
 	rng := w.random("reports of " + h.Name)
 	m.worker = standin.NewWorker(standin.WorkerOptions{Host: h, Clock: w.clock, Nodes: members, Post: w.post(m, rng),
 		Every: seconds(w.Workers.ReportS), Lease: seconds(w.Workers.LeaseS), Runs: w.book.runs,
-		Starts: func(task string, _ uint64, _ time.Time) { w.book.started(task, m) },
-		Ends:   func(task string, done bool) { w.book.ended(task, m, done) }})
+		Starts: func(task string, _ uint64, _ time.Time) { w.book.started(task, m) }, Fetch: w.fetch(),
+		Ends: func(task string, done bool) { w.book.ended(task, m, done) }})
 	w.mu.Lock()
 	w.machines[h.Address] = m
 	w.mu.Unlock()
 	w.crowd.Go(func() { m.worker.Run(ctx) })
 }
 
+// fetch is how machines get images; nil: they need none.
+func (w *World) fetch() func(task string) (string, time.Duration) {
+	if w.ImageS <= 0 {
+		return nil
+	}
+	return func(task string) (string, time.Duration) { return w.book.image(task), seconds(w.ImageS) }
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 // post carries a machine's reports.
@@ -483,6 +558,13 @@
 				}
 			})
 		}
+		w.mu.Lock()
+		mute := m.mute > 0
+		w.mu.Unlock()
+		if mute {
+			w.sleep(ctx, dialTimeout)
+			return 0, nil
+		}
 		if off, _ := w.links.off(m.Name, node); off {
 			<-ctx.Done()
 			return 0, nil
@@ -491,7 +573,12 @@
 		if n == nil {
 			return 0, nil
 		}
+		w.thawed(node)
 		status, body := n.Report(ctx, rep, raw)
+		w.thawed(node)
+		if ctx.Err() != nil {
+			return 0, nil
+		}
 		if passed, ok := body.(json.RawMessage); ok {
 			var o api.Orders
 			var to api.Redirect
@@ -532,7 +619,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, m := range w.machines {
-		if !m.dead && m.deaf.IsZero() {
+		if !m.dead && m.deaf.IsZero() && m.mute+m.hung == 0 {
 			out = append(out, m)
 		}
 	}
@@ -545,6 +632,97 @@
 	return out
 }
 
+// count changes what counts troubles.
+func (w *World) count(change func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	change()
+}
+
+// hang has machines stand still for a while.
+func (w *World) hang(ctx context.Context, ms []*machine, d time.Duration) {
+	set := func(by int) {
+		w.count(func() {
+			for _, m := range ms {
+				m.hung += by
+				m.touched = time.Now()
+			}
+		})
+		for _, m := range ms {
+			m.worker.Hang(by > 0)
+		}
+	}
+	set(1)
+	w.sleep(ctx, d)
+	set(-1)
+}
+
+// hangOf has a machine that runs a task of a job hang, if fewer than eight do since the last wave.
+func (w *World) hangOf(ctx context.Context, e *entry, d time.Duration) {
+	m := w.book.machineOf(e.ID)
+	if m == nil {
+		return
+	}
+	w.mu.Lock()
+	some := w.hanging < 8 && m.hung == 0
+	if some {
+		w.hanging++
+	}
+	w.mu.Unlock()
+	if some {
+		w.crowd.Go(func() { w.hang(ctx, []*machine{m}, d) })
+	}
+}
+
+// freeze has a controller stand still, or go on.
+func (w *World) freeze(name string, on bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch c := w.frozen[name]; {
+	case on && c == nil:
+		w.frozen[name] = make(chan struct{})
+	case !on && c != nil:
+		close(c)
+		delete(w.frozen, name)
+	}
+}
+
+// thawed waits until a controller does not stand still.
+func (w *World) thawed(name string) {
+	for {
+		w.mu.Lock()
+		c := w.frozen[name]
+		w.mu.Unlock()
+		if c == nil {
+			return
+		}
+		<-c
+	}
+}
+
+// standing is a controller's clock: while the controller stands still, time goes on and nothing that waits for it does.
+type standing struct {
+	clockwork.Clock
+	w    *World
+	name string
+}
+
+// After fires when the time has come and the controller does not stand still.
+func (s *standing) After(d time.Duration) <-chan time.Time {
+	if !slices.ContainsFunc(s.w.Troubles, func(t Trouble) bool { return t.Kind == Freeze }) {
+		return s.Clock.After(d)
+	}
+	out := make(chan time.Time, 1)
+	s.Clock.AfterFunc(d, func() {
+		s.w.thawed(s.name)
+		out <- s.Clock.Now()
+	})
+	return out
+}
+
+// Sleep is the same.
+func (s *standing) Sleep(d time.Duration) { <-s.After(d) }
+
 // trouble plays one trouble to its end.
 func (w *World) trouble(ctx context.Context, t Trouble) {
 	lead := w.leader()
@@ -659,20 +837,60 @@
 		w.state.Outage(true)
 		w.sleep(ctx, t.For)
 		w.state.Outage(false)
+	case Freeze:
+		// What comes for it waits at its door.
+		var pairs [][2]string
+		for _, o := range members {
+			if o != who {
+				pairs = append(pairs, [2]string{o, who})
+			}
+		}
+		w.freeze(who, true)
+		for_(pairs...)
+		w.freeze(who, false)
+	case Slow:
+		if t.Count != 1 {
+			who = ""
+		}
+		w.count(func() { w.slow[who]++ })
+		w.sleep(ctx, t.For)
+		w.count(func() { w.slow[who]-- })
+	case Hangs:
+		w.hang(ctx, w.some(t.Count), t.For)
+	case Mute:
+		ms := w.some(t.Count)
+		if t.Follower {
+			ms = slices.DeleteFunc(w.some(len(w.machines)), func(m *machine) bool { return m.Zone != w.nodes[lead].zone })
+		}
+		set := func(by int) {
+			w.count(func() {
+				for _, m := range ms {
+					m.mute += by
+					m.touched = time.Now()
+				}
+			})
+		}
+		set(1)
+		w.sleep(ctx, t.For)
+		set(-1)
 	case LateWrites, Held:
 		n := &w.lateWrites
 		if t.Kind == Held {
 			n = &w.held
 		}
-		count := func(by int) {
-			w.mu.Lock()
-			defer w.mu.Unlock()
-			*n += by
+		w.count(func() { *n++ })
+		w.sleep(ctx, t.For)
+		w.count(func() { *n-- })
+	case AtEnd, Odd:
+		n := &w.atEnd
+		if t.Kind == Odd {
+			n = &w.odd
 		}
-		count(1)
+		n.Add(1)
 		w.sleep(ctx, t.For)
-		count(-1)
+		n.Add(-1)
 	case Wave:
+		w.count(func() { w.hanging = 0 })
 		for {
 			select {
 			case w.wave <- t:
