A team's limit has room reserved for the job that goes first and needs more than ends at once

Cause: small jobs of a team at its limit took each processor as it became free, so a job that needs eight never began, whatever its turn. Package quota reserves the limit's room for the first job in the queues by rank or age, for a minute, not where services take too much. withinLimit is no decision of Core's any more.

--- a/controller/core.go
+++ b/controller/core.go
@@ -24,6 +24,7 @@
 	"switchferry/pipeline"
 	"switchferry/placement"
 	"switchferry/policy"
+	"switchferry/quota"
 	"switchferry/settings"
 	"switchferry/store"
 	"switchferry/topology"
@@ -236,6 +237,7 @@
 	// take which are being stopped.
 	use      map[string]fleet.Room
 	leaving  map[string]fleet.Room
+	quotas   quota.Book
 	attempts uint64
 	charters uint64
 	// aims are the classes' times of completion, sooner first.
--- a/controller/place.go
+++ b/controller/place.go
@@ -14,6 +14,7 @@
 	"switchferry/fleet"
 	"switchferry/placement"
 	"switchferry/policy"
+	"switchferry/quota"
 	"switchferry/store"
 	"switchferry/tuning"
 )
@@ -89,14 +90,42 @@
 	return !j.Job.Spread || here < (j.total+1)/2
 }
 
-// withinLimit tells whether a job's team may use one more task's worth.
+// withinLimit tells whether a job's team may use one more task's worth, beside what is reserved for another job that
+// goes before it (package quota).
 func (c *Core) withinLimit(j *job) bool {
 	t, ok := c.set.Team(j.Job.Team)
 	if !ok {
 		return false
 	}
-	u := c.use[t.Name].Add(j.need)
-	return (t.CPUsMax == 0 || u.CPUs <= t.CPUsMax+tuning.RoomSlack) && (t.CardsMax == 0 || u.Cards <= t.CardsMax+tuning.RoomSlack)
+	use := c.use[t.Name].Add(j.need)
+	if r, ok := c.quotas.Held(t.Name); ok && r.ID != j.id {
+		if o := c.jobs[r.ID]; o != nil && before(o, j) < 0 {
+			use = use.Add(r.Need)
+		}
+	}
+	return quota.Limit{CPUs: t.CPUsMax, Cards: t.CardsMax}.Holds(use)
+}
+
+// claims are the jobs that go before others in their teams, by rank or age, and wait.
+func (c *Core) claims() (out []quota.Claim) {
+	stays := map[string]fleet.Room{}
+	for _, j := range c.order {
+		if j.Job.Shape == api.Service {
+			stays[j.Job.Team] = stays[j.Job.Team].Add(j.need.Scale(len(j.live)))
+		}
+	}
+	for _, j := range c.order {
+		t, ok := c.set.Team(j.Job.Team)
+		if !ok || j.first() == 0 || len(j.pending)+j.queued == 0 || !c.ready(j) {
+			continue
+		}
+		need := j.need
+		if j.Job.Shape == api.Gang {
+			need = need.Scale(len(j.pending))
+		}
+		out = append(out, quota.Claim{Team: t.Name, ID: j.id, Limit: quota.Limit{CPUs: t.CPUsMax, Cards: t.CardsMax}, Need: need, Use: c.use[t.Name], Stays: stays[t.Name]})
+	}
+	return out
 }
 
 func (c *Core) ready(j *job) bool {
@@ -117,6 +146,7 @@
 	c.at = c.clock.Now()
 	defer func() { c.at = time.Time{} }()
 	c.sortQueues()
+	c.quotas.Reserve(c.at, c.claims())
 	for _, m := range c.machines {
 		if len(m.queue) > 0 && !c.usable(m) {
 			for _, q := range m.queue {
--- a/internal/world/world_test.go
+++ b/internal/world/world_test.go
@@ -37,13 +37,16 @@
 }
 
 // play plays a day on the bubble's clock and reports what no day may have.
-func play(t *testing.T, d *Day) (r *Result) {
+func play(t *testing.T, d *Day) *Result { return check(t, d, 0) }
+
+// check is play for a day with more work than can begin in it, of which so many jobs may not.
+func check(t *testing.T, d *Day, pending int) (r *Result) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) { r = d.Play(context.Background()) })
 	for rule, n := range r.Rules {
 		t.Errorf("seed %d: %s %d times", d.Seed, rule, n)
 	}
-	if r.Forgotten > 0 || r.PendingForGood > 0 || r.ClassesMinShare < 0.5 || r.LongestUnansweredS > 30 {
+	if r.Forgotten > 0 || r.PendingForGood > pending || r.WaitedInVain > 0 || r.WrongAnswers > 0 || r.ClassesMinShare < 0.5 || r.LongestUnansweredS > 30 {
 		t.Errorf("seed %d: %+v", d.Seed, *r)
 	}
 	if t.Failed() {
@@ -63,7 +66,8 @@
 	d := NewDay(seed, 12)
 	rng := rand.New(rand.NewPCG(seed, 1))
 	d.Workers = paces[rng.IntN(len(paces))]
-	kinds := []string{Crash, Crash, Roll, Lone, HalfDeaf, DeafNode, Copies, Die, Restart, Outage, CutZone, Refused, Refused, Wave, Silence, Apart, LateWrites, LateWrites, Held}
+	kinds := []string{Crash, Crash, Roll, Lone, HalfDeaf, DeafNode, Copies, Die, Restart, Outage, CutZone, Refused, Refused, Wave, Silence, Apart, LateWrites, LateWrites, Held,
+		Hangs, Hangs, Mute, Mute, Freeze, Slow, AtEnd, AtEnd, Odd, Wave}
 	lasts := []time.Duration{300 * time.Millisecond, time.Second, 10 * time.Second, 40 * time.Second}
 	if rng.IntN(2) == 0 {
 		d.Cancels, d.RunS = 0.3, 80
@@ -227,6 +231,94 @@
 	}
 }
 
+// The meetings that the operators' letter added (docs/meetings.md), each alone and with an end of the leader in the
+// middle, which is back within a second.
+func TestLaterMeetings(t *testing.T) {
+	at := func(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+	changes := func(from, every float64) (out []Trouble) {
+		for i := range 10 {
+			out = append(out, Trouble{At: at(from + every*float64(i)), For: at([]float64{0.3, 3, 8}[i%3]), Kind: Crash, Count: 1})
+		}
+		return out
+	}
+	wave := func(s float64) Trouble { return Trouble{At: at(s), For: at(0.3), Kind: Wave, Count: 5} }
+	for name, c := range map[string]struct {
+		day      func(d *Day)
+		troubles []Trouble
+	}{
+		"all controllers away for longer than a lease":             {nil, []Trouble{wave(29), {At: at(30), For: at(35), Kind: Crash, Count: 3}}},
+		"the same, machines hang":                                  {nil, []Trouble{{At: at(28), For: at(50), Kind: Hangs, Count: 3}, {At: at(30), For: at(35), Kind: Crash, Count: 3}, wave(66)}},
+		"zone-bound jobs lose machines":                            {func(d *Day) { d.Berth = true }, []Trouble{{At: at(30), Kind: Die, Count: 3}, {At: at(40), For: at(30), Kind: Hangs, Count: 3}, {At: at(50), Kind: Die, Count: 2}}},
+		"a report held until new leaders have acted":               {nil, []Trouble{{At: at(15), For: at(80), Kind: Copies}, {At: at(30), For: at(1), Kind: Crash, Count: 1}, {At: at(31), Kind: Restart, Count: 4}, {At: at(42), For: at(1), Kind: Crash, Count: 1}, wave(43)}},
+		"leader ends, machines hang":                               {nil, []Trouble{{At: at(25), For: at(9), Kind: Hangs, Count: 4}, {At: at(27), For: at(3), Kind: Crash, Count: 1}, wave(28), {At: at(50), For: at(40), Kind: Hangs, Count: 3}, {At: at(55), For: at(3), Kind: Crash, Count: 1}}},
+		"the leader stands still, and goes on as the next begins":  {nil, []Trouble{{At: at(25), For: at(1.9), Kind: Freeze}, wave(26.8), {At: at(40), For: at(2.4), Kind: Freeze}, wave(42.3), {At: at(55), For: at(12), Kind: Freeze}, wave(60)}},
+		"a team at its limit, a new leader, machines out of reach": {func(d *Day) { d.Room, d.RunS, d.PerSecond = 2, 20, 0.8 }, []Trouble{{At: at(25), For: at(40), Kind: Mute, Count: 4}, {At: at(26), For: at(30), Kind: HalfDeaf, Count: 2}, {At: at(28), For: at(3), Kind: Crash, Count: 1}, wave(30), {At: at(50), For: at(1), Kind: Crash, Count: 1}}},
+		"the same, a zone cut":                                     {func(d *Day) { d.Room, d.RunS, d.PerSecond = 2, 20, 0.8 }, []Trouble{{At: at(25), For: at(50), Kind: CutZone}, {At: at(28), For: at(3), Kind: Crash, Count: 1}, wave(30), wave(34)}},
+		"mute machines":                                            {nil, []Trouble{{At: at(25), For: at(60), Kind: Mute, Count: 4}, wave(30), wave(45)}},
+		"a mute zone":                                              {nil, []Trouble{{At: at(25), For: at(40), Kind: Mute, Follower: true, Count: 1}, wave(30)}},
+		"ten leaders":                                              {nil, append(changes(20, 10), wave(45), wave(71))},
+		"ten leaders, an outage":                                   {nil, append(changes(20, 10), Trouble{At: at(40), For: at(45), Kind: Outage}, wave(39))},
+		"ends far apart, cancelled between them":                   {func(d *Day) { d.Cancels = 0.6 }, []Trouble{{At: at(20), For: at(0.3), Kind: Crash, Count: 1}, wave(26), {At: at(32), For: at(3), Kind: Crash, Count: 1}, wave(38), {At: at(18), For: at(40), Kind: LateWrites}}},
+		"leader cut off, users go on asking it":                    {nil, []Trouble{{At: at(25), For: at(60), Kind: Lone}, {At: at(20), For: at(80), Kind: Odd}, wave(28), wave(60)}},
+		"called off as it ends":                                    {nil, []Trouble{{At: at(10), For: at(80), Kind: AtEnd}}},
+		"called off as it ends, late writes":                       {nil, []Trouble{{At: at(10), For: at(80), Kind: AtEnd}, {At: at(10), For: at(80), Kind: LateWrites}, {At: at(40), For: at(20), Kind: Slow}}},
+		"called off as it ends, leaders change":                    {nil, append(changes(15, 7), Trouble{At: at(10), For: at(80), Kind: AtEnd})},
+		"more work than room, slow links":                          {func(d *Day) { d.ImageS, d.PerSecond, d.RunS = 6, 3, 20 }, []Trouble{{At: at(30), Kind: Die, Count: 2}, wave(50)}},
+		"slow, refused, then out":                                  {nil, []Trouble{{At: at(20), For: at(80), Kind: Slow}, {At: at(28), For: at(14), Kind: Refused}, wave(28.9), wave(29.9), {At: at(30), For: at(60), Kind: Outage}}},
+		"a zone cut for longer than a lease":                       {nil, []Trouble{{At: at(25), For: at(45), Kind: CutZone}, wave(27), wave(40), {At: at(20), For: at(60), Kind: Copies}}},
+		"late writes across two changes":                           {nil, []Trouble{{At: at(15), For: at(60), Kind: LateWrites}, {At: at(30), For: at(1), Kind: Crash, Count: 1}, wave(33), {At: at(36), For: at(1), Kind: Crash, Count: 1}, wave(50), {At: at(52), For: at(1), Kind: Crash, Count: 2}}},
+		"odd requests, leaders change":                             {nil, append(changes(20, 9), Trouble{At: at(15), For: at(100), Kind: Odd}, Trouble{At: at(60), For: at(10), Kind: Outage})},
+	} {
+		for i, pace := range paces {
+			for _, crash := range []bool{false, true} {
+				if raced && (i > 0 || crash == (len(name)%2 == 0)) {
+					continue
+				}
+				t.Run(fmt.Sprintf("%s, reports every %g s, leader ends %v", name, pace.ReportS, crash), func(t *testing.T) {
+					t.Parallel()
+					d := NewDay(uint64(len(name)), 12)
+					d.Workers, d.Cancels, d.RunS, d.PerSecond = pace, 0.15, 40, 1
+					d.Lasts = 100 * time.Second
+					if c.day != nil {
+						c.day(d)
+					}
+					d.Troubles = c.troubles
+					if crash {
+						d.Troubles = append(slices.Clone(c.troubles), Trouble{At: at(33), For: at(0.7), Kind: Crash, Count: 1})
+					}
+					r := play(t, d)
+					t.Logf("%+v", *r)
+				})
+			}
+		}
+	}
+}
+
+// Small jobs of a team never let its use sink below its limit, while the leader changes and machines are out of reach.
+// Its jobs that need more than ends at once are served all the same, and the largest begin in time; without room of
+// the limit reserved for them 13 to 19 never began on four of these days, of one class 0 to 35% were served
+// (docs/incidents/hunt-limit-never-free.md).
+func TestTeamAtItsLimitServesItsLargest(t *testing.T) {
+	for i, pace := range paces {
+		for seed := range uint64(3) {
+			if raced && (i > 0 || seed > 0) {
+				continue
+			}
+			t.Run(fmt.Sprintf("reports every %g s, seed %d", pace.ReportS, seed), func(t *testing.T) {
+				t.Parallel()
+				d := NewDay(seed, 12)
+				d.Workers, d.Cancels, d.Room, d.RunS, d.PerSecond = pace, 0.15, 2, 30, 2
+				d.Lasts = 100 * time.Second
+				d.Troubles = []Trouble{{At: 25 * time.Second, For: 40 * time.Second, Kind: Mute, Count: 4}, {At: 28 * time.Second, For: 3 * time.Second, Kind: Crash, Count: 1},
+					{At: 30 * time.Second, For: 300 * time.Millisecond, Kind: Wave, Count: 5}}
+				if r := check(t, d, 15); r.LargestBeginP99S > beginIn.Seconds() {
+					t.Errorf("the largest began after %.0f s", r.LargestBeginP99S)
+				}
+			})
+		}
+	}
+}
+
 // An outage in which nobody cancels anything, all controllers well, or apart for a while, costs no task.
 func TestOutageCostsNoTask(t *testing.T) {
 	for _, apart := range []bool{false, true} {
--- a/tuning/tuning.go
+++ b/tuning/tuning.go
@@ -413,6 +413,10 @@
 	// TurnKept is how long a task that was started because its job had waited long makes room for
 	// production alone: most tasks are done by then.
 	TurnKept = time.Minute
+	// QuotaReserved is how long room of a team's limit is reserved without its coming, and QuotaRests how long there
+	// is none then: users expect that nobody waits 90 s while their team is under its limit.
+	QuotaReserved = time.Minute
+	QuotaRests    = 15 * time.Second
 	// KeptShare of the machines may be kept so at once: half of their room stands empty while they
 	// drain, some 2% of the fleet.
 	KeptShare = 0.05
