Mute machines are asked, emptied by command and kept, instead of returned as silent

Cause: a machine that reaches no controller while commands reach it was given up after 3.2 report intervals like a dead one, and its tasks waited for the cloud's answer. Silent machines are asked by an empty command; one that answers is mute: what runs there is stopped and goes on elsewhere, it gets nothing new, its session proves what its lease ended, and it is kept for two leases; a mute zone is left alone. TestMuteMachineGetsNoMoreWork and TestMuteZoneIsLeftAlone failed before (with the asking or the judgement taken out: 5 and 1 errors).

--- a/contact/contact.go
+++ b/contact/contact.go
@@ -13,6 +13,7 @@
 //	controller, in the same session                   yes           yes        unanswered, a worker turns to another controller
 //	an answer to a command, executed or refused       no            yes        an answer answers what arrived
 //	a report through a controller that relays         yes           unknown    these are not passed on one by one
+//	an answer to a command, and no report for long    no            yes        mute: it reaches no controller, and its lease runs out
 //	a command without an answer                       no            hint: no   command or answer was lost
 //	newer reports that show nothing of the above      yes           hint: no   a controller may have failed as well
 //
@@ -68,8 +69,8 @@
 	replied      uint64
 	from         string
 	relayed      bool
-	// proved is when it last showed that it hears; zero: never.
-	proved time.Time
+	// proved is when it last showed that it hears, answered when it last answered a command; zero: never.
+	proved, answered time.Time
 	// Since then: unproved newer reports, the first of which came at first, through so many
 	// controllers as ways names; rose: its session rose; lost: commands went unanswered.
 	unproved int
@@ -115,7 +116,7 @@
 
 // Answered takes in that the machine answered a command, with the tally of its answer.
 func (w *Way) Answered(now time.Time, seq uint64) {
-	w.replied = seq
+	w.replied, w.answered = seq, now
 	w.prove(now)
 }
 
@@ -126,6 +127,12 @@
 	w.proved, w.unproved, w.ways, w.rose, w.lost = now, 0, nil, false, 0
 }
 
+// Mute tells whether a machine that is not heard answers commands: it cannot reach any controller, and obeys.
+// Unheard is how long it has not been heard, within is how long an answer counts.
+func (w *Way) Mute(now time.Time, unheard, within time.Duration) bool {
+	return !w.answered.IsZero() && now.Sub(w.answered) < min(unheard, within)
+}
+
 // Proved is when the machine last showed that it hears; zero: never in this term.
 func (w *Way) Proved() time.Time { return w.proved }
 
--- /dev/null
+++ b/controller/mute_test.go
@@ -0,0 +1,138 @@
+package controller
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"switchferry/api"
+	"switchferry/internal/standin"
+)
+
+// muteWorkers are machines that obey commands, and whose reports arrive only while heard is set.
+type muteWorkers struct {
+	s     *stage
+	heard map[string]bool
+	all   map[string]*standin.Worker
+	// begun are the starts on each machine.
+	begun map[string]int
+	gone  []string
+}
+
+func newMute(s *stage, names ...string) *muteWorkers {
+	w := &muteWorkers{s: s, heard: map[string]bool{}, all: map[string]*standin.Worker{}, begun: map[string]int{}}
+	for _, n := range names {
+		w.heard[n] = true
+		w.all[n] = standin.NewWorker(standin.WorkerOptions{Host: standin.Host{Name: n, Address: n + ":1", Type: "m8", Zone: zoneOf(n)}, Clock: s.clock,
+			Every: time.Second, Lease: 10 * time.Second, Runs: func(string) time.Duration { return time.Hour }})
+	}
+	return w
+}
+
+// run lets time pass: machines that are heard report once a second, all answer what they are sent.
+func (w *muteWorkers) run(d time.Duration) {
+	s := w.s
+	for end := s.clock.Now().Add(d); s.clock.Now().Before(end); s.clock.Advance(500 * time.Millisecond) {
+		for _, n := range slices.Sorted(maps.Keys(w.all)) {
+			x := w.all[n]
+			if w.heard[n] && s.clock.Now().UnixMilli()%1000 < 500 {
+				w.deliver(n, x.Report())
+			}
+		}
+		w.gone = append(w.gone, s.Tend()...)
+		s.Place()
+		s.commit()
+		for ; s.answered < len(s.sent); s.answered++ {
+			o := s.sent[s.answered]
+			r, _ := w.all[o.name].Direct(o.o)
+			w.count(o.name, o.o.Commands)
+			s.Answered(o.name, o.o, r, true)
+		}
+	}
+}
+
+func (w *muteWorkers) count(name string, cs []api.Command) {
+	for _, c := range cs {
+		if c.Verb == api.Start {
+			w.begun[name]++
+		}
+	}
+}
+
+// deliver carries a report and its answer.
+func (w *muteWorkers) deliver(name string, r *api.Report) {
+	o, _, _ := w.s.Report(r, "")
+	w.count(name, o.Commands)
+	w.all[name].Answer(r, w.s.clock.Now(), o)
+}
+
+// A machine that reaches no controller obeys commands: it gets nothing new, what runs there goes on elsewhere before
+// its lease ends it, and it is told from a silent one, so that it is not returned and is useful again at once. It was
+// returned after 3.2 report intervals, and its replacement took a boot.
+func TestMuteMachineGetsNoMoreWork(t *testing.T) {
+	s := newStage(t)
+	w := newMute(s, "a1", "a2", "a3", "a4")
+	for n := range w.heard {
+		w.heard[n] = n == "a1"
+	}
+	w.run(time.Second)
+	s.submit("run-000001", 1, func(x *api.Submission) { x.Shape, x.Rank = api.Service, "prod" })
+	s.submit("run-000002", 1, nil)
+	w.run(time.Second)
+	if len(s.machines["a1"].assigns) != 2 {
+		t.Fatalf("%d tasks on a1", len(s.machines["a1"].assigns))
+	}
+	for n := range w.heard {
+		w.heard[n] = n != "a1"
+	}
+	before := w.begun["a1"]
+	w.run(6 * time.Second)
+	for _, id := range []string{"run-000001", "run-000002"} {
+		if a := s.jobs[id].live[0]; a == nil || a.machine.Name == "a1" || a.state != api.TaskRunning {
+			t.Errorf("%s does not run elsewhere 6 s after its machine fell mute: %+v", id, a)
+		}
+	}
+	s.submit("run-000003", 20, nil)
+	w.run(2 * time.Second)
+	if why := strings.Join(s.whyWaiting(s.jobs["run-000003"]), ""); !strings.Contains(why, "1 answer commands and reach no controller (mute)") {
+		t.Errorf("an operator is told %q", why)
+	}
+	w.run(6 * time.Second)
+	if w.begun["a1"] != before || len(w.gone) > 0 {
+		t.Errorf("%d starts on the mute machine, returned %v", w.begun["a1"]-before, w.gone)
+	}
+	w.heard["a1"] = true
+	w.run(2 * time.Second)
+	if w.begun["a1"] == before {
+		t.Error("no work 2 s after it was heard again")
+	}
+	// One that stays mute is given up in the end.
+	w.heard["a1"] = false
+	w.run(22 * time.Second)
+	if len(w.gone) != 1 || w.gone[0] != "a1" {
+		t.Errorf("returned %v", w.gone)
+	}
+}
+
+// Most of a zone is mute: something stands between it and the controllers. What runs there is left alone as long as
+// its leases live, and no machine is returned; what its lease has ended is known at once by its newer session.
+func TestMuteZoneIsLeftAlone(t *testing.T) {
+	s := newStage(t)
+	w := newMute(s, "a1", "b1", "b2", "b3", "b4")
+	w.run(time.Second)
+	s.submit("run-000001", 8, func(x *api.Submission) { x.Zone = "b" })
+	w.run(2 * time.Second)
+	for n := range w.heard {
+		w.heard[n] = n == "a1"
+	}
+	w.run(9 * time.Second)
+	if n := len(s.jobs["run-000001"].live); n != 8 || len(w.gone) > 0 {
+		t.Errorf("%d of 8 tasks are left, returned %v", n, w.gone)
+	}
+	w.run(4 * time.Second)
+	if n := len(s.jobs["run-000001"].live); n != 0 || len(w.gone) > 0 {
+		t.Errorf("%d tasks count 13 s after the last report, though their leases have ended; returned %v", n, w.gone)
+	}
+}
--- a/controller/places.go
+++ b/controller/places.go
@@ -211,13 +211,15 @@
 	if j.why != "" {
 		why = append(why, j.why)
 	}
-	var may, silent, deaf, bounded, full int
+	var may, silent, mute, deaf, bounded, full int
 	for _, m := range c.machines {
 		switch {
 		case m.Spec == nil || !c.allowed(j, m):
 			continue
 		case m.Up && !m.returning && m.line.State(c.now(), c.lease()) != contact.Reached:
 			deaf++
+		case c.mute(m):
+			mute++
 		case !c.eligible(j, m):
 			silent++
 		case !zoneOK(j, m):
@@ -230,11 +232,11 @@
 	if may == 0 {
 		return append(why, "no machine that it may run on is up; one must be rented first")
 	}
-	if may == silent+deaf+bounded+full {
-		why = append(why, fmt.Sprintf("of %d machines that it may run on %d get no work now (silent, failing or leaving), %d have not shown lately that they hear us (half-deaf), %d stand where it must not, %d are full",
-			may, silent, deaf, bounded, full))
+	if may == silent+mute+deaf+bounded+full {
+		why = append(why, fmt.Sprintf("of %d machines that it may run on %d get no work now (silent, failing or leaving), %d have not shown lately that they hear us (half-deaf), %d answer commands and reach no controller (mute), %d stand where it must not, %d are full",
+			may, silent, deaf, mute, bounded, full))
 	} else if len(why) == 0 {
-		why = append(why, fmt.Sprintf("it is about to start: %d of %d machines have room", may-silent-deaf-bounded-full, may))
+		why = append(why, fmt.Sprintf("it is about to start: %d of %d machines have room", may-silent-mute-deaf-bounded-full, may))
 	}
 	return why
 }
--- a/controller/rent.go
+++ b/controller/rent.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"cmp"
 	"fmt"
 	"log/slog"
 	"math"
@@ -51,7 +52,11 @@
 			why[m.Name] = reason
 			due = append(due, evidence.Candidate{Name: m.Name, Zone: m.Zone, Tasks: len(m.assigns)})
 		case evidence.Evacuate:
-			c.evacuate(m)
+			until := m.TakenAt
+			if until.IsZero() {
+				until, reason = m.Heard.Add(c.lease()), "machine reaches no controller"
+			}
+			c.evacuate(m, until, cmp.Or(reason, "machine is taken back"))
 		case evidence.Forget:
 			slog.Info("machine forgotten", "machine", m.Name, "why", reason)
 			c.forget(m)
@@ -123,9 +128,9 @@
 	slog.Info("fleet", "machines", machines, "cpus", up, "running", running, "starting", starting, "stopping", stopping, "waiting_jobs", jobs, "waiting_cpus", waiting)
 }
 
-// evacuate saves what can be saved of a machine that is about to be taken.
-func (c *Core) evacuate(m *machine) {
-	left := m.TakenAt.Sub(c.now()).Seconds()
+// evacuate saves what can be saved of a machine that is about to be taken, or whose lease is about to end.
+func (c *Core) evacuate(m *machine, until time.Time, why string) {
+	left := until.Sub(c.now()).Seconds()
 	for _, a := range m.assigns {
 		if a.stop || !a.seen {
 			continue
@@ -138,9 +143,9 @@
 		finishes := j.Shape == api.Array && estimate(a.job)-ran < left
 		switch {
 		case j.Checkpoint > 0 && left < j.SaveS+2*tuning.SpotNoticeSlack+c.set.Facts.Workers.ReportS:
-			c.stopTask(a, j.SaveS, "machine is taken back")
+			c.stopTask(a, j.SaveS, why)
 		case j.Checkpoint == 0 && !finishes:
-			c.stopTask(a, 0, "machine is taken back")
+			c.stopTask(a, 0, why)
 		}
 	}
 }
--- a/controller/silence.go
+++ b/controller/silence.go
@@ -91,7 +91,7 @@
 // judge tells what becomes of a machine.
 func (c *Core) judge(m *machine, now time.Time) (evidence.Action, string) {
 	l := evidence.Limits{Quiet: c.quiet(m), Silent: max(tuning.SilentMin, seconds(tuning.SilentReports*c.set.Facts.Workers.ReportS)),
-		Term: c.lease() + tuning.NewTermGrace}
+		Term: c.lease() + tuning.NewTermGrace, Mute: tuning.MuteLeases * c.lease()}
 	if m.relay != "" {
 		l.Silent += tuning.RelayKeep
 	}
@@ -101,6 +101,8 @@
 	x := evidence.Machine{Failed: m.failed, Listed: m.listed, Up: m.Up, Line: m.line.State(now, c.lease()), Tasks: len(m.assigns),
 		Unheard: now.Sub(c.silence.Since(now, heard)), Unreached: now.Sub(c.silence.Since(now, hears)),
 		Noticed: !m.TakenAt.IsZero(), Over: now.After(m.TakenAt.Add(time.Second)), Sick: c.suspect(m)}
+	x.Mute = c.mute(m)
+	x.Share, _ = c.silence.Share(m.Zone)
 	if !m.Up {
 		boot := 60.0
 		if m.Spec != nil {
@@ -116,15 +118,22 @@
 	return evidence.Judge(x, l)
 }
 
-// askDoubtful asks some machines that are heard, and do not show that they hear, by an empty command:
-// an answer is proof, and they get work again.
+// mute tells whether a machine answers commands while it reaches no controller.
+func (c *Core) mute(m *machine) bool {
+	return m.Up && m.relay == "" && c.since(m.Heard) > c.quiet(m) && m.line.Mute(c.now(), c.since(m.Heard), c.quiet(m))
+}
+
+// askDoubtful asks some machines that are heard, and do not show that they hear, by an empty command: an answer is
+// proof, and they get work again. It asks those that are no longer heard, too: one that answers reaches no
+// controller, and what its lease has ended is known by the session of its answer.
 func (c *Core) askDoubtful(now time.Time) {
 	var due []*machine
 	left := tuning.AsksAtOnce
 	for _, m := range c.byName() {
 		s := m.line.State(now, c.lease())
+		silent := now.Sub(m.Heard) > c.quiet(m)
 		switch {
-		case !m.Up || m.returning || m.relay != "" || s != contact.Suspected && s != contact.HalfDeaf:
+		case !m.Up || m.returning || m.relay != "" || !silent && s != contact.Suspected && s != contact.HalfDeaf:
 		case m.sending:
 			left--
 		case now.Sub(m.asked) >= seconds(c.set.Facts.Workers.ReportS):
--- a/evidence/judge.go
+++ b/evidence/judge.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"switchferry/contact"
+	"switchferry/tuning"
 )
 
 // Machine is what a leader knows of a machine when it looks after the fleet.
@@ -22,13 +23,17 @@
 	Noticed, Over bool
 	// Sick: it fails what works elsewhere.
 	Sick bool
+	// Mute: it answers commands and reaches no controller, so its lease runs out however well it obeys. Share is the
+	// part of its zone's machines that is unheard.
+	Mute  bool
+	Share float64
 	// Waited: it is not up, and its time to boot is over.
 	Waited bool
 }
 
 // Limits are how long a machine may be unheard: Quiet, and still get work; Silent, before it is given
-// up; Term, if it is to find a new leader, or one that it does not hear.
-type Limits struct{ Quiet, Silent, Term time.Duration }
+// up; Term, if it is to find a new leader, or one that it does not hear; Mute, if it answers commands.
+type Limits struct{ Quiet, Silent, Term, Mute time.Duration }
 
 // Action is what becomes of a machine.
 type Action int
@@ -60,6 +65,13 @@
 		return Leave, ""
 	case m.Noticed && m.Over && m.Unheard > l.Quiet:
 		return Return, "taken back"
+	case m.Mute && m.Unheard > l.Silent && m.Unheard <= l.Mute:
+		if m.Share > tuning.ReturnFreely {
+			// Something stands between most of the zone and the controllers, not in the machine: there may be no
+			// room elsewhere, and what it runs lives until its lease ends, or on.
+			return Leave, ""
+		}
+		return Evacuate, "mute"
 	case m.Unheard > l.Silent:
 		return Due, "silent"
 	case m.Line == contact.HalfDeaf && m.Unreached > l.Term:
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -239,11 +239,14 @@
 		return s.list(r.URL.Query())
 	case strings.HasPrefix(p, "/store/"):
 		k := strings.TrimPrefix(p, "/store/")
+		v, ok := s.rows[k]
 		if l := s.lateRead; l != nil {
 			s.lateRead = nil
 			s.hold(l)
+			if !l.executed {
+				v, ok = s.rows[k]
+			}
 		}
-		v, ok := s.rows[k]
 		if !ok {
 			return reply(404, map[string]any{"epoch": s.epoch})
 		}
@@ -422,11 +425,12 @@
 	return s.late
 }
 
-// LateRead holds back the answer of the next reading of a key until Answer.
-func (s *State) LateRead() *Late {
+// LateRead holds back the answer of the next reading of a key until Answer; it is executed before that, or only
+// then.
+func (s *State) LateRead(executed bool) *Late {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.lateRead = &Late{Asked: make(chan struct{}), answer: make(chan struct{})}
+	s.lateRead = &Late{Asked: make(chan struct{}), answer: make(chan struct{}), executed: executed}
 	return s.lateRead
 }
 
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -358,6 +358,19 @@
 	}
 }
 
+// Report is what it would report now; Answer has it take an answer to that, as Run does.
+func (w *Worker) Report() *api.Report {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.pass()
+	return w.report()
+}
+
+// Answer takes in the answer to a report that was sent then.
+func (w *Worker) Answer(r *api.Report, sent time.Time, o api.Orders) {
+	w.take(r, sent, http.StatusOK, o)
+}
+
 // Direct serves POST /orders: the report after them, and whether they were executed.
 func (w *Worker) Direct(o api.Orders) (*api.Report, bool) {
 	w.awake()
--- a/tuning/tuning.go
+++ b/tuning/tuning.go
@@ -413,6 +413,9 @@
 	// TurnKept is how long a task that was started because its job had waited long makes room for
 	// production alone: most tasks are done by then.
 	TurnKept = time.Minute
+	// CancelStarts is how long the answer to a cancellation waits for starts that are under way: a command's answer
+	// takes milliseconds, a report after a change half a second, and users wait 5 s.
+	CancelStarts = time.Second
 	// QuotaReserved is how long room of a team's limit is reserved without its coming, and QuotaRests how long there
 	// is none then: users expect that nobody waits 90 s while their team is under its limit.
 	QuotaReserved = time.Minute
@@ -576,9 +579,13 @@
 	// HopsHalfDeaf such reports over a lease, and it is: workers turn to another controller 5 s after
 	// a report that got no answer, so three take one lease of 10 s.
 	HopsHalfDeaf = 3
-	// AsksAtOnce is how many machines that are suspected so are asked at once whether they hear,
-	// each for WorkerTimeout at the most: a zone of hundreds must not take all sockets.
-	AsksAtOnce = 16
+	// MuteLeases is for how many leases a machine that answers commands and reaches no controller is kept: filters
+	// between machines and controllers are mended in less, and it costs a boot to replace it.
+	MuteLeases = 2
+	// AsksAtOnce is how many machines that are suspected so, or silent, are asked at once whether they hear,
+	// each for WorkerTimeout at the most: a zone of hundreds must not take all sockets. Silent ones must be asked
+	// between 2.5 and 3.2 report intervals, a fifth of a thousand in two seconds.
+	AsksAtOnce = 48
 	// NewestKept is how many machines a controller remembers the newest report of, to tell copies:
 	// four times the largest fleet, some 100 bytes each.
 	NewestKept = 4096
