Answers to users: no poll undoes an end that was told, cancellations wait for starts, known jobs are never put off

Causes: a poll read before a cancellation could be answered after it by the same controller (lookup.Told remembers what it told); a cancellation was confirmed while the leader's own start of the job could still be executed (it waits for a second at most); a known job was put off while machine types were unknown, or in an outage when it was known to be over (looked up first).

--- a/controller/core.go
+++ b/controller/core.go
@@ -582,6 +582,7 @@
 		return
 	}
 	c.drop(a)
+	a.job.settledStarts()
 	c.settle(a.job)
 	c.kick()
 }
--- a/controller/keep.go
+++ b/controller/keep.go
@@ -87,15 +87,23 @@
 	return o
 }
 
-// note has a cancellation known to the siblings before its user is told.
-func (n *Node) note(a peer.Answer) {
-	if a.Status != http.StatusOK && a.Status != http.StatusCreated || !bytes.Contains(a.Body, []byte(api.Withdrawn)) {
-		return
+// note has a cancellation known to the siblings before its user is told, and gives what may be told: a poll that was
+// read before its job ended, here or at the leader, may be answered after the end was told.
+func (n *Node) note(a peer.Answer) peer.Answer {
+	if a.Status != http.StatusOK && a.Status != http.StatusCreated || !bytes.Contains(a.Body, []byte(`"status"`)) {
+		return a
 	}
 	var st api.JobStatus
-	if json.Unmarshal(a.Body, &st) == nil && st.State == api.Withdrawn {
+	if json.Unmarshal(a.Body, &st) != nil || !api.ValidID(st.ID) {
+		return a
+	}
+	if st.State == api.Withdrawn {
 		n.word.Tell(n.clock.Now(), st.ID)
 	}
+	if newest, older := n.ends.Newest(st); older {
+		return answer(http.StatusOK, newest)
+	}
+	return a
 }
 
 // words is a node's side of what controllers tell each other of cancellations.
--- a/controller/node.go
+++ b/controller/node.go
@@ -78,6 +78,8 @@
 	// within that.
 	reads   *rate.Limiter
 	records *lookup.Jobs
+	// ends are the final states that it told users.
+	ends *lookup.Told
 
 	// topology is nil unless that feature is on.
 	topology *topology.File
@@ -133,6 +135,7 @@
 	share := tuning.ReadShare * set.Facts.State.RPS / float64(1+len(set.Siblings))
 	n.reads = rate.NewLimiter(rate.Limit(share), max(1, int(share)))
 	n.records = &lookup.Jobs{Client: n.client, Ended: n.finalOf, Keep: n.final, Turns: lookup.NewTurns(clock, n.reads)}
+	n.ends = lookup.NewTold()
 	n.letterRate = letterRate(n)
 	writes := set.Facts.State.Least().WriteRPS
 	rest := writes * (1 - tuning.QuotaShare)
@@ -880,8 +883,7 @@
 		return n.stagePassedOn(r.Body)
 	}
 	from := n.clock.Now()
-	a := n.handle(ctx, r, forwarded)
-	n.note(a)
+	a := n.note(n.handle(ctx, r, forwarded))
 	if took := n.clock.Since(from); r.Verb == VerbSubmit && took > tuning.AcceptPatience {
 		slog.Debug("submission answered late", "ms", took.Milliseconds(), "status", a.Status, "forwarded", forwarded, "leading", n.leading() != nil)
 	}
@@ -966,6 +968,12 @@
 		case core.hooks.Valid() && core.Loaded():
 			return n.serve(ctx, core, r)
 		case !n.stateOK():
+			if r.Verb == VerbSubmit {
+				_, id, _ := api.ParseSubmission(r.Body)
+				if f, ok := n.finalOf(id); ok {
+					return answer(http.StatusOK, finalStatus(id, f))
+				}
+			}
 			return later("the state service is out of reach")
 		}
 		// Not the leader yet, or no more, and the state service answers: whatever
@@ -1059,19 +1067,24 @@
 		if err == nil && !undecided && n.data.On {
 			status, err, undecided = n.checkInputs(ctx, core, s, r.Body)
 		}
-		if err != nil {
-			// A known id is never refused, whatever the body.
+		if err != nil || undecided {
+			// A known id is never refused, whatever the body, nor sent away while nothing can be judged.
 			if id != "" {
+				if core != nil {
+					if here, _, _ := core.Awaitable(id); here {
+						return later("the job is just being accepted")
+					}
+				}
 				if st, found, rerr := n.lookUp(ctx, core, id, false); rerr != nil {
 					return later("the state service is out of reach")
 				} else if found {
 					return answer(http.StatusOK, st)
 				}
 			}
-			return refusal(status, err)
-		}
-		if undecided {
-			if n.data.On {
+			switch {
+			case err != nil:
+				return refusal(status, err)
+			case n.data.On:
 				return later("the machine types, or the job's datasets, are not known yet")
 			}
 			return later("the machine types are not known yet")
--- a/controller/report.go
+++ b/controller/report.go
@@ -113,7 +113,10 @@
 // progress notes the state of a task that is where it should be.
 func (c *Core) progress(m *machine, a *assign, t api.TaskReport) {
 	now := c.now()
-	a.seen, a.sent = true, true
+	if !a.seen {
+		a.seen, a.sent = true, true
+		a.job.settledStarts()
+	}
 	if a.session == 0 {
 		a.session = m.Session
 	}
--- a/controller/user.go
+++ b/controller/user.go
@@ -149,7 +149,7 @@
 	}
 	changed := j.changed
 	c.mu.Unlock()
-	if !c.wait(ctx, changed) {
+	if !c.wait(ctx, changed, tuning.AcceptWait) {
 		return laterBy("the record is not stored yet", c.hooks.Delay()), true
 	}
 	st, ok := c.Known(s.ID)
@@ -162,12 +162,30 @@
 	return answer(http.StatusOK, st), true
 }
 
-func (c *Core) wait(ctx context.Context, changed chan struct{}) bool {
+// startsUnderWay tells whether a start that this leader sent may still be executed, of a task that is not seen yet.
+func (j *job) startsUnderWay() bool {
+	for _, a := range j.live {
+		if !a.seen && (a.open > 0 || a.answered > 0) {
+			return true
+		}
+	}
+	return false
+}
+
+// settledStarts wakes whoever waits for the starts of a cancelled job, once none is under way.
+func (j *job) settledStarts() {
+	if j.Final == api.Withdrawn && j.stored && !j.startsUnderWay() {
+		j.notify()
+	}
+}
+
+// wait waits until a job has changed, for so long at most.
+func (c *Core) wait(ctx context.Context, changed chan struct{}, most time.Duration) bool {
 	select {
 	case <-changed:
 		return true
 	case <-ctx.Done():
-	case <-c.clock.After(tuning.AcceptWait):
+	case <-c.clock.After(most):
 	}
 	return false
 }
@@ -255,10 +273,19 @@
 	}
 	stored, changed := j.stored, j.changed
 	c.mu.Unlock()
-	if !stored && !c.wait(ctx, changed) {
+	if !stored && !c.wait(ctx, changed, tuning.AcceptWait) {
 		return later("the record is not stored yet"), true
 	}
 	c.mu.Lock()
+	if changed = j.changed; j.Final == api.Withdrawn && j.startsUnderWay() {
+		// Whoever is told now may see one of them begin: it is stopped then, but nothing should start after that
+		// answer. Most are answered within milliseconds.
+		c.mu.Unlock()
+		c.wait(ctx, changed, tuning.CancelStarts)
+		c.mu.Lock()
+	}
+	c.mu.Unlock()
+	c.mu.Lock()
 	defer c.mu.Unlock()
 	return answer(http.StatusOK, api.JobStatus{ID: id, State: j.Final, Done: j.done}), true
 }
--- a/controller/user_test.go
+++ b/controller/user_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net"
 	"strings"
@@ -210,3 +211,95 @@
 		t.Error("the machine counts as returned")
 	}
 }
+
+// A poll was read before its job was cancelled, and is answered after its user was told that: by whichever way it
+// came, the cancellation stands. The job was called pending again.
+func TestPollReadBeforeACancellationIsNotAnsweredAfterIt(t *testing.T) {
+	poll, cancel := peer.Request{Verb: VerbStatus, Job: "run-000001"}, peer.Request{Verb: VerbCancel, Job: "run-000001"}
+	state := func(a peer.Answer) string {
+		var st api.JobStatus
+		if json.Unmarshal(a.Body, &st) != nil || a.Status != 200 {
+			return string(a.Body)
+		}
+		return st.State
+	}
+	for name, begin := range map[string]func(t *testing.T, ctx context.Context) (n *Node, asked, release chan struct{}){
+		"read in the state service": func(t *testing.T, ctx context.Context) (*Node, chan struct{}, chan struct{}) {
+			clock := clockwork.NewFakeClock()
+			st := standin.NewState(clock)
+			n := NewNode(ctx, userSettings(), policy.Default(), clock, st)
+			st.Put(store.JobKey("run-000001"), store.JobRecord{Job: api.Submission{ID: "run-000001"}})
+			l, release := st.LateRead(true), make(chan struct{})
+			go func() {
+				<-release
+				l.Answer()
+			}()
+			return n, l.Asked, release
+		},
+		"asked of the leader": func(t *testing.T, ctx context.Context) (*Node, chan struct{}, chan struct{}) {
+			asked, release := make(chan struct{}), make(chan struct{})
+			n, _, _ := follower(t, ctx, new(atomic.Bool), func(_ context.Context, r peer.Request) peer.Answer {
+				if r.Verb == VerbCancel {
+					return answer(200, api.JobStatus{ID: r.Job, State: api.Withdrawn})
+				}
+				a := answer(200, api.JobStatus{ID: r.Job, State: api.Running, Running: 1})
+				close(asked)
+				<-release
+				return a
+			})
+			return n, asked, release
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ctx, stop := context.WithCancel(context.Background())
+			defer stop()
+			n, asked, release := begin(t, ctx)
+			got := make(chan peer.Answer, 1)
+			go func() { got <- n.Handle(ctx, poll, false) }()
+			<-asked
+			if a := n.Handle(ctx, cancel, false); state(a) != api.Withdrawn {
+				t.Fatalf("the cancellation is answered %d %s", a.Status, a.Body)
+			}
+			close(release)
+			if a := <-got; state(a) != api.Withdrawn {
+				t.Errorf("then the poll is answered %d %s", a.Status, a.Body)
+			}
+		})
+	}
+}
+
+// A cancellation is confirmed once no start is under way any more that its worker may still execute, or after a
+// second: it is stopped then all the same.
+func TestCancellationWaitsForStartsUnderWay(t *testing.T) {
+	for _, answered := range []bool{true, false} {
+		s := newStage(t)
+		start := s.started("run-000001")
+		a := s.jobs["run-000001"].live[0]
+		s.Cancel(gaveUp(), "run-000001")
+		s.commit()
+		// Nobody waits for these any more.
+		s.clock.Advance(tuning.AcceptWait)
+		got := make(chan peer.Answer, 1)
+		go func() {
+			a, _ := s.Cancel(context.Background(), "run-000001")
+			got <- a
+		}()
+		if err := s.clock.BlockUntilContext(context.Background(), 1); err != nil {
+			t.Fatal(err)
+		}
+		select {
+		case a := <-got:
+			t.Fatalf("confirmed while a start is under way: %s", a.Body)
+		default:
+		}
+		if answered {
+			r := &api.Report{Machine: "a1", Address: "a1:1", Type: "m8", Zone: "a", Session: 1, Seq: s.next("a1"), Helm: s.term, Tasks: []api.TaskReport{task(a.key, a.attempt, api.TaskRunning, "")}}
+			s.Answered("a1", start.o, r, true)
+		} else {
+			s.clock.Advance(tuning.CancelStarts)
+		}
+		if a := <-got; a.Status != 200 || !strings.Contains(string(a.Body), api.Withdrawn) {
+			t.Errorf("answered %v: %d %s", answered, a.Status, a.Body)
+		}
+	}
+}
--- a/internal/world/world_test.go
+++ b/internal/world/world_test.go
@@ -49,6 +49,12 @@
 	if r.Forgotten > 0 || r.PendingForGood > pending || r.WaitedInVain > 0 || r.WrongAnswers > 0 || r.ClassesMinShare < 0.5 || r.LongestUnansweredS > 30 {
 		t.Errorf("seed %d: %+v", d.Seed, *r)
 	}
+	if r.StartedCancelled > 0 {
+		for _, why := range r.Why {
+			t.Log(why)
+		}
+		t.Logf("%d tasks began after their cancellation was told: %+v", r.StartedCancelled, d.Troubles)
+	}
 	if t.Failed() {
 		t.Logf("%+v", d.Troubles)
 		for _, why := range r.Why {
--- a/store/commit_test.go
+++ b/store/commit_test.go
@@ -237,7 +237,7 @@
 		var read *standin.Late
 		if executed {
 			// So is the reading that tells that the first took effect.
-			read = st.LateRead()
+			read = st.LateRead(false)
 		}
 		done := make(chan struct{})
 		go func() {
