--- a/evidence/evidence_test.go
+++ b/evidence/evidence_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"switchferry/contact"
 	"switchferry/tuning"
 )
 
@@ -261,3 +262,20 @@
 		})
 	}
 }
+
+// A machine that answers commands and is not heard is emptied, unless so much of its zone is unheard that the reason
+// lies elsewhere, and given up once two leases have passed; one that answers nothing is given up as ever.
+func TestJudgeMute(t *testing.T) {
+	l := Limits{Quiet: 7 * time.Second, Silent: 10 * time.Second, Term: 20 * time.Second, Mute: 35 * time.Second}
+	for _, c := range []struct {
+		mute    bool
+		share   float64
+		unheard time.Duration
+		want    Action
+	}{{true, 0.3, 9 * time.Second, Leave}, {true, 0.3, 11 * time.Second, Evacuate}, {true, 0.4, 11 * time.Second, Leave}, {true, 0.4, 36 * time.Second, Due},
+		{true, 0.3, 36 * time.Second, Due}, {false, 0.3, 11 * time.Second, Due}} {
+		if got, why := Judge(Machine{Up: true, Listed: true, Line: contact.Reached, Mute: c.mute, Share: c.share, Unheard: c.unheard}, l); got != c.want {
+			t.Errorf("mute %v, %v of the zone unheard, it for %v: %v (%s), want %v", c.mute, c.share, c.unheard, got, why, c.want)
+		}
+	}
+}
--- a/internal/world/world_test.go
+++ b/internal/world/world_test.go
@@ -78,12 +78,17 @@
 	if rng.IntN(2) == 0 {
 		d.Cancels, d.RunS = 0.3, 80
 	}
+	if rng.IntN(3) == 0 {
+		d.ImageS = 0.5 + 3*rng.Float64()
+	}
+	d.Berth = rng.IntN(3) == 0
 	for range 2 + rng.IntN(5) {
 		x := Trouble{At: 15*time.Second + time.Duration(rng.IntN(60_000))*time.Millisecond, Kind: kinds[rng.IntN(len(kinds))],
 			For: lasts[rng.IntN(4)], Count: 1 + rng.IntN(3), Follower: rng.IntN(2) == 0, Hang: rng.IntN(3) == 0}
 		switch x.Kind {
 		case Wave:
 			x.For, x.Count = 300*time.Millisecond, 3+rng.IntN(7)
+			x.HangFor = []time.Duration{0, 8 * time.Second, 20 * time.Second, time.Minute}[rng.IntN(4)]
 		case Outage:
 			x.For = max(x.For, time.Duration(rng.IntN(70))*time.Second)
 		}
@@ -312,6 +317,30 @@
 	}
 }
 
+// More long work than room, all the time: machines drain for jobs that need a whole one, and nobody waits 90 s beside
+// their empty room.
+func TestKeptMachinesHoldNobodyUp(t *testing.T) {
+	for seed := range uint64(4) {
+		if raced && seed > 0 {
+			continue
+		}
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			d := NewDay(seed, 12)
+			d.Workers, d.Cancels, d.RunS, d.PerSecond = paces[seed%2], -1, 110, 1.2
+			d.Room = 20
+			d.Lasts, d.After = 220*time.Second, 120*time.Second
+			d.Troubles = []Trouble{{At: 20 * time.Second, For: time.Second, Kind: Crash, Count: 1}}
+			// Three times what the machines can do: not all begin.
+			var r *Result
+			synctest.Test(t, func(t *testing.T) { r = d.Play(context.Background()) })
+			if len(r.Rules) > 0 || r.WaitedInVain > 0 || r.Forgotten > 0 || r.Tasks < 400 {
+				t.Errorf("%d jobs waited 90 s beside room for them, %d forgotten, %d tasks began, rules broken: %v", r.WaitedInVain, r.Forgotten, r.Tasks, r.Rules)
+			}
+		})
+	}
+}
+
 // Small jobs of a team never let its use sink below its limit, while the leader changes and machines are out of reach.
 // Its jobs that need more than ends at once are served all the same, and the largest begin in time; without room of
 // the limit reserved for them 13 to 19 never began on four of these days, of one class 0 to 35% were served
