--- a/controller/core.go
+++ b/controller/core.go
@@ -104,6 +104,8 @@
 	// reserveNext is when it is next looked for what drains for it.
 	reserveNext time.Time
 	kept        string
+	// passed: it was logged that it waits though there is room.
+	passed bool
 }
 
 // assign puts one task on one machine. It stays until that machine is proved
--- a/controller/mute_test.go
+++ b/controller/mute_test.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"strings"
@@ -46,8 +47,12 @@
 		s.commit()
 		for ; s.answered < len(s.sent); s.answered++ {
 			o := s.sent[s.answered]
-			r, _ := w.all[o.name].Direct(o.o)
 			w.count(o.name, o.o.Commands)
+			if w.all[o.name] == nil {
+				s.Answered(o.name, o.o, nil, false)
+				continue
+			}
+			r, _ := w.all[o.name].Direct(o.o)
 			s.Answered(o.name, o.o, r, true)
 		}
 	}
@@ -136,3 +141,34 @@
 		t.Errorf("%d tasks count 13 s after the last report, though their leases have ended; returned %v", n, w.gone)
 	}
 }
+
+// Reports that make no sense move nothing: of tasks that nobody has, with a tally that falls, of a machine that nobody
+// rented, and of an earlier session, minutes late.
+func TestReportsThatMakeNoSense(t *testing.T) {
+	s := newStage(t)
+	w := newMute(s, "a1", "a2")
+	w.run(time.Second)
+	s.submit("run-000001", 2, nil)
+	w.run(2 * time.Second)
+	where := func() (out []string) {
+		for _, i := range slices.Sorted(maps.Keys(s.jobs["run-000001"].live)) {
+			a := s.jobs["run-000001"].live[i]
+			out = append(out, fmt.Sprint(a.machine.Name, a.attempt, a.state))
+		}
+		return out
+	}
+	before, begun := where(), len(w.begun)
+	odd := func(name string, session, seq uint64, tasks ...api.TaskReport) {
+		s.Report(&api.Report{Machine: name, Address: name + ":1", Type: "m8", Zone: zoneOf(name), Session: session, Seq: seq, Helm: s.term, Tasks: tasks}, "")
+	}
+	for range 20 {
+		odd("a9", 1, 1, task("run-000001/0", 7, api.TaskRunning, ""), task("run-000001/99", 7, api.TaskRunning, ""))
+		odd("a1", 1, 1)
+		odd("a1", 0, 1<<40, task("run-000001/0", 1, api.TaskEnded, api.CauseStopped))
+		odd("a2", 1, 2, task("none", 0, "", ""), task("run-000001/-1", 1, api.TaskRunning, ""), task("run-999999/0", 1, api.TaskRunning, ""), task("run-000001/1/2", 1, "asleep", "?"))
+		w.run(5 * time.Second)
+	}
+	if len(before) != 2 || !slices.Equal(where(), before) || len(w.begun) != begun || slices.Contains(w.gone, "a1") || slices.Contains(w.gone, "a2") {
+		t.Errorf("tasks stood at %v, now at %v; returned %v", before, where(), w.gone)
+	}
+}
--- a/controller/rent.go
+++ b/controller/rent.go
@@ -123,6 +123,13 @@
 		if n := len(j.pending) + j.queued; n > 0 && j.Final == "" {
 			jobs++
 			waiting += float64(n) * j.need.CPUs
+			if since := latest(latest(j.ages, j.started), c.started); !j.passed && c.since(since) > tuning.PassedBy && c.withinLimit(j) && slices.ContainsFunc(c.byName(), func(m *machine) bool {
+				return m.Up && !m.returning && m.Spec != nil && c.allowed(j, m) && m.free().Holds(j.need)
+			}) {
+				// Users expect that nobody waits 90 s so. Said once.
+				j.passed = true
+				slog.Warn("job waits though a machine has room for it", "job", j.id, "class", j.Job.Class, "waited", c.since(since).Round(time.Second), "why", c.whyWaiting(j))
+			}
 		}
 	}
 	slog.Info("fleet", "machines", machines, "cpus", up, "running", running, "starting", starting, "stopping", stopping, "waiting_jobs", jobs, "waiting_cpus", waiting)
--- a/tuning/tuning.go
+++ b/tuning/tuning.go
@@ -416,6 +416,9 @@
 	// CancelStarts is how long the answer to a cancellation waits for starts that are under way: a command's answer
 	// takes milliseconds, a report after a change half a second, and users wait 5 s.
 	CancelStarts = time.Second
+	// PassedBy is after how long it is logged that a job waits though a machine has room for it: before users call
+	// that a fault, at 90 s.
+	PassedBy = time.Minute
 	// QuotaReserved is how long room of a team's limit is reserved without its coming, and QuotaRests how long there
 	// is none then: users expect that nobody waits 90 s while their team is under its limit.
 	QuotaReserved = time.Minute
