--- a/controller/core.go
+++ b/controller/core.go
@@ -262,8 +262,7 @@
 	// failed counts commands since that none answered.
 	reached time.Time
 	failed  int
-	// boots are, by type, the machines that came up of those rented last.
-	boots map[string]boot
+	boots   evidence.Boots
 	// hints are the images of machines that have not reported yet, as the last
 	// leader knew them; imagesNew: there is more to put on record since
 	// imagesAt.
@@ -303,7 +302,6 @@
 	c.heard = c.started
 	c.silence = evidence.New(c.started, seconds(set.Facts.Workers.LeaseS))
 	c.reached = c.started
-	c.boots = map[string]boot{}
 	c.workerMail = newMailroom(c, store.MailPrefix, store.MailKey, c.mailBody)
 	c.aims, c.grace = map[string][]float64{}, map[string][]float64{}
 	for _, o := range set.Facts.Objectives {
--- a/controller/images.go
+++ b/controller/images.go
@@ -1,13 +1,13 @@
 package controller
 
 import (
-	"encoding/json"
 	"log/slog"
+	"maps"
 	"strconv"
 	"strings"
 	"time"
 
-	"switchferry/fleet"
+	"switchferry/hints"
 	"switchferry/store"
 	"switchferry/tuning"
 )
@@ -68,42 +68,11 @@
 	if ms == nil {
 		return store.ImagesRecord{}, false
 	}
-	for each := tuning.ImagesEach; ; each /= 2 {
-		rec := imagesOf(ms, each)
-		raw, err := json.Marshal(rec)
-		if each == 0 || err == nil && len(raw) <= c.set.Facts.State.Least().ValueBytes() {
-			return rec, true
-		}
+	held := make([]hints.Machine, len(ms))
+	for i, m := range ms {
+		held[i] = hints.Machine{Name: m.Name, Images: m.Images()}
 	}
-}
-
-// imagesOf is the record of some machines, with so many images of each, the newest.
-func imagesOf(ms []*machine, each int) store.ImagesRecord {
-	rec := store.ImagesRecord{On: map[string][]int{}}
-	index := map[string]int{}
-	for _, m := range ms {
-		var on []int
-		for _, im := range m.Images() {
-			if len(on) >= each {
-				break
-			}
-			i, ok := index[im.Name]
-			if !ok {
-				raw, err := json.Marshal(im.Name)
-				if err != nil || len(raw) > tuning.ImagesNameBytes || len(index) >= tuning.ImagesNames {
-					continue
-				}
-				i = len(index)
-				index[im.Name] = i
-				rec.Names, rec.GB = append(rec.Names, im.Name), append(rec.GB, im.GB)
-			}
-			on = append(on, i)
-		}
-		if len(on) > 0 {
-			rec.On[m.Name] = on
-		}
-	}
-	return rec
+	return hints.Pack(held, c.set.Facts.State.Least().ValueBytes()), true
 }
 
 // Hint takes in what an earlier leader knew of images.
@@ -111,20 +80,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, it := range items {
-		var rec store.ImagesRecord
-		if err := json.Unmarshal(it.Value, &rec); err != nil || len(rec.Names) != len(rec.GB) {
+		held, err := hints.Unpack(it.Value)
+		if err != nil {
 			slog.Error("a record of images is damaged", "key", it.Key, "err", err)
 			continue
 		}
-		for name, on := range rec.On {
-			var images []fleet.Image
-			for _, i := range on {
-				if i >= 0 && i < len(rec.Names) {
-					images = append(images, fleet.Image{Name: rec.Names[i], GB: rec.GB[i]})
-				}
-			}
-			c.hints[name] = images
-		}
+		maps.Copy(c.hints, held)
 	}
 }
 
--- a/controller/node.go
+++ b/controller/node.go
@@ -34,6 +34,7 @@
 	"switchferry/sockets"
 	"switchferry/steering"
 	"switchferry/store"
+	"switchferry/supply"
 	"switchferry/topology"
 	"switchferry/tuning"
 	"switchferry/upgrade"
@@ -60,8 +61,6 @@
 	types   []api.MachineType
 	served  time.Time
 	refused time.Time
-	finals  map[string]store.FinalRecord
-	ring    []string
 	// hearing is when a worker last reported to this node itself; newest are the reports that did.
 	hearing time.Time
 	newest  *contact.Newest
@@ -78,8 +77,9 @@
 	// within that.
 	reads   *rate.Limiter
 	records *lookup.Jobs
-	// ends are the final states that it told users.
-	ends *lookup.Told
+	// finals are what it knows to be over, ends what it told users of that.
+	finals *lookup.Finals
+	ends   *lookup.Told
 
 	// topology is nil unless that feature is on.
 	topology *topology.File
@@ -117,7 +117,7 @@
 
 // NewNode makes a controller. Transport carries its calls to other services.
 func NewNode(ctx context.Context, set *settings.Settings, pol *policy.Policy, clock clockwork.Clock, transport http.RoundTripper) *Node {
-	n := &Node{set: set, policy: pol, clock: clock, ctx: ctx, born: clock.Now(), keeping: true, bounces: steering.NewBounces(), finals: map[string]store.FinalRecord{},
+	n := &Node{set: set, policy: pol, clock: clock, ctx: ctx, born: clock.Now(), keeping: true, bounces: steering.NewBounces(),
 		newest: contact.NewNewest(tuning.NewestKept)}
 	all := []string{set.Member}
 	for _, s := range set.Siblings {
@@ -135,7 +135,7 @@
 	share := tuning.ReadShare * set.Facts.State.RPS / float64(1+len(set.Siblings))
 	n.reads = rate.NewLimiter(rate.Limit(share), max(1, int(share)))
 	n.records = &lookup.Jobs{Client: n.client, Ended: n.finalOf, Keep: n.final, Turns: lookup.NewTurns(clock, n.reads)}
-	n.ends = lookup.NewTold()
+	n.finals, n.ends = lookup.NewFinals(), lookup.NewTold()
 	n.letterRate = letterRate(n)
 	writes := set.Facts.State.Least().WriteRPS
 	rest := writes * (1 - tuning.QuotaShare)
@@ -302,24 +302,10 @@
 	if f.State == api.Withdrawn {
 		n.word.Tell(n.clock.Now(), id)
 	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if _, ok := n.finals[id]; !ok {
-		n.ring = append(n.ring, id)
-		if len(n.ring) > tuning.FinalCache {
-			delete(n.finals, n.ring[0])
-			n.ring = n.ring[1:]
-		}
-	}
-	n.finals[id] = f
+	n.finals.Keep(id, f)
 }
 
-func (n *Node) finalOf(id string) (store.FinalRecord, bool) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	f, ok := n.finals[id]
-	return f, ok
-}
+func (n *Node) finalOf(id string) (store.FinalRecord, bool) { return n.finals.Of(id) }
 
 // source ties a term's core to its committer.
 type source struct {
@@ -1047,7 +1033,7 @@
 			n.mu.Lock()
 			types := n.types
 			n.mu.Unlock()
-			err, undecided = canRun(s, n.limit, types)
+			err, undecided = supply.CanRun(s, n.limit, types)
 		}
 		if err == nil {
 			if err = n.fits(s); err != nil {
--- a/controller/rent.go
+++ b/controller/rent.go
@@ -186,6 +186,21 @@
 	return all, ordinary
 }
 
+// overdue tells whether a machine that is not up yet more likely never will be: others are rented instead, while it
+// still has its time.
+func (c *Core) overdue(m *machine) bool {
+	if m.Up || !m.ours || m.Spec == nil {
+		return false
+	}
+	age := c.since(m.Rented)
+	late, others := c.boots.Overdue(m.Type, m.Rented, age, seconds(m.Spec.BootS))
+	if late && !m.noted {
+		m.noted = true
+		slog.Info("machine overdue", "machine", m.Name, "type", m.Type, "age", age.Round(time.Second), "others_took", others.Round(time.Second))
+	}
+	return late
+}
+
 // missing tells whether a machine should have reported by now. It may yet come
 // back, but others are rented in the meantime: they take long to boot.
 func (c *Core) missing(m *machine) bool {
--- a/controller/report.go
+++ b/controller/report.go
@@ -72,7 +72,10 @@
 	if first {
 		slog.Info("machine up", "machine", r.Machine, "type", r.Type, "zone", r.Zone, "spot", r.Spot, "after", now.Sub(m.Rented).Round(time.Second))
 		m.idle = now
-		c.cameUp(m, now)
+		m.noted = false
+		if m.ours {
+			c.boots.Up(m.Type, m.Rented, now.Sub(m.Rented))
+		}
 		c.kick()
 	}
 	if r.NoticeS != nil && m.TakenAt.IsZero() {
--- a/controller/silence.go
+++ b/controller/silence.go
@@ -104,11 +104,15 @@
 	x.Mute = c.mute(m)
 	x.Share, _ = c.silence.Share(m.Zone)
 	if !m.Up {
-		boot := 60.0
+		ready := tuning.ReadyUnknown
 		if m.Spec != nil {
-			boot = m.Spec.BootS
+			ready = seconds(m.Spec.BootS)
 		}
-		x.Waited = (len(m.assigns) > 0 || now.Sub(m.Rented) > max(l.Term, c.bootLimit(m, boot))) && now.Sub(c.silence.Woke()) > l.Term
+		limit := time.Duration(tuning.BootFactor * float64(ready))
+		if m.ours {
+			limit = c.boots.Limit(m.Type, m.Rented, ready)
+		}
+		x.Waited = (len(m.assigns) > 0 || now.Sub(m.Rented) > max(l.Term, limit)) && now.Sub(c.silence.Woke()) > l.Term
 	}
 	if x.Line == contact.HalfDeaf && !m.deafTold {
 		m.deafTold = true
--- a/controller/user.go
+++ b/controller/user.go
@@ -75,31 +75,6 @@
 	return st
 }
 
-// canRun checks a submission against teams and machine types. Not decided:
-// the machine types are not known yet.
-func canRun(s *api.Submission, team func(string) (cpus, cards float64, ok bool), types []api.MachineType) (err error, undecided bool) {
-	cpus, cards, ok := team(s.Team)
-	if !ok {
-		return &api.FieldError{Field: "owner", Want: "no such team"}, false
-	}
-	n := 1.0
-	if s.Shape != api.Array {
-		n = float64(s.Tasks)
-	}
-	if cpus > 0 && n*s.CPUs > cpus+tuning.RoomSlack || cards > 0 && n*s.Cards > cards+tuning.RoomSlack {
-		return &api.FieldError{Field: "parts", Want: "the job needs more than its team's limit"}, false
-	}
-	if len(types) == 0 {
-		return nil, true
-	}
-	for i := range types {
-		if types[i].Fits(s) {
-			return nil, false
-		}
-	}
-	return &api.FieldError{Field: "cores", Want: "a task fits no allowed machine type"}, false
-}
-
 // Known answers for a job in memory; false: it is not here, or what is here may be
 // old. That is looked at last: this process can stand still between any two steps,
 // while another one leads and cancels the job.
--- a/lookup/told.go
+++ b/lookup/told.go
@@ -6,9 +6,41 @@
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
 	"switchferry/api"
+	"switchferry/store"
 	"switchferry/tuning"
 )
 
+// Finals remembers jobs that are over, tuning.FinalCache of them. It is safe for use from several goroutines at once.
+type Finals struct {
+	mu   sync.Mutex
+	jobs *simplelru.LRU[string, store.FinalRecord]
+}
+
+// NewFinals remembers nothing yet.
+func NewFinals() *Finals { return &Finals{jobs: newLRU[store.FinalRecord]()} }
+
+// Keep notes that a job is over.
+func (f *Finals) Keep(id string, rec store.FinalRecord) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.jobs.Add(id, rec)
+}
+
+// Of is what is remembered of a job that is over.
+func (f *Finals) Of(id string) (store.FinalRecord, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.jobs.Peek(id)
+}
+
+func newLRU[T any]() *simplelru.LRU[string, T] {
+	l, err := simplelru.NewLRU[string, T](tuning.FinalCache, nil)
+	if err != nil {
+		panic(err) // only for a limit below one
+	}
+	return l
+}
+
 // Told remembers the final states that one process has told users, so that what it read before, from memory, from
 // the leader or from the records, is not told after (reads are monotonic in one process). It is safe for use from
 // several goroutines at once.
@@ -18,13 +50,7 @@
 }
 
 // NewTold remembers tuning.FinalCache jobs.
-func NewTold() *Told {
-	ended, err := simplelru.NewLRU[string, api.JobStatus](tuning.FinalCache, nil)
-	if err != nil {
-		panic(err) // only for a limit below one
-	}
-	return &Told{ended: ended}
-}
+func NewTold() *Told { return &Told{ended: newLRU[api.JobStatus]()} }
 
 // Newest is what may be told of a job for which st was found: st, or the final state that was told already. Older
 // is true for the latter.
--- a/tuning/tuning.go
+++ b/tuning/tuning.go
@@ -301,6 +301,8 @@
 	// a cut is left alone. Its zone's controllers may be keeping its tasks
 	// alive; replicas that are spread could not run elsewhere anyway.
 	CutLeases = 6
+	// ReadyUnknown is what a machine whose type is not known is taken to need to boot.
+	ReadyUnknown = time.Minute
 	// ReturnFreely is the silent share of a zone up to which its machines are given up as
 	// they become due; up to ReturnSlowly, ReturnShare of the zone's machines a second are,
 	// above it a fifth of that. ReturnAtOnce of them, and ReturnAnyway machines, may go
