--- a/internal/world/world_test.go
+++ b/internal/world/world_test.go
@@ -217,6 +217,32 @@
 	}
 }
 
+// meet plays a meeting at both paces of workers, alone and with an end of the leader in the middle, which is back within
+// a second. Change, if there is one, makes the day another.
+func meet(t *testing.T, name string, change func(d *Day), troubles []Trouble) {
+	for i, pace := range paces {
+		for _, crash := range []bool{false, true} {
+			if raced && (i > 0 || crash == (len(name)%2 == 0)) {
+				continue
+			}
+			t.Run(fmt.Sprintf("%s, reports every %g s, leader ends %v", name, pace.ReportS, crash), func(t *testing.T) {
+				t.Parallel()
+				d := NewDay(uint64(len(name)), 12)
+				d.Workers, d.Cancels, d.RunS, d.PerSecond = pace, 0.15, 40, 1
+				d.Lasts = 100 * time.Second
+				if change != nil {
+					change(d)
+				}
+				d.Troubles = troubles
+				if crash {
+					d.Troubles = append(slices.Clone(troubles), Trouble{At: 33 * time.Second, For: 700 * time.Millisecond, Kind: Crash, Count: 1})
+				}
+				play(t, d)
+			})
+		}
+	}
+}
+
 // The operators' meetings of two troubles (docs/meetings.md), in their order, each alone and with an end of the
 // leader in the middle, which is back within a second.
 func TestMeetings(t *testing.T) {
@@ -233,24 +259,7 @@
 		"ends far apart across a change of leader":                             {{At: at(20), For: at(0.3), Kind: Crash, Count: 1}, {At: at(32), For: at(3), Kind: Crash, Count: 1}, {At: at(44), For: at(3), Kind: Crash, Count: 3}, {At: at(18), For: at(40), Kind: LateWrites}},
 		"leader ends while machines are out of reach, or deaf":                 {{At: at(22), For: at(50), Kind: CutZone}, {At: at(24), For: at(3), Kind: Crash, Count: 1}, {At: at(30), For: at(50), Kind: HalfDeaf, Count: 3}, {At: at(34), For: at(0.5), Kind: Wave, Count: 4}},
 	} {
-		for i, pace := range paces {
-			for _, crash := range []bool{false, true} {
-				if raced && (i > 0 || crash == (len(name)%2 == 0)) {
-					continue
-				}
-				t.Run(fmt.Sprintf("%s, reports every %g s, leader ends %v", name, pace.ReportS, crash), func(t *testing.T) {
-					t.Parallel()
-					d := NewDay(uint64(len(name)), 12)
-					d.Workers, d.Cancels, d.RunS, d.PerSecond = pace, 0.15, 40, 1
-					d.Lasts = 100 * time.Second
-					d.Troubles = troubles
-					if crash {
-						d.Troubles = append(slices.Clone(troubles), Trouble{At: at(33), For: at(0.7), Kind: Crash, Count: 1})
-					}
-					play(t, d)
-				})
-			}
-		}
+		meet(t, name, nil, troubles)
 	}
 }
 
@@ -292,28 +301,7 @@
 		"late writes across two changes":                           {nil, []Trouble{{At: at(15), For: at(60), Kind: LateWrites}, {At: at(30), For: at(1), Kind: Crash, Count: 1}, wave(33), {At: at(36), For: at(1), Kind: Crash, Count: 1}, wave(50), {At: at(52), For: at(1), Kind: Crash, Count: 2}}},
 		"odd requests, leaders change":                             {nil, append(changes(20, 9), Trouble{At: at(15), For: at(100), Kind: Odd}, Trouble{At: at(60), For: at(10), Kind: Outage})},
 	} {
-		for i, pace := range paces {
-			for _, crash := range []bool{false, true} {
-				if raced && (i > 0 || crash == (len(name)%2 == 0)) {
-					continue
-				}
-				t.Run(fmt.Sprintf("%s, reports every %g s, leader ends %v", name, pace.ReportS, crash), func(t *testing.T) {
-					t.Parallel()
-					d := NewDay(uint64(len(name)), 12)
-					d.Workers, d.Cancels, d.RunS, d.PerSecond = pace, 0.15, 40, 1
-					d.Lasts = 100 * time.Second
-					if c.day != nil {
-						c.day(d)
-					}
-					d.Troubles = c.troubles
-					if crash {
-						d.Troubles = append(slices.Clone(c.troubles), Trouble{At: at(33), For: at(0.7), Kind: Crash, Count: 1})
-					}
-					r := play(t, d)
-					t.Logf("%+v", *r)
-				})
-			}
-		}
+		meet(t, name, c.day, c.troubles)
 	}
 }
 
