Scale run on real controllers: internal/cluster, experiment scale; recovery, handover and upgrade share it; capacity from slopes

Need: the operators' future size (1,600 workers, 38,000 tasks) was measured in one process only, and three experiments each had a rig of their own.

--- /dev/null
+++ b/capacity/capacity.go
@@ -0,0 +1,239 @@
+// Package capacity tells what a deployment of some size needs, from figures that were measured at smaller and larger
+// ones. A figure is fitted as a constant and a slope each for workers, running tasks and starts a second; what the fit
+// says is given with its residual, and marked where it lies beyond what was measured. The package is pure: it measures
+// nothing and reads no clock.
+package capacity
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+
+	"gonum.org/v1/gonum/mat"
+)
+
+// Figures that are fitted, with their units.
+const (
+	LeaderCPU         = "leader_cpu"         // share of one core, mean
+	LeaderPeak        = "leader_cpu_p99"     // share of one core, 99th percentile of seconds
+	LeaderMemory      = "leader_memory"      // MB resident
+	LeaderSockets     = "leader_descriptors" // open descriptors
+	FollowerCPU       = "follower_cpu"       // share of one core, mean, of the busier follower
+	FollowerMemory    = "follower_memory"    // MB resident
+	FollowerSockets   = "follower_sockets"   // open descriptors
+	TakeoverPeak      = "takeover_cpu_peak"  // share of one core, busiest second after a change of leader
+	TakeoverMemory    = "takeover_memory"    // MB resident, new leader
+	StateRequests     = "state_requests"     // requests a second of all controllers
+	StateTransactions = "state_transactions" // transactions a second of all controllers
+	StateChanges      = "state_changes"      // puts and deletes a second of all controllers
+	ReportBytes       = "report_bytes"       // bytes a second of one worker's reports and their answers
+	CommandMessages   = "command_messages"   // direct commands a second of all workers
+	SiblingBytes      = "sibling_bytes"      // bytes a second between all controllers
+	CloudRequests     = "cloud_requests"     // requests a second of all controllers
+	HollowCPU         = "worker_cpu_at_most" // share of one core of one hollow worker, the stand-ins included
+	TakeoverFirst     = "takeover_first"     // seconds from a crash of the leader to the first start
+	TakeoverAll       = "takeover_all_heard" // seconds until every worker was answered by the new leader
+	StartsPerSecond   = "starts"             // starts a second, as counted
+)
+
+// Measurement is what was measured of a deployment at one size.
+type Measurement struct {
+	Name    string  `json:"name"`
+	Workers float64 `json:"workers"`
+	Tasks   float64 `json:"tasks"`
+	Starts  float64 `json:"starts_per_s"`
+	// Figures may lack some.
+	Figures map[string]float64 `json:"figures"`
+}
+
+// Size is a deployment that is asked about.
+type Size struct {
+	Workers       float64 `json:"workers"`
+	Tasks         float64 `json:"tasks"`
+	JobsPerDay    float64 `json:"jobs_per_day"`
+	Starts        float64 `json:"starts_per_s"`
+	Teams         float64 `json:"teams"`
+	ChangesPerDay float64 `json:"configuration_changes_per_day"`
+}
+
+// Planned is the size that operators have named.
+func Planned() Size {
+	return Size{Workers: 1600, Tasks: 38_000, JobsPerDay: 8900, Starts: 97, Teams: 110, ChangesPerDay: 610}
+}
+
+// Times is the size in which all is so many times as much.
+func (s Size) Times(factor float64) Size {
+	return Size{s.Workers * factor, s.Tasks * factor, s.JobsPerDay * factor, s.Starts * factor, s.Teams * factor, s.ChangesPerDay * factor}
+}
+
+// Slopes are what one figure grows with.
+type Slopes struct {
+	Constant  float64 `json:"constant"`
+	PerWorker float64 `json:"per_worker"`
+	PerTask   float64 `json:"per_task"`
+	PerStart  float64 `json:"per_start_a_second"`
+	// Residual is the largest deviation of a measured point from the fit, as a share of the measured value; Points is
+	// how many points there were, of the sizes from Least to Most.
+	Residual    float64 `json:"residual"`
+	Points      int     `json:"points"`
+	Least, Most Size    `json:"-"`
+}
+
+// At is the fitted value of a size.
+func (f Slopes) At(s Size) float64 {
+	return f.Constant + f.PerWorker*s.Workers + f.PerTask*s.Tasks + f.PerStart*s.Starts
+}
+
+// Beyond tells whether a size lies outside of what was measured.
+func (f Slopes) Beyond(s Size) bool {
+	out := func(v, least, most float64) bool { return v < least || v > most }
+	return out(s.Workers, f.Least.Workers, f.Most.Workers) || out(s.Tasks, f.Least.Tasks, f.Most.Tasks) || out(s.Starts, f.Least.Starts, f.Most.Starts)
+}
+
+// Model has the slopes of every figure.
+type Model map[string]Slopes
+
+// leastPoints is how many sizes a fit needs.
+const leastPoints = 4
+
+// ErrTooFew: there are not enough measurements of a figure.
+var ErrTooFew = errors.New("too few measurements")
+
+// Fit fits every figure that was measured at four sizes or more; of others there are no slopes.
+func Fit(all []Measurement) (Model, error) {
+	names := map[string]bool{}
+	for _, m := range all {
+		for name := range m.Figures {
+			names[name] = true
+		}
+	}
+	model := Model{}
+	for _, name := range slices.Sorted(maps.Keys(names)) {
+		slopes, err := fitFigure(name, all)
+		if errors.Is(err, ErrTooFew) {
+			continue
+		}
+		if err != nil {
+			return nil, err
+		}
+		model[name] = slopes
+	}
+	if len(model) == 0 {
+		return nil, fmt.Errorf("%w: no figure was measured at %d sizes", ErrTooFew, leastPoints)
+	}
+	return model, nil
+}
+
+// predictors are what a figure may grow with.
+var predictors = []func(m Measurement) float64{
+	func(Measurement) float64 { return 1 },
+	func(m Measurement) float64 { return m.Workers },
+	func(m Measurement) float64 { return m.Tasks },
+	func(m Measurement) float64 { return m.Starts },
+}
+
+// fitFigure finds the slopes with the least squares of relative errors, so that small sizes count as much as large
+// ones. Nothing costs less the more there is of it: a slope that comes out negative is left out, the most negative
+// first, and the rest is fitted anew.
+func fitFigure(name string, all []Measurement) (Slopes, error) {
+	var points []Measurement
+	for _, m := range all {
+		if v, ok := m.Figures[name]; ok && v > 0 {
+			points = append(points, m)
+		}
+	}
+	if len(points) < leastPoints {
+		return Slopes{}, fmt.Errorf("%s: %w: %d, at least %d", name, ErrTooFew, len(points), leastPoints)
+	}
+	used := []int{0, 1, 2, 3}
+	var coefficients []float64
+	for {
+		var err error
+		if coefficients, err = leastSquares(name, points, used); err != nil {
+			// Some grew together, so they cannot be told apart: the one with the least to say goes.
+			if len(used) == 1 {
+				return Slopes{}, fmt.Errorf("%s: %w", name, err)
+			}
+			used = used[:len(used)-1]
+			continue
+		}
+		worst := -1
+		for i, c := range coefficients {
+			if c < 0 && (worst < 0 || relative(points, used[i], c) < relative(points, used[worst], coefficients[worst])) {
+				worst = i
+			}
+		}
+		if worst < 0 {
+			break
+		}
+		used = slices.Delete(slices.Clone(used), worst, worst+1)
+		if len(used) == 0 {
+			return Slopes{}, fmt.Errorf("%s: no slope fits", name)
+		}
+	}
+	out := Slopes{Points: len(points), Least: sizeOf(points[0]), Most: sizeOf(points[0])}
+	for i, predictor := range used {
+		*[]*float64{&out.Constant, &out.PerWorker, &out.PerTask, &out.PerStart}[predictor] = coefficients[i]
+	}
+	for _, p := range points {
+		size := sizeOf(p)
+		out.Residual = math.Max(out.Residual, math.Abs(out.At(size)-p.Figures[name])/p.Figures[name])
+		out.Least, out.Most = smaller(out.Least, size), larger(out.Most, size)
+	}
+	return out, nil
+}
+
+// relative is how much a coefficient weighs at the largest point.
+func relative(points []Measurement, predictor int, coefficient float64) float64 {
+	most := 0.0
+	for _, p := range points {
+		most = math.Max(most, predictors[predictor](p))
+	}
+	return most * coefficient
+}
+
+func leastSquares(name string, points []Measurement, used []int) ([]float64, error) {
+	if len(points) < len(used) {
+		return nil, fmt.Errorf("%w: %d points for %d slopes", ErrTooFew, len(points), len(used))
+	}
+	rows := mat.NewDense(len(points), len(used), nil)
+	values := mat.NewVecDense(len(points), nil)
+	// Each column is scaled to its largest entry, else tens of thousands of tasks stand beside a constant of one.
+	scale := make([]float64, len(used))
+	for j, predictor := range used {
+		scale[j] = relative(points, predictor, 1)
+		if scale[j] == 0 {
+			scale[j] = 1
+		}
+	}
+	for i, p := range points {
+		v := p.Figures[name]
+		values.SetVec(i, 1)
+		for j, predictor := range used {
+			rows.Set(i, j, predictors[predictor](p)/scale[j]/v)
+		}
+	}
+	var qr mat.QR
+	qr.Factorize(rows)
+	var solution mat.VecDense
+	if err := qr.SolveVecTo(&solution, false, values); err != nil {
+		return nil, err
+	}
+	out := make([]float64, len(used))
+	for j := range out {
+		out[j] = solution.AtVec(j) / scale[j]
+	}
+	return out, nil
+}
+
+func sizeOf(m Measurement) Size { return Size{Workers: m.Workers, Tasks: m.Tasks, Starts: m.Starts} }
+
+func smaller(a, b Size) Size {
+	return Size{Workers: math.Min(a.Workers, b.Workers), Tasks: math.Min(a.Tasks, b.Tasks), Starts: math.Min(a.Starts, b.Starts)}
+}
+
+func larger(a, b Size) Size {
+	return Size{Workers: math.Max(a.Workers, b.Workers), Tasks: math.Max(a.Tasks, b.Tasks), Starts: math.Max(a.Starts, b.Starts)}
+}
--- /dev/null
+++ b/capacity/table.go
@@ -0,0 +1,163 @@
+package capacity
+
+import (
+	"cmp"
+	_ "embed"
+	"encoding/json"
+	"fmt"
+	"math"
+	"os"
+	"slices"
+
+	"switchferry/settings"
+)
+
+// Record is what the scale run wrote down: the steps, and what a job writes by its shape.
+type Record struct {
+	// Measured says how and where.
+	Measured     string        `json:"measured"`
+	Command      string        `json:"command"`
+	Measurements []Measurement `json:"measurements"`
+	Jobs         []JobCost     `json:"jobs"`
+}
+
+// JobCost is what one job of a shape costs the state service, from accept to the removal of its records.
+type JobCost struct {
+	Shape   string `json:"shape"`
+	Tasks   int    `json:"tasks"`
+	Changes int    `json:"changes"`
+	// By is how many of the changes were of which records.
+	By map[string]int `json:"by"`
+}
+
+//go:embed measured.json
+var embedded []byte
+
+// Embedded is the record of the scale run that docs/CAPACITY.md tells of.
+func Embedded() (*Record, error) {
+	var r Record
+	if err := json.Unmarshal(embedded, &r); err != nil {
+		return nil, fmt.Errorf("the embedded measurements are damaged: %w", err)
+	}
+	return &r, nil
+}
+
+// Row is one figure of a role at a size.
+type Row struct {
+	Role   string  `json:"role"`
+	Figure string  `json:"figure"`
+	Unit   string  `json:"unit"`
+	Value  float64 `json:"value"`
+	// Larger is the value at one and a half times the size.
+	Larger float64 `json:"value_at_1_5"`
+	// Residual is the fit's; Beyond: the size, LargerBeyond: one and a half times the size, lies outside of what was
+	// measured.
+	Residual     float64 `json:"residual"`
+	Beyond       bool    `json:"beyond_measured"`
+	LargerBeyond bool    `json:"beyond_measured_at_1_5"`
+}
+
+// columns are the figures of the table in its order.
+var columns = []struct{ role, figure, name, unit string }{
+	{"worker", ReportBytes, "reports and answers", "bytes/s"},
+	{"worker", HollowCPU, "processor time at most", "cores"},
+	{"follower", FollowerCPU, "processor time, mean", "cores"},
+	{"follower", FollowerMemory, "memory", "MB"},
+	{"follower", FollowerSockets, "descriptors", ""},
+	{"leader", LeaderCPU, "processor time, mean", "cores"},
+	{"leader", LeaderPeak, "processor time, p99 of seconds", "cores"},
+	{"leader", LeaderMemory, "memory", "MB"},
+	{"leader", LeaderSockets, "descriptors", ""},
+	{"new leader", TakeoverPeak, "processor time, busiest second", "cores"},
+	{"new leader", TakeoverMemory, "memory", "MB"},
+	{"new leader", TakeoverFirst, "crash to the first start", "s"},
+	{"new leader", TakeoverAll, "crash until all are answered", "s"},
+	{"state service", StateRequests, "requests", "1/s"},
+	{"state service", StateTransactions, "transactions", "1/s"},
+	{"state service", StateChanges, "changes", "1/s"},
+	{"cloud", CloudRequests, "requests", "1/s"},
+	{"controllers", SiblingBytes, "between them", "bytes/s"},
+	{"controllers", CommandMessages, "direct commands", "1/s"},
+}
+
+// Table has a row for each figure that was measured.
+func (m Model) Table(size Size) (rows []Row) {
+	larger := size.Times(1.5)
+	for _, c := range columns {
+		slopes, ok := m[c.figure]
+		if !ok {
+			continue
+		}
+		rows = append(rows, Row{Role: c.role, Figure: c.name, Unit: c.unit, Value: slopes.At(size), Larger: slopes.At(larger), Residual: slopes.Residual,
+			Beyond: slopes.Beyond(size), LargerBeyond: slopes.Beyond(larger)})
+	}
+	return rows
+}
+
+// Limit is one bound of a deployment, and how large the deployment can grow within it.
+type Limit struct {
+	Name   string  `json:"limit"`
+	Bound  float64 `json:"bound"`
+	Needed float64 `json:"needed"`
+	// Factor is how many times the size fits; below 1 the size itself does not.
+	Factor float64 `json:"fits_times"`
+	// Beyond: the size at which it ends lies outside of what was measured.
+	Beyond bool `json:"beyond_measured"`
+}
+
+// usedShare is how much of a limit the controllers' own throttles leave themselves.
+const usedShare = 0.8
+
+// Limits are the bounds that a settings file sets, the one that is met first coming first.
+func (m Model) Limits(size Size, set *settings.Settings) (limits []Limit) {
+	least := set.Facts.State.Least()
+	for _, l := range []struct {
+		name, figure string
+		bound        float64
+	}{
+		{"facts.resources.cpu, leader's mean", LeaderCPU, set.Facts.Resources.CPU},
+		{"facts.resources.cpu, leader's p99 of seconds", LeaderPeak, set.Facts.Resources.CPU},
+		{"facts.resources.cpu, a new leader's busiest second", TakeoverPeak, set.Facts.Resources.CPU},
+		{"facts.resources.ram_mb, leader", LeaderMemory, set.Facts.Resources.RAMMB},
+		{"facts.resources.sockets, leader", LeaderSockets, float64(set.Facts.Resources.Sockets)},
+		{"facts.resources.sockets, follower", FollowerSockets, float64(set.Facts.Resources.Sockets)},
+		{"facts.state.rps", StateRequests, usedShare * set.Facts.State.RPS},
+		{"facts.state.write_rps", StateChanges, usedShare * least.WriteRPS},
+		{"facts.cloud.rps", CloudRequests, set.Facts.Cloud.RPS},
+	} {
+		slopes, ok := m[l.figure]
+		if !ok || l.bound <= 0 {
+			continue
+		}
+		factor := slopes.fits(size, l.bound)
+		limits = append(limits, Limit{Name: l.name, Bound: l.bound, Needed: slopes.At(size), Factor: factor, Beyond: slopes.Beyond(size.Times(factor))})
+	}
+	sortLimits(limits)
+	return limits
+}
+
+// fits is how many times a size stays within a bound; all fits are linear, so is this.
+func (f Slopes) fits(size Size, bound float64) float64 {
+	grows := f.At(size) - f.Constant
+	if grows <= 0 {
+		return math.MaxFloat64
+	}
+	return math.Max(0, (bound-f.Constant)/grows)
+}
+
+func sortLimits(limits []Limit) {
+	slices.SortStableFunc(limits, func(a, b Limit) int { return cmp.Compare(a.Factor, b.Factor) })
+}
+
+// Read reads a record that a scale run wrote.
+func Read(file string) (*Record, error) {
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fmt.Errorf("measurements: %w", err)
+	}
+	var r Record
+	if err := json.Unmarshal(raw, &r); err != nil {
+		return nil, fmt.Errorf("measurements: %s is not what `experiment scale --slopes` writes: %w", file, err)
+	}
+	return &r, nil
+}
--- a/cli/experiment.go
+++ b/cli/experiment.go
@@ -23,7 +23,7 @@
 // experimentCommand plays workloads and measures them.
 func experimentCommand() *cobra.Command {
 	cmd := &cobra.Command{Use: "experiment", Short: "Play workloads on this machine and measure them"}
-	cmd.AddCommand(localityCommand(), recoveryCommand(), orderCommand(), topologyExperiment(), upgradeExperiment(), handoverExperiment(), gapsCommand(), dayEndExperiment())
+	cmd.AddCommand(localityCommand(), recoveryCommand(), orderCommand(), topologyExperiment(), upgradeExperiment(), handoverExperiment(), gapsCommand(), dayEndExperiment(), scaleCommand())
 	return cmd
 }
 
@@ -189,14 +189,17 @@
 	x := experiment.RecoveryDefaults()
 	var asJSON bool
 	cmd := &cobra.Command{Use: "recovery", Short: "How a fleet comes through a crash of the leader, of all controllers, and a cut of a zone", Args: cobra.NoArgs,
-		Long: "Three controllers as they run in serve, on the project's stand-ins of state service, cloud and workers, on the real clock in one\n" +
-			"process. Once the fleet is at work, the leader is crashed, or all controllers, or the leader's zone is cut off; then it is watched\n" +
-			"for a minute. Takes some two minutes a size and case.",
+		Long: "Three processes of this program, and hollow workers in this one, over loopback, with the project's stand-ins of state service and\n" +
+			"cloud. Once the fleet is at work, the leader is crashed, or all controllers, or the leader's zone is cut off; then it is watched\n" +
+			"for a minute. Takes some two minutes a size and case. experiment scale plays more of it at full load.",
 		Example: "  switchferry experiment recovery --sizes 300 --cases leader\n  switchferry experiment recovery --json > recovery.json",
-		RunE: func(cmd *cobra.Command, _ []string) error {
+		RunE: func(cmd *cobra.Command, _ []string) (err error) {
+			if x.Program, err = os.Executable(); err != nil {
+				return coded(ExitFailed, err)
+			}
 			return play(cmd, asJSON, &x.Progress, x.Run, func(res *experiment.RecoveryResult, t table.Writer) {
 				t.SetTitle("seed %d; %s", res.Seed, res.Measured)
-				t.AppendHeader(table.Row{"machines", "case", "first start s", "all heard s", "returned in vain", "tasks lost in vain", "peak, cores"})
+				t.AppendHeader(table.Row{"machines", "case", "first start s", "all heard s", "returned in vain", "tasks lost in vain", "leader's peak, cores"})
 				for _, r := range res.Sizes {
 					t.AppendRow(table.Row{r.Machines, r.Case, fmt.Sprintf("%.1f", r.FirstStart), fmt.Sprintf("%.1f", r.HeardAll), r.ReturnedInVain, r.LostInVain, fmt.Sprintf("%.2f", r.PeakShare)})
 				}
--- a/cli/serve.go
+++ b/cli/serve.go
@@ -71,7 +71,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(membersCommand(), stagerCommand(), dataCommand(), topologyCommand(), explainCommand(), experimentCommand(), serveCommand(), checkCommand(), versionCommand(), policyCommand(), submitCommand(),
+	root.AddCommand(capacityCommand(), membersCommand(), stagerCommand(), dataCommand(), topologyCommand(), explainCommand(), experimentCommand(), serveCommand(), checkCommand(), versionCommand(), policyCommand(), submitCommand(),
 		jobCommand("status", "Show a job's state", http.MethodGet, ""),
 		jobCommand("cancel", "Cancel a job", http.MethodPost, "/cancel"))
 	return root
--- a/experiment/handover.go
+++ b/experiment/handover.go
@@ -5,19 +5,14 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
-	"math/rand/v2"
 	"net/http"
-	"os"
-	"path/filepath"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
-	"github.com/jonboulle/clockwork"
 
 	"switchferry/api"
-	"switchferry/internal/standin"
+	"switchferry/settings"
 )
 
 // Handover rolls three real processes on loopback, each told to end, or killed, and begun again,
@@ -63,30 +58,17 @@
 }
 
 func (x *Handover) play(ctx context.Context, told bool) (*HandedOver, error) {
-	ctx, stop := context.WithCancel(ctx)
-	defer stop()
-	dir, err := os.MkdirTemp("", "handover")
+	r, err := newUpgraded(ctx, UpgradeDefaults(), x.Seed, settings.State{RPS: 2000, WriteRPS: 800, ValueKB: 16, TxnOps: 12})
 	if err != nil {
 		return nil, err
 	}
-	defer os.RemoveAll(dir)
-	features := filepath.Join(dir, "features.toml")
-	if err := os.WriteFile(features, []byte("[membership]\non = true\n"), 0o600); err != nil {
+	defer r.cluster.Close()
+	if err := r.cluster.EnableFeatures("[membership]\non = true\n"); err != nil {
 		return nil, err
 	}
-	r := &upgraded{Upgrade: UpgradeDefaults(), dir: dir, rng: rand.New(rand.NewPCG(x.Seed, 0)), clock: clockwork.NewRealClock(), http: &http.Client{Timeout: 4 * time.Second},
-		on: map[string]string{}, ended: map[string]bool{}, jobs: map[string]*asked{}, args: []string{"--features", features},
-		limits: standin.Limits{RPS: 2000, WriteRPS: 800, ValueKB: 16, TxnOps: 12}}
-	end, err := r.world(ctx)
-	if err != nil {
+	if err := r.startAll(x.Program); err != nil {
 		return nil, err
 	}
-	defer end()
-	for _, m := range r.nodes {
-		if err := r.start(m, x.Program); err != nil {
-			return nil, err
-		}
-	}
 	if err := r.until(ctx, 20*time.Second, func() bool { return r.submit(ctx, nil, 1) }); err != nil {
 		return nil, err
 	}
@@ -105,19 +87,17 @@
 	res := &HandedOver{Way: "killed"}
 	ends := hdrhistogram.New(1, 60_000, 3)
 	for range x.Rolls {
-		for _, m := range r.nodes {
+		for _, m := range r.cluster.Controllers {
 			began := time.Now()
 			if told {
 				res.Way = "told"
-				_ = m.cmd.Process.Signal(syscall.SIGTERM)
-				_ = m.cmd.Wait()
-				m.cmd = nil
+				m.Terminate()
 			} else {
-				m.end()
+				m.Kill()
 			}
 			_ = ends.RecordValue(time.Since(began).Milliseconds())
 			res.Ends++
-			if err := r.start(m, x.Program); err != nil {
+			if err := m.Start(x.Program); err != nil {
 				home()
 				return nil, err
 			}
@@ -153,9 +133,9 @@
 func (u *users) balance(ctx context.Context) {
 	failed := map[int]int{}
 	for ctx.Err() == nil {
-		for i, m := range u.r.nodes {
+		for i, m := range u.r.cluster.Controllers {
 			call, stop := context.WithTimeout(ctx, time.Second)
-			status, _, err := u.r.call(call, http.MethodGet, m.set.Listen, "/ready", nil)
+			status, _, err := u.r.call(call, http.MethodGet, m, "/ready", nil)
 			stop()
 			if err == nil && status == http.StatusOK {
 				failed[i] = 0
@@ -194,11 +174,11 @@
 	status, why := 0, []byte(nil)
 	for try := 0; try < 3 && err == nil && status == 0; try++ {
 		u.mu.Lock()
-		i := (first + try) % len(u.r.nodes)
+		i := (first + try) % len(u.r.cluster.Controllers)
 		ready := u.ready[i]
 		u.mu.Unlock()
 		if ready {
-			status, why, _ = u.r.call(ctx, http.MethodPost, u.r.nodes[i].set.Listen, "/submissions", raw)
+			status, why, _ = u.r.call(ctx, http.MethodPost, u.r.cluster.Controllers[i], "/submissions", raw)
 		}
 	}
 	if ctx.Err() != nil {
--- a/experiment/upgrade.go
+++ b/experiment/upgrade.go
@@ -1,28 +1,21 @@
 package experiment
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"log/slog"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
 	"time"
 
-	"github.com/jonboulle/clockwork"
-	"github.com/pelletier/go-toml/v2"
-
 	"switchferry/api"
+	"switchferry/internal/cluster"
 	"switchferry/internal/standin"
 	"switchferry/settings"
 )
@@ -89,18 +82,12 @@
 	return res, nil
 }
 
-// upgraded is one run under way.
+// upgraded is one run under way. It observes the workers.
 type upgraded struct {
 	*Upgrade
-	dir   string
-	rng   *rand.Rand
-	clock clockwork.Clock
-	nodes []*member
-	http  *http.Client
-	// args are further arguments of the programs.
-	args   []string
-	state  *standin.State
-	limits standin.Limits
+	rng     *rand.Rand
+	cluster *cluster.Cluster
+	limits  settings.State
 
 	mu    sync.Mutex
 	res   Upgraded
@@ -112,12 +99,6 @@
 	idle      time.Duration
 }
 
-type member struct {
-	set     *settings.Settings
-	program string
-	cmd     *exec.Cmd
-}
-
 // asked is a job as its user knows it.
 type asked struct {
 	api.Submission
@@ -125,50 +106,54 @@
 	told                string
 }
 
-// serve answers on a loopback port with what a stand-in says.
-func serve(rt http.RoundTripper) (addr string, stop func(), err error) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+// sunken are the limits of the state service from some moment on.
+var sunken = settings.NextState{WriteRPS: 42, ValueKB: 2, TxnOps: 4}
+
+// newUpgraded starts the stand-ins and workers of a run; no controller runs yet.
+func newUpgraded(ctx context.Context, x *Upgrade, seed uint64, limits settings.State) (*upgraded, error) {
+	limits.Next = sunken
+	r := &upgraded{Upgrade: x, rng: rand.New(rand.NewPCG(seed, 0)), limits: limits, res: Upgraded{Seed: seed}, on: map[string]string{}, ended: map[string]bool{}, jobs: map[string]*asked{}}
+	zones := []string{"east"}
+	var err error
+	r.cluster, err = cluster.New(ctx, cluster.Options{Zones: []string{"east", "east", "east"}, Room: 0,
+		Type: api.MachineType{Name: "m", CPUs: 8, MemoryGB: 32, CacheGB: 50, PullGBs: 1, BootS: 40, Price: 1, SpotPrice: 0.5, Zones: zones},
+		Facts: settings.Facts{Nodes: 3, Zones: zones, Teams: []settings.Team{{Name: "team"}}, Workers: settings.Workers{ReportS: 0.5, LeaseS: 5, CancelS: 20},
+			State: limits, Cloud: settings.Cloud{RPS: 20, ListLagS: 1}, Resources: settings.Resources{CPU: 1, RAMMB: 200, Sockets: 500}},
+		Runs:  func(task string) time.Duration { return time.Duration(500+200*(len(task)%7)) * time.Millisecond },
+		Audit: r})
 	if err != nil {
-		return "", nil, err
+		return nil, err
 	}
-	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		resp, err := rt.RoundTrip(r)
-		if err != nil {
-			panic(http.ErrAbortHandler)
+	if err := r.cluster.AddWorkers(x.Workers, zones); err != nil {
+		r.cluster.Close()
+		return nil, err
+	}
+	return r, nil
+}
+
+// startAll starts every controller with a program.
+func (r *upgraded) startAll(program string) error {
+	for _, c := range r.cluster.Controllers {
+		if err := c.Start(program); err != nil {
+			return err
 		}
-		defer resp.Body.Close()
-		w.WriteHeader(resp.StatusCode)
-		_, _ = io.Copy(w, resp.Body)
-	}), ReadHeaderTimeout: time.Second}
-	go func() { _ = s.Serve(l) }()
-	return l.Addr().String(), func() { _ = s.Close() }, nil
+	}
+	return nil
 }
 
 func (x *Upgrade) play(ctx context.Context, seed uint64) (*Upgraded, error) {
-	ctx, stop := context.WithCancel(ctx)
-	defer stop()
-	dir, err := os.MkdirTemp("", "upgrade")
+	r, err := newUpgraded(ctx, x, seed, settings.State{RPS: 400, WriteRPS: 60, ValueKB: 16, TxnOps: 12})
 	if err != nil {
 		return nil, err
 	}
-	defer os.RemoveAll(dir)
-	r := &upgraded{Upgrade: x, dir: dir, rng: rand.New(rand.NewPCG(seed, 0)), clock: clockwork.NewRealClock(), http: &http.Client{Timeout: 4 * time.Second},
-		limits: standin.Limits{RPS: 400, WriteRPS: 60, ValueKB: 16, TxnOps: 12},
-		res:    Upgraded{Seed: seed}, on: map[string]string{}, ended: map[string]bool{}, jobs: map[string]*asked{}}
-	end, err := r.world(ctx)
-	if err != nil {
+	defer r.cluster.Close()
+	if err := r.startAll(x.From); err != nil {
 		return nil, err
 	}
-	defer end()
-	for _, m := range r.nodes {
-		if err := r.start(m, x.From); err != nil {
-			return nil, err
-		}
-	}
 	if err := r.users(ctx); err != nil {
 		return nil, err
 	}
-	for why, n := range r.state.Refusals() {
+	for why, n := range r.cluster.State.Refusals() {
 		if !strings.HasPrefix(why, "too many requests") && why != "too many changes" {
 			slog.Info("refused", "why", why, "times", n)
 			r.res.TooLarge += n
@@ -177,165 +162,18 @@
 	return &r.res, ctx.Err()
 }
 
-// world starts the stand-ins and workers, and writes the controllers' settings. End stops what
-// was started, controllers as well.
-func (r *upgraded) world(ctx context.Context) (end func(), err error) {
-	r.state = standin.NewState(r.clock)
-	r.state.Limit(r.limits)
-	types := []api.MachineType{{Name: "m", CPUs: 8, MemoryGB: 32, CacheGB: 50, PullGBs: 1, BootS: 40, Price: 1, SpotPrice: 0.5, Zones: []string{"east"}}}
-	cloud := standin.NewCloud(r.clock, types, 20)
-	stateAddr, endState, err := serve(r.state)
-	if err != nil {
-		return nil, err
-	}
-	cloudAddr, endCloud, err := serve(cloud)
-	if err != nil {
-		endState()
-		return nil, err
-	}
-	end = func() {
-		for _, m := range r.nodes {
-			m.end()
-		}
-		endCloud()
-		endState()
-	}
-	if err = r.configure(stateAddr, cloudAddr, r.limits); err == nil {
-		for i := 0; i < r.Workers && err == nil; i++ {
-			err = r.work(ctx, cloud)
-		}
-	}
-	if err != nil {
-		end()
-		return nil, err
-	}
-	return end, nil
-}
-
-// configure makes the settings of three controllers.
-func (r *upgraded) configure(state, cloud string, l standin.Limits) error {
-	var addrs []string
-	for range 6 {
-		s, err := net.Listen("tcp4", "127.0.0.1:0")
-		if err != nil {
-			return err
-		}
-		defer s.Close()
-		addrs = append(addrs, s.Addr().String())
-	}
-	for i := range 3 {
-		set := &settings.Settings{Member: fmt.Sprintf("n%d", i), Zone: "east", Listen: addrs[i], Back: addrs[3+i], External: settings.External{Cloud: cloud, State: state}}
-		for j := range 3 {
-			if j != i {
-				set.Siblings = append(set.Siblings, settings.Sibling{Member: fmt.Sprintf("n%d", j), Zone: "east", Address: addrs[3+j]})
-			}
-		}
-		set.Facts = settings.Facts{Nodes: 3, Zones: []string{"east"}, Teams: []settings.Team{{Name: "team"}}, Workers: settings.Workers{ReportS: 0.5, LeaseS: 5, CancelS: 20},
-			State: settings.State{RPS: l.RPS, WriteRPS: l.WriteRPS, ValueKB: l.ValueKB, TxnOps: l.TxnOps, Next: settings.NextState{WriteRPS: 42, ValueKB: 2, TxnOps: 4}},
-			Cloud: settings.Cloud{RPS: 20, ListLagS: 1}, Resources: settings.Resources{CPU: 1, RAMMB: 200, Sockets: 500}}
-		raw, err := toml.Marshal(set)
-		if err == nil {
-			err = os.WriteFile(filepath.Join(r.dir, set.Member+".toml"), raw, 0o600)
-		}
-		if err != nil {
-			return err
-		}
-		r.nodes = append(r.nodes, &member{set: set})
-	}
-	return nil
-}
-
-func (r *upgraded) start(m *member, program string) error {
-	m.program, m.cmd = program, exec.Command(program, append([]string{"serve", "--config", filepath.Join(r.dir, m.set.Member+".toml")}, r.args...)...)
-	m.cmd.Env = append(os.Environ(), "LOG_LEVEL=error")
-	return m.cmd.Start()
-}
-
-// end kills a process and waits until it is gone.
-func (m *member) end() {
-	if m.cmd != nil {
-		_ = m.cmd.Process.Kill()
-		_ = m.cmd.Wait()
-	}
-	m.cmd = nil
-}
-
-// work runs a machine's worker with a port of its own.
-func (r *upgraded) work(ctx context.Context, cloud *standin.Cloud) error {
-	var w *standin.Worker
-	var ready sync.WaitGroup
-	ready.Add(1)
-	addr, end, err := serve(late{&ready, &w})
-	if err != nil {
-		return err
-	}
-	context.AfterFunc(ctx, end)
-	h := cloud.AddAt("m", "east", addr)
-	var names []string
-	for _, m := range r.nodes {
-		names = append(names, m.set.Member)
-	}
-	w = standin.NewWorker(standin.WorkerOptions{Host: h, Clock: r.clock, Nodes: names, Post: r.post, Every: 500 * time.Millisecond, Lease: 5 * time.Second,
-		Runs: func(task string) time.Duration { return time.Duration(500+200*(len(task)%7)) * time.Millisecond },
-		Starts: func(task string, _ uint64, _ time.Time) {
-			r.began(task, h.Name)
-		},
-		Ends: func(task string, done bool) { r.over(task, h.Name, done) }})
-	ready.Done()
-	go w.Run(ctx)
-	return nil
-}
-
-// late is a worker's port, which is there before the worker.
-type late struct {
-	ready *sync.WaitGroup
-	w     **standin.Worker
+// any is a controller chosen at random.
+func (r *upgraded) any() *cluster.Controller {
+	return r.cluster.Controllers[r.rng.IntN(len(r.cluster.Controllers))]
 }
 
-func (l late) RoundTrip(q *http.Request) (*http.Response, error) {
-	l.ready.Wait()
-	return direct{*l.w}.RoundTrip(q)
-}
-
-// post carries a worker's report.
-func (r *upgraded) post(ctx context.Context, node string, rep *api.Report) (int, any) {
-	i := slices.IndexFunc(r.nodes, func(m *member) bool { return m.set.Member == node })
-	raw, err := json.Marshal(rep)
-	if err != nil {
-		return 0, nil
-	}
-	status, body, err := r.call(ctx, http.MethodPost, r.nodes[i].set.Listen, "/v1/report", raw)
-	switch {
-	case err != nil:
-		return 0, nil
-	case status == http.StatusOK:
-		var o api.Orders
-		if json.Unmarshal(body, &o) != nil {
-			return 0, nil
-		}
-		return status, o
-	}
-	var to api.Redirect
-	_ = json.Unmarshal(body, &to)
-	return status, to
-}
-
-func (r *upgraded) call(ctx context.Context, method, addr, path string, body []byte) (int, []byte, error) {
-	q, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, bytes.NewReader(body))
-	if err != nil {
-		return 0, nil, err
-	}
-	resp, err := r.http.Do(q)
-	if err != nil {
-		return 0, nil, err
-	}
-	defer resp.Body.Close()
-	raw, err := io.ReadAll(resp.Body)
-	return resp.StatusCode, raw, err
+// call sends a user's request.
+func (r *upgraded) call(ctx context.Context, method string, to *cluster.Controller, path string, body []byte) (int, []byte, error) {
+	return r.cluster.Call(ctx, to, method, path, body)
 }
 
-// began checks a start against what is known of the jobs.
-func (r *upgraded) began(task, machine string) {
+// Started checks a start against what is known of the jobs.
+func (r *upgraded) Started(task, machine string, _ uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.res.Tasks++
@@ -359,8 +197,8 @@
 	}
 }
 
-// over notes that a task is no longer on a machine.
-func (r *upgraded) over(task, machine string, done bool) {
+// Ended notes that a task is no longer on a machine.
+func (r *upgraded) Ended(task, machine string, done bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.on[task] == machine {
@@ -382,8 +220,8 @@
 		}
 		// One dies before its turn, and comes back old; then one is replaced.
 		for _, i := range []int{next + r.rng.IntN(3-next), next} {
-			m, to := r.nodes[i], r.From
-			m.end()
+			m, to := r.cluster.Controllers[i], r.From
+			m.Kill()
 			r.res.Kills++
 			r.pause(ctx, r.rng.IntN(1500))
 			if i == next && to == r.From && r.res.Kills%2 == 0 {
@@ -392,7 +230,7 @@
 			} else {
 				r.res.OldBack++
 			}
-			if err := r.start(m, to); err != nil {
+			if err := m.Start(to); err != nil {
 				return err
 			}
 			r.pause(ctx, r.rng.IntN(1500))
@@ -407,14 +245,14 @@
 		r.submit(ctx, r.some(), 1+r.rng.IntN(12))
 		switch {
 		case i == 10:
-			r.state.Limit(standin.Limits{RPS: r.limits.RPS, WriteRPS: 42, ValueKB: 2, TxnOps: 4})
+			r.cluster.State.Limit(standin.Limits{RPS: r.limits.RPS, WriteRPS: sunken.WriteRPS, ValueKB: sunken.ValueKB, TxnOps: sunken.TxnOps})
 		case i%7 == 3:
 			r.cancel(ctx)
 		case i%13 == 5:
-			m := r.nodes[r.rng.IntN(3)]
-			m.end()
+			m := r.any()
+			m.Kill()
 			r.res.Kills++
-			if err := r.start(m, r.To); err != nil {
+			if err := m.Start(r.To); err != nil {
 				return err
 			}
 		}
@@ -483,7 +321,7 @@
 	r.mu.Unlock()
 	raw, err := json.Marshal(&a.Submission)
 	for try := 0; try < 4 && err == nil; try++ {
-		status, body, cerr := r.call(ctx, http.MethodPost, r.nodes[r.rng.IntN(3)].set.Listen, "/submissions", raw)
+		status, body, cerr := r.call(ctx, http.MethodPost, r.any(), "/submissions", raw)
 		if cerr == nil && (status == http.StatusCreated || status == http.StatusOK) {
 			a.accepted = true
 			r.res.Jobs++
@@ -505,7 +343,7 @@
 func (r *upgraded) cancel(ctx context.Context) {
 	id := r.ids()[r.rng.IntN(len(r.jobs))]
 	var st api.JobStatus
-	status, body, err := r.call(ctx, http.MethodPost, r.nodes[r.rng.IntN(3)].set.Listen, "/submissions/"+id+"/cancel", nil)
+	status, body, err := r.call(ctx, http.MethodPost, r.any(), "/submissions/"+id+"/cancel", nil)
 	if err == nil && status == http.StatusOK && json.Unmarshal(body, &st) == nil && st.State == api.Withdrawn {
 		r.jobs[id].cancelled = true
 	}
@@ -523,7 +361,7 @@
 		if !a.accepted || a.told != "" && r.rng.IntN(10) > 0 {
 			continue
 		}
-		status, body, err := r.call(ctx, http.MethodGet, r.nodes[r.rng.IntN(3)].set.Listen, "/submissions/"+id, nil)
+		status, body, err := r.call(ctx, http.MethodGet, r.any(), "/submissions/"+id, nil)
 		var st api.JobStatus
 		switch {
 		case err != nil || status >= 500:
--- /dev/null
+++ b/internal/cluster/cluster.go
@@ -0,0 +1,300 @@
+// Package cluster runs a deployment on this machine for experiments: three controllers as processes of their own,
+// the project's stand-ins of the state service and the cloud with every limit enforced, and hollow workers, which
+// speak the workers' protocol over real loopback connections and have nothing to run. Zones can be cut off from each
+// other. Everything that it starts it ends, also when its context is cancelled.
+//
+// It measures nothing of the controllers by itself: Sample reads what the kernel counts of their processes, and
+// Traffic what went over the connections, all of which end at this process.
+package cluster
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/pelletier/go-toml/v2"
+
+	"switchferry/api"
+	"switchferry/internal/standin"
+	"switchferry/settings"
+)
+
+// Options say what a cluster is made of.
+type Options struct {
+	// Zones has the zone of each controller; Facts is what the platform tells them. Its limits of the state service
+	// and the cloud are enforced by the stand-ins.
+	Zones []string
+	Facts settings.Facts
+	// Type is the only type of machine; Room is how many machines can be rented besides those of AddWorkers.
+	Type api.MachineType
+	Room int
+	// Arguments are further arguments of `serve`, the same for every controller.
+	Arguments []string
+	// LogDir is where the controllers' logs go, one file each; empty: they are dropped. LogLevel is theirs.
+	LogDir, LogLevel string
+	// Runs is how long a task of a job runs. Audit is told of starts and ends, and may be nil.
+	Runs  func(task string) time.Duration
+	Audit Observer
+}
+
+// Observer is told of what hollow workers do with tasks, in order for each worker, with that worker's lock held: it
+// must not call back.
+type Observer interface {
+	Started(task, machine string, term uint64)
+	Ended(task, machine string, done bool)
+}
+
+// Cluster is a running deployment.
+type Cluster struct {
+	options Options
+	dir     string
+	clock   clockwork.Clock
+	ctx     context.Context
+	stop    context.CancelFunc
+
+	State       *standin.State
+	Cloud       *standin.Cloud
+	Controllers []*Controller
+	Traffic     *Traffic
+	network     *network
+	http        *http.Client
+	cleanup     []func()
+	// store is the base URL of the store of datasets, and features the text of the features file; both may be empty.
+	store, features string
+
+	mu      sync.Mutex
+	workers map[string]*Worker // by machine
+	terms   map[uint64]string  // the zone of the leader of each term
+	// Returned is told, without locks, of machines that controllers gave back to the cloud; it may be set before
+	// the first worker is added.
+	Returned func(w *Worker, running int)
+}
+
+// Controller is one controller, which may be run by one process after another.
+type Controller struct {
+	Settings *settings.Settings
+	cluster  *Cluster
+	mu       sync.Mutex
+	command  *exec.Cmd
+}
+
+// New makes the stand-ins and the controllers' settings; no controller runs yet. The caller must Close it.
+func New(ctx context.Context, options Options) (*Cluster, error) {
+	dir, err := os.MkdirTemp("", "cluster")
+	if err != nil {
+		return nil, err
+	}
+	clock := clockwork.NewRealClock()
+	ctx, stop := context.WithCancel(ctx)
+	facts := options.Facts
+	c := &Cluster{options: options, dir: dir, clock: clock, ctx: ctx, stop: stop, State: standin.NewState(clock),
+		Cloud: standin.NewCloud(clock, []api.MachineType{options.Type}, facts.Cloud.RPS), Traffic: newTraffic(), network: newNetwork(),
+		http: &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64}}, workers: map[string]*Worker{}, terms: map[uint64]string{},
+		Returned: func(*Worker, int) {}}
+	c.cleanup = append(c.cleanup, func() { _ = os.RemoveAll(dir) })
+	c.State.Limit(standin.Limits{RPS: facts.State.RPS, WriteRPS: facts.State.WriteRPS, ValueKB: facts.State.ValueKB, TxnOps: facts.State.TxnOps})
+	c.Cloud.Room = options.Room
+	c.Cloud.Up, c.Cloud.Gone = c.rented, c.returned
+	if err := c.configure(); err != nil {
+		c.Close()
+		return nil, err
+	}
+	go c.watchLeader()
+	return c, nil
+}
+
+// Close ends all that the cluster started.
+func (c *Cluster) Close() {
+	c.stop()
+	for _, x := range c.Controllers {
+		x.Kill()
+	}
+	for i := len(c.cleanup) - 1; i >= 0; i-- {
+		c.cleanup[i]()
+	}
+}
+
+// AddArguments adds to the arguments of `serve` of the controllers that are started afterwards.
+func (c *Cluster) AddArguments(more ...string) {
+	c.options.Arguments = append(c.options.Arguments, more...)
+}
+
+// Dir is a directory of the cluster's own, removed by Close.
+func (c *Cluster) Dir() string { return c.dir }
+
+// configure opens the ports around the controllers and writes their settings.
+func (c *Cluster) configure() error {
+	free, err := freeAddresses(2 * len(c.options.Zones))
+	if err != nil {
+		return err
+	}
+	name := func(i int) string { return fmt.Sprintf("n%d", i) }
+	for i, zone := range c.options.Zones {
+		set := &settings.Settings{Member: name(i), Zone: zone, Listen: free[2*i], Back: free[2*i+1], Facts: c.options.Facts}
+		for j, other := range c.options.Zones {
+			if j == i {
+				continue
+			}
+			link, err := c.newLink(free[2*j+1], fmt.Sprintf("siblings of %s", name(i)), zone, other)
+			if err != nil {
+				return err
+			}
+			set.Siblings = append(set.Siblings, settings.Sibling{Member: name(j), Zone: other, Address: link})
+		}
+		if set.External.State, err = c.serveService(c.State, "state", name(i), zone); err != nil {
+			return err
+		}
+		if set.External.Cloud, err = c.serveService(c.Cloud, "cloud", name(i), zone); err != nil {
+			return err
+		}
+		c.Controllers = append(c.Controllers, &Controller{Settings: set, cluster: c})
+		raw, err := toml.Marshal(set)
+		if err == nil {
+			err = os.WriteFile(c.settingsFile(name(i)), raw, 0o600)
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *Cluster) settingsFile(member string) string { return filepath.Join(c.dir, member+".toml") }
+
+// freeAddresses are loopback addresses on which nothing listens at the moment.
+func freeAddresses(n int) ([]string, error) {
+	var out []string
+	for range n {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer l.Close()
+		out = append(out, l.Addr().String())
+	}
+	return out, nil
+}
+
+// Start begins a process of the controller.
+func (x *Controller) Start(program string) error {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.command != nil {
+		return fmt.Errorf("%s runs already", x.Settings.Member)
+	}
+	command := exec.Command(program, append([]string{"serve", "--config", x.cluster.settingsFile(x.Settings.Member)}, x.cluster.options.Arguments...)...)
+	level := x.cluster.options.LogLevel
+	if level == "" {
+		level = "error"
+	}
+	command.Env = append(os.Environ(), "LOG_LEVEL="+level)
+	if dir := x.cluster.options.LogDir; dir != "" {
+		log, err := os.OpenFile(filepath.Join(dir, x.Settings.Member+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+		if err != nil {
+			return err
+		}
+		defer log.Close()
+		command.Stderr = log
+	}
+	// It must not outlive this process, however that ends.
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := command.Start(); err != nil {
+		return err
+	}
+	x.command = command
+	return nil
+}
+
+// Kill ends the process at once and waits until it is gone; without one it does nothing.
+func (x *Controller) Kill() { x.end(func(p *os.Process) { _ = p.Kill() }) }
+
+// Terminate tells the process to end, and waits until it has.
+func (x *Controller) Terminate() { x.end(func(p *os.Process) { _ = p.Signal(syscall.SIGTERM) }) }
+
+func (x *Controller) end(how func(*os.Process)) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.command != nil {
+		how(x.command.Process)
+		_ = x.command.Wait()
+	}
+	x.command = nil
+}
+
+// PID is the process's number; 0: none runs.
+func (x *Controller) PID() int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.command == nil {
+		return 0
+	}
+	return x.command.Process.Pid
+}
+
+// Leader is the controller whose key stands in the state service; nil: none's.
+func (c *Cluster) Leader() *Controller {
+	member, _ := c.leading()
+	for _, x := range c.Controllers {
+		if x.Settings.Member == member {
+			return x
+		}
+	}
+	return nil
+}
+
+// WaitForLeader waits until a controller leads.
+func (c *Cluster) WaitForLeader(most time.Duration) error {
+	return c.Until(most, func() bool { return c.Leader() != nil })
+}
+
+// ErrTimeout: what was waited for did not happen in time.
+var ErrTimeout = errors.New("not in time")
+
+// Until waits until f holds, looking five times a second.
+func (c *Cluster) Until(most time.Duration, f func() bool) error {
+	for end := time.Now().Add(most); !f(); {
+		if time.Now().After(end) {
+			return fmt.Errorf("%w: %v", ErrTimeout, most)
+		}
+		if !c.Sleep(200 * time.Millisecond) {
+			return c.ctx.Err()
+		}
+	}
+	return nil
+}
+
+// Sleep is false once the cluster is being closed.
+func (c *Cluster) Sleep(d time.Duration) bool {
+	select {
+	case <-c.ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+// Call sends a user's request to a controller.
+func (c *Cluster) Call(ctx context.Context, x *Controller, method, path string, body []byte) (status int, answer []byte, err error) {
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+x.Settings.Listen+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, err
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer response.Body.Close()
+	answer, err = io.ReadAll(response.Body)
+	return response.StatusCode, answer, err
+}
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -73,6 +73,18 @@
 	return *h
 }
 
+// Move gives a machine another address, as when it comes up; false: it was returned before.
+func (c *Cloud) Move(name, addr string) (Host, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	h := c.hosts[name]
+	if h == nil {
+		return Host{}, false
+	}
+	h.Address = addr
+	return *h, true
+}
+
 func (c *Cloud) add(typ, zone string, spot bool) *Host {
 	h := &Host{Name: fmt.Sprintf("n-%06d", c.next), Address: fmt.Sprintf("worker-%d:9000", c.next), Type: typ, Zone: zone, Spot: spot, rented: c.clock.Now()}
 	c.next++
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -82,9 +82,11 @@
 	// Largest is the largest transaction so far: its changes, its bytes, and
 	// the bytes of its largest value.
 	Largest struct{ Ops, Bytes, Value int }
-	// Requests counts all requests; Refused those over a limit, by what was wrong.
+	// Requests counts all requests; Refused those over a limit, by what was wrong; changes what was put and deleted, by
+	// the first two parts of the keys.
 	Requests int
 	Refused  map[string]int
+	changes  map[string]int
 
 	limits   Limits
 	requests *rate.Limiter
@@ -106,7 +108,7 @@
 // NewState makes an empty service.
 func NewState(clock clockwork.Clock) *State {
 	s := &State{clock: clock, rows: map[string]row{}, leases: map[uint64]time.Time{}, life: map[uint64]time.Duration{}, epoch: 10, gone: 10,
-		Refused: map[string]int{}, changed: make(chan struct{})}
+		Refused: map[string]int{}, changes: map[string]int{}, changed: make(chan struct{})}
 	s.Limit(Limits{ValueKB: 16, TxnOps: 24})
 	return s
 }
@@ -138,6 +140,19 @@
 	return maps.Clone(s.Refused)
 }
 
+// Changes are how many keys were put or deleted so far, by the first two parts of the keys.
+func (s *State) Changes() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.changes)
+}
+
+// kindOf is the first two parts of a key.
+func kindOf(key string) string {
+	parts := strings.SplitN(key, "/", 3)
+	return strings.Join(parts[:min(2, len(parts))], "/")
+}
+
 // refuse answers a request that breaks a limit.
 func (s *State) refuse(status int, why string) (*http.Response, error) {
 	s.Refused[why]++
@@ -394,6 +409,7 @@
 		s.epoch++
 	}
 	for _, o := range t.Then {
+		s.changes[kindOf(o.Set+o.Delete)]++
 		if o.Delete != "" {
 			delete(s.rows, o.Delete)
 			s.note(change{Delete: o.Delete, Stamp: s.epoch})
@@ -480,7 +496,25 @@
 
 // Get reads a key; nil: it does not exist.
 func (s *State) Get(key string) json.RawMessage {
+	value, _ := s.Read(key)
+	return value
+}
+
+// Under is how many keys begin with a prefix.
+func (s *State) Under(prefix string) (n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key := range s.rows {
+		if strings.HasPrefix(key, prefix) {
+			n++
+		}
+	}
+	return n
+}
+
+// Read reads a key and the revision of its last change; nil and 0: it does not exist.
+func (s *State) Read(key string) (value json.RawMessage, stamp uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.rows[key].value
+	return s.rows[key].value, s.rows[key].stamp
 }
