--- /dev/null
+++ b/cli/config.go
@@ -0,0 +1,354 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/jedib0t/go-pretty/v6/table"
+	"github.com/spf13/cobra"
+
+	"switchferry/api"
+	"switchferry/configuration"
+	"switchferry/configuration/keeper"
+)
+
+// configLook is how often it is looked whether a change is in force, or, by watch, whether there is another.
+const (
+	configLook      = 100 * time.Millisecond
+	configWatchLook = time.Second
+)
+
+// configCommand shows and changes what can change while the service runs.
+func configCommand() *cobra.Command {
+	cmd := &cobra.Command{Use: "config", Short: "Show and change teams, policy, switches and topology while the service runs",
+		Long: "The configuration is one TOML document with numbered revisions; sections that it lacks stay as files and settings have them. Needs\n" +
+			"[configuration] on in the features file of all controllers. Exit codes: 0 done and in force, 1 no answer, 2 wrong arguments or a\n" +
+			"document with mistakes, 3 refused for good, 4 no such revision, 5 somebody else changed it meanwhile, 6 stored and not in force yet."}
+	cmd.AddCommand(configCheckCommand(), configDiffCommand(), configApplyCommand(), configShowCommand(), configHistoryCommand(), configRollbackCommand(), configWatchCommand())
+	return cmd
+}
+
+func configurationOff(string) error {
+	return coded(ExitRefused, errors.New("live configuration is off: set on = true under [configuration] in the features file of all controllers, and start them with --features"))
+}
+
+// readDocument reads and checks a document; - is standard input.
+func readDocument(cmd *cobra.Command, file string) (*configuration.Document, error) {
+	raw, err := os.ReadFile(file)
+	if file == "-" {
+		raw, err = io.ReadAll(cmd.InOrStdin())
+	}
+	if err != nil {
+		return nil, coded(ExitUsage, err)
+	}
+	document, err := configuration.Parse(string(raw))
+	if err != nil {
+		return nil, coded(ExitUsage, fmt.Errorf("%s has mistakes:\n%w", file, err))
+	}
+	return document, nil
+}
+
+func configCheckCommand() *cobra.Command {
+	return &cobra.Command{Use: "check FILE", Short: "Check a document without a controller", Args: cobra.ExactArgs(1),
+		Example: "  switchferry config check teams.toml",
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if _, err := readDocument(cmd, args[0]); err != nil {
+				return err
+			}
+			_, err := fmt.Fprintln(cmd.OutOrStdout(), "ok")
+			return err
+		}}
+}
+
+// present is the configuration that a controller shows.
+func (c *client) present(cmd *cobra.Command, path string) (v api.ConfigurationView, printed bool, err error) {
+	printed, err = c.answer(cmd, http.MethodGet, path, nil, &v, func(why string) error {
+		if strings.HasPrefix(path, "/configuration/") && why != "Not Found" {
+			return coded(ExitNotFound, errors.New(why))
+		}
+		return configurationOff(why)
+	})
+	return v, printed, err
+}
+
+func configDiffCommand() *cobra.Command {
+	var c client
+	cmd := &cobra.Command{Use: "diff FILE", Short: "Show in what a document differs from the present revision", Args: cobra.ExactArgs(1),
+		Example: "  switchferry config diff teams.toml --node 10.0.0.1:8080",
+		RunE: func(cmd *cobra.Command, args []string) error {
+			wanted, err := readDocument(cmd, args[0])
+			if err != nil {
+				return err
+			}
+			asJSON := c.asJSON
+			c.asJSON = false
+			v, _, err := c.present(cmd, "/configuration")
+			if err != nil {
+				return err
+			}
+			var before *configuration.Document
+			if v.Document != "" {
+				if before, err = configuration.Parse(v.Document); err != nil {
+					return coded(ExitFailed, fmt.Errorf("the present revision is not one that this program knows: %w", err))
+				}
+			}
+			differences := configuration.Differences(before, wanted)
+			if asJSON {
+				return json.NewEncoder(cmd.OutOrStdout()).Encode(differences)
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "from revision %d: %d differences\n", v.Revision, len(differences))
+			for _, d := range differences {
+				fmt.Fprintln(cmd.OutOrStdout(), d)
+			}
+			return nil
+		}}
+	c.flags(cmd)
+	return cmd
+}
+
+// change is what the flags of a change say.
+type change struct {
+	client
+	by, why string
+	expect  int64
+}
+
+func (c *change) flags(cmd *cobra.Command) {
+	c.client.flags(cmd)
+	f := cmd.Flags()
+	f.StringVar(&c.why, "why", "", "why it is changed; kept with the revision")
+	f.StringVar(&c.by, "by", os.Getenv("USER"), "who changes it; kept with the revision")
+	f.Int64Var(&c.expect, "expect", -1, "change it only if this is the present revision, 0 for none; -1: whichever is")
+}
+
+func configApplyCommand() *cobra.Command {
+	var c change
+	cmd := &cobra.Command{Use: "apply FILE --why WHY", Short: "Put a document in force, everywhere", Args: cobra.ExactArgs(1),
+		Example: "  switchferry config apply teams.toml --why \"vision moves to the new store\" --expect 41 --node 10.0.0.1:8080",
+		RunE: func(cmd *cobra.Command, args []string) error {
+			document, err := readDocument(cmd, args[0])
+			if err != nil {
+				return err
+			}
+			return c.apply(cmd, document.Text)
+		}}
+	c.flags(cmd)
+	return cmd
+}
+
+func configRollbackCommand() *cobra.Command {
+	var c change
+	cmd := &cobra.Command{Use: "rollback REVISION --why WHY", Short: "Put an earlier revision's document in force again, as a new revision", Args: cobra.ExactArgs(1),
+		Example: "  switchferry config rollback 40 --why \"41 starved the exports\"",
+		RunE: func(cmd *cobra.Command, args []string) error {
+			number, err := revisionNumber(args[0])
+			if err != nil {
+				return err
+			}
+			asJSON := c.asJSON
+			c.asJSON = false
+			v, _, err := c.present(cmd, fmt.Sprintf("/configuration/%d", number))
+			if err != nil {
+				return err
+			}
+			c.asJSON = asJSON
+			c.why = strings.TrimSpace(fmt.Sprintf("%s (back to revision %d)", c.why, number))
+			return c.apply(cmd, v.Document)
+		}}
+	c.flags(cmd)
+	return cmd
+}
+
+func revisionNumber(text string) (uint64, error) {
+	number, err := strconv.ParseUint(text, 10, 64)
+	if err != nil || number == 0 {
+		return 0, coded(ExitUsage, fmt.Errorf("%q is no revision; revisions are numbered from 1", text))
+	}
+	return number, nil
+}
+
+// apply sends a document and waits until it is in force.
+func (c *change) apply(cmd *cobra.Command, document string) error {
+	request := api.ConfigurationRequest{Document: document, By: c.by, Why: c.why}
+	if c.expect >= 0 {
+		expect := uint64(c.expect)
+		request.Expect = &expect
+	}
+	body, err := json.Marshal(&request)
+	if err != nil {
+		return coded(ExitUsage, err)
+	}
+	ctx, stop := context.WithTimeout(cmd.Context(), c.total)
+	defer stop()
+	status, raw, err := c.ask(ctx, http.MethodPost, "/configuration", body)
+	if err != nil {
+		return err
+	}
+	var answer keeper.Answer
+	switch {
+	case status == http.StatusNotFound:
+		return configurationOff("")
+	case status == http.StatusConflict:
+		var conflict api.ConfigurationConflict
+		_ = json.Unmarshal(raw, &conflict)
+		return coded(ExitConflict, fmt.Errorf("%s; %s applied revision %d (%s). Differences from it to yours:\n%s\nlook at it with `switchferry config show`, and apply again with --expect %d",
+			conflict.Error, conflict.By, conflict.Revision, conflict.Why, strings.Join(conflict.Differences, "\n"), conflict.Revision))
+	case status == http.StatusBadRequest:
+		var refused api.ConfigurationMistakes
+		_ = json.Unmarshal(raw, &refused)
+		var lines []string
+		for _, m := range refused.Mistakes {
+			lines = append(lines, configuration.Mistake{Line: m.Line, Field: m.Field, Remedy: m.Remedy}.String())
+		}
+		return coded(ExitUsage, fmt.Errorf("%s:\n%s", refused.Error, strings.Join(lines, "\n")))
+	case status != http.StatusOK && status != http.StatusAccepted:
+		return coded(ExitRefused, fmt.Errorf("refused (status %d): %s", status, message(raw)))
+	}
+	if err := json.Unmarshal(raw, &answer); err != nil {
+		return coded(ExitFailed, fmt.Errorf("malformed answer: %w", err))
+	}
+	return c.await(ctx, cmd, answer)
+}
+
+// await tells how far a stored change comes.
+func (c *change) await(ctx context.Context, cmd *cobra.Command, answer keeper.Answer) error {
+	out := cmd.OutOrStdout()
+	if !c.asJSON && !answer.Unchanged {
+		fmt.Fprintf(out, "stored as revision %d\n", answer.Revision)
+	}
+	for !answer.InForce {
+		select {
+		case <-ctx.Done():
+			return coded(ExitPending, fmt.Errorf("revision %d is stored and not known to be in force; it waits for %s", answer.Revision, strings.Join(answer.WaitsFor, ", ")))
+		case <-time.After(configLook):
+		}
+		status, raw, err := c.ask(ctx, http.MethodGet, "/configuration", nil)
+		if err != nil || status != http.StatusOK {
+			continue
+		}
+		var v api.ConfigurationView
+		if json.Unmarshal(raw, &v) == nil && v.Leader && v.Revision >= answer.Revision {
+			answer.InForce, answer.WaitsFor = v.InForce || v.Revision > answer.Revision, v.WaitsFor
+		}
+	}
+	if c.asJSON {
+		return json.NewEncoder(out).Encode(answer)
+	}
+	what := fmt.Sprintf("revision %d is in force", answer.Revision)
+	if answer.Unchanged {
+		what += " already; nothing was stored"
+	}
+	_, err := fmt.Fprintln(out, what)
+	return err
+}
+
+func configShowCommand() *cobra.Command {
+	var c client
+	var revision uint64
+	cmd := &cobra.Command{Use: "show", Short: "Show the present revision, or another one", Args: cobra.NoArgs,
+		Example: "  switchferry config show > teams.toml\n  switchferry config show --revision 40 --json | jq -r .why",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			path := "/configuration"
+			if revision > 0 {
+				path = fmt.Sprintf("/configuration/%d", revision)
+			}
+			v, printed, err := c.present(cmd, path)
+			if err != nil || printed {
+				return err
+			}
+			showConfiguration(cmd.ErrOrStderr(), &v, revision > 0)
+			_, err = fmt.Fprint(cmd.OutOrStdout(), v.Document)
+			return err
+		}}
+	c.flags(cmd)
+	cmd.Flags().Uint64Var(&revision, "revision", 0, "a revision on record; 0: the present one")
+	return cmd
+}
+
+// showConfiguration tells about a revision; its document goes elsewhere.
+func showConfiguration(w io.Writer, v *api.ConfigurationView, past bool) {
+	if v.Revision == 0 {
+		fmt.Fprintln(w, "no revision: files and settings count")
+	} else {
+		fmt.Fprintf(w, "revision %d, by %s at %s: %s\n", v.Revision, v.By, time.UnixMilli(v.AtMS).Format(time.RFC3339), v.Why)
+	}
+	switch {
+	case past:
+	case v.NotTaken != "":
+		fmt.Fprintf(w, "revision %d is on record and not taken: %s; apply a document to go on from here\n", v.Newest, v.NotTaken)
+	case !v.Leader:
+		fmt.Fprintln(w, "nobody leads: this is what the records say")
+	case v.InForce:
+		fmt.Fprintln(w, "in force")
+	default:
+		fmt.Fprintf(w, "stored, waits for %s\n", strings.Join(v.WaitsFor, ", "))
+	}
+}
+
+func configHistoryCommand() *cobra.Command {
+	var c client
+	cmd := &cobra.Command{Use: "history", Short: "List the last revisions", Args: cobra.NoArgs,
+		Example: "  switchferry config history --json | jq '.[] | select(.by == \"ops\") | .revision'",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			var all []api.ConfigurationView
+			printed, err := c.answer(cmd, http.MethodGet, "/configuration/history", nil, &all, configurationOff)
+			if err != nil || printed {
+				return err
+			}
+			t := newTable(cmd.OutOrStdout())
+			t.AppendHeader(table.Row{"revision", "by", "at", "why"})
+			for _, v := range all {
+				t.AppendRow(table.Row{v.Revision, v.By, time.UnixMilli(v.AtMS).Format(time.RFC3339), v.Why})
+			}
+			t.Render()
+			return nil
+		}}
+	c.flags(cmd)
+	return cmd
+}
+
+func configWatchCommand() *cobra.Command {
+	var c client
+	cmd := &cobra.Command{Use: "watch", Short: "Tell of each revision as it comes into force, until interrupted", Args: cobra.NoArgs,
+		Example: "  switchferry config watch --node 10.0.0.1:8080 --node 10.0.0.2:8080",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			last := ""
+			for {
+				status, raw, err := c.ask(cmd.Context(), http.MethodGet, "/configuration", nil)
+				if err != nil {
+					return err
+				}
+				if status == http.StatusNotFound {
+					return configurationOff("")
+				}
+				var v api.ConfigurationView
+				if err := json.Unmarshal(raw, &v); err != nil {
+					return coded(ExitFailed, fmt.Errorf("malformed answer: %w", err))
+				}
+				var text strings.Builder
+				showConfiguration(&text, &v, false)
+				if now := text.String(); now != last {
+					last = now
+					if c.asJSON {
+						now = string(raw) + "\n"
+					}
+					fmt.Fprint(cmd.OutOrStdout(), now)
+				}
+				select {
+				case <-cmd.Context().Done():
+					return nil
+				case <-time.After(configWatchLook):
+				}
+			}
+		}}
+	c.flags(cmd)
+	return cmd
+}
--- a/cli/serve.go
+++ b/cli/serve.go
@@ -37,7 +37,9 @@
 	ExitFailed   = 1 // the command could not be carried out
 	ExitUsage    = 2 // wrong arguments, settings or policy
 	ExitRefused  = 3 // a controller refused the request for good
-	ExitNotFound = 4 // no such job
+	ExitNotFound = 4 // no such job, or revision
+	ExitConflict = 5 // somebody else changed it meanwhile
+	ExitPending  = 6 // stored, and not known to be in force
 )
 
 type codedError struct {
@@ -71,7 +73,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(capacityCommand(), membersCommand(), stagerCommand(), dataCommand(), topologyCommand(), explainCommand(), experimentCommand(), serveCommand(), checkCommand(), versionCommand(), policyCommand(), submitCommand(),
+	root.AddCommand(capacityCommand(), configCommand(), membersCommand(), stagerCommand(), dataCommand(), topologyCommand(), explainCommand(), experimentCommand(), serveCommand(), checkCommand(), versionCommand(), policyCommand(), submitCommand(),
 		jobCommand("status", "Show a job's state", http.MethodGet, ""),
 		jobCommand("cancel", "Cancel a job", http.MethodPost, "/cancel"))
 	return root
--- /dev/null
+++ b/configuration/active.go
@@ -0,0 +1,106 @@
+package configuration
+
+import (
+	"slices"
+
+	"switchferry/policy"
+	"switchferry/quota"
+	"switchferry/settings"
+	"switchferry/topology"
+)
+
+// Active is what decisions go by: a revision over what files and settings say. It never changes; a change is another
+// one.
+type Active struct {
+	// Revision is 0 where files and settings count alone.
+	Revision  uint64
+	Policy    *policy.Policy
+	OverLimit OverLimit
+	// AheadTasks is nil where the features file counts, Topology where the topology file does.
+	AheadTasks *int
+	Topology   *topology.Map
+
+	teams  []settings.Team
+	byName map[string]settings.Team
+}
+
+// FromFiles is what counts without any revision.
+func FromFiles(teams []settings.Team, pol *policy.Policy) *Active {
+	a := &Active{Policy: pol, OverLimit: OverLimit{Running: Leave}}
+	a.setTeams(teams)
+	return a
+}
+
+func (a *Active) setTeams(teams []settings.Team) {
+	a.teams, a.byName = teams, make(map[string]settings.Team, len(teams))
+	for _, t := range teams {
+		if _, twice := a.byName[t.Name]; !twice {
+			a.byName[t.Name] = t
+		}
+	}
+}
+
+// Team finds a team by name.
+func (a *Active) Team(name string) (settings.Team, bool) {
+	t, ok := a.byName[name]
+	return t, ok
+}
+
+// Teams are all teams. The list must not be changed.
+func (a *Active) Teams() []settings.Team { return a.teams }
+
+// Limit is what a team may use at most; false: there is no such team.
+func (a *Active) Limit(team string) (limit quota.Limit, ok bool) {
+	t, ok := a.byName[team]
+	return quota.Limit{CPUs: t.CPUsMax, Cards: t.CardsMax}, ok
+}
+
+// Over is the document as that revision, over what counts without it.
+func (d *Document) Over(files *Active, revision uint64) *Active {
+	a := *files
+	a.Revision, a.OverLimit = revision, d.OverLimit
+	if d.policy != nil {
+		a.Policy = d.policy
+	}
+	if len(d.Teams) > 0 {
+		a.setTeams(d.Teams)
+	}
+	if d.Switches.AheadTasks != nil {
+		a.AheadTasks = d.Switches.AheadTasks
+	}
+	if d.Topology != nil {
+		a.Topology = d.Topology
+	}
+	return &a
+}
+
+// Between is what decisions go by while a change is on its way: everything as before, but of each limit and guarantee
+// the lower one, and only teams that both know. Whatever is started by it is within both revisions' limits.
+func Between(before, after *Active) *Active {
+	a := *before
+	var teams []settings.Team
+	for _, t := range before.teams {
+		other, ok := after.byName[t.Name]
+		if !ok {
+			continue
+		}
+		teams = append(teams, settings.Team{Name: t.Name, CPUs: min(t.CPUs, other.CPUs), Cards: min(t.Cards, other.Cards),
+			CPUsMax: lowerLimit(t.CPUsMax, other.CPUsMax), CardsMax: lowerLimit(t.CardsMax, other.CardsMax)})
+	}
+	a.setTeams(teams)
+	return &a
+}
+
+// lowerLimit is the lower of two limits, of which 0 is none.
+func lowerLimit(a, b float64) float64 {
+	switch {
+	case a == 0:
+		return b
+	case b == 0:
+		return a
+	}
+	return min(a, b)
+}
+
+// SameTeams tells whether two have the same teams with the same amounts.
+func SameTeams(a, b *Active) bool { return slices.Equal(a.teams, b.teams) }
--- /dev/null
+++ b/configuration/document_test.go
@@ -0,0 +1,131 @@
+package configuration
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	"switchferry/policy"
+	"switchferry/settings"
+)
+
+const whole = `
+[over_limit]
+running = "stop"
+stop_within_s = 30
+
+[policy]
+slot_s = "3"
+idle_keep_s = "boot_s * 2"
+
+[[teams]]
+name = "vision"
+cpus = 10
+cpus_max = 40
+
+[[teams]]
+name = "export"
+
+[features]
+ahead_tasks = 7
+
+[topology]
+version = 2
+[[topology.domain]]
+name = "r1"
+level = "rack"
+machines = ["n-0001*"]
+`
+
+func parse(t *testing.T, text string) *Document {
+	t.Helper()
+	d, err := Parse(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
+func TestDocumentOverFiles(t *testing.T) {
+	files := FromFiles([]settings.Team{{Name: "other", CPUsMax: 5}}, policy.Default())
+	a := parse(t, whole).Over(files, 4)
+	if limit, ok := a.Limit("vision"); !ok || limit.CPUs != 40 || a.Revision != 4 || *a.AheadTasks != 7 || a.Topology.Version() != 2 || a.Policy.Value(policy.SlotS, nil) != 3 || a.OverLimit.StopWithinS != 30 {
+		t.Errorf("%+v", a)
+	}
+	if _, ok := a.Limit("other"); ok {
+		t.Error("a team that the document lacks is still there")
+	}
+	// A section that is missing stays as the files have it.
+	b := parse(t, "").Over(files, 5)
+	if limit, ok := b.Limit("other"); !ok || limit.CPUs != 5 || b.AheadTasks != nil || b.Topology != nil || b.Policy != files.Policy {
+		t.Errorf("%+v", b)
+	}
+}
+
+// Every mistake is told, with its line, its field and what it must be; a document with any is not taken.
+func TestMistakesAreToldAllAtOnce(t *testing.T) {
+	for _, c := range []struct {
+		text string
+		want []string
+	}{
+		{"[policy]\nslot_s = \"700\"\nno_such = \"1\"\nidle_keep_s = \"boot +\"\n", []string{"line 2: policy.slot_s: is 700, want 0.1 to 600", "line 3: policy.no_such: no such setting", "line 4: policy.idle_keep_s: want a number"}},
+		{"[[teams]]\nname = \"a\"\ncpus = 9\ncpus_max = 5\n[[teams]]\nname = \"a\"\ngpus = -1\n", []string{"line 3: teams[0].cpus: a is guaranteed 9 and may use 5", "line 6: teams[1].name: is missing or stands twice", "teams[1]: amounts"}},
+		{"[features]\nahead_tasks = -2\n[over_limit]\nrunning = \"drop\"\n", []string{"line 2: features.ahead_tasks: must be 0 to 1000, not -2", `line 4: over_limit.running: must be "leave" or "stop"`}},
+		{"[over_limit]\nstop_within_s = 5\n", []string{"line 2: over_limit.stop_within_s: goes with running"}},
+		{"[topology]\nversion = 1\n[[topology.domain]]\nname = \"x\"\nlevel = \"shelf\"\n[[topology.domain]]\nname = \"y\"\nlevel = \"rack\"\nin = \"z\"\n",
+			[]string{"line 5: topology.domain[0].level: \"shelf\" must be region, zone, switch or rack", `line 9: topology.domain[1].in: there is no domain "z"`}},
+		{"[teams]\n", []string{"line 1: teams"}},
+		{"team = 1\n[what]\n", []string{"line 1: team: no such setting", "line 2: what: no such setting"}},
+		{"[policy\n", []string{"line 1"}},
+		{strings.Repeat("# a comment\n", 5000), []string{"document: takes 60000 bytes, at most 40960"}},
+	} {
+		d, err := Parse(c.text)
+		var all Mistakes
+		if d != nil || !errors.As(err, &all) || len(all) < len(c.want) {
+			t.Errorf("%.40q: %v, %v", c.text, d, err)
+			continue
+		}
+		for _, want := range c.want {
+			if !strings.Contains(err.Error(), want) {
+				t.Errorf("%.40q: no %q in\n%v", c.text, want, err)
+			}
+		}
+	}
+}
+
+func TestDifferences(t *testing.T) {
+	after := strings.NewReplacer(`slot_s = "3"`, `slot_s = "4"`, "cpus_max = 40", "cpus_max = 0", "ahead_tasks = 7\n", "", "n-0001*", "n-0002*", `name = "export"`, `name = "import"`).Replace(whole)
+	var got []string
+	for _, d := range Differences(parse(t, whole), parse(t, after)) {
+		got = append(got, d.String())
+	}
+	want := []string{"features.ahead_tasks: 7 -> (none)", "policy.slot_s: 3 -> 4", "teams.export: 0 guaranteed, any at most -> (none)", "teams.import: (none) -> 0 guaranteed, any at most",
+		"teams.vision: 10 guaranteed, 40 at most -> 10 guaranteed, any at most", "topology.r1: rack n-0001* -> rack n-0002*"}
+	if fmt.Sprint(got) != fmt.Sprint(want) {
+		t.Errorf("%q", got)
+	}
+	if n := len(Differences(nil, parse(t, whole))); n != 8 {
+		t.Errorf("%d differences from nothing", n)
+	}
+}
+
+// While a change is on its way, whatever is started is within both revisions' limits.
+func TestLowerLimitsCountBetweenTwoRevisions(t *testing.T) {
+	team := func(name string, guaranteed, limit float64) settings.Team {
+		return settings.Team{Name: name, CPUs: guaranteed, CPUsMax: limit, Cards: guaranteed, CardsMax: limit}
+	}
+	before := FromFiles([]settings.Team{team("sinks", 8, 40), team("rises", 2, 10), team("bounded", 0, 0), team("freed", 0, 6), team("goes", 1, 1)}, policy.Default())
+	after := FromFiles([]settings.Team{team("sinks", 4, 20), team("rises", 6, 30), team("bounded", 0, 7), team("freed", 0, 0), team("comes", 1, 1)}, policy.Default())
+	between := Between(before, after)
+	for name, want := range map[string]settings.Team{"sinks": team("sinks", 4, 20), "rises": team("rises", 2, 10), "bounded": team("bounded", 0, 7), "freed": team("freed", 0, 6)} {
+		if got, ok := between.Team(name); !ok || got != want {
+			t.Errorf("%s: %+v", name, got)
+		}
+	}
+	for _, name := range []string{"goes", "comes"} {
+		if _, ok := between.Team(name); ok {
+			t.Errorf("%s may start work before both sides know it", name)
+		}
+	}
+}
--- /dev/null
+++ b/configuration/keeper/applier.go
@@ -0,0 +1,394 @@
+package keeper
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync"
+
+	"switchferry/configuration"
+	"switchferry/store"
+	"switchferry/tuning"
+)
+
+// Leader is what an applier needs of the controller that leads.
+type Leader interface {
+	// Condition holds while it leads; false: it does not, certainly.
+	Condition() (store.Cond, bool)
+	// Use has decisions go by this from now on. The result counts the starts and accepts that were decided before and
+	// are not on record yet.
+	Use(active *configuration.Active) (undecided func() int)
+	// Siblings are all other controllers; Ask has one look for the newest revision now, and gives its number.
+	Siblings() []string
+	Ask(ctx context.Context, member string, revision uint64) (uint64, error)
+}
+
+// Request is a change that somebody asks for.
+type Request struct {
+	Document *configuration.Document
+	By, Why  string
+	// Expect is the revision that must be the present one; nil: whichever is.
+	Expect *uint64
+}
+
+// Answer is what became of a change so far.
+type Answer struct {
+	Revision uint64 `json:"revision"`
+	// InForce: nobody decides or answers by an older revision any more. Otherwise it is stored, and WaitsFor tells whom
+	// it waits for.
+	InForce  bool     `json:"in_force"`
+	WaitsFor []string `json:"waits_for,omitempty"`
+	// Unchanged: the document was in force already, so that nothing was stored.
+	Unchanged bool `json:"unchanged,omitempty"`
+}
+
+// Why a change is not made.
+var (
+	// ErrConflict: the present revision is another than the expected one.
+	ErrConflict = errors.New("the configuration was changed meanwhile")
+	// ErrBusy: another change is on its way; ErrOut: the state service does not answer, and nothing was stored.
+	ErrBusy = errors.New("another change is on its way")
+	ErrOut  = errors.New("the state service is out of reach; nothing was stored")
+	// ErrUnknown: it is not known yet whether it is stored. It goes on being found out.
+	ErrUnknown = errors.New("it is not known yet whether the change is stored")
+	// ErrLost: this controller does not lead any more.
+	ErrLost = errors.New("this controller does not lead any more")
+	// ErrUnread: the newest revision is not known here yet.
+	ErrUnread = errors.New("the configuration has not been read yet")
+)
+
+// Applier makes changes in one term of the leader, one at a time. It is safe for use from several goroutines at once.
+type Applier struct {
+	*Keeper
+	leader Leader
+	ctx    context.Context
+	turn   chan struct{}
+
+	mu sync.Mutex
+	// active and stamp are what counts in this term, nil before it was read; change is what is on its way, or was last.
+	active   *configuration.Active
+	document *configuration.Document
+	stamp    uint64
+	change   *configuration.Application
+}
+
+// NewApplier makes the applier of a term, which lasts as long as the context.
+func NewApplier(ctx context.Context, k *Keeper, leader Leader) *Applier {
+	return &Applier{Keeper: k, leader: leader, ctx: ctx, turn: make(chan struct{}, 1)}
+}
+
+// Begin reads the newest revision, after the leader's key was won, and has decisions go by it. Nothing may be decided
+// before it has succeeded.
+func (a *Applier) Begin(ctx context.Context) error {
+	// What was read before this term may be older than what its last leader stored.
+	sent := a.clock.Now()
+	if _, err := a.Confirm(ctx); err != nil {
+		return err
+	}
+	right, ok := a.Right()
+	if !ok || right.Asked.Before(sent) {
+		return ErrUnread
+	}
+	var document *configuration.Document
+	if revision, _, _ := a.Present(); revision != nil {
+		var err error
+		if document, err = configuration.Parse(revision.Document); err != nil {
+			return err
+		}
+	}
+	a.mu.Lock()
+	a.active, a.document, a.stamp = right.Active, document, right.Stamp
+	a.mu.Unlock()
+	a.leader.Use(right.Active)
+	return nil
+}
+
+// Candidates are the revisions by which an answer that is final for a user must come out the same: the present one,
+// and while a change is on its way both. None: nothing was read yet.
+func (a *Applier) Candidates() []*configuration.Active {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	switch {
+	case a.active == nil:
+		return nil
+	case a.change != nil && (a.change.Stage() == configuration.Storing || a.change.Stage() == configuration.Spreading):
+		return []*configuration.Active{a.change.Before, a.change.After}
+	}
+	return []*configuration.Active{a.active}
+}
+
+// UseAgain hands what counts now to the leader once more.
+func (a *Applier) UseAgain() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	switch {
+	case a.active == nil:
+	case a.change != nil && a.change.Stage() != configuration.Refused:
+		a.leader.Use(a.change.Counts())
+	default:
+		a.leader.Use(a.active)
+	}
+}
+
+// Apply makes a change, and waits until it is in force or for tuning.ConfigurationAnswer. The answer tells which; the
+// error is one of this package's, and then nothing is, or is known to be, stored.
+func (a *Applier) Apply(ctx context.Context, r Request) (Answer, error) {
+	if err := a.takeTurn(ctx); err != nil {
+		return Answer{}, err
+	}
+	a.mu.Lock()
+	active, document, stamp := a.active, a.document, a.stamp
+	a.mu.Unlock()
+	_, newest, _ := a.Present()
+	switch {
+	case active == nil:
+		a.endTurn()
+		return Answer{}, ErrUnread
+	case r.Expect != nil && *r.Expect != newest:
+		a.endTurn()
+		return Answer{}, fmt.Errorf("%w: revision %d is the present one, not %d", ErrConflict, newest, *r.Expect)
+	case document != nil && document.Text == r.Document.Text && active.Revision == newest:
+		a.endTurn()
+		return Answer{Revision: newest, InForce: true, Unchanged: true}, nil
+	}
+	revision := &configuration.Revision{Number: newest + 1, By: r.By, Why: r.Why, AtMS: a.clock.Now().UnixMilli(), Document: r.Document.Text}
+	change := configuration.NewApplication(active, r.Document.Over(a.files, revision.Number), a.leader.Siblings())
+	done := make(chan error, 1)
+	go func() {
+		defer a.endTurn()
+		done <- a.carryOut(change, revision, r.Document, stamp)
+	}()
+	return a.wait(ctx, change, done)
+}
+
+func (a *Applier) takeTurn(ctx context.Context) error {
+	select {
+	case a.turn <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+	case <-a.ctx.Done():
+	case <-a.clock.After(tuning.ConfigurationTurn):
+	}
+	return ErrBusy
+}
+
+func (a *Applier) endTurn() { <-a.turn }
+
+// wait waits for a change to be in force, or for as long as its user can be kept.
+func (a *Applier) wait(ctx context.Context, change *configuration.Application, done <-chan error) (Answer, error) {
+	select {
+	case err := <-done:
+		if err != nil {
+			return Answer{}, err
+		}
+	case <-ctx.Done():
+	case <-a.clock.After(tuning.ConfigurationAnswer):
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	switch change.Stage() {
+	case configuration.Storing:
+		return Answer{}, ErrUnknown
+	case configuration.Refused:
+		return Answer{}, ErrOut
+	}
+	return Answer{Revision: change.After.Revision, InForce: change.Stage() == configuration.InForce, WaitsFor: change.WaitsFor(a.clock.Now())}, nil
+}
+
+// Progress is how far the last change of this term has come; false: there was none.
+func (a *Applier) Progress() (Answer, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.change == nil || a.change.Stage() == configuration.Refused || a.change.Stage() == configuration.Storing {
+		return Answer{}, false
+	}
+	return Answer{Revision: a.change.After.Revision, InForce: a.change.Stage() == configuration.InForce, WaitsFor: a.change.WaitsFor(a.clock.Now())}, true
+}
+
+// carryOut takes a change from before it is stored until it is in force. The error tells why it is not stored.
+func (a *Applier) carryOut(change *configuration.Application, revision *configuration.Revision, document *configuration.Document, stamp uint64) error {
+	a.mu.Lock()
+	a.change = change
+	a.mu.Unlock()
+	// From here on the lower limits of both count, whatever becomes of it.
+	undecided := a.leader.Use(change.Counts())
+	epoch, err := a.store(revision, stamp)
+	if err != nil {
+		a.mu.Lock()
+		change.Refuse()
+		a.mu.Unlock()
+		a.leader.Use(change.Before)
+		return err
+	}
+	a.mu.Lock()
+	change.Stored(a.clock.Now())
+	a.active, a.document, a.stamp = change.After, document, epoch
+	a.mu.Unlock()
+	a.take(configuration.Right{Active: change.After, Stamp: epoch, Asked: a.clock.Now()}, revision, revision.Number, "")
+	began := a.clock.Now()
+	a.spread(change, undecided)
+	if change.Stage() != configuration.InForce {
+		return ErrLost
+	}
+	slog.Info("configuration in force", "revision", revision.Number, "by", revision.By, "why", revision.Why, "stored_to_in_force_ms", a.clock.Since(began).Milliseconds())
+	a.sweep(revision.Number)
+	return nil
+}
+
+// spread waits until a stored change is in force, or the term is over.
+func (a *Applier) spread(change *configuration.Application, undecided func() int) {
+	for _, member := range a.leader.Siblings() {
+		go a.confirm(change, member)
+	}
+	for a.ctx.Err() == nil {
+		n := undecided()
+		a.mu.Lock()
+		change.Undecided(n)
+		// What is decided from here on goes by the new one alone, before anybody hears that it is in force.
+		done := change.Step(a.clock.Now()) == configuration.InForce
+		if done {
+			a.leader.Use(change.Counts())
+		}
+		a.mu.Unlock()
+		if done {
+			return
+		}
+		select {
+		case <-a.ctx.Done():
+		case <-a.clock.After(tuning.ConfigurationStep):
+		}
+	}
+}
+
+// confirm asks a sibling until it has read the change, or that no longer matters.
+func (a *Applier) confirm(change *configuration.Application, member string) {
+	for a.ctx.Err() == nil {
+		number, err := a.leader.Ask(a.ctx, member, change.After.Revision)
+		a.mu.Lock()
+		if err == nil {
+			change.Confirmed(member, number)
+		}
+		over := change.Stage() == configuration.InForce || err == nil && number >= change.After.Revision
+		a.mu.Unlock()
+		if over {
+			return
+		}
+		select {
+		case <-a.ctx.Done():
+		case <-a.clock.After(tuning.ConfigurationEvery / 4):
+		}
+	}
+}
+
+// store writes a revision's parts and then its head, on condition that this controller leads and the head is as it was.
+// Once the outcome of a transaction is not known it is sent again until it is: a second execution of the same changes
+// nothing. The error is ErrOut where nothing can have been stored.
+func (a *Applier) store(revision *configuration.Revision, stamp uint64) (epoch uint64, err error) {
+	head, parts, err := configuration.Encode(revision, a.limits.ValueBytes())
+	if err != nil {
+		return 0, err
+	}
+	conds := []store.Cond{{Key: configuration.HeadKey, Stamp: stamp}}
+	var ops []store.Op
+	for i, part := range parts {
+		key := configuration.PartKey(revision.Number, i)
+		ops = append(ops, store.Op{Set: key, Value: part})
+		if len(ops)+1 < a.limits.TxnOps || i == len(parts)-1 {
+			continue
+		}
+		if epoch, err = a.write(conds, ops, nil); err != nil {
+			return 0, err
+		}
+		// A late copy of an earlier try must not change what the head will name.
+		for _, op := range ops {
+			conds = append(conds, store.Cond{Key: op.Set, Stamp: epoch})
+		}
+		ops = nil
+	}
+	ops = append(ops, store.Op{Set: configuration.HeadKey, Value: head})
+	return a.write(conds, ops, &head)
+}
+
+// write runs one transaction to a known outcome. Head is what it makes the head, if it does.
+func (a *Applier) write(conds []store.Cond, ops []store.Op, head *configuration.Head) (epoch uint64, err error) {
+	unknown := false
+	for a.ctx.Err() == nil {
+		lead, ok := a.leader.Condition()
+		if !ok && !unknown {
+			return 0, ErrLost
+		}
+		epoch, failed, err := a.client.Multi(a.ctx, append([]store.Cond{lead}, conds...), ops)
+		switch {
+		case err == nil:
+			return epoch, nil
+		case errors.Is(err, store.ErrConflict):
+			if unknown && head != nil {
+				if found, ok := a.wrote(head); ok {
+					return found, nil
+				}
+			}
+			if len(failed) > 0 && failed[0] == store.LeaderKey {
+				return 0, ErrLost
+			}
+			return 0, fmt.Errorf("%w: %v", ErrConflict, failed)
+		case errors.Is(err, store.ErrTooMany), unknown && errors.Is(err, store.ErrBusy):
+		case errors.Is(err, store.ErrBusy):
+			return 0, ErrOut
+		case errors.Is(err, store.ErrRefused):
+			return 0, err
+		default:
+			unknown = true
+		}
+		select {
+		case <-a.ctx.Done():
+		case <-a.clock.After(tuning.ElectRetry):
+		}
+	}
+	return 0, ErrUnknown
+}
+
+// wrote tells whether the head is what was to be written, and at which revision of the state service.
+func (a *Applier) wrote(head *configuration.Head) (epoch uint64, ok bool) {
+	for a.ctx.Err() == nil {
+		item, err := a.client.Get(a.ctx, configuration.HeadKey)
+		if err == nil {
+			found, err := configuration.ParseHead(item.Value)
+			return item.Stamp, err == nil && found == *head
+		}
+		if errors.Is(err, store.ErrNotFound) {
+			return 0, false
+		}
+		select {
+		case <-a.ctx.Done():
+		case <-a.clock.After(tuning.ElectRetry):
+		}
+	}
+	return 0, false
+}
+
+// sweep removes revisions that are older than the last ones that are kept. What fails is tried with a later change.
+func (a *Applier) sweep(newest uint64) {
+	for back := uint64(tuning.ConfigurationKept); back < tuning.ConfigurationKept+tuning.ConfigurationSwept && back < newest; back++ {
+		old := newest - back
+		item, err := a.client.Get(a.ctx, configuration.PartKey(old, 0))
+		if err != nil {
+			continue
+		}
+		part, err := configuration.ParsePart(item.Value)
+		if err != nil {
+			continue
+		}
+		lead, ok := a.leader.Condition()
+		if !ok {
+			return
+		}
+		// The first part goes last: it tells how many there are.
+		for i := part.Of - 1; i >= 0; i-- {
+			if _, _, err := a.client.Multi(a.ctx, []store.Cond{lead}, []store.Op{{Delete: configuration.PartKey(old, i)}}); err != nil {
+				slog.Info("an old revision is not removed yet", "revision", old, "err", err)
+				return
+			}
+		}
+	}
+}
--- /dev/null
+++ b/controller/configuration.go
@@ -0,0 +1,398 @@
+package controller
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+
+	"switchferry/api"
+	"switchferry/configuration"
+	"switchferry/configuration/keeper"
+	"switchferry/fleet"
+	"switchferry/peer"
+	"switchferry/quota"
+	"switchferry/store"
+	"switchferry/supply"
+	"switchferry/tuning"
+)
+
+// Verbs of requests about the configuration.
+const (
+	// VerbConfiguration shows the configuration; Request.Job is empty for the present one, a revision's number, or
+	// ConfigurationHistory. VerbConfigure changes it.
+	VerbConfiguration = "configuration"
+	VerbConfigure     = "configure"
+	// verbConfirm has a sibling look for the newest revision now.
+	verbConfirm = "confirm-configuration"
+)
+
+// ConfigurationHistory asks for the last revisions.
+const ConfigurationHistory = "history"
+
+// keepConfiguration switches live configuration on; it is called before Run.
+func (n *Node) keepConfiguration() {
+	n.config = keeper.New(n.client, n.clock, n.files[0], n.set.Facts.State)
+	n.marks.Configuration = true
+}
+
+// ConfigurationOn tells whether the configuration can change while this controller runs.
+func (n *Node) ConfigurationOn() bool { return n.config != nil }
+
+// changing is what changes the configuration in the present term; nil: this controller does not lead.
+func (n *Node) changing() *keeper.Applier {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.applier
+}
+
+// configurationLeader is a term's side of a change.
+type configurationLeader struct {
+	n    *Node
+	core *Core
+}
+
+// Condition holds while the term lasts.
+func (l *configurationLeader) Condition() (store.Cond, bool) { return source{l.core, l.n}.Condition() }
+
+// Use has the term's decisions go by a configuration.
+func (l *configurationLeader) Use(active *configuration.Active) (undecided func() int) {
+	if active.Topology == nil && l.n.topology != nil {
+		withFile := *active
+		withFile.Topology = l.n.topology.Map()
+		active = &withFile
+	}
+	return l.core.Configure(active)
+}
+
+// Siblings are all other controllers.
+func (l *configurationLeader) Siblings() (members []string) {
+	for _, s := range l.n.set.Siblings {
+		members = append(members, s.Member)
+	}
+	return members
+}
+
+// Ask has a sibling look for the newest revision now.
+func (l *configurationLeader) Ask(ctx context.Context, member string, _ uint64) (revision uint64, err error) {
+	a, err := l.n.peers.Ask(ctx, member, peer.Request{Verb: verbConfirm, From: l.n.set.Member}, tuning.PeerTimeout)
+	if err != nil {
+		return 0, err
+	}
+	if a.Status != http.StatusOK {
+		return 0, fmt.Errorf("%s answers with status %d", member, a.Status)
+	}
+	return revision, json.Unmarshal(a.Body, &revision)
+}
+
+// useAgain has the leader go by its present configuration once more, after the topology file has changed.
+func (n *Node) useAgain(core *Core) {
+	if applier := n.changing(); applier != nil {
+		applier.UseAgain()
+		return
+	}
+	core.MoveTopology(n.topology.Map())
+}
+
+// Configure has decisions go by this from now on. The result counts the starts and accepts of before that are not on
+// record yet.
+func (c *Core) Configure(active *configuration.Active) (undecided func() int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.active, c.configured = active, true
+	if c.data != nil && active.AheadTasks != nil {
+		c.data.set.Ahead = *active.AheadTasks
+	}
+	if active.Topology != nil {
+		moveTopology(c, active.Topology)
+	}
+	var starts []*assign
+	var accepts []*job
+	for _, j := range c.order {
+		if !j.accepted {
+			accepts = append(accepts, j)
+		}
+		for _, a := range j.live {
+			if !a.committed {
+				starts = append(starts, a)
+			}
+		}
+	}
+	c.kick()
+	return func() int {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		starts = slices.DeleteFunc(starts, func(a *assign) bool { return a.committed || a.job.live[a.task] != a })
+		accepts = slices.DeleteFunc(accepts, func(j *job) bool { return j.accepted || c.jobs[j.id] != j })
+		return len(starts) + len(accepts)
+	}
+}
+
+// admits tells whether a job may be accepted under a configuration: its team is there, and its limit has room for the
+// least that the job needs at once.
+func admits(active *configuration.Active, s *api.Submission) bool {
+	limit, ok := active.Limit(s.Team)
+	return ok && limit.Holds(supply.AtOnce(s))
+}
+
+// limitReason is why a job waits for its team's limit, for operators and users.
+func limitReason(active *configuration.Active, j *job) string {
+	limit, ok := active.Limit(j.Job.Team)
+	switch {
+	case !ok:
+		return fmt.Sprintf("team %s is not in the configuration any more (revision %d); it waits until a team of this name is", j.Job.Team, active.Revision)
+	case !limit.Holds(supply.AtOnce(&j.Job)):
+		return fmt.Sprintf("it needs more at once than the limit of team %s allows since revision %d; it waits until that is raised", j.Job.Team, active.Revision)
+	}
+	return fmt.Sprintf("team %s has as much as its limit allows", j.Job.Team)
+}
+
+// stopExcess stops what runs above a limit that has sunk, if the configuration says so; the lock is held.
+func stopExcess(c *Core) {
+	if c.active.OverLimit.Running != configuration.Stop {
+		return
+	}
+	for _, team := range c.active.Teams() {
+		limit, _ := c.active.Limit(team.Name)
+		use := c.use[team.Name].Sub(c.leaving[team.Name])
+		if limit.Holds(use) {
+			continue
+		}
+		tasks, held := heldBy(c, team.Name)
+		for _, i := range quota.Excess(limit, use, held) {
+			c.stopTask(tasks[i], min(c.active.OverLimit.StopWithinS, tasks[i].job.Job.SaveS), "its team's limit has sunk")
+		}
+	}
+}
+
+// heldBy are the tasks of a team that are not being stopped.
+func heldBy(c *Core, team string) (tasks []*assign, held []quota.Held) {
+	for _, j := range c.order {
+		if j.Job.Team != team {
+			continue
+		}
+		for _, a := range j.live {
+			if !a.stop {
+				tasks = append(tasks, a)
+				held = append(held, quota.Held{Rank: j.rank, Loss: c.loss(a), Need: fleet.Of(&j.Job)})
+			}
+		}
+	}
+	return tasks, held
+}
+
+// judgement is what a submission was judged by.
+type judgement struct {
+	// by are the configurations under which the answer must come out the same; conds hold while a follower's is the
+	// newest.
+	by    []*configuration.Active
+	conds []store.Cond
+	// why nothing could be judged, where it is the configuration's matter.
+	why string
+}
+
+// judgeBy gives what a submission is judged by now.
+func (n *Node) judgeBy(core *Core) judgement {
+	if n.config == nil {
+		return judgement{by: n.files}
+	}
+	if applier := n.changing(); core != nil && applier != nil {
+		by := applier.Candidates()
+		if len(by) == 0 || !core.hooks.Valid() {
+			return judgement{why: "the configuration is not known yet"}
+		}
+		return judgement{by: by}
+	}
+	right, ok := n.config.Right()
+	if !ok {
+		return judgement{why: "the configuration cannot be confirmed now"}
+	}
+	return judgement{by: []*configuration.Active{right.Active}, conds: []store.Cond{{Key: configuration.HeadKey, Stamp: right.Stamp}}}
+}
+
+// canRun checks a submission against teams, limits and machine types. Undecided: these are not known, the
+// configuration is not, or it is just changing and the answers differ.
+func (n *Node) canRun(core *Core, s *api.Submission) (judged judgement, err error, undecided bool) {
+	n.mu.Lock()
+	types := n.types
+	n.mu.Unlock()
+	judged = n.judgeBy(core)
+	if judged.why != "" {
+		return judged, nil, true
+	}
+	for i, active := range judged.by {
+		found, open := supply.CanRun(s, active.Limit, types)
+		if i > 0 && (found == nil) != (err == nil) {
+			judged.why = "the configuration is just changing"
+			return judged, nil, true
+		}
+		err, undecided = found, undecided || open
+	}
+	return judged, err, undecided
+}
+
+// stands tells whether what a refusal was judged by still counts: it is looked at last, since the process can have
+// stood still.
+func (j judgement) stands(n *Node, core *Core) bool {
+	if n.config == nil || j.by == nil {
+		return true
+	}
+	return slices.Equal(j.by, n.judgeBy(core).by)
+}
+
+// aboutConfiguration serves requests about the configuration.
+func (n *Node) aboutConfiguration(ctx context.Context, r peer.Request, forwarded bool) peer.Answer {
+	if n.config == nil {
+		return answer(http.StatusNotFound, api.Error{Error: "live configuration is off"})
+	}
+	if r.Verb == verbConfirm {
+		number, err := n.config.Confirm(ctx)
+		if err != nil {
+			return later("the state service is out of reach")
+		}
+		return answer(http.StatusOK, number)
+	}
+	if r.Verb == VerbConfiguration && r.Job != "" {
+		return n.showRevision(ctx, r.Job)
+	}
+	applier := n.changing()
+	switch {
+	case applier == nil && r.Verb == VerbConfigure:
+		return n.passOn(ctx, r, forwarded)
+	case applier == nil && !forwarded:
+		if a := n.passOn(ctx, r, forwarded); a.Status == http.StatusOK {
+			return a
+		}
+		// Nobody leads: the records tell.
+		if _, err := n.config.Confirm(ctx); err != nil {
+			return later("the state service is out of reach")
+		}
+		return answer(http.StatusOK, n.showPresent(nil))
+	case r.Verb == VerbConfiguration:
+		return answer(http.StatusOK, n.showPresent(applier))
+	}
+	return n.configure(ctx, applier, r.Body)
+}
+
+// showPresent is the present configuration and how far the last change has come.
+func (n *Node) showPresent(applier *keeper.Applier) api.ConfigurationView {
+	revision, newest, trouble := n.config.Present()
+	v := api.ConfigurationView{Newest: newest, NotTaken: trouble, Leader: applier != nil}
+	if revision != nil {
+		v.Revision, v.By, v.Why, v.AtMS, v.Document = revision.Number, revision.By, revision.Why, revision.AtMS, revision.Document
+	}
+	if applier != nil {
+		v.InForce = true
+		if progress, ok := applier.Progress(); ok && progress.Revision == v.Revision {
+			v.InForce, v.WaitsFor = progress.InForce, progress.WaitsFor
+		}
+	}
+	return v
+}
+
+// showRevision answers from the records.
+func (n *Node) showRevision(ctx context.Context, which string) peer.Answer {
+	if which == ConfigurationHistory {
+		all, err := n.config.History(ctx)
+		if err != nil {
+			return later("the state service is out of reach")
+		}
+		out := []api.ConfigurationView{}
+		for _, r := range all {
+			out = append(out, api.ConfigurationView{Revision: r.Number, By: r.By, Why: r.Why, AtMS: r.AtMS})
+		}
+		return answer(http.StatusOK, out)
+	}
+	number, err := strconv.ParseUint(which, 10, 64)
+	if err != nil || number == 0 {
+		return answer(http.StatusBadRequest, api.Error{Error: fmt.Sprintf("%q is no revision; revisions are numbered from 1", which), Field: "revision"})
+	}
+	r, err := n.config.Revision(ctx, number)
+	switch {
+	case errors.Is(err, configuration.ErrDamaged), errors.Is(err, configuration.ErrNewer):
+		return answer(http.StatusNotFound, api.Error{Error: err.Error() + "; the last 50 revisions are kept"})
+	case err != nil:
+		return later("the state service is out of reach")
+	}
+	return answer(http.StatusOK, api.ConfigurationView{Revision: r.Number, By: r.By, Why: r.Why, AtMS: r.AtMS, Document: r.Document})
+}
+
+// configure makes a change as the leader.
+func (n *Node) configure(ctx context.Context, applier *keeper.Applier, body []byte) peer.Answer {
+	var request api.ConfigurationRequest
+	if err := json.Unmarshal(body, &request); err != nil {
+		return answer(http.StatusBadRequest, api.Error{Error: "the body must be a JSON object with a document", Field: "body"})
+	}
+	document, err := configuration.Parse(request.Document)
+	if err == nil {
+		err = n.cannotUse(document)
+	}
+	if err != nil {
+		return answer(http.StatusBadRequest, api.ConfigurationMistakes{Error: "the document has mistakes; nothing was changed", Mistakes: mistakesOf(err)})
+	}
+	without, err := n.marks.WithoutConfiguration(ctx)
+	if err != nil {
+		return later(keeper.ErrOut.Error())
+	}
+	if len(without) > 0 {
+		return later("the configuration can only change once all controllers run a version that knows of it, with [configuration] on; not seen yet of " + strings.Join(without, ", "))
+	}
+	made, err := applier.Apply(ctx, keeper.Request{Document: document, By: request.By, Why: request.Why, Expect: request.Expect})
+	switch {
+	case errors.Is(err, keeper.ErrConflict):
+		return answer(http.StatusConflict, n.conflict(document, err))
+	case err != nil:
+		slog.Info("configuration not changed", "by", request.By, "err", err)
+		return later(err.Error())
+	case made.InForce:
+		return answer(http.StatusOK, made)
+	}
+	return answer(http.StatusAccepted, made)
+}
+
+// cannotUse finds sections that need a feature which is off.
+func (n *Node) cannotUse(d *configuration.Document) error {
+	var bad configuration.Mistakes
+	if d.Topology != nil && n.topology == nil {
+		bad = append(bad, configuration.Mistake{Field: "topology", Remedy: "no topology is on; name a file under [topology] in the features file first, or leave the section out"})
+	}
+	if d.Switches.AheadTasks != nil && !n.data.On {
+		bad = append(bad, configuration.Mistake{Field: "features.ahead_tasks", Remedy: "datasets are off; set on = true under [data] in the features file first, or leave it out"})
+	}
+	if len(bad) == 0 {
+		return nil
+	}
+	return bad
+}
+
+func mistakesOf(err error) (out []api.ConfigurationMistake) {
+	var all configuration.Mistakes
+	if !errors.As(err, &all) {
+		all = configuration.Mistakes{{Field: "document", Remedy: err.Error()}}
+	}
+	for _, m := range all {
+		out = append(out, api.ConfigurationMistake{Line: m.Line, Field: m.Field, Remedy: m.Remedy})
+	}
+	return out
+}
+
+// conflict tells whoever lost against another change what that one was.
+func (n *Node) conflict(wanted *configuration.Document, err error) api.ConfigurationConflict {
+	out := api.ConfigurationConflict{Error: err.Error()}
+	revision, _, _ := n.config.Present()
+	if revision == nil {
+		return out
+	}
+	out.Revision, out.By, out.Why = revision.Number, revision.By, revision.Why
+	if present, perr := configuration.Parse(revision.Document); perr == nil {
+		for _, d := range configuration.Differences(present, wanted) {
+			out.Differences = append(out.Differences, d.String())
+		}
+	}
+	return out
+}
--- a/controller/core.go
+++ b/controller/core.go
@@ -18,6 +18,7 @@
 
 	"switchferry/ageing"
 	"switchferry/api"
+	"switchferry/configuration"
 	"switchferry/contact"
 	"switchferry/evidence"
 	"switchferry/fleet"
@@ -217,16 +218,18 @@
 
 // Core is the leader's state in one term.
 type Core struct {
-	term   uint64
-	clock  clockwork.Clock
-	set    *settings.Settings
-	policy *policy.Policy
-	hooks  Hooks
-
-	mu      sync.Mutex
-	loaded  bool
-	started time.Time
-	types   map[string]*api.MachineType
+	term  uint64
+	clock clockwork.Clock
+	set   *settings.Settings
+	hooks Hooks
+
+	mu sync.Mutex
+	// active is what operators have configured, as it counts now; configured: it may change.
+	active     *configuration.Active
+	configured bool
+	loaded     bool
+	started    time.Time
+	types      map[string]*api.MachineType
 	// where is nil without a topology.
 	where    *where
 	jobs     map[string]*job
@@ -294,7 +297,7 @@
 
 // NewCore makes the state of a term.
 func NewCore(term uint64, clock clockwork.Clock, set *settings.Settings, pol *policy.Policy, types []api.MachineType, hooks Hooks) *Core {
-	c := &Core{term: term, clock: clock, set: set, policy: pol, hooks: hooks,
+	c := &Core{term: term, clock: clock, set: set, active: configuration.FromFiles(set.Facts.Teams, pol), hooks: hooks,
 		types: map[string]*api.MachineType{}, jobs: map[string]*job{}, machines: map[string]*machine{},
 		gone: map[string]time.Time{}, toPush: map[*machine]bool{}, use: map[string]fleet.Room{}, leaving: map[string]fleet.Room{}, hints: map[string][]fleet.Image{}, refusals: map[pool]time.Time{},
 		wake: make(chan struct{}, 1), started: clock.Now(), shardTasks: tuning.ShardTasks}
@@ -419,7 +422,7 @@
 		}
 	}
 	weight := math.Max(tuning.WorkWeight, tuning.WorkWaiting*waiting)
-	by := seconds(c.policy.Value(policy.BeginByS, nil))
+	by := seconds(c.active.Policy.Value(policy.BeginByS, nil))
 	for _, j := range c.order {
 		j.aged = len(j.pending)+j.queued > 0 && j.rank != api.RankProduction && ageing.Due(c.now(), j.ages, j.started, by) && c.ready(j)
 		j.latest = c.latestStart(j, now)
@@ -448,7 +451,7 @@
 		n := float64(j.total - j.done)
 		u := sum[j.Job.Team].Add(fleet.Room{CPUs: n * j.need.CPUs, Cards: n * j.need.Cards})
 		sum[j.Job.Team] = u
-		t, _ := c.set.Team(j.Job.Team)
+		t, _ := c.active.Team(j.Job.Team)
 		j.beyond = 1
 		if t.CPUs > 0 && u.CPUs <= t.CPUs+tuning.RoomSlack && u.Cards <= t.Cards+tuning.RoomSlack {
 			j.beyond = 0
--- a/controller/data.go
+++ b/controller/data.go
@@ -275,7 +275,7 @@
 // rest takes as links are loaded now.
 func (c *Core) dataFill(j *job) {
 	d := c.data
-	slot := c.policy.Value(policy.SlotS, nil)
+	slot := c.active.Policy.Value(policy.SlotS, nil)
 	var ms []*machine
 	var servers []placement.Server
 	index := map[holdings.Machine]int32{}
@@ -469,7 +469,7 @@
 	if seconds <= 0 {
 		return 0
 	}
-	return int(c.policy.Value(policy.FetchPenalty, policy.Vars{"fetch_s": seconds, "slot_s": slot}))
+	return int(c.active.Policy.Value(policy.FetchPenalty, policy.Vars{"fetch_s": seconds, "slot_s": slot}))
 }
 
 // next is the first task of a queue that may start on a machine: the first one whose
--- a/controller/dataport.go
+++ b/controller/dataport.go
@@ -39,6 +39,9 @@
 	if f.Membership.On {
 		n.watchMembers()
 	}
+	if f.Configuration.On {
+		n.keepConfiguration()
+	}
 }
 
 // DataOn tells whether datasets are on.
--- a/controller/node.go
+++ b/controller/node.go
@@ -20,6 +20,8 @@
 
 	"switchferry/api"
 	"switchferry/cloud"
+	"switchferry/configuration"
+	"switchferry/configuration/keeper"
 	"switchferry/contact"
 	"switchferry/dataset"
 	"switchferry/election"
@@ -34,7 +36,6 @@
 	"switchferry/sockets"
 	"switchferry/steering"
 	"switchferry/store"
-	"switchferry/supply"
 	"switchferry/topology"
 	"switchferry/tuning"
 	"switchferry/upgrade"
@@ -98,6 +99,12 @@
 	// by plan.
 	members *membership.Watcher
 	leaving bool
+	// files is what files and settings say, alone in its list.
+	files []*configuration.Active
+	// config keeps the configuration, which can change while this process runs, and applier changes it in the present
+	// term; both are nil unless that feature is on.
+	config  *keeper.Keeper
+	applier *keeper.Applier
 
 	relay *relay
 	pace  *pace.Pace
@@ -123,6 +130,7 @@
 	for _, s := range set.Siblings {
 		all = append(all, s.Member)
 	}
+	n.files = []*configuration.Active{configuration.FromFiles(set.Facts.Teams, pol)}
 	n.word = word.New(n.born, all[1:], word.LimitsOf(seconds(set.Facts.Workers.CancelS), seconds(set.Facts.Workers.LeaseS)))
 	n.client = store.NewClient(set.External.State, transport)
 	n.marks = upgrade.NewMarker(set.Member, all, n.client, clock)
@@ -201,6 +209,9 @@
 	}
 	go n.pace.Run(n.ctx)
 	go n.readCancellations(n.ctx)
+	if n.config != nil {
+		go n.config.Run(n.ctx, func() bool { return n.leading() != nil })
+	}
 	if n.members != nil {
 		go n.members.Run(n.ctx, func() membership.Own {
 			return membership.Own{Leads: n.leading() != nil, StateOK: n.stateOK(), Worked: n.hears()}
@@ -369,18 +380,22 @@
 	if n.topology != nil {
 		core.UseTopology(n.topology.Map())
 	}
+	var applier *keeper.Applier
+	if n.config != nil {
+		applier = keeper.NewApplier(ctx, n.config, &configurationLeader{n, core})
+	}
 	com = store.NewCommitter(n.client, source{core, n}, n.clock, n.set.Facts.State, map[string]uint64{})
 	own := func() {
 		core.OwnRecords()
 		com.Keep(n.set.Facts.State.Least().ValueBytes())
 	}
 	n.mu.Lock()
-	n.core, n.end, n.own = core, end, own
+	n.core, n.end, n.own, n.applier = core, end, own, applier
 	n.mu.Unlock()
 	if len(n.marks.Older()) == 0 {
 		own()
 	}
-	go n.term(ctx, core, com)
+	go n.term(ctx, core, com, applier)
 }
 
 // cut tells whether no controller in another zone can be reached.
@@ -404,12 +419,20 @@
 	if n.end != nil {
 		n.end()
 	}
-	n.core, n.end, n.own = nil, nil, nil
+	n.core, n.end, n.own, n.applier = nil, nil, nil, nil
 }
 
-func (n *Node) term(ctx context.Context, core *Core, com *store.Committer) {
+func (n *Node) term(ctx context.Context, core *Core, com *store.Committer, applier *keeper.Applier) {
 	var inbox, known uint64
 	for ctx.Err() == nil {
+		if applier != nil {
+			// What was read before this term may be older than what the last leader put in force.
+			if err := applier.Begin(ctx); err != nil {
+				slog.Error("configuration not read", "err", err)
+				n.sleep(ctx, tuning.ElectRetry)
+				continue
+			}
+		}
 		if n.data.On {
 			var err error
 			if known, err = n.learnAll(ctx, core); err != nil {
@@ -943,6 +966,9 @@
 	if r.Verb == VerbTopology || r.Verb == VerbExplain {
 		return n.aboutPlaces(ctx, r, forwarded)
 	}
+	if r.Verb == VerbConfiguration || r.Verb == VerbConfigure || r.Verb == verbConfirm {
+		return n.aboutConfiguration(ctx, r, forwarded)
+	}
 	if r.Verb == VerbRegister || r.Verb == VerbRemove || r.Verb == VerbData {
 		return n.aboutData(ctx, r, forwarded)
 	}
@@ -1028,12 +1054,10 @@
 			}
 		}
 		undecided := false
+		var judged judgement
 		if err == nil {
 			status = http.StatusUnprocessableEntity
-			n.mu.Lock()
-			types := n.types
-			n.mu.Unlock()
-			err, undecided = supply.CanRun(s, n.limit, types)
+			judged, err, undecided = n.canRun(core, s)
 		}
 		if err == nil {
 			if err = n.fits(s); err != nil {
@@ -1068,15 +1092,19 @@
 				}
 			}
 			switch {
+			case err != nil && !judged.stands(n, core):
+				return later("the configuration has just changed")
 			case err != nil:
 				return refusal(status, err)
+			case judged.why != "":
+				return later(judged.why)
 			case n.data.On:
 				return later("the machine types, or the job's datasets, are not known yet")
 			}
 			return later("the machine types are not known yet")
 		}
 		if core == nil {
-			return n.submitAlone(ctx, s, r.Body)
+			return n.submitAlone(ctx, s, r.Body, judged.conds...)
 		}
 		if a, ok := core.Submit(ctx, s, n.clock.Now()); ok {
 			return a
@@ -1124,11 +1152,6 @@
 	return err
 }
 
-func (n *Node) limit(team string) (float64, float64, bool) {
-	t, ok := n.set.Team(team)
-	return t.CPUsMax, t.CardsMax, ok
-}
-
 // told answers from the state service.
 func (n *Node) told(ctx context.Context, core *Core, id string, waits bool) peer.Answer {
 	st, found, err := n.lookUp(ctx, core, id, waits)
@@ -1186,20 +1209,23 @@
 }
 
 // submitAlone accepts a job without the leader, which learns of it by the
-// inbox.
-func (n *Node) submitAlone(ctx context.Context, s *api.Submission, body []byte) peer.Answer {
+// inbox, as long as further conditions hold.
+func (n *Node) submitAlone(ctx context.Context, s *api.Submission, body []byte, more ...store.Cond) peer.Answer {
 	rec := store.JobRecord{Job: *s, At: n.clock.Now().UnixMilli()}
 	conds := []store.Cond{{Key: store.JobKey(s.ID)}, {Key: store.FinalKey(s.ID)}}
 	inputs, err := n.inputsStand(ctx, s)
 	if err != nil {
 		return later("the state service is out of reach")
 	}
-	_, failed, err := n.alone.Multi(ctx, append(conds, inputs...),
+	_, failed, err := n.alone.Multi(ctx, slices.Concat(conds, more, inputs),
 		[]store.Op{{Set: store.JobKey(s.ID), Value: rec}, {Set: store.InboxKey(s.ID), Value: store.InboxRecord{}}})
 	switch {
 	case err == nil:
 		return answer(http.StatusCreated, api.JobStatus{ID: s.ID, State: api.Pending})
 	case errors.Is(err, store.ErrConflict) && !slices.Contains(failed, store.JobKey(s.ID)) && !slices.Contains(failed, store.FinalKey(s.ID)):
+		if slices.Contains(failed, configuration.HeadKey) {
+			return later("the configuration has just changed")
+		}
 		// A dataset is not as it was.
 		n.forgetDatasets(s)
 		if status, err, _ := n.checkInputs(ctx, nil, s, body); err != nil {
--- a/controller/place.go
+++ b/controller/place.go
@@ -15,7 +15,6 @@
 	"switchferry/placement"
 	"switchferry/policy"
 	"switchferry/quota"
-	"switchferry/settings"
 	"switchferry/store"
 	"switchferry/tuning"
 )
@@ -94,21 +93,21 @@
 // withinLimit tells whether a job's team may use one more task's worth, beside what is reserved for another job that
 // goes before it (package quota).
 func (c *Core) withinLimit(j *job) bool {
-	t, ok := c.set.Team(j.Job.Team)
+	limit, ok := c.active.Limit(j.Job.Team)
 	if !ok {
 		return false
 	}
-	use := c.use[t.Name].Add(j.need)
-	if r, ok := c.quotas.Held(t.Name); ok && r.ID != j.id {
+	use := c.use[j.Job.Team].Add(j.need)
+	if r, ok := c.quotas.Held(j.Job.Team); ok && r.ID != j.id {
 		if o := c.jobs[r.ID]; o != nil && before(o, j) < 0 {
 			use = use.Add(r.Need)
 		}
 	}
-	return quota.Limit{CPUs: t.CPUsMax, Cards: t.CardsMax}.Holds(use)
+	return limit.Holds(use)
 }
 
 // claims are those of the jobs that go before others in their teams, by rank or age, and wait.
-func claims(jobs []*job, team func(string) (settings.Team, bool), use map[string]fleet.Room, ready func(*job) bool) (out []quota.Claim) {
+func claims(jobs []*job, limitOf func(string) (quota.Limit, bool), use map[string]fleet.Room, ready func(*job) bool) (out []quota.Claim) {
 	stays := map[string]fleet.Room{}
 	for _, j := range jobs {
 		if j.Job.Shape == api.Service {
@@ -116,7 +115,7 @@
 		}
 	}
 	for _, j := range jobs {
-		t, ok := team(j.Job.Team)
+		limit, ok := limitOf(j.Job.Team)
 		if !ok || j.first() == 0 || len(j.pending)+j.queued == 0 || !ready(j) {
 			continue
 		}
@@ -124,7 +123,7 @@
 		if j.Job.Shape == api.Gang {
 			need = need.Scale(len(j.pending))
 		}
-		out = append(out, quota.Claim{Team: t.Name, ID: j.id, Limit: quota.Limit{CPUs: t.CPUsMax, Cards: t.CardsMax}, Need: need, Use: use[t.Name], Stays: stays[t.Name]})
+		out = append(out, quota.Claim{Team: j.Job.Team, ID: j.id, Limit: limit, Need: need, Use: use[j.Job.Team], Stays: stays[j.Job.Team]})
 	}
 	return out
 }
@@ -147,7 +146,7 @@
 	c.at = c.clock.Now()
 	defer func() { c.at = time.Time{} }()
 	c.sortQueues()
-	c.quotas.Reserve(c.at, claims(c.order, c.set.Team, c.use, c.ready))
+	c.quotas.Reserve(c.at, claims(c.order, c.active.Limit, c.use, c.ready))
 	for _, m := range c.machines {
 		if len(m.queue) > 0 && !c.usable(m) {
 			for _, q := range m.queue {
@@ -260,7 +259,7 @@
 	if open <= 0 {
 		return
 	}
-	slot := c.policy.Value(policy.SlotS, nil)
+	slot := c.active.Policy.Value(policy.SlotS, nil)
 	// Most machines wait for one of a few fetches: the policy's expression is asked once for
 	// each.
 	penalty := map[float64]int{}
@@ -445,7 +444,7 @@
 			}
 		}
 	}
-	return room, c.policy.Value(policy.ReserveCPUs, policy.Vars{"owned_cpus": owned})
+	return room, c.active.Policy.Value(policy.ReserveCPUs, policy.Vars{"owned_cpus": owned})
 }
 
 // pullers are the machines that may take a job's task off another's queue, those
@@ -524,7 +523,7 @@
 	// What is being stopped already is not there to be stopped again: counted as
 	// use, it made the other team lose far more than it had borrowed, and that
 	// one then took as much back, all over again.
-	t, _ := c.set.Team(o.Job.Team)
+	t, _ := c.active.Team(o.Job.Team)
 	stays := c.use[t.Name].Sub(c.leaving[t.Name]).Sub(o.need)
 	return stays.CPUs+tuning.RoomSlack >= t.CPUs && stays.Cards+tuning.RoomSlack >= t.Cards
 }
--- a/controller/places.go
+++ b/controller/places.go
@@ -204,7 +204,7 @@
 	case c.now().Before(j.pause):
 		why = append(why, fmt.Sprintf("its tasks failed on %d machines in a row; it is tried again in %.0f s", j.errors, j.pause.Sub(c.now()).Seconds()))
 	case !c.withinLimit(j):
-		why = append(why, fmt.Sprintf("team %s has as much as its limit allows", j.Job.Team))
+		why = append(why, limitReason(c.active, j))
 	case !c.dataReady(j):
 		why = append(why, "its datasets are not known yet")
 	}
--- a/controller/rent.go
+++ b/controller/rent.go
@@ -73,6 +73,7 @@
 				"machines", v.Machines, "left", v.Wait, "tasks_that_wait_for_them", v.WaitTasks, "returned", len(v.Return))
 		}
 	}
+	stopExcess(c)
 	for _, m := range c.overstayed(now) {
 		if !m.returning {
 			giveUp(m, "holds a cancelled task")
@@ -175,7 +176,7 @@
 			one = math.Max(one, j.need.MemoryGB/perCPU)
 		}
 		n := float64(c.asks(j))
-		if t, ok := c.set.Team(j.Job.Team); ok && t.CPUsMax > 0 && j.need.CPUs > 0 {
+		if t, ok := c.active.Team(j.Job.Team); ok && t.CPUsMax > 0 && j.need.CPUs > 0 {
 			n = math.Min(n, t.CPUsMax/j.need.CPUs)
 		}
 		all += n * one
@@ -241,12 +242,12 @@
 		}
 	}
 	guaranteed := 0.0
-	for _, t := range c.set.Facts.Teams {
+	for _, t := range c.active.Teams() {
 		if busy[t.Name] {
 			guaranteed += t.CPUs
 		}
 	}
-	head := c.policy.Value(policy.HeadroomCPUs, policy.Vars{"demand_cpus": all, "guaranteed_cpus": guaranteed})
+	head := c.active.Policy.Value(policy.HeadroomCPUs, policy.Vars{"demand_cpus": all, "guaranteed_cpus": guaranteed})
 	return all + head, tuning.ServiceSpare * ord
 }
 
@@ -300,7 +301,7 @@
 		}
 		return 1
 	})
-	spotShare := c.policy.Value(policy.SpotShare, policy.Vars{"demand_cpus": want})
+	spotShare := c.active.Policy.Value(policy.SpotShare, policy.Vars{"demand_cpus": want})
 	out := c.rentUnmet(pools)
 	for _, p := range pools {
 		t := c.types[p.typ]
@@ -482,7 +483,7 @@
 		if !c.usable(m) || len(m.assigns) > 0 || len(m.queue) > 0 {
 			continue
 		}
-		keep := seconds(c.policy.Value(policy.IdleKeepS, policy.Vars{"boot_s": m.Spec.BootS}))
+		keep := seconds(c.active.Policy.Value(policy.IdleKeepS, policy.Vars{"boot_s": m.Spec.BootS}))
 		if now.Sub(m.idle) < keep || all-m.Spec.CPUs < want || !m.Spot && all-spot-m.Spec.CPUs < ordWant {
 			continue
 		}
--- a/controller/topology.go
+++ b/controller/topology.go
@@ -41,7 +41,7 @@
 			slog.Error("topology file not taken", "err", err)
 		}
 		if core := n.leading(); m != nil && core != nil {
-			core.MoveTopology(m)
+			n.useAgain(core)
 		}
 	}
 }
@@ -63,7 +63,12 @@
 func (c *Core) MoveTopology(m *topology.Map) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.where == nil {
+	moveTopology(c, m)
+}
+
+// moveTopology is MoveTopology with the lock held; it does nothing without a topology, or with the one that is used.
+func moveTopology(c *Core, m *topology.Map) {
+	if c.where == nil || c.where.tree.Map() == m {
 		return
 	}
 	c.where.tree = c.where.tree.Moved(m)
--- a/controller/user.go
+++ b/controller/user.go
@@ -113,6 +113,11 @@
 		c.mu.Unlock()
 		return later("the job's record is damaged"), true
 	}
+	if fresh && c.configured && !admits(c.active, s) {
+		// The configuration has changed since this was looked at.
+		c.mu.Unlock()
+		return later("the configuration has just changed"), true
+	}
 	if fresh {
 		j = c.addJob(store.JobRecord{Job: *s, At: now.UnixMilli()}, false)
 		c.hooks.Touch(store.JobKey(s.ID), store.Urgent, c.locked(func() { c.accept(s.ID) }))
--- a/features/features.go
+++ b/features/features.go
@@ -34,6 +34,13 @@
 	// Membership has controllers tell each other whom they hear, watch each other, show how
 	// they stand, and hand over when told to end.
 	Membership Membership `toml:"membership"`
+	// Configuration lets operators change teams, policy, some switches and the topology while the service runs.
+	Configuration Configuration `toml:"configuration"`
+}
+
+// Configuration says whether the configuration can change while the service runs.
+type Configuration struct {
+	On bool `toml:"on"`
 }
 
 // Membership says whether controllers watch each other.
@@ -138,8 +145,8 @@
 			fail(field, fmt.Sprintf("must be 1 to 64, not %d", n))
 		}
 	}
-	if d.Ahead < 0 || d.Ahead > 1000 {
-		fail("ahead_tasks", fmt.Sprintf("must be 0 to 1000, not %d", d.Ahead))
+	if d.Ahead < 0 || d.Ahead > tuning.AheadMost {
+		fail("ahead_tasks", fmt.Sprintf("must be 0 to %d, not %d", tuning.AheadMost, d.Ahead))
 	}
 	return bad
 }
--- a/httpapi/httpapi.go
+++ b/httpapi/httpapi.go
@@ -39,6 +39,8 @@
 	// their paths exist.
 	PlacesOn() bool
 	MembersOn() bool
+	// ConfigurationOn tells whether the configuration can change while the node runs.
+	ConfigurationOn() bool
 	Stage(ctx context.Context, r *api.StageReport, raw []byte) (status int, body any)
 }
 
@@ -73,7 +75,7 @@
 	user := func(verb string) echo.HandlerFunc {
 		return func(c echo.Context) error {
 			r := peer.Request{Verb: verb, Job: c.Param("id")}
-			if verb == controller.VerbSubmit || verb == controller.VerbRegister {
+			if verb == controller.VerbSubmit || verb == controller.VerbRegister || verb == controller.VerbConfigure {
 				body, err := read(c, tuning.BodyLimit, errTooLong)
 				if err != nil {
 					return c.JSON(http.StatusBadRequest, api.Error{Error: err.Error(), Field: "body"})
@@ -96,6 +98,11 @@
 	if n.MembersOn() {
 		e.GET("/members", user(controller.VerbMembers))
 	}
+	if n.ConfigurationOn() {
+		e.GET("/configuration", user(controller.VerbConfiguration))
+		e.GET("/configuration/:id", user(controller.VerbConfiguration))
+		e.POST("/configuration", user(controller.VerbConfigure))
+	}
 	if n.PlacesOn() {
 		e.GET("/topology", user(controller.VerbTopology))
 	}
--- a/httpapi/httpapi_test.go
+++ b/httpapi/httpapi_test.go
@@ -16,9 +16,10 @@
 	data bool
 }
 
-func (f *fakeNode) PlacesOn() bool  { return false }
-func (f *fakeNode) MembersOn() bool { return false }
-func (f *fakeNode) DataOn() bool    { return f.data }
+func (f *fakeNode) PlacesOn() bool        { return false }
+func (f *fakeNode) MembersOn() bool       { return false }
+func (f *fakeNode) ConfigurationOn() bool { return false }
+func (f *fakeNode) DataOn() bool          { return f.data }
 func (f *fakeNode) Stage(_ context.Context, r *api.StageReport, _ []byte) (int, any) {
 	return 200, api.StageOrder{Helm: 4, Order: r.Order}
 }
--- a/internal/world/book.go
+++ b/internal/world/book.go
@@ -58,6 +58,8 @@
 	StartedCancelled int `json:"started_cancelled"`
 	WaitedInVain     int `json:"waited_in_vain"`
 	WrongAnswers     int `json:"wrong_answers"`
+	// Changes are those of the configuration that came into force.
+	Changes int `json:"changes_in_force,omitempty"`
 }
 
 // book is what users and an all-seeing observer know.
@@ -186,6 +188,11 @@
 	if use > b.w.limit()+1e-6 {
 		b.broken("quota", "%s uses %.0f", e.Team, use)
 	}
+	if b.w.operators != nil {
+		if why := b.w.operators.started(task, e.Team, use); why != "" {
+			b.broken("older_revision", "%s", why)
+		}
+	}
 	if e.Spread && here > (e.Tasks+1)/2 {
 		b.broken("wrong_place", "%d of %d of %s in %s, with %s", here, e.Tasks, e.ID, m.Zone, num)
 	}
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -28,6 +28,7 @@
 
 	"switchferry/api"
 	"switchferry/controller"
+	"switchferry/features"
 	"switchferry/internal/standin"
 	"switchferry/policy"
 	"switchferry/settings"
@@ -118,6 +119,9 @@
 	Room, ImageS float64
 	Berth        bool
 	Workers      settings.Workers
+	// Changes is how long operators wait between two changes of the configuration; 0: there are none, and live
+	// configuration is off.
+	Changes time.Duration
 }
 
 // limit is what a team may use, in processors.
@@ -145,6 +149,8 @@
 	cloud *standin.Cloud
 	rng   *rand.Rand
 	book  *book
+	// operators is nil on days without changes of the configuration.
+	operators *operators
 
 	mu       sync.Mutex
 	nodes    map[string]*process
@@ -196,6 +202,9 @@
 	w := &World{Day: d, ctx: ctx, clock: clock, links: newLinks(), state: standin.NewState(clock), cloud: standin.NewCloud(clock, []api.MachineType{machineType}, 20),
 		rng: rand.New(rand.NewPCG(d.Seed, 0)), nodes: map[string]*process{}, machines: map[string]*machine{}, refused: map[string]string{}, slow: map[string]int{}, frozen: map[string]chan struct{}{}, wave: make(chan Trouble)}
 	w.book = newBook(w)
+	if d.Changes > 0 {
+		w.operators = newOperators(w)
+	}
 	w.back = &back{links: w.links, ports: map[string]*port{}, conns: map[*half]string{}}
 	w.state.Limit(standin.Limits{RPS: 400, WriteRPS: 120, ValueKB: 16, TxnOps: 12})
 	w.cloud.Room = d.Machines
@@ -231,6 +240,10 @@
 		})
 	}
 	w.crowd.Go(func() { w.users(ctx, began) })
+	if w.operators != nil {
+		w.crowd.Go(func() { w.operators.run(ctx, began) })
+		w.crowd.Go(func() { w.operators.probe(ctx) })
+	}
 	w.crowd.Go(func() {
 		for w.sleep(ctx, time.Second) {
 			w.book.overdue()
@@ -240,6 +253,9 @@
 	w.book.calm()
 	w.sleep(ctx, max(d.Lasts, last)+d.After-time.Since(began))
 	res := w.book.result()
+	if w.operators != nil {
+		res.Changes = w.operators.changes
+	}
 	stop()
 	for _, name := range members {
 		w.end(name)
@@ -290,6 +306,9 @@
 	}
 	ctx, p.stop = context.WithCancel(ctx)
 	p.node = controller.NewNode(ctx, set, policy.Default(), &standing{w.clock, w, name}, &transport{w: w, from: name, rng: w.random("calls of " + name), name: name})
+	if w.operators != nil {
+		p.node.Enable(&features.Features{Configuration: features.Configuration{On: true}})
+	}
 	p.node.DialSiblings(w.back.dial(name))
 	n, l := p.node, w.back.listen(name)
 	w.crowd.Go(func() { n.Run(l) })
@@ -333,6 +352,14 @@
 	rng *rand.Rand
 }
 
+// service is the state service as controllers reach it.
+func (w *World) service() http.RoundTripper {
+	if w.operators != nil {
+		return tap{w.operators}
+	}
+	return w.state
+}
+
 // RoundTrip carries one call. A process that stands still neither sends nor learns anything meanwhile.
 func (t *transport) RoundTrip(q *http.Request) (*http.Response, error) {
 	t.w.thawed(t.name)
@@ -346,7 +373,7 @@
 	var via http.RoundTripper
 	switch host {
 	case "state":
-		via = t.w.state
+		via = t.w.service()
 	case "cloud":
 		via = t.w.cloud
 	default:
@@ -456,7 +483,7 @@
 
 // late executes a transaction after a while, whoever still waits for it.
 func (t *transport) late(q *http.Request, wait time.Duration) (*http.Response, error) {
-	return t.hold(q, t.w.state, wait, 0)
+	return t.hold(q, t.w.service(), wait, 0)
 }
 
 // hold carries a call out after a while, whoever still waits for it, and lets its answer go after another.
--- a/internal/world/world_test.go
+++ b/internal/world/world_test.go
@@ -82,6 +82,9 @@
 		d.ImageS = 0.5 + 3*rng.Float64()
 	}
 	d.Berth = rng.IntN(3) == 0
+	if seed%3 == 0 {
+		d.Changes = 2 * time.Second
+	}
 	for range 2 + rng.IntN(5) {
 		x := Trouble{At: 15*time.Second + time.Duration(rng.IntN(60_000))*time.Millisecond, Kind: kinds[rng.IntN(len(kinds))],
 			For: lasts[rng.IntN(4)], Count: 1 + rng.IntN(3), Follower: rng.IntN(2) == 0, Hang: rng.IntN(3) == 0}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -7,8 +7,10 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"math"
 	"os"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -126,20 +128,9 @@
 			continue
 		}
 		seen[name] = line
-		prog, err := compile(name, strings.TrimSpace(body))
-		if err != nil {
-			first, _, _ := strings.Cut(err.Error(), "\n")
-			bad = append(bad, fmt.Errorf("policy: line %d: %s: want a number: %s", line, name, first))
-			continue
-		}
-		if s := known[name]; len(s.vars) == 0 {
-			// It does not hang on anything, so that it is out of range shows here.
-			if v, err := run(prog, nil); err == nil && !(v >= s.min && v <= s.max) {
-				bad = append(bad, fmt.Errorf("policy: line %d: %s: is %g, want %g to %g", line, name, v, s.min, s.max))
-				continue
-			}
+		if err := p.set(name, strings.TrimSpace(body)); err != nil {
+			bad = append(bad, fmt.Errorf("policy: line %d: %s: %w", line, name, err))
 		}
-		p.programs[name] = prog
 	}
 	if err := sc.Err(); err != nil {
 		bad = append(bad, fmt.Errorf("policy: %w", err))
@@ -150,6 +141,39 @@
 	return p, nil
 }
 
+// set compiles one setting and puts it in place of its default.
+func (p *Policy) set(name, body string) error {
+	prog, err := compile(name, body)
+	if err != nil {
+		first, _, _ := strings.Cut(err.Error(), "\n")
+		return fmt.Errorf("want a number: %s", first)
+	}
+	if s := known[name]; len(s.vars) == 0 {
+		// It does not hang on anything, so that it is out of range shows here.
+		if v, err := run(prog, nil); err == nil && !(v >= s.min && v <= s.max) {
+			return fmt.Errorf("is %g, want %g to %g", v, s.min, s.max)
+		}
+	}
+	p.programs[name] = prog
+	return nil
+}
+
+// Of is the built-in policy with other expressions for some settings. It is of use only if tell was not told of a
+// mistake.
+func Of(expressions map[string]string, tell func(name, want string)) *Policy {
+	p := Default()
+	for _, name := range slices.Sorted(maps.Keys(expressions)) {
+		if _, ok := known[name]; !ok {
+			tell(name, "no such setting; there are "+strings.Join(Names(), ", "))
+			continue
+		}
+		if err := p.set(name, strings.TrimSpace(expressions[name])); err != nil {
+			tell(name, err.Error())
+		}
+	}
+	return p
+}
+
 // Names lists the settings.
 func Names() []string {
 	var out []string
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -11,6 +11,8 @@
 package quota
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"switchferry/fleet"
@@ -25,6 +27,33 @@
 	return (l.CPUs == 0 || use.CPUs <= l.CPUs+tuning.RoomSlack) && (l.Cards == 0 || use.Cards <= l.Cards+tuning.RoomSlack)
 }
 
+// Held is a task of a team that runs: its job's rank, what stopping it loses, and what it takes.
+type Held struct {
+	Rank int
+	Loss int64
+	Need fleet.Room
+}
+
+// Excess are the tasks to stop, by their place in the list, so that a team's use is within its limit: those of the
+// lowest rank first, of these the ones that lose the least.
+func Excess(limit Limit, use fleet.Room, held []Held) (stop []int) {
+	order := make([]int, len(held))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortStableFunc(order, func(a, b int) int {
+		return cmp.Or(cmp.Compare(held[a].Rank, held[b].Rank), cmp.Compare(held[a].Loss, held[b].Loss))
+	})
+	for _, i := range order {
+		if limit.Holds(use) {
+			break
+		}
+		stop = append(stop, i)
+		use = use.Sub(held[i].Need)
+	}
+	return stop
+}
+
 // Claim is a job that goes before others in its team's queue and could start but for the limit.
 type Claim struct {
 	Team, ID string
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -174,20 +174,13 @@
 		seen[p.Member] = true
 		addr(f+".address", p.Address)
 	}
-	names := map[string]bool{}
-	for i, t := range s.Facts.Teams {
-		f := fmt.Sprintf("facts.teams[%d]", i)
-		if t.Name == "" || names[t.Name] {
-			fail(f+".name", "is missing or stands twice")
+	CheckTeams(s.Facts.Teams, func(i int, field, want string) {
+		name := fmt.Sprintf("facts.teams[%d]", i)
+		if field != "" {
+			name += "." + field
 		}
-		names[t.Name] = true
-		for _, v := range []float64{t.CPUs, t.CPUsMax, t.Cards, t.CardsMax} {
-			if !(v >= 0) || math.IsInf(v, 0) {
-				fail(f, "amounts must be numbers of 0 or more")
-				break
-			}
-		}
-	}
+		fail(name, want)
+	})
 	positive("facts.workers.report_s", s.Facts.Workers.ReportS)
 	positive("facts.workers.lease_s", s.Facts.Workers.LeaseS)
 	positive("facts.workers.cancel_s", s.Facts.Workers.CancelS)
@@ -220,6 +213,24 @@
 	return fmt.Errorf("settings: %w (and %d more)", bad[0], len(bad)-1)
 }
 
+// CheckTeams tells fail of each mistake in a list of teams: which team, the field, if it is one alone, and what it must
+// be.
+func CheckTeams(teams []Team, fail func(i int, field, want string)) {
+	names := map[string]bool{}
+	for i, t := range teams {
+		if t.Name == "" || names[t.Name] {
+			fail(i, "name", "is missing or stands twice")
+		}
+		names[t.Name] = true
+		for _, v := range []float64{t.CPUs, t.CPUsMax, t.Cards, t.CardsMax} {
+			if !(v >= 0) || math.IsInf(v, 0) {
+				fail(i, "", "amounts must be numbers of 0 or more")
+				break
+			}
+		}
+	}
+}
+
 // Team finds a team by name.
 func (s *Settings) Team(name string) (Team, bool) {
 	for _, t := range s.Facts.Teams {
--- a/supply/supply.go
+++ b/supply/supply.go
@@ -9,7 +9,7 @@
 
 	"switchferry/api"
 	"switchferry/fleet"
-	"switchferry/tuning"
+	"switchferry/quota"
 )
 
 // Machine is one that is there or coming. Held is what services take of it, which end by their users
@@ -65,18 +65,22 @@
 	return pools[i], true
 }
 
-// CanRun checks a submission against teams and machine types. Not decided:
+// AtOnce is the least that a job must have at once, to run at all.
+func AtOnce(s *api.Submission) fleet.Room {
+	if s.Shape == api.Array {
+		return fleet.Of(s)
+	}
+	return fleet.Of(s).Scale(s.Tasks)
+}
+
+// CanRun checks a submission against teams' limits and machine types. Not decided:
 // the machine types are not known yet.
-func CanRun(s *api.Submission, team func(string) (cpus, cards float64, ok bool), types []api.MachineType) (err error, undecided bool) {
-	cpus, cards, ok := team(s.Team)
+func CanRun(s *api.Submission, limitOf func(team string) (quota.Limit, bool), types []api.MachineType) (err error, undecided bool) {
+	limit, ok := limitOf(s.Team)
 	if !ok {
 		return &api.FieldError{Field: "owner", Want: "no such team"}, false
 	}
-	n := 1.0
-	if s.Shape != api.Array {
-		n = float64(s.Tasks)
-	}
-	if cpus > 0 && n*s.CPUs > cpus+tuning.RoomSlack || cards > 0 && n*s.Cards > cards+tuning.RoomSlack {
+	if !limit.Holds(AtOnce(s)) {
 		return &api.FieldError{Field: "parts", Want: "the job needs more than its team's limit"}, false
 	}
 	if len(types) == 0 {
--- a/topology/topology.go
+++ b/topology/topology.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"path"
 	"slices"
+	"strings"
 
 	"switchferry/api"
 	"switchferry/internal/strict"
@@ -38,21 +39,23 @@
 	return ok
 }
 
-// file is the topology file.
-type file struct {
+// Declaration is what a topology file holds; it may stand in another document as well.
+type Declaration struct {
 	Version int           `toml:"version"`
-	Domains []domainEntry `toml:"domain"`
-	Devices []deviceEntry `toml:"devices"`
+	Domains []DomainEntry `toml:"domain"`
+	Devices []DeviceEntry `toml:"devices"`
 }
 
-type domainEntry struct {
+// DomainEntry declares one domain, by its name, its level, the domain that it is in, and patterns of machines' names.
+type DomainEntry struct {
 	Name     string   `toml:"name"`
 	Level    string   `toml:"level"`
 	In       string   `toml:"in"`
 	Machines []string `toml:"machines"`
 }
 
-type deviceEntry struct {
+// DeviceEntry declares the cards of machines, by patterns of their names.
+type DeviceEntry struct {
 	Machines []string `toml:"machines"`
 	Count    int      `toml:"count"`
 	Linked   [][]int  `toml:"linked"`
@@ -68,6 +71,9 @@
 	path []string
 }
 
+// Patterns are the names of machines that the domain declares, with * and ?. The list must not be changed.
+func (d *Domain) Patterns() []string { return d.patterns }
+
 // Devices are the cards of a machine. Linked are the sets that share a fast link, each
 // card in one of them.
 type Devices struct {
@@ -81,7 +87,7 @@
 	version int
 	domains []*Domain
 	byName  map[string]*Domain
-	devices []deviceEntry
+	devices []DeviceEntry
 }
 
 // Version is the number that the file gives itself; operators raise it with each change.
@@ -98,19 +104,32 @@
 
 // Parse reads and checks a topology file. The error lists every mistake, by entry.
 func Parse(raw []byte) (*Map, error) {
-	var f file
-	var bad []error
-	fail := func(format string, a ...any) {
-		if len(bad) < tuning.MistakesTold {
-			bad = append(bad, fmt.Errorf("topology: "+format, a...))
-		}
-	}
+	var f Declaration
 	unknown, err := strict.Decode(raw, &f)
 	if err != nil {
 		return nil, fmt.Errorf("topology: %w", err)
 	}
+	var bad []error
+	add := func(err error) {
+		if len(bad) < tuning.MistakesTold {
+			bad = append(bad, fmt.Errorf("topology: %w", err))
+		}
+	}
 	for _, e := range unknown {
-		fail("%w", e)
+		add(e)
+	}
+	m := f.Map(func(field, want string) { add(fmt.Errorf("%s: %s", field, want)) })
+	if len(bad) > 0 {
+		return nil, errors.Join(bad...)
+	}
+	return m, nil
+}
+
+// Map is the topology that is declared. It is of use only if tell was not told of a mistake, by field.
+func (f *Declaration) Map(tell func(field, want string)) *Map {
+	fail := func(format string, a ...any) {
+		field, want, _ := strings.Cut(fmt.Sprintf(format, a...), ": ")
+		tell(field, want)
 	}
 	if f.Version < 1 {
 		fail("version: must be 1 or more, and grow with each change, not %d", f.Version)
@@ -180,10 +199,7 @@
 		}
 	}
 	m.devices = f.Devices
-	if len(bad) > 0 {
-		return nil, errors.Join(bad...)
-	}
-	return m, nil
+	return m
 }
 
 // Of is the innermost domain that a machine's name is declared in; nil: none. Ambiguous:
--- a/tuning/tuning.go
+++ b/tuning/tuning.go
@@ -619,3 +619,37 @@
 	// WordNeeded: a controller that answered a worker by itself so lately reads the records of jobs.
 	WordNeeded = 10 * time.Second
 )
+
+// Live configuration (package configuration).
+const (
+	// ConfigurationEvery is the pace at which a controller that does not lead looks for a newer revision: two followers
+	// take five reads a second of the state service's limit. ConfigurationRight is for how long from its question it may
+	// go by what it has read: three of these, so that one late answer does not end it, and short against the 4 s in which
+	// a change must be in force everywhere.
+	ConfigurationEvery = 400 * time.Millisecond
+	ConfigurationRight = 1500 * time.Millisecond
+	// ConfigurationGrain is added to that by whoever waits for it to end: the drift of two clocks over it, below 1 ms,
+	// and a timer's delay.
+	ConfigurationGrain = 50 * time.Millisecond
+	// ConfigurationAnswer is how long a change's user waits for it to be in force before being told what it waits for: a
+	// request that a sibling passes on has PeerTimeout. ConfigurationStep is the pace of looking.
+	ConfigurationAnswer = 1100 * time.Millisecond
+	ConfigurationStep   = 20 * time.Millisecond
+	// ConfigurationTurn is how long a change waits for one before it: some changes in a row with all there.
+	ConfigurationTurn = 300 * time.Millisecond
+	// ConfigurationBytes is the largest document: with JSON around it, it fits into a request of 64 KiB. A hundred
+	// teams take 10 KB.
+	ConfigurationBytes = 40 << 10
+	// ConfigurationPartMargin is kept free in a value for the JSON around a part, in bytes; ConfigurationPartsMost are
+	// the most parts of a revision, those of the largest document that does not pack in values of 1 KiB.
+	ConfigurationPartMargin = 128
+	ConfigurationPartsMost  = 64
+	// ConfigurationKept are the last revisions that stay on record; ConfigurationSwept how many older ones each change
+	// looks for, so that one whose removal failed goes with a later change.
+	ConfigurationKept  = 50
+	ConfigurationSwept = 3
+	// ConfigurationStopMostS is the most that stop_within_s may be, in seconds.
+	ConfigurationStopMostS = 600
+	// AheadMost is the most that ahead_tasks may be.
+	AheadMost = 1000
+)
--- a/upgrade/marker.go
+++ b/upgrade/marker.go
@@ -19,6 +19,9 @@
 	self   string
 	client *store.Client
 	clock  clockwork.Clock
+	all    []string
+	// Configuration is whether this process has live configuration on; it is set before the first mark.
+	Configuration bool
 
 	mu      sync.Mutex
 	members *Members
@@ -26,7 +29,7 @@
 
 // NewMarker makes the marker of one of all members.
 func NewMarker(self string, all []string, client *store.Client, clock clockwork.Clock) *Marker {
-	return &Marker{self: self, client: client, clock: clock, members: NewMembers(all...)}
+	return &Marker{self: self, client: client, clock: clock, all: all, members: NewMembers(all...)}
 }
 
 // Older are the members of which an older process may run, or come back.
@@ -75,19 +78,35 @@
 	m.Saw(member, mark)
 }
 
+// WithoutConfiguration reads the marks of all members and gives those of which a process may run that does not know of
+// live configuration, or has it off.
+func (m *Marker) WithoutConfiguration(ctx context.Context) (without []string, err error) {
+	for _, member := range m.all {
+		it, err := m.client.Get(ctx, MarkPrefix+member)
+		if err != nil && !errors.Is(err, store.ErrNotFound) {
+			return nil, err
+		}
+		var mark Mark
+		if err != nil || json.Unmarshal(it.Value, &mark) != nil || !mark.Configuration {
+			without = append(without, member)
+		}
+	}
+	return without, nil
+}
+
 // Mark puts this controller's own mark on record, unless it stands there; true: it does.
 func (m *Marker) Mark(ctx context.Context) bool {
 	key := MarkPrefix + m.self
 	it, err := m.client.Get(ctx, key)
 	var mark Mark
-	if err == nil && json.Unmarshal(it.Value, &mark) == nil && mark.Data >= Data {
+	if err == nil && json.Unmarshal(it.Value, &mark) == nil && mark.Data >= Data && mark.Configuration == m.Configuration {
 		m.Saw(m.self, mark)
 		return true
 	}
 	if err != nil && !errors.Is(err, store.ErrNotFound) {
 		return false
 	}
-	_, _, err = m.client.Multi(ctx, []store.Cond{{Key: key, Stamp: it.Stamp}}, []store.Op{{Set: key, Value: Mark{Data: Data}}})
+	_, _, err = m.client.Multi(ctx, []store.Cond{{Key: key, Stamp: it.Stamp}}, []store.Op{{Set: key, Value: Mark{Data: max(Data, mark.Data), Configuration: m.Configuration}}})
 	if err != nil {
 		slog.Info("this controller's version is not on record yet", "err", err)
 	}
--- a/upgrade/upgrade.go
+++ b/upgrade/upgrade.go
@@ -24,6 +24,8 @@
 // the mark holds for good.
 type Mark struct {
 	Data int `json:"data"`
+	// Configuration: the process knows of live configuration and has it on. One that has it off says so anew.
+	Configuration bool `json:"configuration,omitempty"`
 }
 
 // Members are the controllers of a deployment and the marks that were seen of them. It is pure,
