--- a/capacity/capacity.go
+++ b/capacity/capacity.go
@@ -28,11 +28,11 @@
 	StateRequests     = "state_requests"     // requests a second of all controllers
 	StateTransactions = "state_transactions" // transactions a second of all controllers
 	StateChanges      = "state_changes"      // puts and deletes a second of all controllers
-	ReportBytes       = "report_bytes"       // bytes a second of one worker's reports and their answers
+	ReportBytes       = "report_bytes"       // bytes a second of all workers' reports and their answers
 	CommandMessages   = "command_messages"   // direct commands a second of all workers
 	SiblingBytes      = "sibling_bytes"      // bytes a second between all controllers
 	CloudRequests     = "cloud_requests"     // requests a second of all controllers
-	HollowCPU         = "worker_cpu_at_most" // share of one core of one hollow worker, the stand-ins included
+	HollowCPU         = "worker_cpu_at_most" // share of one core of all hollow workers, the stand-ins and users included
 	TakeoverFirst     = "takeover_first"     // seconds from a crash of the leader to the first start
 	TakeoverAll       = "takeover_all_heard" // seconds until every worker was answered by the new leader
 	StartsPerSecond   = "starts"             // starts a second, as counted
--- a/capacity/table.go
+++ b/capacity/table.go
@@ -57,10 +57,15 @@
 	LargerBeyond bool    `json:"beyond_measured_at_1_5"`
 }
 
+// workerRole is that of which the figures are measured of all together and told of one.
+const workerRole = "worker"
+
 // columns are the figures of the table in its order.
-var columns = []struct{ role, figure, name, unit string }{
-	{"worker", ReportBytes, "reports and answers", "bytes/s"},
-	{"worker", HollowCPU, "processor time at most", "cores"},
+var columns = []struct {
+	role, figure, name, unit string
+}{
+	{workerRole, ReportBytes, "reports and answers", "bytes/s"},
+	{workerRole, HollowCPU, "processor time at most", "cores"},
 	{"follower", FollowerCPU, "processor time, mean", "cores"},
 	{"follower", FollowerMemory, "memory", "MB"},
 	{"follower", FollowerSockets, "descriptors", ""},
@@ -88,8 +93,13 @@
 		if !ok {
 			continue
 		}
-		rows = append(rows, Row{Role: c.role, Figure: c.name, Unit: c.unit, Value: slopes.At(size), Larger: slopes.At(larger), Residual: slopes.Residual,
-			Beyond: slopes.Beyond(size), LargerBeyond: slopes.Beyond(larger)})
+		row := Row{Role: c.role, Figure: c.name, Unit: c.unit, Value: slopes.At(size), Larger: slopes.At(larger), Residual: slopes.Residual,
+			Beyond: slopes.Beyond(size), LargerBeyond: slopes.Beyond(larger)}
+		if c.role == workerRole && size.Workers > 0 {
+			row.Value /= size.Workers
+			row.Larger /= larger.Workers
+		}
+		rows = append(rows, row)
 	}
 	return rows
 }
--- a/cli/scale.go
+++ b/cli/scale.go
@@ -62,6 +62,7 @@
 	f.Float64Var(&x.CutS, "cut", x.CutS, "how long a rack or a zone is lost, seconds")
 	f.Float64Var(&x.ApartS, "apart", x.ApartS, "how long regions are apart, seconds")
 	f.Float64Var(&x.OutageS, "outage", x.OutageS, "how long the state service is out, seconds")
+	f.Float64Var(&x.ChangesEveryS, "changes-every", 0, "how often the configuration is changed, seconds; 0: live configuration is off")
 	f.StringVar(&x.LogDir, "log-dir", "", "where the controllers' logs go; none: dropped")
 	f.StringVar(&x.LogLevel, "log-level", "", "their level, with --log-dir: error, info or debug")
 	f.BoolVar(&asJSON, "json", false, "print as JSON")
--- a/cli/topology.go
+++ b/cli/topology.go
@@ -10,7 +10,7 @@
 	"github.com/jedib0t/go-pretty/v6/table"
 	"github.com/spf13/cobra"
 
-	"switchferry/controller"
+	"switchferry/api"
 )
 
 func topologyCommand() *cobra.Command {
@@ -18,7 +18,7 @@
 	cmd := &cobra.Command{Use: "topology", Short: "Show domains, their free room, which are silent, and jobs that wait for a place", Args: cobra.NoArgs,
 		Example: "  switchferry topology --node 10.0.0.1:8080\n  switchferry topology --json | jq '.domains[] | select(.silent)'",
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			var v controller.TopologyView
+			var v api.TopologyView
 			if printed, err := c.answer(cmd, http.MethodGet, "/topology", nil, &v, topologyOff); err != nil || printed {
 				return err
 			}
@@ -34,10 +34,10 @@
 	return coded(ExitRefused, errors.New("no topology is declared: name its file under [topology] in the features file, and start the controllers with --features"))
 }
 
-func showTopology(w io.Writer, v *controller.TopologyView) {
+func showTopology(w io.Writer, v *api.TopologyView) {
 	t := newTable(w)
 	t.AppendHeader(table.Row{"domain", "level", "machines", "that get work", "free CPUs", "cards", "memory GB", ""})
-	inner := map[string][]controller.DomainView{}
+	inner := map[string][]api.DomainView{}
 	for _, d := range v.Domains {
 		inner[d.In] = append(inner[d.In], d)
 	}
@@ -71,7 +71,7 @@
 			if err := checkID(args[0]); err != nil {
 				return err
 			}
-			var x controller.Explanation
+			var x api.Explanation
 			printed, err := c.answer(cmd, http.MethodGet, "/submissions/"+args[0]+"/explanation", nil, &x, func(why string) error { return coded(ExitNotFound, errors.New(why)) })
 			if err != nil || printed {
 				return err
@@ -83,7 +83,7 @@
 	return cmd
 }
 
-func showExplanation(w io.Writer, x *controller.Explanation) {
+func showExplanation(w io.Writer, x *api.Explanation) {
 	if x.Tasks == 0 {
 		fmt.Fprintf(w, "%s %s\n", x.Job, x.State)
 		return
--- a/controller/core.go
+++ b/controller/core.go
@@ -20,6 +20,7 @@
 	"switchferry/api"
 	"switchferry/configuration"
 	"switchferry/contact"
+	"switchferry/courier/exchange"
 	"switchferry/evidence"
 	"switchferry/fleet"
 	"switchferry/pipeline"
@@ -282,7 +283,7 @@
 	// at is the time during a run of the placer; zero outside of it.
 	at time.Time
 	// workerMail holds what stands in the mail for the machines behind each sibling.
-	workerMail *mailroom
+	workerMail *exchange.Mailroom
 	// data is nil unless datasets are on.
 	data *data
 	// shardTasks is how many tasks share a record that is written now; own: it is this version's
@@ -305,7 +306,7 @@
 	c.heard = c.started
 	c.silence = evidence.New(c.started, seconds(set.Facts.Workers.LeaseS))
 	c.reached = c.started
-	c.workerMail = newMailroom(c, store.MailPrefix, store.MailKey, c.mailBody)
+	c.workerMail = mailroom(c, store.MailPrefix, store.MailKey, c.mailBody)
 	c.aims, c.grace = map[string][]float64{}, map[string][]float64{}
 	for _, o := range set.Facts.Objectives {
 		if o.Kind == "finished" && o.WithinS > 0 {
@@ -799,10 +800,10 @@
 		if c.data == nil {
 			return nil, false, nil
 		}
-		rec, ok := c.data.mail.letter(key)
+		rec, ok := c.data.mail.Letter(key)
 		return rec, ok, nil
 	case strings.HasPrefix(key, store.MailPrefix):
-		rec, ok := c.workerMail.letter(key)
+		rec, ok := c.workerMail.Letter(key)
 		return rec, ok, nil
 	case strings.HasPrefix(key, store.ShardPrefix):
 		shard, ok := store.ParseShard(key)
--- a/controller/data.go
+++ b/controller/data.go
@@ -14,6 +14,7 @@
 
 	"switchferry/api"
 	"switchferry/cost"
+	"switchferry/courier/exchange"
 	"switchferry/dataset"
 	"switchferry/features"
 	"switchferry/holdings"
@@ -47,7 +48,7 @@
 	// relayed are the agents whose last report came through a sibling; mail holds the
 	// orders for those behind each.
 	relayed map[string]*mailed
-	mail    *mailroom
+	mail    *exchange.Mailroom
 	// unlisted are datasets that are being removed, or were; inbox is the revision up to
 	// which jobs are known that siblings accepted.
 	unlisted map[string]*dataset.Entry
@@ -70,7 +71,7 @@
 		Peers: set.Placement == features.Local || set.Placement == features.Staged}
 	c.data = &data{set: set, index: index, desk: staging.New(c.term, limits, index), sets: map[string]*dataset.Entry{},
 		snap: index.Snapshot(), stuck: map[string]time.Time{}, waiting: map[string]int{},
-		relayed: map[string]*mailed{}, mail: newMailroom(c, store.StageMailPrefix, store.StageMailKey, c.orderBody), unlisted: map[string]*dataset.Entry{}, removing: map[string]string{}}
+		relayed: map[string]*mailed{}, mail: mailroom(c, store.StageMailPrefix, store.StageMailKey, c.orderBody), unlisted: map[string]*dataset.Entry{}, removing: map[string]string{}}
 }
 
 // weighs tells whether the placer looks at who holds what.
@@ -375,7 +376,7 @@
 	}
 	n, ok := x.memo[seconds]
 	if !ok {
-		n = x.c.penalty(seconds, x.slot)
+		n = fetchPenalty(x.c.active.Policy, seconds, x.slot)
 		x.memo[seconds] = n
 	}
 	x.lastS, x.lastN = seconds, n
@@ -464,12 +465,12 @@
 	d.desk.Expect(x.names[server], bytes*float64(tasks))
 }
 
-// penalty is a wait in slots, as the operators' policy has it.
-func (c *Core) penalty(seconds, slot float64) int {
+// fetchPenalty is a wait in slots, as the operators' policy has it.
+func fetchPenalty(pol *policy.Policy, seconds, slot float64) int {
 	if seconds <= 0 {
 		return 0
 	}
-	return int(c.active.Policy.Value(policy.FetchPenalty, policy.Vars{"fetch_s": seconds, "slot_s": slot}))
+	return int(pol.Value(policy.FetchPenalty, policy.Vars{"fetch_s": seconds, "slot_s": slot}))
 }
 
 // next is the first task of a queue that may start on a machine: the first one whose
@@ -734,9 +735,9 @@
 
 // DataView is what operators see of datasets.
 type DataView struct {
-	Datasets []DatasetView `json:"datasets"`
-	Copies   []CopyView    `json:"copies"`
-	Waiting  []WaitingView `json:"waiting"`
+	Datasets []DatasetView     `json:"datasets"`
+	Copies   []CopyView        `json:"copies"`
+	Waiting  []api.WaitingView `json:"waiting"`
 }
 
 // DatasetView is one dataset: how many machines hold all or some of it, and how many of
@@ -765,13 +766,6 @@
 	Full    bool              `json:"cache_full,omitempty"`
 }
 
-// WaitingView is a job with tasks that wait for their inputs.
-type WaitingView struct {
-	Job   string `json:"job"`
-	Tasks int    `json:"tasks"`
-	Why   string `json:"why"`
-}
-
 // Data shows datasets, who holds them, and what is copied. Who holds what is read from a
 // snapshot, without the core's lock.
 func (c *Core) Data() (v DataView, on bool) {
@@ -781,7 +775,7 @@
 		c.mu.Unlock()
 		return v, false
 	}
-	v = DataView{Datasets: []DatasetView{}, Copies: []CopyView{}, Waiting: []WaitingView{}}
+	v = DataView{Datasets: []DatasetView{}, Copies: []CopyView{}, Waiting: []api.WaitingView{}}
 	jobs := map[string]int{}
 	for _, j := range c.order {
 		for _, in := range j.inputs {
@@ -802,9 +796,9 @@
 	for _, j := range c.order {
 		switch n := d.waiting[j.id]; {
 		case !c.dataReady(j):
-			v.Waiting = append(v.Waiting, WaitingView{j.id, j.total - j.done, "a dataset is not known to this controller yet"})
+			v.Waiting = append(v.Waiting, api.WaitingView{j.id, j.total - j.done, "a dataset is not known to this controller yet"})
 		case n > 0:
-			v.Waiting = append(v.Waiting, WaitingView{j.id, n, "inputs are not on their machines yet"})
+			v.Waiting = append(v.Waiting, api.WaitingView{j.id, n, "inputs are not on their machines yet"})
 		}
 	}
 	c.mu.Unlock()
--- a/controller/datarelay.go
+++ b/controller/datarelay.go
@@ -8,8 +8,11 @@
 	"sync"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
 	"switchferry/api"
 	"switchferry/courier"
+	"switchferry/courier/exchange"
 	"switchferry/staging"
 	"switchferry/store"
 	"switchferry/tuning"
@@ -23,22 +26,23 @@
 type agentRelay struct {
 	mu    sync.Mutex
 	proxy *staging.Proxy
-	post  *post
+	post  *exchange.Exchange
+	clock clockwork.Clock
 }
 
 func newAgentRelay(n *Node) *agentRelay {
-	y := &agentRelay{proxy: staging.NewProxy(courier.NewOutbox(letterLimits(n.set.Facts.State), uint64(n.clock.Now().UnixMilli())))}
-	y.post = &post{n: n, rate: n.letterRate, up: store.StageRelayKey, down: store.StageMailPrefix + n.set.Member + "/",
-		keep: tuning.RelayStageKeep, mu: &y.mu, box: y.proxy.Box, reader: &y.proxy.Mail,
-		forget: func(now time.Time) { y.proxy.Forget(now, 2*tuning.RelayKeep) },
-		over:   func() { y.proxy.Box.Begin(0) }}
+	y := &agentRelay{clock: n.clock, proxy: staging.NewProxy(courier.NewOutbox(exchange.Limits(n.set.Facts.State), uint64(n.clock.Now().UnixMilli())))}
+	y.post = n.exchange(store.StageRelayKey, store.StageMailPrefix, tuning.RelayStageKeep)
+	y.post.Lock, y.post.Box, y.post.Reader = &y.mu, y.proxy.Box, &y.proxy.Mail
+	y.post.Forget = func(now time.Time) { y.proxy.Forget(now, 2*tuning.RelayKeep) }
+	y.post.Over = func() { y.proxy.Box.Begin(0) }
 	return y
 }
 
 func (y *agentRelay) report(r *api.StageReport, term uint64) (api.StageOrder, error) {
 	y.mu.Lock()
 	defer y.mu.Unlock()
-	return y.proxy.Report(*r, term, y.post.n.clock.Now())
+	return y.proxy.Report(*r, term, y.clock.Now())
 }
 
 // mailed is what the leader has put into the mail for an agent behind a sibling.
@@ -77,7 +81,7 @@
 		return
 	}
 	delete(d.relayed, machine)
-	d.mail.drop(was.member, machine, true)
+	d.mail.Drop(was.member, machine, true)
 }
 
 // mailOrder puts an agent's order into the mail, if it is not there as it stands.
@@ -89,7 +93,7 @@
 		return
 	}
 	x.order, x.version, x.session = o.Order, o.Known, o.Session
-	d.mail.put(x.member, machine)
+	d.mail.Put(x.member, machine)
 }
 
 // orderBody is what stands in the mail for an agent: its order as it stands now.
@@ -108,8 +112,8 @@
 
 // agentLetters is the leader's side: it takes in what siblings pass on of agents.
 func (n *Node) agentLetters(ctx context.Context, core *Core, com *store.Committer, after uint64) {
-	n.claimMail(ctx, com, store.StageMailPrefix)
-	n.letters(ctx, store.StageRelayPrefix, after, core.term, core.agentSays)
+	exchange.Claim(ctx, n.client, n.clock, com, store.StageMailPrefix)
+	exchange.Follow(ctx, n.client, n.clock, store.StageRelayPrefix, after, core.term, core.agentSays)
 }
 
 // agentSays takes in one message about an agent.
--- a/controller/node.go
+++ b/controller/node.go
@@ -23,6 +23,7 @@
 	"switchferry/configuration"
 	"switchferry/configuration/keeper"
 	"switchferry/contact"
+	"switchferry/courier/exchange"
 	"switchferry/dataset"
 	"switchferry/election"
 	"switchferry/features"
@@ -144,7 +145,7 @@
 	n.reads = rate.NewLimiter(rate.Limit(share), max(1, int(share)))
 	n.records = &lookup.Jobs{Client: n.client, Ended: n.finalOf, Keep: n.final, Turns: lookup.NewTurns(clock, n.reads)}
 	n.finals, n.ends = lookup.NewFinals(), lookup.NewTold()
-	n.letterRate = letterRate(n)
+	n.letterRate = exchange.Rate(n.set.Facts.State)
 	writes := set.Facts.State.Least().WriteRPS
 	rest := writes * (1 - tuning.QuotaShare)
 	n.alone = store.NewHedge(n.client, n.clock, rate.NewLimiter(rate.Limit(rest), max(1, int(rest))), writes)
@@ -200,9 +201,9 @@
 	go n.catalog()
 	go n.markVersion(n.ctx)
 	go n.logUsers()
-	go n.relay.post.run(n.ctx)
+	go n.relay.post.Run(n.ctx)
 	if n.data.On {
-		go n.agentRelay.post.run(n.ctx)
+		go n.agentRelay.post.Run(n.ctx)
 	}
 	if n.topology != nil {
 		go n.watchTopology()
--- a/controller/place.go
+++ b/controller/place.go
@@ -54,12 +54,12 @@
 }
 
 // allowed tells whether a job's tasks may ever run on a machine.
-func (c *Core) allowed(j *job, m *machine) bool {
+func allowed(j *job, m *machine) bool {
 	return m.Spec.Fits(&j.Job) && (j.Job.Zone == "" || j.Job.Zone == m.Zone) && (!m.Spot || j.Job.Spot)
 }
 
 func (c *Core) eligible(j *job, m *machine) bool {
-	if !c.usable(m) || !c.allowed(j, m) {
+	if !c.usable(m) || !allowed(j, m) {
 		return false
 	}
 	until, ok := j.avoid[m.Name]
@@ -280,7 +280,7 @@
 		wait := c.costs(j, 0, m, true).Seconds()
 		slots, known := penalty[wait]
 		if !known {
-			slots = c.penalty(wait, slot)
+			slots = fetchPenalty(c.active.Policy, wait, slot)
 			penalty[wait] = slots
 		}
 		s.Busy += slots
--- a/controller/places.go
+++ b/controller/places.go
@@ -21,59 +21,6 @@
 	VerbExplain = "explain"
 )
 
-// TopologyView is the tree as the leader sees it.
-type TopologyView struct {
-	Version int          `json:"version"`
-	Domains []DomainView `json:"domains"`
-	// Lone machines stand in no domain, Ambiguous ones in two.
-	Lone      int           `json:"not_named"`
-	Ambiguous int           `json:"named_twice"`
-	Waiting   []WaitingView `json:"waiting"`
-	// Reserved are domains that drain for a job.
-	Reserved []ReservedView `json:"reserved"`
-}
-
-// ReservedView is a domain that is kept for a job until about then, in seconds from now.
-type ReservedView struct {
-	Domain string  `json:"domain"`
-	Job    string  `json:"job"`
-	InS    float64 `json:"in_s"`
-}
-
-// DomainView is one domain; its room is free on machines that may get work now. Silent: it has
-// machines, and none of them may.
-type DomainView struct {
-	Name     string  `json:"name"`
-	Level    string  `json:"level"`
-	In       string  `json:"in,omitempty"`
-	Machines int     `json:"machines"`
-	Usable   int     `json:"usable"`
-	CPUs     float64 `json:"free_cpus"`
-	Cards    float64 `json:"free_cards"`
-	MemoryGB float64 `json:"free_memory_gb"`
-	Silent   bool    `json:"silent"`
-}
-
-// Explanation tells where a job's tasks stand and why others wait.
-type Explanation struct {
-	Job     string   `json:"job"`
-	State   string   `json:"state"`
-	Tasks   int      `json:"tasks"`
-	Done    int      `json:"done"`
-	Waiting int      `json:"waiting"`
-	Why     []string `json:"why"`
-	Stands  []Stand  `json:"stands"`
-}
-
-// Stand is how many tasks of a job are, or may be, in a domain, or on a machine in none.
-type Stand struct {
-	Domain string `json:"domain"`
-	Level  string `json:"level"`
-	Tasks  int    `json:"tasks"`
-	// Unsure are those of them on machines that are not heard.
-	Unsure int `json:"unsure"`
-}
-
 // PlacesOn tells whether a topology is on.
 func (n *Node) PlacesOn() bool { return n.topology != nil }
 
@@ -101,7 +48,7 @@
 	case !found:
 		return answer(http.StatusNotFound, api.Error{Error: "no such job"})
 	}
-	return answer(http.StatusOK, Explanation{Job: st.ID, State: st.State, Why: []string{}, Stands: []Stand{}})
+	return answer(http.StatusOK, api.Explanation{Job: st.ID, State: st.State, Why: []string{}, Stands: []api.Stand{}})
 }
 
 // passOn asks the leader.
@@ -119,10 +66,10 @@
 }
 
 // Topology is the tree, domains in the order of the file.
-func (c *Core) Topology() TopologyView {
+func (c *Core) Topology() api.TopologyView {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	v := TopologyView{Domains: []DomainView{}, Waiting: []WaitingView{}, Reserved: []ReservedView{}}
+	v := api.TopologyView{Domains: []api.DomainView{}, Waiting: []api.WaitingView{}, Reserved: []api.ReservedView{}}
 	if c.where == nil {
 		return v
 	}
@@ -130,7 +77,7 @@
 	v.Version, v.Lone, v.Ambiguous = t.Map().Version(), t.Lone(), t.Ambiguous()
 	for _, d := range t.Map().Domains() {
 		free := t.Free(d)
-		x := DomainView{Name: d.Name, Level: d.Level, Machines: t.Machines(d), Usable: t.Usable(d), CPUs: free.CPUs, Cards: free.Cards, MemoryGB: free.MemoryGB}
+		x := api.DomainView{Name: d.Name, Level: d.Level, Machines: t.Machines(d), Usable: t.Usable(d), CPUs: free.CPUs, Cards: free.Cards, MemoryGB: free.MemoryGB}
 		x.Silent = x.Machines > 0 && x.Usable == 0
 		if d.In != nil {
 			x.In = d.In.Name
@@ -138,18 +85,18 @@
 		v.Domains = append(v.Domains, x)
 	}
 	for _, r := range c.where.held.All(c.now()) {
-		v.Reserved = append(v.Reserved, ReservedView{Domain: r.Domain.Name, Job: r.Job, InS: r.At.Sub(c.now()).Seconds()})
+		v.Reserved = append(v.Reserved, api.ReservedView{Domain: r.Domain.Name, Job: r.Job, InS: r.At.Sub(c.now()).Seconds()})
 	}
 	for _, j := range c.order {
 		if j.why != "" && len(j.pending) > 0 {
-			v.Waiting = append(v.Waiting, WaitingView{Job: j.id, Tasks: len(j.pending), Why: j.why})
+			v.Waiting = append(v.Waiting, api.WaitingView{Job: j.id, Tasks: len(j.pending), Why: j.why})
 		}
 	}
 	return v
 }
 
 // Explain tells about a job that this leader knows.
-func (c *Core) Explain(id string) (x Explanation, ok bool) {
+func (c *Core) Explain(id string) (x api.Explanation, ok bool) {
 	st, known := c.Known(id)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -157,7 +104,7 @@
 	if j == nil || !known {
 		return x, false
 	}
-	x = Explanation{Job: id, State: st.State, Tasks: j.total, Done: j.done, Waiting: len(j.pending) + j.queued, Why: []string{}, Stands: c.stands(j)}
+	x = api.Explanation{Job: id, State: st.State, Tasks: j.total, Done: j.done, Waiting: len(j.pending) + j.queued, Why: []string{}, Stands: c.stands(j)}
 	if j.waits {
 		x.Waiting = j.total - j.done - len(j.live)
 	}
@@ -167,10 +114,10 @@
 	return x, true
 }
 
-func (c *Core) stands(j *job) []Stand {
-	by := map[string]*Stand{}
+func (c *Core) stands(j *job) []api.Stand {
+	by := map[string]*api.Stand{}
 	for _, a := range j.live {
-		s := Stand{Domain: a.machine.Name, Level: "machine"}
+		s := api.Stand{Domain: a.machine.Name, Level: "machine"}
 		if c.where != nil {
 			if d := c.where.tree.Of(a.machine.Name); d != nil {
 				s.Domain, s.Level = d.Name, d.Level
@@ -185,11 +132,11 @@
 			by[key].Unsure++
 		}
 	}
-	out := []Stand{}
+	out := []api.Stand{}
 	for _, s := range by {
 		out = append(out, *s)
 	}
-	slices.SortFunc(out, func(a, b Stand) int { return cmp.Or(b.Tasks-a.Tasks, cmp.Compare(a.Domain, b.Domain)) })
+	slices.SortFunc(out, func(a, b api.Stand) int { return cmp.Or(b.Tasks-a.Tasks, cmp.Compare(a.Domain, b.Domain)) })
 	return out
 }
 
@@ -214,7 +161,7 @@
 	var may, silent, mute, deaf, bounded, full int
 	for _, m := range c.machines {
 		switch {
-		case m.Spec == nil || !c.allowed(j, m):
+		case m.Spec == nil || !allowed(j, m):
 			continue
 		case m.Up && !m.returning && m.line.State(c.now(), c.lease()) != contact.Reached:
 			deaf++
--- a/controller/relay.go
+++ b/controller/relay.go
@@ -10,6 +10,7 @@
 
 	"switchferry/api"
 	"switchferry/courier"
+	"switchferry/courier/exchange"
 	"switchferry/store"
 	"switchferry/tuning"
 )
@@ -21,7 +22,7 @@
 // ends.
 type relay struct {
 	n    *Node
-	post *post
+	post *exchange.Exchange
 
 	mu      sync.Mutex
 	workers map[string]*relayed
@@ -39,12 +40,23 @@
 }
 
 func newRelay(n *Node) *relay {
-	y := &relay{n: n, workers: map[string]*relayed{}, box: courier.NewOutbox(letterLimits(n.set.Facts.State), uint64(n.clock.Now().UnixMilli()))}
-	y.post = &post{n: n, rate: n.letterRate, up: store.RelayKey, down: store.MailPrefix + n.set.Member + "/",
-		keep: tuning.RelayKeep, mu: &y.mu, box: y.box, reader: &y.mail, forget: y.forget, over: func() { y.begin(0) }}
+	y := &relay{n: n, workers: map[string]*relayed{}, box: courier.NewOutbox(exchange.Limits(n.set.Facts.State), uint64(n.clock.Now().UnixMilli()))}
+	y.post = n.exchange(store.RelayKey, store.MailPrefix, tuning.RelayKeep)
+	y.post.Lock, y.post.Box, y.post.Reader, y.post.Forget, y.post.Over = &y.mu, y.box, &y.mail, y.forget, func() { y.begin(0) }
 	return y
 }
 
+// mailroom holds a leader's letters of one kind.
+func mailroom(c *Core, prefix string, key func(string, int) string, body func(member, machine string) json.RawMessage) *exchange.Mailroom {
+	return &exchange.Mailroom{Term: c.term, Limits: exchange.Limits(c.set.Facts.State), Prefix: prefix, Key: key, Body: body,
+		Touch: func(key string, urgency int, after func()) { c.hooks.Touch(key, urgency, after) }}
+}
+
+// exchange carries letters of one kind; what it carries for whom is to be filled in.
+func (n *Node) exchange(up func(member string, i int) string, down string, keep time.Duration) *exchange.Exchange {
+	return &exchange.Exchange{Member: n.set.Member, Client: n.client, Clock: n.clock, Rate: n.letterRate, Up: up, Down: down + n.set.Member + "/", Keep: keep}
+}
+
 // begin starts anew for the leader of a term; 0: for none.
 func (y *relay) begin(term uint64) {
 	y.box.Begin(term)
@@ -100,23 +112,8 @@
 
 // relayed is the leader's side: it takes in what siblings pass on.
 func (n *Node) relayed(ctx context.Context, core *Core, com *store.Committer, after uint64) {
-	n.claimMail(ctx, com, store.MailPrefix)
-	n.letters(ctx, store.RelayPrefix, after, core.term, core.workerSays)
-}
-
-// claimMail lets letters of earlier terms be written over, or go.
-func (n *Node) claimMail(ctx context.Context, com *store.Committer, prefix string) {
-	for {
-		old, _, err := n.client.List(ctx, prefix)
-		for _, it := range old {
-			com.Know(it.Key, it.Stamp)
-			com.Touch(it.Key, store.Lazy, nil)
-		}
-		if err == nil || ctx.Err() != nil {
-			return
-		}
-		n.sleep(ctx, tuning.ElectRetry)
-	}
+	exchange.Claim(ctx, n.client, n.clock, com, store.MailPrefix)
+	exchange.Follow(ctx, n.client, n.clock, store.RelayPrefix, after, core.term, core.workerSays)
 }
 
 // workerSays takes in one report that a sibling passed on.
@@ -161,7 +158,7 @@
 	if m.relay == "" {
 		return
 	}
-	c.workerMail.drop(m.relay, m.Name, m.mail != nil)
+	c.workerMail.Drop(m.relay, m.Name, m.mail != nil)
 	m.relay, m.mail = "", nil
 }
 
@@ -181,7 +178,7 @@
 		}
 		m.mail = raw
 	}
-	c.workerMail.put(m.relay, m.Name)
+	c.workerMail.Put(m.relay, m.Name)
 }
 
 // mailBody is what stands in the mail for a machine behind a sibling.
--- a/controller/rent.go
+++ b/controller/rent.go
@@ -125,7 +125,7 @@
 			jobs++
 			waiting += float64(n) * j.need.CPUs
 			if since := latest(latest(j.ages, j.started), c.started); !j.passed && c.since(since) > tuning.PassedBy && c.withinLimit(j) && slices.ContainsFunc(c.byName(), func(m *machine) bool {
-				return m.Up && !m.returning && m.Spec != nil && c.allowed(j, m) && m.free().Holds(j.need)
+				return m.Up && !m.returning && m.Spec != nil && allowed(j, m) && m.free().Holds(j.need)
 			}) {
 				// Users expect that nobody waits 90 s so. Said once.
 				j.passed = true
--- /dev/null
+++ b/courier/exchange/exchange.go
@@ -0,0 +1,232 @@
+// Package exchange carries letters (package courier) through the state service: a controller's to a leader that it does
+// not reach, and the leader's to those behind each sibling. It knows when and how much is written, not what is said.
+package exchange
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"golang.org/x/time/rate"
+
+	"switchferry/courier"
+	"switchferry/settings"
+	"switchferry/store"
+	"switchferry/tuning"
+)
+
+// Follow is the leader's side: it takes in what siblings pass on under a prefix, after a
+// revision, until the context ends.
+func Follow(ctx context.Context, client *store.Client, clock clockwork.Clock, prefix string, after uint64, term uint64, take func(member string, m courier.Message)) {
+	var joiner courier.Joiner
+	for ctx.Err() == nil {
+		log, epoch, err := client.Watch(ctx, prefix, after, tuning.InboxBlock)
+		if errors.Is(err, store.ErrTooOld) {
+			// What senders say comes again and again: only the revision matters.
+			_, epoch, err = client.List(ctx, prefix)
+		}
+		if err != nil {
+			sleep(ctx, clock, tuning.ElectRetry)
+			continue
+		}
+		Open(log, prefix, term, &joiner, take)
+		after = max(after, epoch)
+	}
+}
+
+// Claim lets letters of earlier terms be written over, or go.
+func Claim(ctx context.Context, client *store.Client, clock clockwork.Clock, committer *store.Committer, prefix string) {
+	for {
+		old, _, err := client.List(ctx, prefix)
+		for _, it := range old {
+			committer.Know(it.Key, it.Stamp)
+			committer.Touch(it.Key, store.Lazy, nil)
+		}
+		if err == nil || ctx.Err() != nil {
+			return
+		}
+		sleep(ctx, clock, tuning.ElectRetry)
+	}
+}
+
+func sleep(ctx context.Context, clock clockwork.Clock, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-clock.After(d):
+	}
+}
+
+// Limits are what letters through the state service must keep.
+func Limits(f settings.State) courier.Limits {
+	least := f.Least()
+	return courier.Limits{Value: least.ValueBytes(), Request: tuning.LetterRequest, Ops: least.TxnOps}
+}
+
+// Rate is what a controller writes of letters, all kinds together: the leader's records come first.
+func Rate(f settings.State) *rate.Limiter {
+	share := tuning.RelayShare * f.Least().WriteRPS
+	return rate.NewLimiter(rate.Limit(share), max(Limits(f).Letters(), int(share)))
+}
+
+// Exchange carries letters of one kind between this controller, Member, and a leader that it does not
+// reach. What they say is for whoever made it.
+type Exchange struct {
+	Member string
+	Client *store.Client
+	Clock  clockwork.Clock
+	Rate   *rate.Limiter
+	// Up names the value that a letter to the leader goes into; Down is the prefix of
+	// the leader's.
+	Up   func(member string, i int) string
+	Down string
+	// Keep is how long an unchanged message is not written again.
+	Keep time.Duration
+	// Lock guards Box and Reader, which stand in what the owner keeps.
+	Lock   *sync.Mutex
+	Box    *courier.Outbox
+	Reader *courier.Reader
+	// Forget drops senders that went elsewhere; Over: the term that letters were for has
+	// ended. Both are called with the lock held.
+	Forget func(now time.Time)
+	Over   func()
+}
+
+// Run writes and reads while there is somebody to carry letters for.
+func (x *Exchange) Run(ctx context.Context) {
+	go x.read(ctx)
+	for ctx.Err() == nil {
+		sleep(ctx, x.Clock, tuning.RelayEvery)
+		for x.Write(ctx) {
+		}
+	}
+}
+
+func (x *Exchange) active() bool {
+	x.Lock.Lock()
+	defer x.Lock.Unlock()
+	x.Forget(x.Clock.Now())
+	return x.Box.Len() > 0
+}
+
+// Write passes on one transaction of letters. True: there may be more.
+func (x *Exchange) Write(ctx context.Context) bool {
+	if !x.active() {
+		return false
+	}
+	now := x.Clock.Now()
+	most := int(x.Rate.TokensAt(now))
+	if most < 1 {
+		return false
+	}
+	x.Lock.Lock()
+	batch, err := x.Box.Next(now, x.Keep, most)
+	term := x.Box.Term()
+	x.Lock.Unlock()
+	if err != nil {
+		slog.Error("a report cannot be passed on", "err", err)
+	}
+	if len(batch.Letters) == 0 {
+		return false
+	}
+	var ops []store.Op
+	for i, l := range batch.Letters {
+		ops = append(ops, store.Op{Set: x.Up(x.Member, i), Value: l})
+	}
+	x.Rate.AllowN(now, len(ops))
+	// Only the leader that they are meant for may be told.
+	_, _, err = x.Client.Multi(ctx, []store.Cond{{Key: store.LeaderKey, Stamp: term}}, ops)
+	if err == nil {
+		return true
+	}
+	slog.Info("reports not passed on", "letters", len(ops), "err", err)
+	x.Lock.Lock()
+	defer x.Lock.Unlock()
+	if errors.Is(err, store.ErrConflict) {
+		x.Over()
+		return false
+	}
+	x.Box.Failed(batch)
+	return false
+}
+
+// read follows the leader's letters.
+func (x *Exchange) read(ctx context.Context) {
+	after := uint64(0)
+	for ctx.Err() == nil {
+		if !x.active() {
+			after = 0
+		} else if next, err := x.Fetch(ctx, after); err == nil {
+			after = next
+			continue
+		} else {
+			after = 0
+		}
+		sleep(ctx, x.Clock, tuning.RelayEvery)
+	}
+}
+
+// Fetch takes in the leader's letters: all that stand, or, after a revision, those that
+// are new. It gives the revision to go on from.
+func (x *Exchange) Fetch(ctx context.Context, after uint64) (uint64, error) {
+	var log []store.Event
+	var epoch uint64
+	var err error
+	if after > 0 {
+		log, epoch, err = x.Client.Watch(ctx, x.Down, after, tuning.WatchBlock)
+	} else {
+		var all []store.Item
+		all, epoch, err = x.Client.List(ctx, x.Down)
+		for _, it := range all {
+			log = append(log, store.Event{Set: it.Key, Value: it.Value, Stamp: it.Stamp})
+		}
+	}
+	if err != nil {
+		return 0, err
+	}
+	x.Lock.Lock()
+	defer x.Lock.Unlock()
+	for _, e := range log {
+		if e.Set == "" {
+			continue
+		}
+		var l courier.Letter
+		err := json.Unmarshal(e.Value, &l)
+		if err == nil {
+			err = x.Reader.Take(e.Set, e.Stamp, &l)
+		}
+		if err != nil {
+			slog.Error("a letter of the leader is damaged", "key", e.Set, "err", err)
+		}
+	}
+	return max(after, epoch), nil
+}
+
+// Open takes the messages out of letters for the leader of a term.
+func Open(log []store.Event, prefix string, term uint64, joiner *courier.Joiner, take func(member string, m courier.Message)) {
+	for _, e := range log {
+		if e.Set == "" {
+			continue
+		}
+		member := store.LetterFrom(prefix, e.Set)
+		var l courier.Letter
+		err := json.Unmarshal(e.Value, &l)
+		if err == nil && l.Term != term {
+			continue
+		}
+		var ms []courier.Message
+		if err == nil {
+			ms, err = joiner.Open(member, &l)
+		}
+		if err != nil {
+			slog.Error("a letter of a sibling is damaged", "key", e.Set, "err", err)
+			continue
+		}
+		for _, m := range ms {
+			take(member, m)
+		}
+	}
+}
--- a/experiment/population.go
+++ b/experiment/population.go
@@ -109,8 +109,15 @@
 	}
 }
 
-// ask sends a request to a controller that runs; 0: nobody answered in time.
+// ask sends a request about a job to a controller that runs; 0: nobody answered in time.
 func (p *population) ask(ctx context.Context, patience time.Duration, method, path string, body []byte) (status int, answer api.JobStatus) {
+	status, raw := p.askRaw(ctx, patience, method, path, body)
+	_ = json.Unmarshal(raw, &answer)
+	return status, answer
+}
+
+// askRaw is ask with the answer as it is.
+func (p *population) askRaw(ctx context.Context, patience time.Duration, method, path string, body []byte) (status int, answer []byte) {
 	call, stop := context.WithTimeout(ctx, patience)
 	defer stop()
 	first := p.random(len(p.cluster.Controllers))
@@ -124,12 +131,11 @@
 			continue // refused: the load balancer tries the next
 		}
 		if err != nil {
-			return 0, answer
+			return 0, nil
 		}
-		_ = json.Unmarshal(raw, &answer)
-		return status, answer
+		return status, raw
 	}
-	return 0, answer
+	return 0, nil
 }
 
 // submit is true once the job is accepted.
--- a/experiment/scale_load.go
+++ b/experiment/scale_load.go
@@ -29,21 +29,24 @@
 
 // returns counts the machines that controllers gave back, and the tasks that ran on them.
 type returns struct {
-	mu              sync.Mutex
-	machines, tasks int
+	mu sync.Mutex
+	// killed are tasks that leases had ended on them before.
+	machines, tasks, killed int
 }
 
-func (r *returns) add(_ *cluster.Worker, running int) {
+func (r *returns) add(w *cluster.Worker, running int) {
+	_, _, killed, _ := w.Seen()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.machines++
 	r.tasks += running
+	r.killed += killed - running
 }
 
-func (r *returns) counts() (machines, tasks int) {
+func (r *returns) counts() (machines, tasks, killed int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.machines, r.tasks
+	return r.machines, r.tasks, r.killed
 }
 
 // longJobTasks is how many tasks an array of the base load has.
--- a/experiment/scale_writes.go
+++ b/experiment/scale_writes.go
@@ -55,12 +55,12 @@
 	return nil
 }
 
-// filed tells whether a job is over for its user and its records are removed.
-func (run *scaleRun) filed(id string) (gone bool) {
+// filed tells whether a job was accepted and its records are removed.
+func (run *scaleRun) filed(id string) (accepted bool) {
 	run.audit.Jobs(func(j *cluster.AuditedJob) {
 		if j.ID == id {
-			gone = j.Told != ""
+			accepted = !j.Accepted.IsZero()
 		}
 	})
-	return gone && run.cluster.State.Get("sf/j/"+id) == nil && run.cluster.State.Under("sf/t/"+id+"/") == 0
+	return accepted && run.cluster.State.Get("sf/j/"+id) == nil && run.cluster.State.Under("sf/t/"+id+"/") == 0
 }
--- a/experiment/topology.go
+++ b/experiment/topology.go
@@ -523,7 +523,7 @@
 	core   *controller.Core
 	stored []func()
 	sent   []order
-	view   controller.TopologyView
+	view   api.TopologyView
 }
 
 func (p *corePlacer) submit(s *api.Submission) {
@@ -630,7 +630,7 @@
 }
 
 func (p *corePlacer) barred(domain, job string) bool {
-	return slices.ContainsFunc(p.view.Reserved, func(r controller.ReservedView) bool { return r.Domain == domain && r.Job != job })
+	return slices.ContainsFunc(p.view.Reserved, func(r api.ReservedView) bool { return r.Domain == domain && r.Job != job })
 }
 
 // randomPlacer takes machines at random and keeps the bounds.
