Long functions split: World.trouble, Node.serve, httpapi.New; users' counts in package traffic

Change: each kind of trouble is a function of its own; a submission is parsed, judged and refused in three; the port's paths, sockets and reports are functions. No behaviour changes.

--- a/controller/data.go
+++ b/controller/data.go
@@ -796,9 +796,9 @@
 	for _, j := range c.order {
 		switch n := d.waiting[j.id]; {
 		case !c.dataReady(j):
-			v.Waiting = append(v.Waiting, api.WaitingView{j.id, j.total - j.done, "a dataset is not known to this controller yet"})
+			v.Waiting = append(v.Waiting, api.WaitingView{Job: j.id, Tasks: j.total - j.done, Why: "a dataset is not known to this controller yet"})
 		case n > 0:
-			v.Waiting = append(v.Waiting, api.WaitingView{j.id, n, "inputs are not on their machines yet"})
+			v.Waiting = append(v.Waiting, api.WaitingView{Job: j.id, Tasks: n, Why: "inputs are not on their machines yet"})
 		}
 	}
 	c.mu.Unlock()
--- a/controller/node.go
+++ b/controller/node.go
@@ -38,6 +38,7 @@
 	"switchferry/steering"
 	"switchferry/store"
 	"switchferry/topology"
+	"switchferry/traffic"
 	"switchferry/tuning"
 	"switchferry/upgrade"
 	"switchferry/word"
@@ -73,7 +74,7 @@
 	lone    time.Time
 	keeping bool
 	bounces steering.Bounces
-	users   users
+	users   traffic.Counter
 
 	// reads limits what questions of users take of the state service, records reads jobs' records
 	// within that.
@@ -200,7 +201,7 @@
 	n.peers.Run(n.ctx)
 	go n.catalog()
 	go n.markVersion(n.ctx)
-	go n.logUsers()
+	go n.users.Log(n.ctx, n.clock, tuning.FleetLogEvery)
 	go n.relay.post.Run(n.ctx)
 	if n.data.On {
 		go n.agentRelay.post.Run(n.ctx)
@@ -901,16 +902,7 @@
 		n.comeBack(&a, r.Body)
 	}
 	if !forwarded {
-		n.count(func(u *users) {
-			if r.Verb == VerbStatus {
-				u.questions++
-			} else {
-				u.requests++
-			}
-			if a.Status == http.StatusServiceUnavailable {
-				u.refused++
-			}
-		})
+		n.users.Add(r.Verb == VerbStatus, a.Status == http.StatusServiceUnavailable)
 	}
 	return a
 }
@@ -935,31 +927,6 @@
 	}
 }
 
-// users counts what users asked of this node since it was last logged; passed: how
-// often the leader did not answer and was passed by.
-type users struct{ questions, requests, refused, passed int }
-
-func (n *Node) count(add func(*users)) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	add(&n.users)
-}
-
-// logUsers writes now and then what users asked, so that a storm of questions and a
-// silent leader can be told from other troubles.
-func (n *Node) logUsers() {
-	for n.ctx.Err() == nil {
-		n.sleep(n.ctx, tuning.FleetLogEvery)
-		n.mu.Lock()
-		u := n.users
-		n.users = users{}
-		n.mu.Unlock()
-		if u != (users{}) {
-			slog.Info("users", "questions", u.questions, "other_requests", u.requests, "refused", u.refused, "leader_silent", u.passed)
-		}
-	}
-}
-
 func (n *Node) handle(ctx context.Context, r peer.Request, forwarded bool) peer.Answer {
 	if r.Verb == VerbMembers {
 		return n.aboutMembers()
@@ -1012,7 +979,7 @@
 		}
 		// It may have fallen silent: what it was asked is stored or read without
 		// it, as conditions on the keys allow whether it goes on or not.
-		n.count(func(u *users) { u.passed++ })
+		n.users.Passed()
 	}
 	return n.serve(ctx, nil, r)
 }
@@ -1042,83 +1009,7 @@
 func (n *Node) serve(ctx context.Context, core *Core, r peer.Request) peer.Answer {
 	switch r.Verb {
 	case VerbSubmit:
-		s, id, err := api.ParseSubmission(r.Body)
-		status := http.StatusBadRequest
-		if id != "" {
-			if f, ok := n.finalOf(id); ok {
-				return answer(http.StatusOK, finalStatus(id, f))
-			}
-			if core != nil {
-				if st, ok := core.Known(id); ok {
-					return answer(http.StatusOK, st)
-				}
-			}
-		}
-		undecided := false
-		var judged judgement
-		if err == nil {
-			status = http.StatusUnprocessableEntity
-			judged, err, undecided = n.canRun(core, s)
-		}
-		if err == nil {
-			if err = n.fits(s); err != nil {
-				status = http.StatusBadRequest
-			}
-		}
-		if err == nil && n.topology != nil {
-			status, err = checkSite(s, r.Body)
-		}
-		if err == nil && !undecided && len(s.Awaits) > 0 {
-			var why string
-			if why, err = n.checkAwaits(ctx, core, s); why != "" {
-				return later(why)
-			}
-			status = http.StatusUnprocessableEntity
-		}
-		if err == nil && !undecided && n.data.On {
-			status, err, undecided = n.checkInputs(ctx, core, s, r.Body)
-		}
-		if err != nil || undecided {
-			// A known id is never refused, whatever the body, nor sent away while nothing can be judged.
-			if id != "" {
-				if core != nil {
-					if here, _, _ := core.Awaitable(id); here {
-						return later("the job is just being accepted")
-					}
-				}
-				if st, found, rerr := n.lookUp(ctx, core, id, false); rerr != nil {
-					return later("the state service is out of reach")
-				} else if found {
-					return answer(http.StatusOK, st)
-				}
-			}
-			switch {
-			case err != nil && !judged.stands(n, core):
-				return later("the configuration has just changed")
-			case err != nil:
-				return refusal(status, err)
-			case judged.why != "":
-				return later(judged.why)
-			case n.data.On:
-				return later("the machine types, or the job's datasets, are not known yet")
-			}
-			return later("the machine types are not known yet")
-		}
-		if core == nil {
-			return n.submitAlone(ctx, s, r.Body, judged.conds...)
-		}
-		if a, ok := core.Submit(ctx, s, n.clock.Now()); ok {
-			return a
-		}
-		a := n.told(ctx, core, id, false)
-		if a.Status == http.StatusNotFound && len(s.Inputs) > 0 {
-			// One of its datasets was taken off the list meanwhile.
-			if status, err, _ := n.checkInputs(ctx, core, s, r.Body); err != nil {
-				return refusal(status, err)
-			}
-			return later("a dataset of the job has just changed")
-		}
-		return a
+		return n.serveSubmission(ctx, core, r.Body)
 	case VerbStatus:
 		if core != nil {
 			if st, ok := core.Known(r.Job); ok {
@@ -1127,21 +1018,127 @@
 		}
 		return n.told(ctx, core, r.Job, true)
 	case VerbCancel:
-		if core == nil {
-			return n.cancelAlone(ctx, r.Job)
+		return n.serveCancellation(ctx, core, r.Job)
+	}
+	return answer(http.StatusNotFound, api.Error{Error: "no such request"})
+}
+
+func (n *Node) serveCancellation(ctx context.Context, core *Core, id string) peer.Answer {
+	if core == nil {
+		return n.cancelAlone(ctx, id)
+	}
+	if a, ok := core.Cancel(ctx, id); ok {
+		return a
+	}
+	a := n.told(ctx, core, id, true)
+	if a.Status == http.StatusOK {
+		if b, ok := core.Cancel(ctx, id); ok {
+			return b
 		}
-		if a, ok := core.Cancel(ctx, r.Job); ok {
-			return a
+	}
+	return a
+}
+
+func (n *Node) serveSubmission(ctx context.Context, core *Core, body []byte) peer.Answer {
+	s, id, err := api.ParseSubmission(body)
+	if id != "" {
+		if f, ok := n.finalOf(id); ok {
+			return answer(http.StatusOK, finalStatus(id, f))
 		}
-		a := n.told(ctx, core, r.Job, true)
-		if a.Status == http.StatusOK {
-			if b, ok := core.Cancel(ctx, r.Job); ok {
-				return b
+		if core != nil {
+			if st, ok := core.Known(id); ok {
+				return answer(http.StatusOK, st)
 			}
 		}
+	}
+	v := verdict{status: http.StatusBadRequest, err: err}
+	if err == nil {
+		v = n.judgeSubmission(ctx, core, s, body)
+	}
+	switch {
+	case v.again != "":
+		return later(v.again)
+	case v.err != nil || v.undecided:
+		return n.refuse(ctx, core, id, v)
+	case core == nil:
+		return n.submitAlone(ctx, s, body, v.judged.conds...)
+	}
+	if a, ok := core.Submit(ctx, s, n.clock.Now()); ok {
 		return a
 	}
-	return answer(http.StatusNotFound, api.Error{Error: "no such request"})
+	a := n.told(ctx, core, id, false)
+	if a.Status == http.StatusNotFound && len(s.Inputs) > 0 {
+		// One of its datasets was taken off the list meanwhile.
+		if status, err, _ := n.checkInputs(ctx, core, s, body); err != nil {
+			return refusal(status, err)
+		}
+		return later("a dataset of the job has just changed")
+	}
+	return a
+}
+
+// verdict is what is thought of a submission. With neither an error nor a reason to ask again it can be accepted.
+type verdict struct {
+	// status goes with err, which refuses it for good.
+	status int
+	err    error
+	// undecided: what it hangs on is not known, which leaves a known job its answer; again is why its user has to ask
+	// again whatever is known.
+	undecided bool
+	again     string
+	judged    judgement
+}
+
+// judgeSubmission checks what can be wrong with a submission, one thing after the other.
+func (n *Node) judgeSubmission(ctx context.Context, core *Core, s *api.Submission, body []byte) (v verdict) {
+	v.status = http.StatusUnprocessableEntity
+	v.judged, v.err, v.undecided = n.canRun(core, s)
+	if v.err == nil {
+		if v.err = n.fits(s); v.err != nil {
+			v.status = http.StatusBadRequest
+		}
+	}
+	if v.err == nil && n.topology != nil {
+		v.status, v.err = checkSite(s, body)
+	}
+	if v.err == nil && !v.undecided && len(s.Awaits) > 0 {
+		if v.again, v.err = n.checkAwaits(ctx, core, s); v.again != "" {
+			return v
+		}
+		v.status = http.StatusUnprocessableEntity
+	}
+	if v.err == nil && !v.undecided && n.data.On {
+		v.status, v.err, v.undecided = n.checkInputs(ctx, core, s, body)
+	}
+	return v
+}
+
+// refuse answers a submission that cannot be accepted, for good or for now. A known id is never refused, whatever the
+// body, nor sent away while nothing can be judged.
+func (n *Node) refuse(ctx context.Context, core *Core, id string, v verdict) peer.Answer {
+	if id != "" {
+		if core != nil {
+			if here, _, _ := core.Awaitable(id); here {
+				return later("the job is just being accepted")
+			}
+		}
+		if st, found, err := n.lookUp(ctx, core, id, false); err != nil {
+			return later("the state service is out of reach")
+		} else if found {
+			return answer(http.StatusOK, st)
+		}
+	}
+	switch {
+	case v.err != nil && !v.judged.stands(n, core):
+		return later("the configuration has just changed")
+	case v.err != nil:
+		return refusal(v.status, v.err)
+	case v.judged.why != "":
+		return later(v.judged.why)
+	case n.data.On:
+		return later("the machine types, or the job's datasets, are not known yet")
+	}
+	return later("the machine types are not known yet")
 }
 
 // fits finds a job whose record is too large for the state service.
--- a/httpapi/httpapi.go
+++ b/httpapi/httpapi.go
@@ -48,17 +48,37 @@
 func New(n Node, budget *sockets.Budget) http.Handler {
 	e := echo.New()
 	e.HideBanner, e.HidePort = true, true
-	e.HTTPErrorHandler = func(err error, c echo.Context) {
-		status := http.StatusInternalServerError
-		var he *echo.HTTPError
-		if errors.As(err, &he) {
-			status = he.Code
-		}
-		if !c.Response().Committed {
-			_ = c.JSON(status, api.Error{Error: http.StatusText(status)})
+	e.HTTPErrorHandler = answerError
+	e.Use(countSockets(budget))
+	addUserPaths(e, n)
+	e.GET("/ready", func(c echo.Context) error {
+		if n.Ready() {
+			return c.NoContent(http.StatusOK)
 		}
+		return c.NoContent(http.StatusServiceUnavailable)
+	})
+	e.POST(reportPath, func(c echo.Context) error { return report(c, n) })
+	if n.DataOn() {
+		e.POST(stagingPath, func(c echo.Context) error { return stage(c, n) })
 	}
-	e.Use(func(next echo.HandlerFunc) echo.HandlerFunc {
+	return e
+}
+
+// answerError answers what no handler did.
+func answerError(err error, c echo.Context) {
+	status := http.StatusInternalServerError
+	var he *echo.HTTPError
+	if errors.As(err, &he) {
+		status = he.Code
+	}
+	if !c.Response().Committed {
+		_ = c.JSON(status, api.Error{Error: http.StatusText(status)})
+	}
+}
+
+// countSockets tells the budget whose each connection is.
+func countSockets(budget *sockets.Budget) echo.MiddlewareFunc {
+	return func(next echo.HandlerFunc) echo.HandlerFunc {
 		return func(c echo.Context) error {
 			class := sockets.User
 			if p := c.Path(); p == reportPath || p == stagingPath {
@@ -71,25 +91,13 @@
 			budget.Tell(sockets.Of(c.Request().Context()), class)
 			return next(c)
 		}
-	})
+	}
+}
+
+// addUserPaths adds what users and operators ask for, as far as it is on.
+func addUserPaths(e *echo.Echo, n Node) {
 	user := func(verb string) echo.HandlerFunc {
-		return func(c echo.Context) error {
-			r := peer.Request{Verb: verb, Job: c.Param("id")}
-			if verb == controller.VerbSubmit || verb == controller.VerbRegister || verb == controller.VerbConfigure {
-				body, err := read(c, tuning.BodyLimit, errTooLong)
-				if err != nil {
-					return c.JSON(http.StatusBadRequest, api.Error{Error: err.Error(), Field: "body"})
-				}
-				r.Body = body
-			}
-			began := time.Now()
-			a := n.Handle(c.Request().Context(), r, false)
-			if a.RetryAfterS > 0 {
-				c.Response().Header().Set("Retry-After", strconv.Itoa(a.RetryAfterS))
-			}
-			slog.Debug("answered", "verb", verb, "job", r.Job, "status", a.Status, "took", time.Since(began).Round(time.Millisecond), "body", string(a.Body))
-			return c.JSONBlob(a.Status, a.Body)
-		}
+		return func(c echo.Context) error { return ask(c, n, verb) }
 	}
 	e.POST("/submissions", user(controller.VerbSubmit))
 	e.GET("/submissions/:id", user(controller.VerbStatus))
@@ -110,46 +118,70 @@
 		e.GET("/datasets", user(controller.VerbData))
 		e.POST("/datasets", user(controller.VerbRegister))
 		e.POST("/datasets/:id/remove", user(controller.VerbRemove))
-		e.POST(stagingPath, func(c echo.Context) error {
-			var r api.StageReport
-			body, err := read(c, tuning.OrderLimit, errReportTooLong)
-			if err == nil {
-				err = json.Unmarshal(body, &r)
-			}
-			if err == nil {
-				err = r.Check()
-			}
-			if err != nil {
-				slog.Error("malformed report of an agent", "from", c.Request().RemoteAddr, "err", err)
-				return c.JSON(http.StatusBadRequest, api.Error{Error: err.Error()})
-			}
-			status, ans := n.Stage(c.Request().Context(), &r, body)
-			return c.JSON(status, ans)
-		})
 	}
-	e.GET("/ready", func(c echo.Context) error {
-		if n.Ready() {
-			return c.NoContent(http.StatusOK)
-		}
-		return c.NoContent(http.StatusServiceUnavailable)
-	})
-	e.POST(reportPath, func(c echo.Context) error {
+}
+
+// withBody are the verbs whose requests have a body.
+var withBody = map[string]bool{controller.VerbSubmit: true, controller.VerbRegister: true, controller.VerbConfigure: true}
+
+// ask answers a user's request.
+func ask(c echo.Context, n Node, verb string) error {
+	r := peer.Request{Verb: verb, Job: c.Param("id")}
+	if withBody[verb] {
 		body, err := read(c, tuning.BodyLimit, errTooLong)
-		var r api.Report
-		if err == nil {
-			err = json.Unmarshal(body, &r)
-		}
-		if err == nil {
-			err = r.Check()
-		}
 		if err != nil {
-			slog.Error("malformed report", "from", c.Request().RemoteAddr, "err", err)
-			return c.JSON(http.StatusBadRequest, api.Error{Error: err.Error()})
+			return c.JSON(http.StatusBadRequest, api.Error{Error: err.Error(), Field: "body"})
 		}
-		status, ans := n.Report(c.Request().Context(), &r, body)
-		return c.JSON(status, ans)
-	})
-	return e
+		r.Body = body
+	}
+	began := time.Now()
+	a := n.Handle(c.Request().Context(), r, false)
+	if a.RetryAfterS > 0 {
+		c.Response().Header().Set("Retry-After", strconv.Itoa(a.RetryAfterS))
+	}
+	slog.Debug("answered", "verb", verb, "job", r.Job, "status", a.Status, "took", time.Since(began).Round(time.Millisecond), "body", string(a.Body))
+	return c.JSONBlob(a.Status, a.Body)
+}
+
+// checked is a report that can tell whether anything can be done with it.
+type checked interface{ Check() error }
+
+// readReport takes in a report of at most so many bytes; false: it is malformed, which was answered.
+func readReport(c echo.Context, r checked, limit int, tooLong error, of string) (body []byte, ok bool, err error) {
+	body, err = read(c, limit, tooLong)
+	if err == nil {
+		err = json.Unmarshal(body, r)
+	}
+	if err == nil {
+		err = r.Check()
+	}
+	if err != nil {
+		slog.Error("malformed report of "+of, "from", c.Request().RemoteAddr, "err", err)
+		return nil, false, c.JSON(http.StatusBadRequest, api.Error{Error: err.Error()})
+	}
+	return body, true, nil
+}
+
+// report answers a worker.
+func report(c echo.Context, n Node) error {
+	var r api.Report
+	body, ok, err := readReport(c, &r, tuning.BodyLimit, errTooLong, "a worker")
+	if !ok {
+		return err
+	}
+	status, ans := n.Report(c.Request().Context(), &r, body)
+	return c.JSON(status, ans)
+}
+
+// stage answers an agent.
+func stage(c echo.Context, n Node) error {
+	var r api.StageReport
+	body, ok, err := readReport(c, &r, tuning.OrderLimit, errReportTooLong, "an agent")
+	if !ok {
+		return err
+	}
+	status, ans := n.Stage(c.Request().Context(), &r, body)
+	return c.JSON(status, ans)
 }
 
 var (
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -757,218 +757,244 @@
 	if t.Follower {
 		who = members[(slices.Index(members, lead)+1)%3]
 	}
-	cut := func(on bool, pairs ...[2]string) {
-		for _, p := range pairs {
-			w.links.cut(p[0], p[1], on)
-		}
-	}
-	for_ := func(pairs ...[2]string) {
-		cut(true, pairs...)
-		w.sleep(ctx, t.For)
-		cut(false, pairs...)
+	play, ok := troubles[t.Kind]
+	if !ok {
+		panic(fmt.Sprintf("no trouble %q", t.Kind))
 	}
-	switch t.Kind {
-	case Roll:
-		for _, name := range members {
-			w.end(name)
-			w.crowd.Go(func() {
-				if w.sleep(ctx, t.For) {
-					w.start(ctx, name)
-				}
-			})
-			if !w.sleep(ctx, rollEvery) {
-				return
-			}
+	play(&striking{w, ctx, t, lead, who})
+}
+
+// striking is a trouble under way: who is the controller that it strikes.
+type striking struct {
+	*World
+	ctx context.Context
+	Trouble
+	lead, who string
+}
+
+// troubles plays each kind to its end.
+var troubles = map[string]func(s *striking){
+	Roll: (*striking).roll, Crash: (*striking).crash,
+	Lone: (*striking).separate, Silence: (*striking).separate, Apart: (*striking).separate,
+	HalfDeaf: (*striking).halfDeafen, DeafNode: (*striking).deafenNode, Mute: (*striking).mute, Hangs: (*striking).hangSome,
+	Die: (*striking).die, Restart: (*striking).restart, CutZone: (*striking).cutZone, Freeze: (*striking).standStill,
+	Outage: (*striking).outage, Slow: (*striking).slowDown, Refused: (*striking).refuse, Wave: (*striking).cancelMany,
+	Copies:     (*striking).copies,
+	LateWrites: func(s *striking) { s.during(func(by int) { s.count(func() { s.lateWrites += by }) }) },
+	Held:       func(s *striking) { s.during(func(by int) { s.count(func() { s.held += by }) }) },
+	AtEnd:      func(s *striking) { s.during(func(by int) { s.atEnd.Add(int32(by)) }) },
+	Odd:        func(s *striking) { s.during(func(by int) { s.odd.Add(int32(by)) }) },
+}
+
+// during changes something by one for as long as the trouble lasts.
+func (s *striking) during(change func(by int)) {
+	change(1)
+	s.sleep(s.ctx, s.For)
+	change(-1)
+}
+
+// cutFor cuts ways, each from one to another, for as long as the trouble lasts.
+func (s *striking) cutFor(ways [][2]string) {
+	s.during(func(by int) {
+		for _, way := range ways {
+			s.links.cut(way[0], way[1], by > 0)
 		}
-	case Crash:
-		for i := range min(t.Count, 3) {
-			name := members[(slices.Index(members, who)+i)%3]
-			w.end(name)
-			w.crowd.Go(func() {
-				if w.sleep(ctx, t.For) {
-					w.start(ctx, name)
-				}
-			})
+	})
+}
+
+// bothWays are the ways between one and others.
+func bothWays(one string, others []string) (ways [][2]string) {
+	for _, other := range others {
+		if other != one {
+			ways = append(ways, [2]string{one, other}, [2]string{other, one})
 		}
-	case Lone, Silence, Apart:
-		others := append([]string{"state"}, members...)
-		switch t.Kind {
-		case Apart:
-			others = []string{members[(slices.Index(members, who)+2)%3]}
-		case Silence:
-			w.mu.Lock()
-			for _, m := range w.machines {
-				others = append(others, m.Name)
-				m.touched = time.Now()
-			}
-			w.mu.Unlock()
+	}
+	return ways
+}
+
+// endFor ends a controller, which is back after the trouble's time.
+func (s *striking) endFor(name string) {
+	s.end(name)
+	s.crowd.Go(func() {
+		if s.sleep(s.ctx, s.For) {
+			s.start(s.ctx, name)
 		}
-		var pairs [][2]string
-		for _, o := range others {
-			if o != who {
-				pairs = append(pairs, [2]string{who, o}, [2]string{o, who})
+	})
+}
+
+func (s *striking) roll() {
+	for _, name := range members {
+		s.endFor(name)
+		if !s.sleep(s.ctx, rollEvery) {
+			return
+		}
+	}
+}
+
+func (s *striking) crash() {
+	for i := range min(s.Count, 3) {
+		s.endFor(members[(slices.Index(members, s.who)+i)%3])
+	}
+}
+
+// separate cuts a controller off from others: from the state service and the other controllers, from everything, or from
+// one other controller.
+func (s *striking) separate() {
+	others := append([]string{"state"}, members...)
+	switch s.Kind {
+	case Apart:
+		others = []string{members[(slices.Index(members, s.who)+2)%3]}
+	case Silence:
+		others = append(others, s.touchAll(func(*machine) bool { return true })...)
+	}
+	s.cutFor(bothWays(s.who, others))
+}
+
+// touchAll notes that a trouble meets some machines, and gives their names.
+func (s *striking) touchAll(which func(m *machine) bool) (names []string) {
+	s.count(func() {
+		for _, m := range s.machines {
+			m.touched = time.Now()
+			if which(m) {
+				names = append(names, m.Name)
 			}
 		}
-		for_(pairs...)
-	case HalfDeaf:
-		ms := w.some(t.Count)
-		var pairs [][2]string
-		w.mu.Lock()
-		for _, m := range ms {
+	})
+	return names
+}
+
+func (s *striking) halfDeafen() {
+	deaf := s.some(s.Count)
+	var ways [][2]string
+	s.count(func() {
+		for _, m := range deaf {
 			m.deaf = time.Now()
-			for _, n := range members {
-				pairs = append(pairs, [2]string{n, m.Name})
+			for _, name := range members {
+				ways = append(ways, [2]string{name, m.Name})
 			}
 		}
-		w.mu.Unlock()
-		for_(pairs...)
-		w.mu.Lock()
-		for _, m := range ms {
-			if w.machines[m.Address] == m {
-				w.book.heals(m.deaf)
+	})
+	s.cutFor(ways)
+	s.count(func() {
+		for _, m := range deaf {
+			if s.machines[m.Address] == m {
+				s.book.heals(m.deaf)
 			}
 			m.deaf = time.Time{}
 		}
-		w.mu.Unlock()
-	case DeafNode:
-		var pairs [][2]string
-		w.mu.Lock()
-		for _, m := range w.machines {
-			pairs = append(pairs, [2]string{who, m.Name})
-			m.touched = time.Now()
-		}
-		w.mu.Unlock()
-		for_(pairs...)
-	case Copies:
-		set := func(on bool) {
-			w.mu.Lock()
-			defer w.mu.Unlock()
-			w.copying = on
-		}
-		set(true)
-		w.sleep(ctx, t.For)
-		set(false)
-	case Die:
-		for _, m := range w.some(t.Count) {
-			w.mu.Lock()
-			m.dead = true
-			w.mu.Unlock()
-			m.stop()
-			m.worker.Restart()
-		}
-	case Restart:
-		for _, m := range w.some(t.Count) {
-			m.worker.Restart()
-		}
-	case Outage:
-		w.state.Outage(true)
-		w.sleep(ctx, t.For)
-		w.state.Outage(false)
-	case Freeze:
-		// What comes for it waits at its door.
-		var pairs [][2]string
-		for _, o := range members {
-			if o != who {
-				pairs = append(pairs, [2]string{o, who})
-			}
-		}
-		w.freeze(who, true)
-		for_(pairs...)
-		w.freeze(who, false)
-	case Slow:
-		if t.Count != 1 {
-			who = ""
-		}
-		w.count(func() { w.slow[who]++ })
-		w.sleep(ctx, t.For)
-		w.count(func() { w.slow[who]-- })
-	case Hangs:
-		w.hang(ctx, w.some(t.Count), t.For)
-	case Mute:
-		ms := w.some(t.Count)
-		if t.Follower {
-			ms = slices.DeleteFunc(w.some(len(w.machines)), func(m *machine) bool { return m.Zone != w.nodes[lead].zone })
-		}
-		set := func(by int) {
-			w.count(func() {
-				for _, m := range ms {
-					m.mute += by
-					m.touched = time.Now()
-				}
-			})
-		}
-		set(1)
-		w.sleep(ctx, t.For)
-		set(-1)
-	case LateWrites, Held:
-		n := &w.lateWrites
-		if t.Kind == Held {
-			n = &w.held
-		}
-		w.count(func() { *n++ })
-		w.sleep(ctx, t.For)
-		w.count(func() { *n-- })
-	case AtEnd, Odd:
-		n := &w.atEnd
-		if t.Kind == Odd {
-			n = &w.odd
-		}
-		n.Add(1)
-		w.sleep(ctx, t.For)
-		n.Add(-1)
-	case Wave:
-		w.count(func() { w.hanging = 0 })
-		for {
-			select {
-			case w.wave <- t:
-				continue
-			default:
-			}
-			break
-		}
-	case Refused:
-		how := refused503
-		if t.Hang {
-			how = refusedHang
-		}
-		set := func(how string) {
-			w.mu.Lock()
-			defer w.mu.Unlock()
-			w.refused[who] = how
-		}
-		set(how)
-		w.sleep(ctx, t.For)
-		set("")
-	case CutZone:
-		zone := w.nodes[who].zone
-		var in, out []string
-		for _, n := range members {
-			if w.nodes[n].zone == zone {
-				in = append(in, n)
-			} else {
-				out = append(out, n)
-			}
+	})
+}
+
+func (s *striking) deafenNode() {
+	var ways [][2]string
+	for _, name := range s.touchAll(func(*machine) bool { return true }) {
+		ways = append(ways, [2]string{s.who, name})
+	}
+	s.cutFor(ways)
+}
+
+func (s *striking) copies() {
+	s.during(func(by int) { s.count(func() { s.copying = by > 0 }) })
+}
+
+func (s *striking) die() {
+	for _, m := range s.some(s.Count) {
+		s.count(func() { m.dead = true })
+		m.stop()
+		m.worker.Restart()
+	}
+}
+
+func (s *striking) restart() {
+	for _, m := range s.some(s.Count) {
+		m.worker.Restart()
+	}
+}
+
+func (s *striking) outage() { s.during(func(by int) { s.state.Outage(by > 0) }) }
+
+// standStill freezes a controller; what comes for it waits at its door.
+func (s *striking) standStill() {
+	var ways [][2]string
+	for _, other := range members {
+		if other != s.who {
+			ways = append(ways, [2]string{other, s.who})
 		}
-		w.mu.Lock()
-		for _, m := range w.machines {
-			if m.Zone == zone {
-				in = append(in, m.Name)
-			} else {
-				out = append(out, m.Name)
+	}
+	s.freeze(s.who, true)
+	s.cutFor(ways)
+	s.freeze(s.who, false)
+}
+
+func (s *striking) slowDown() {
+	who := s.who
+	if s.Count != 1 {
+		who = ""
+	}
+	s.during(func(by int) { s.count(func() { s.slow[who] += by }) })
+}
+
+func (s *striking) hangSome() { s.hang(s.ctx, s.some(s.Count), s.For) }
+
+func (s *striking) mute() {
+	mute := s.some(s.Count)
+	if s.Follower {
+		mute = slices.DeleteFunc(s.some(len(s.machines)), func(m *machine) bool { return m.Zone != s.nodes[s.lead].zone })
+	}
+	s.during(func(by int) {
+		s.count(func() {
+			for _, m := range mute {
+				m.mute += by
+				m.touched = time.Now()
 			}
-			m.touched = time.Now()
+		})
+	})
+}
+
+// cancelMany has the users who wait at this moment cancel.
+func (s *striking) cancelMany() {
+	s.count(func() { s.hanging = 0 })
+	for {
+		select {
+		case s.wave <- s.Trouble:
+		default:
+			return
 		}
-		w.mu.Unlock()
-		var pairs [][2]string
-		for _, a := range in {
-			for _, b := range append([]string{"state", "cloud"}, out...) {
-				pairs = append(pairs, [2]string{a, b}, [2]string{b, a})
+	}
+}
+
+func (s *striking) refuse() {
+	how := refused503
+	if s.Hang {
+		how = refusedHang
+	}
+	s.during(func(by int) {
+		s.count(func() {
+			s.refused[s.who] = ""
+			if by > 0 {
+				s.refused[s.who] = how
 			}
+		})
+	})
+}
+
+func (s *striking) cutZone() {
+	zone := s.nodes[s.who].zone
+	inside := s.touchAll(func(m *machine) bool { return m.Zone == zone })
+	outside := s.touchAll(func(m *machine) bool { return m.Zone != zone })
+	outside = append(outside, "state", "cloud")
+	for _, name := range members {
+		if s.nodes[name].zone == zone {
+			inside = append(inside, name)
+		} else {
+			outside = append(outside, name)
 		}
-		for_(pairs...)
-	default:
-		panic(fmt.Sprintf("no trouble %q", t.Kind))
 	}
+	var ways [][2]string
+	for _, one := range inside {
+		ways = append(ways, bothWays(one, outside)...)
+	}
+	s.cutFor(ways)
 }
 
 // Cases are the troubles that operators look at when a day is over, each alone and in each role, and in
