Rename: Helm is Term; its wire name stays in the tags

Need: the field's word for what identifies a leader's right to give commands is term. Change: api.Report, api.Orders, the agents' messages, fleet.Machine and the stand-ins say Term; contact.Report, which has both, says Seen for the highest term that a worker has seen. Nothing else changes.

--- a/api/api.go
+++ b/api/api.go
@@ -247,7 +247,7 @@
 	Spot    bool         `json:"standby"`
 	Session uint64       `json:"watch"`
 	Seq     uint64       `json:"tally"`
-	Helm    uint64       `json:"helm"`
+	Term    uint64       `json:"helm"`
 	NoticeS *float64     `json:"recall_s"`
 	Tasks   []TaskReport `json:"parts"`
 }
@@ -278,7 +278,7 @@
 
 // Orders answers a report, or goes directly to a worker.
 type Orders struct {
-	Helm     uint64    `json:"helm"`
+	Term     uint64    `json:"helm"`
 	Session  uint64    `json:"watch,omitempty"`
 	Commands []Command `json:"orders"`
 }
--- a/api/data.go
+++ b/api/data.go
@@ -141,7 +141,7 @@
 // Order grows within a term; Known is the version of the agent's holdings that the
 // controllers have.
 type StageOrder struct {
-	Helm    uint64     `json:"helm"`
+	Term    uint64     `json:"helm"`
 	Session uint64     `json:"session,omitempty"`
 	Order   uint64     `json:"order"`
 	Known   uint64     `json:"known"`
@@ -180,7 +180,7 @@
 }
 
 // StageReport is what an agent says of its machine. Session grows with each start of the
-// agent, Seq with each report of a session. Helm and Order are those of the newest order
+// agent, Seq with each report of a session. Term and Order are those of the newest order
 // that it keeps. Pinned are parts that stood in that order and are whole, checked and
 // kept. Holds is left out, with All false, while the controllers know its Version.
 type StageReport struct {
@@ -188,7 +188,7 @@
 	Address string          `json:"address"`
 	Session uint64          `json:"session"`
 	Seq     uint64          `json:"seq"`
-	Helm    uint64          `json:"helm"`
+	Term    uint64          `json:"helm"`
 	Order   uint64          `json:"order"`
 	Quota   int64           `json:"quota"`
 	Used    int64           `json:"used"`
--- a/contact/contact.go
+++ b/contact/contact.go
@@ -53,8 +53,8 @@
 // Report is what matters of a report.
 type Report struct {
 	Session, Seq uint64
-	// Helm is the token that it carries, Term that of the leader who judges it.
-	Helm, Term uint64
+	// Seen is the highest term that the worker has seen, Term that of the leader who judges it.
+	Seen, Term uint64
 	// Via is the controller that it came through; empty: it came directly.
 	Via string
 	// Relayed: that controller answers in the leader's place, and passes on only some reports.
@@ -94,7 +94,7 @@
 	inLine := r.Session == w.session && (r.Seq == w.seq+1 || r.Seq == w.replied+1) && r.Via == w.from && !r.Relayed && !w.relayed
 	// A token is told once; it shows for ever that the machine heard, but only the first report
 	// with it that it does so now.
-	token := r.Helm == r.Term && w.proved.IsZero()
+	token := r.Seen == r.Term && w.proved.IsZero()
 	rose := w.session > 0 && r.Session > w.session
 	w.session, w.seq, w.from, w.relayed = r.Session, r.Seq, r.Via, r.Relayed
 	switch {
--- a/contact/contact_test.go
+++ b/contact/contact_test.go
@@ -14,9 +14,9 @@
 	now time.Time
 }
 
-func (s *script) report(after time.Duration, via string, session, seq, helm uint64) (news, proof bool) {
+func (s *script) report(after time.Duration, via string, session, seq, seen uint64) (news, proof bool) {
 	s.now = s.now.Add(after)
-	return s.w.Report(s.now, Report{Session: session, Seq: seq, Helm: helm, Term: 7, Via: via})
+	return s.w.Report(s.now, Report{Session: session, Seq: seq, Seen: seen, Term: 7, Via: via})
 }
 
 func (s *script) want(state State) {
@@ -121,7 +121,7 @@
 	s := reached(t)
 	for seq := uint64(10); seq < 100; seq += 9 {
 		s.now = s.now.Add(3 * time.Second)
-		s.w.Report(s.now, Report{Session: 1, Seq: seq, Helm: 7, Term: 7, Via: "n1", Relayed: true})
+		s.w.Report(s.now, Report{Session: 1, Seq: seq, Seen: 7, Term: 7, Via: "n1", Relayed: true})
 		s.want(Reached)
 	}
 }
--- a/controller/core_test.go
+++ b/controller/core_test.go
@@ -146,8 +146,8 @@
 	return s.reportAt(name, session, s.next(name), s.term, tasks...)
 }
 
-func (s *stage) reportAt(name string, session, seq, helm uint64, tasks ...api.TaskReport) api.Orders {
-	o, _, _ := s.Report(&api.Report{Machine: name, Address: name + ":1", Type: "m8", Zone: zoneOf(name), Session: session, Seq: seq, Helm: helm, Tasks: tasks}, "")
+func (s *stage) reportAt(name string, session, seq, term uint64, tasks ...api.TaskReport) api.Orders {
+	o, _, _ := s.Report(&api.Report{Machine: name, Address: name + ":1", Type: "m8", Zone: zoneOf(name), Session: session, Seq: seq, Term: term, Tasks: tasks}, "")
 	return o
 }
 
@@ -168,7 +168,7 @@
 	for _, o := range s.sent {
 		for _, c := range o.o.Commands {
 			if c.Verb == api.Start && c.Task == key {
-				out = append(out, sentOrders{o.name, api.Orders{Helm: o.o.Helm, Session: o.o.Session, Commands: []api.Command{c}}})
+				out = append(out, sentOrders{o.name, api.Orders{Term: o.o.Term, Session: o.o.Session, Commands: []api.Command{c}}})
 			}
 		}
 	}
@@ -261,7 +261,7 @@
 		t.Fatal("started twice")
 	}
 	// A report from before our term proves nothing: an old command may follow.
-	s.reportAt("a1", 1, 500, st.o.Helm)
+	s.reportAt("a1", 1, 500, st.o.Term)
 	s.Place()
 	s.commit()
 	if len(s.starts("run-000001/0")) != 0 {
@@ -352,7 +352,7 @@
 		t.Errorf("starts %+v", got)
 	}
 	// What the machine said before, held up on the way, brings nothing back.
-	if _, _, refused := s.Report(&api.Report{Machine: "a1", Session: 1, Seq: 900, Helm: s.term}, ""); !refused {
+	if _, _, refused := s.Report(&api.Report{Machine: "a1", Session: 1, Seq: 900, Term: s.term}, ""); !refused {
 		t.Error("a returned machine was taken back")
 	}
 }
@@ -388,7 +388,7 @@
 // relayed plays reports that a sibling passes on through the state service.
 func (s *stage) relayed(member string, names ...string) {
 	for _, n := range names {
-		s.Relayed(member, &api.Report{Machine: n, Address: n + ":1", Type: "m8", Zone: zoneOf(n), Session: 1, Seq: s.next(n), Helm: s.term})
+		s.Relayed(member, &api.Report{Machine: n, Address: n + ":1", Type: "m8", Zone: zoneOf(n), Session: 1, Seq: s.next(n), Term: s.term})
 	}
 }
 
@@ -563,7 +563,7 @@
 		s.com.Step(context.Background())
 		o := s.report("a1", 1, run)
 		s.Place()
-		if o.Helm != s.term || len(o.Commands) != 0 {
+		if o.Term != s.term || len(o.Commands) != 0 {
 			t.Fatalf("answer in an outage: %+v", o)
 		}
 		if len(s.Tend()) != 0 {
@@ -581,7 +581,7 @@
 // A worker that has seen a higher term has another leader.
 func TestHigherTermDeposes(t *testing.T) {
 	s := newStage(t)
-	_, deposed, _ := s.Report(&api.Report{Machine: "a1", Session: 1, Seq: 1, Helm: s.term + 5}, "")
+	_, deposed, _ := s.Report(&api.Report{Machine: "a1", Session: 1, Seq: 1, Term: s.term + 5}, "")
 	if !deposed {
 		t.Error("still leads")
 	}
--- a/controller/data.go
+++ b/controller/data.go
@@ -714,7 +714,7 @@
 func (c *Core) Staging(r *api.StageReport) (o api.StageOrder, deposed, refused bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if r.Helm > c.term {
+	if r.Term > c.term {
 		return o, true, false
 	}
 	if _, gone := c.gone[r.Machine]; gone || c.data == nil {
@@ -728,7 +728,7 @@
 	if !ok || !c.loaded || !c.hooks.Valid() {
 		// What runs there is not known yet, or we may not lead: nothing may be let go. An
 		// order of number 0 changes nothing.
-		o = api.StageOrder{Helm: r.Helm, Sets: []api.StageSet{}}
+		o = api.StageOrder{Term: r.Term, Sets: []api.StageSet{}}
 	}
 	return o, false, false
 }
--- a/controller/data_test.go
+++ b/controller/data_test.go
@@ -29,7 +29,7 @@
 type played struct {
 	name        string
 	seq         uint64
-	helm, order uint64
+	term, order uint64
 	sets        []api.StageSet
 	has         *roaring.Bitmap
 	full        bool
@@ -63,11 +63,11 @@
 }
 
 func (p *played) apply(o api.StageOrder) {
-	if o.Helm < p.helm || o.Helm == p.helm && o.Order < p.order {
+	if o.Term < p.term || o.Term == p.term && o.Order < p.order {
 		p.refused++
 		return
 	}
-	p.helm, p.order, p.sets, p.known, p.drop = o.Helm, o.Order, o.Sets, o.Known, o.Drop
+	p.term, p.order, p.sets, p.known, p.drop = o.Term, o.Order, o.Sets, o.Known, o.Drop
 }
 
 func (p *played) wants(part uint32) bool {
@@ -109,7 +109,7 @@
 
 // stageReport is what the agent says now.
 func (p *played) stageReport() *api.StageReport {
-	r := &api.StageReport{Machine: p.name, Address: p.name + ":2", Session: 1, Seq: p.seq, Helm: p.helm, Order: p.order, Quota: 50e9, All: true, Version: p.version,
+	r := &api.StageReport{Machine: p.name, Address: p.name + ":2", Session: 1, Seq: p.seq, Term: p.term, Order: p.order, Quota: 50e9, All: true, Version: p.version,
 		Holds: []api.StageHeld{{Dataset: "inv", Manifest: inv.Manifest.String(), Of: inv.Parts, Parts: api.PartSet{Bitmap: p.has.Clone()}}}}
 	for _, x := range p.sets {
 		r.Pinned = append(r.Pinned, api.StageHeld{Dataset: x.Dataset, Manifest: x.Manifest, Parts: api.PartSet{Bitmap: roaring.And(p.has, x.Parts.Bitmap)}})
@@ -226,7 +226,7 @@
 	}
 	s.alive("a1", task("run-000001/0", st.Attempt, api.TaskRunning, ""))
 	s.round()
-	if !a.wants(0) || !a.wants(1) || a.helm != s.term {
+	if !a.wants(0) || !a.wants(1) || a.term != s.term {
 		t.Fatalf("the new leader's order: %+v", a.sets)
 	}
 	before := a.refused
--- a/controller/dataport.go
+++ b/controller/dataport.go
@@ -236,7 +236,7 @@
 			}
 		}
 	}
-	if r.Helm > term || !n.stateOK() {
+	if r.Term > term || !n.stateOK() {
 		// Nobody's word comes through here: another controller may do better.
 		return http.StatusServiceUnavailable, api.Error{Error: "the leader is out of reach"}
 	}
--- a/controller/datarelay.go
+++ b/controller/datarelay.go
@@ -57,7 +57,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	d := c.data
-	if _, gone := c.gone[r.Machine]; gone || d == nil || r.Helm > c.term {
+	if _, gone := c.gone[r.Machine]; gone || d == nil || r.Term > c.term {
 		return
 	}
 	if !d.desk.Heard(r, c.now()) {
--- a/controller/datarelay_test.go
+++ b/controller/datarelay_test.go
@@ -153,8 +153,8 @@
 	s.alive("a1", task("run-000001/0", st[0].o.Commands[0].Attempt, api.TaskRunning, ""))
 	s.carry()
 	s.say(a)
-	if a.helm != s.term || a.helm == old || !a.wants(0) {
-		t.Fatalf("the new leader's order: term %d of %d, %+v", a.helm, s.term, a.sets)
+	if a.term != s.term || a.term == old || !a.wants(0) {
+		t.Fatalf("the new leader's order: term %d of %d, %+v", a.term, s.term, a.sets)
 	}
 	id, _ := s.data.desk.ID("a1")
 	if !s.data.index.Snapshot().Has(id, "inv", 0) {
@@ -205,7 +205,7 @@
 	}
 	for _, p := range all {
 		s.say(p)
-		if p.helm != s.term {
+		if p.term != s.term {
 			t.Fatalf("%s has no order after four rounds", p.name)
 		}
 	}
--- a/controller/dayend_test.go
+++ b/controller/dayend_test.go
@@ -31,7 +31,7 @@
 			w.reports++
 			via := []string{"", "n1", "n2"}[w.reports%3]
 			for _, n := range w.names {
-				r := &api.Report{Machine: n, Address: n + ":1", Type: "m8", Zone: zoneOf(n), Session: 1 + uint64(since/(10*time.Second)), Seq: s.next(n), Helm: s.term}
+				r := &api.Report{Machine: n, Address: n + ":1", Type: "m8", Zone: zoneOf(n), Session: 1 + uint64(since/(10*time.Second)), Seq: s.next(n), Term: s.term}
 				o, _, _ := s.Report(r, via)
 				w.count(o.Commands)
 			}
@@ -143,7 +143,7 @@
 	gone := s.rounds(8*time.Second, func() {
 		s.report("a1", 1)
 		for seq := old; seq <= last; seq++ {
-			r := &api.Report{Machine: "b1", Address: "b1:1", Type: "m8", Zone: "b", Session: 1, Seq: seq, Helm: s.term, NoticeS: &notice}
+			r := &api.Report{Machine: "b1", Address: "b1:1", Type: "m8", Zone: "b", Session: 1, Seq: seq, Term: s.term, NoticeS: &notice}
 			if o, _, _ := s.Report(r, "n1"); len(o.Commands) > 0 {
 				t.Error("a copy's answer carries commands")
 			}
@@ -174,7 +174,7 @@
 	notice := 5.0
 	for i := range 3 {
 		n := fmt.Sprintf("a%d", 7+i)
-		o, _, _ := s.Report(&api.Report{Machine: n, Address: n + ":1", Type: "m8", Zone: "a", Session: 4, Seq: 300, Helm: s.term - 3, NoticeS: &notice}, "")
+		o, _, _ := s.Report(&api.Report{Machine: n, Address: n + ":1", Type: "m8", Zone: "a", Session: 4, Seq: 300, Term: s.term - 3, NoticeS: &notice}, "")
 		s.Place()
 		if m := s.machines[n]; m == nil || len(m.assigns) > 0 || len(o.Commands) > 0 || s.usable(m) {
 			t.Fatalf("a first report with an old token brought work: %+v", o)
@@ -212,7 +212,7 @@
 	n, _ := threeNodes(t)
 	valid := true
 	core := NewCore(7, n.clock, n.set, n.policy, testTypes, Hooks{Valid: func() bool { return valid }})
-	r := &api.Report{Machine: "a1", Zone: "a", Session: 1, Seq: 1, Helm: 1<<64 - 1}
+	r := &api.Report{Machine: "a1", Zone: "a", Session: 1, Seq: 1, Term: 1<<64 - 1}
 	if status, _ := n.judge(core, r, ""); status != http.StatusBadRequest {
 		t.Errorf("answered %d", status)
 	}
@@ -227,7 +227,7 @@
 func TestCopiesAtAFollower(t *testing.T) {
 	n, clock := threeNodes(t)
 	term := uint64(9)
-	r := api.Report{Machine: "b1", Zone: "b", Session: 2, Seq: 10, Helm: term}
+	r := api.Report{Machine: "b1", Zone: "b", Session: 2, Seq: 10, Term: term}
 	n.Report(context.Background(), &r, nil)
 	first := n.relay.report(&r, term)
 	r.Seq = 11
@@ -237,14 +237,14 @@
 	old := r
 	old.Seq = 10
 	status, body := n.Report(context.Background(), &old, nil)
-	if o, ok := body.(api.Orders); !ok || status != http.StatusOK || o.Helm != 0 {
+	if o, ok := body.(api.Orders); !ok || status != http.StatusOK || o.Term != 0 {
 		t.Errorf("a copy was answered %d %+v", status, body)
 	}
 	if n.hears() {
 		t.Error("a copy counts as a worker that reaches this node")
 	}
 	n.relay.report(&old, term)
-	if w := n.relay.workers["b1"]; w.streak != streak || w.report.Seq != 11 || first.Helm != term {
+	if w := n.relay.workers["b1"]; w.streak != streak || w.report.Seq != 11 || first.Term != term {
 		t.Error("a copy undid what the worker had said since")
 	}
 }
--- a/controller/keep_test.go
+++ b/controller/keep_test.go
@@ -47,12 +47,12 @@
 		last := time.Duration(0)
 		for seq := uint64(1); clock.Since(word) < 100*time.Second; seq++ {
 			clock.Advance(time.Second)
-			r := &api.Report{Machine: "b1", Zone: "b", Session: 1, Seq: seq, Helm: term}
+			r := &api.Report{Machine: "b1", Zone: "b", Session: 1, Seq: seq, Term: term}
 			status, body := n.judge(core, r, "")
 			if !led {
 				status, body = n.Report(context.Background(), r, nil)
 			}
-			if o, ok := body.(api.Orders); ok && status == 200 && o.Helm == term {
+			if o, ok := body.(api.Orders); ok && status == 200 && o.Term == term {
 				last = clock.Since(word)
 			}
 		}
@@ -65,8 +65,8 @@
 		}
 		// Meanwhile a worker that finds nobody else is held, without a lease.
 		if !led {
-			status, body := n.Report(context.Background(), &api.Report{Machine: "b1", Zone: "b", Session: 1, Seq: 999, Helm: term}, nil)
-			if o, ok := body.(api.Orders); !ok || status != 200 || o.Helm != 0 || len(o.Commands) != 0 {
+			status, body := n.Report(context.Background(), &api.Report{Machine: "b1", Zone: "b", Session: 1, Seq: 999, Term: term}, nil)
+			if o, ok := body.(api.Orders); !ok || status != 200 || o.Term != 0 || len(o.Commands) != 0 {
 				t.Errorf("a worker that came back is told %d %+v", status, body)
 			}
 		}
@@ -80,7 +80,7 @@
 		if _, err := n.readJobs(context.Background(), 0); err != nil || !n.keeps() {
 			t.Errorf("not kept though the records of jobs were read, %v", err)
 		}
-		status, body := n.judge(core, &api.Report{Machine: "b1", Zone: "b", Session: 1, Seq: 1000, Helm: term, Tasks: []api.TaskReport{task("run-7/0", 9, api.TaskRunning, "")}}, "")
+		status, body := n.judge(core, &api.Report{Machine: "b1", Zone: "b", Session: 1, Seq: 1000, Term: term, Tasks: []api.TaskReport{task("run-7/0", 9, api.TaskRunning, "")}}, "")
 		if o, ok := body.(api.Orders); !ok || status != 200 || len(o.Commands) != 1 || o.Commands[0].Verb != api.Stop || o.Commands[0].Task != "run-7/0" || o.Commands[0].Attempt != 9 {
 			t.Errorf("what was cancelled meanwhile is answered %d %+v", status, body)
 		}
@@ -205,11 +205,11 @@
 		}
 		return o
 	}
-	if o := ask(1); o.Helm != 0 {
-		t.Errorf("a lease is renewed under token %d by a leader that knows nothing", o.Helm)
+	if o := ask(1); o.Term != 0 {
+		t.Errorf("a lease is renewed under token %d by a leader that knows nothing", o.Term)
 	}
 	n.word.Certain(clock.Now())
-	if o := ask(2); o.Helm != 7 {
-		t.Errorf("token %d from a leader that knows", o.Helm)
+	if o := ask(2); o.Term != 7 {
+		t.Errorf("token %d from a leader that knows", o.Term)
 	}
 }
--- a/controller/mute_test.go
+++ b/controller/mute_test.go
@@ -159,7 +159,7 @@
 	}
 	before, begun := where(), len(w.begun)
 	odd := func(name string, session, seq uint64, tasks ...api.TaskReport) {
-		s.Report(&api.Report{Machine: name, Address: name + ":1", Type: "m8", Zone: zoneOf(name), Session: session, Seq: seq, Helm: s.term, Tasks: tasks}, "")
+		s.Report(&api.Report{Machine: name, Address: name + ":1", Type: "m8", Zone: zoneOf(name), Session: session, Seq: seq, Term: s.term, Tasks: tasks}, "")
 	}
 	for range 20 {
 		odd("a9", 1, 1, task("run-000001/0", 7, api.TaskRunning, ""), task("run-000001/99", 7, api.TaskRunning, ""))
--- a/controller/node.go
+++ b/controller/node.go
@@ -614,7 +614,7 @@
 		core.Answered(name, o, nil, errors.Is(err, worker.ErrNotSent))
 		return
 	}
-	if r.Helm > core.term {
+	if r.Term > core.term {
 		n.deposed(core)
 	}
 	core.Answered(name, o, r, true)
@@ -657,7 +657,7 @@
 func (n *Node) show(ctx context.Context, core *Core, name, addr string) {
 	session := uint64(1)
 	for range 2 {
-		o := api.Orders{Helm: core.term, Session: session, Commands: []api.Command{}}
+		o := api.Orders{Term: core.term, Session: session, Commands: []api.Command{}}
 		r, done, err := n.worker.Send(ctx, addr, o)
 		if err != nil {
 			return
@@ -738,7 +738,7 @@
 	}
 	if leader == "" || leader == n.set.Member {
 		last, since := n.elector.Vacant()
-		if last == 0 || r.Helm > last || since > tuning.Interregnum && n.stateOK() {
+		if last == 0 || r.Term > last || since > tuning.Interregnum && n.stateOK() {
 			return http.StatusServiceUnavailable, api.Error{Error: "no leader yet"}
 		}
 		if !n.keeps() {
@@ -746,7 +746,7 @@
 		}
 		// Between two leaders the last one's token still keeps leases. Sent
 		// away, a worker might try nodes beyond a cut until its lease ends.
-		return http.StatusOK, n.ending(r, api.Orders{Helm: last, Commands: []api.Command{}})
+		return http.StatusOK, n.ending(r, api.Orders{Term: last, Commands: []api.Command{}})
 	}
 	if there {
 		if to := n.nodeFor(r.Zone, leader); to != n.set.Member && n.bounce(r.Machine, to) {
@@ -758,7 +758,7 @@
 		// Whatever the leader answered, this report's answer is ours now: it
 		// keeps the lease and carries nothing that was not in the mail.
 	}
-	if r.Helm > term {
+	if r.Term > term {
 		return http.StatusServiceUnavailable, api.Error{Error: "the leader is out of reach"}
 	}
 	if !n.keeps() {
--- a/controller/relay.go
+++ b/controller/relay.go
@@ -80,7 +80,7 @@
 	if w != nil && !r.After(w.report.Session, w.report.Seq) {
 		// A copy that came late: passed on, it would undo what the worker said since, and the mail
 		// that answered it would count as told.
-		return api.Orders{Helm: term, Commands: []api.Command{}}
+		return api.Orders{Term: term, Commands: []api.Command{}}
 	}
 	changed := false
 	if w == nil || w.report.Session != r.Session || r.Seq != w.report.Seq+1 {
@@ -88,9 +88,9 @@
 		w, changed = &relayed{streak: r.Seq}, true
 		y.workers[r.Machine] = w
 	}
-	changed = changed || r.Helm != w.report.Helm || (r.NoticeS == nil) != (w.report.NoticeS == nil) || !slices.Equal(r.Tasks, w.report.Tasks)
+	changed = changed || r.Term != w.report.Term || (r.NoticeS == nil) != (w.report.NoticeS == nil) || !slices.Equal(r.Tasks, w.report.Tasks)
 	w.report = *r
-	o := api.Orders{Helm: term, Commands: []api.Command{}}
+	o := api.Orders{Term: term, Commands: []api.Command{}}
 	body, err := json.Marshal(r)
 	if err != nil {
 		slog.Error("a report cannot be passed on", "machine", r.Machine, "err", err)
@@ -134,7 +134,7 @@
 func (c *Core) Relayed(member string, r *api.Report) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if r.Helm > c.term {
+	if r.Term > c.term {
 		return
 	}
 	if _, ok := c.gone[r.Machine]; ok {
--- a/controller/relay_test.go
+++ b/controller/relay_test.go
@@ -27,7 +27,7 @@
 	clock := clockwork.NewFakeClock()
 	n := NewNode(context.Background(), userSettings(), policy.Default(), clock, standin.NewState(clock))
 	say := func(seq uint64) api.Orders {
-		return n.relay.report(&api.Report{Machine: "b1", Session: 1, Seq: seq, Helm: 7}, 7)
+		return n.relay.report(&api.Report{Machine: "b1", Session: 1, Seq: seq, Term: 7}, 7)
 	}
 	say(10)
 	mail := func(part int, stamp, seq uint64, verb string) {
@@ -44,7 +44,7 @@
 		}
 	}
 	mail(0, 50, 10, api.Start)
-	if o := say(11); len(o.Commands) != 1 || o.Helm != 7 {
+	if o := say(11); len(o.Commands) != 1 || o.Term != 7 {
 		t.Fatalf("mail not delivered: %+v", o)
 	}
 	for _, seq := range []uint64{13, 14} {
@@ -62,7 +62,7 @@
 	if o := say(16); len(o.Commands) != 0 {
 		t.Errorf("mail from before the one that was told: %+v", o)
 	}
-	if o := n.relay.report(&api.Report{Machine: "b1", Session: 1, Seq: 17, Helm: 7}, 9); len(o.Commands) != 0 || o.Helm != 9 {
+	if o := n.relay.report(&api.Report{Machine: "b1", Session: 1, Seq: 17, Term: 7}, 9); len(o.Commands) != 0 || o.Term != 9 {
 		t.Errorf("mail of another term: %+v", o)
 	}
 }
@@ -108,7 +108,7 @@
 	st.Down = true
 	clock.Advance(time.Second)
 	n.told(context.Background(), nil, "run-1", true)
-	r := &api.Report{Machine: "b1", Zone: "b", Session: 1, Seq: 1, Helm: term}
+	r := &api.Report{Machine: "b1", Zone: "b", Session: 1, Seq: 1, Term: term}
 	status, body := n.Report(context.Background(), r, nil)
 	if status != 421 || body.(api.Redirect).Node != "n0" {
 		t.Fatalf("first report: %d %+v", status, body)
@@ -116,7 +116,7 @@
 	clock.Advance(6 * time.Second)
 	r.Seq++
 	status, body = n.Report(context.Background(), r, nil)
-	if o, ok := body.(api.Orders); status != 200 || !ok || o.Helm != term || len(o.Commands) != 0 {
+	if o, ok := body.(api.Orders); status != 200 || !ok || o.Term != term || len(o.Commands) != 0 {
 		t.Errorf("report of a worker that came back: %d %+v", status, body)
 	}
 }
@@ -236,7 +236,7 @@
 		say := func() {
 			seq++
 			for i := range many {
-				r := &api.Report{Machine: name(i), Address: name(i) + ":1", Type: "m8", Zone: "b", Session: 1, Seq: seq, Helm: s.term}
+				r := &api.Report{Machine: name(i), Address: name(i) + ":1", Type: "m8", Zone: "b", Session: 1, Seq: seq, Term: s.term}
 				if o := y.relay.report(r, s.term); len(o.Commands) > 0 {
 					told[o.Commands[0].Task] = name(i)
 				}
--- a/controller/report.go
+++ b/controller/report.go
@@ -15,8 +15,8 @@
 func (c *Core) Report(r *api.Report, via string) (o api.Orders, deposed, refused bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	o = api.Orders{Helm: c.term, Commands: []api.Command{}}
-	if r.Helm > c.term {
+	o = api.Orders{Term: c.term, Commands: []api.Command{}}
+	if r.Term > c.term {
 		return o, true, false
 	}
 	if _, ok := c.gone[r.Machine]; ok {
@@ -42,7 +42,7 @@
 // it shows nothing (package contact).
 func (c *Core) hear(m *machine, r *api.Report, via string, relayed bool) bool {
 	now := c.now()
-	news, proof := m.line.Report(now, contact.Report{Session: r.Session, Seq: r.Seq, Helm: r.Helm, Term: c.term, Via: via, Relayed: relayed})
+	news, proof := m.line.Report(now, contact.Report{Session: r.Session, Seq: r.Seq, Seen: r.Term, Term: c.term, Via: via, Relayed: relayed})
 	if !news {
 		return false
 	}
@@ -178,7 +178,7 @@
 	if !a.sent {
 		return
 	}
-	if m.Helm != c.term {
+	if m.Term != c.term {
 		// The worker has not seen our term: an earlier leader's command may
 		// still reach it.
 		return
@@ -339,7 +339,7 @@
 		return
 	}
 	m.sending = true
-	c.hooks.Send(m.Name, m.Address, api.Orders{Helm: c.term, Session: m.Session, Commands: cmds})
+	c.hooks.Send(m.Name, m.Address, api.Orders{Term: c.term, Session: m.Session, Commands: cmds})
 }
 
 // Refused takes in that a machine took no connection for a command.
@@ -392,7 +392,7 @@
 	}
 	// A machine that has not reported in this term has its whole lease to find
 	// us; only its own report makes it count as heard.
-	if r != nil && m.Up && r.Machine == name && r.Helm <= c.term && m.Newer(r) {
+	if r != nil && m.Up && r.Machine == name && r.Term <= c.term && m.Newer(r) {
 		c.take(m, r, byOrders)
 	}
 	again := m.again
--- a/controller/silence.go
+++ b/controller/silence.go
@@ -147,6 +147,6 @@
 	slices.SortStableFunc(due, func(a, b *machine) int { return a.asked.Compare(b.asked) })
 	for _, m := range due[:max(0, min(left, len(due)))] {
 		m.sending, m.asked = true, now
-		c.hooks.Send(m.Name, m.Address, api.Orders{Helm: c.term, Session: m.Session, Commands: []api.Command{}})
+		c.hooks.Send(m.Name, m.Address, api.Orders{Term: c.term, Session: m.Session, Commands: []api.Command{}})
 	}
 }
--- a/controller/silence_test.go
+++ b/controller/silence_test.go
@@ -13,7 +13,7 @@
 
 // through plays a report that comes through a sibling.
 func (s *stage) through(via, name string) {
-	s.Report(&api.Report{Machine: name, Address: name + ":1", Type: "m8", Zone: zoneOf(name), Session: 1, Seq: s.next(name), Helm: s.term}, via)
+	s.Report(&api.Report{Machine: name, Address: name + ":1", Type: "m8", Zone: zoneOf(name), Session: 1, Seq: s.next(name), Term: s.term}, via)
 }
 
 // rounds lets time pass with the leader at work: each step the named machines
@@ -100,7 +100,7 @@
 	s.report("a2", 1)
 	miss := func(n int) {
 		for range n {
-			s.Answered("a1", api.Orders{Helm: s.term}, nil, true)
+			s.Answered("a1", api.Orders{Term: s.term}, nil, true)
 		}
 	}
 	quiet := func() { s.through("n1", "a1"); s.through("n1", "a2") }
--- a/controller/user_test.go
+++ b/controller/user_test.go
@@ -290,7 +290,7 @@
 			t.Fatal("confirmed while a start is under way")
 		}
 		if answered {
-			r := &api.Report{Machine: "a1", Address: "a1:1", Type: "m8", Zone: "a", Session: 1, Seq: s.next("a1"), Helm: s.term, Tasks: []api.TaskReport{task(a.key, a.attempt, api.TaskRunning, "")}}
+			r := &api.Report{Machine: "a1", Address: "a1:1", Type: "m8", Zone: "a", Session: 1, Seq: s.next("a1"), Term: s.term, Tasks: []api.TaskReport{task(a.key, a.attempt, api.TaskRunning, "")}}
 			s.Answered("a1", start.o, r, true)
 		} else {
 			s.clock.Advance(tuning.CancelStarts)
--- a/experiment/locality.go
+++ b/experiment/locality.go
@@ -335,7 +335,7 @@
 
 	mu     sync.Mutex
 	seq    uint64
-	helm   uint64
+	term   uint64
 	tasks  map[string]*api.TaskReport
 	images *simplelru.LRU[string, struct{}]
 	kick   chan struct{}
@@ -388,7 +388,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.seq++
-	r := &api.Report{Machine: m.name, Address: m.addr, Type: "m", Zone: "z", Session: 1, Seq: m.seq, Helm: m.helm}
+	r := &api.Report{Machine: m.name, Address: m.addr, Type: "m", Zone: "z", Session: 1, Seq: m.seq, Term: m.term}
 	for _, t := range m.tasks {
 		r.Tasks = append(r.Tasks, *t)
 	}
@@ -399,7 +399,7 @@
 func (m *machine) do(p *playing, o api.Orders) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.helm = max(m.helm, o.Helm)
+	m.term = max(m.term, o.Term)
 	for _, c := range o.Commands {
 		t := m.tasks[c.Task]
 		switch {
--- a/experiment/topology.go
+++ b/experiment/topology.go
@@ -572,7 +572,7 @@
 
 func (p *corePlacer) report(m *rackMachine) {
 	m.seq++
-	r := api.Report{Machine: m.name, Address: m.name + ":1", Type: fmt.Sprintf("m%g", m.cpus), Zone: "z", Session: m.session, Seq: m.seq, Helm: 1, Tasks: slices.Clone(m.ended)}
+	r := api.Report{Machine: m.name, Address: m.name + ":1", Type: fmt.Sprintf("m%g", m.cpus), Zone: "z", Session: m.session, Seq: m.seq, Term: 1, Tasks: slices.Clone(m.ended)}
 	for id, t := range m.tasks {
 		r.Tasks = append(r.Tasks, api.TaskReport{Task: id, Attempt: t.attempt, State: api.TaskRunning})
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -62,7 +62,7 @@
 	Up      bool
 	Session uint64
 	Seq     uint64
-	Helm    uint64
+	Term    uint64
 	// Heard is when a report last came in; Rented when it was asked for.
 	Heard  time.Time
 	Rented time.Time
@@ -85,7 +85,7 @@
 func (m *Machine) Take(r *api.Report, now time.Time) {
 	m.Up = true
 	m.Address, m.Type, m.Zone, m.Spot = r.Address, r.Type, r.Zone, r.Spot
-	m.Session, m.Seq, m.Helm = r.Session, r.Seq, r.Helm
+	m.Session, m.Seq, m.Term = r.Session, r.Seq, r.Term
 	if r.NoticeS != nil {
 		m.TakenAt = now.Add(time.Duration(*r.NoticeS * float64(time.Second)))
 	} else {
--- a/httpapi/httpapi_test.go
+++ b/httpapi/httpapi_test.go
@@ -21,7 +21,7 @@
 func (f *fakeNode) ConfigurationOn() bool { return false }
 func (f *fakeNode) DataOn() bool          { return f.data }
 func (f *fakeNode) Stage(_ context.Context, r *api.StageReport, _ []byte) (int, any) {
-	return 200, api.StageOrder{Helm: 4, Order: r.Order}
+	return 200, api.StageOrder{Term: 4, Order: r.Order}
 }
 
 func (f *fakeNode) Ready() bool { return false }
--- a/internal/cluster/worker.go
+++ b/internal/cluster/worker.go
@@ -203,7 +203,7 @@
 		rw.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	from := w.cluster.zoneOfTerm(orders.Helm)
+	from := w.cluster.zoneOfTerm(orders.Term)
 	if !w.reachable(r.Context(), from) {
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -29,7 +29,7 @@
 	at      int
 	session uint64
 	seq     uint64
-	helm    uint64
+	term    uint64
 	renewed time.Time
 	tasks   map[string]*workerTask
 	change  chan struct{}
@@ -44,14 +44,14 @@
 	has   map[string]time.Time
 	busy  time.Time
 	// Starts is told of each start, without the lock.
-	starts func(task string, helm uint64, at time.Time)
+	starts func(task string, term uint64, at time.Time)
 	ends   func(task string, done bool)
 }
 
 // workerTask is a task on the machine: it has its image at ready, and completes at ends.
 type workerTask struct {
 	api.TaskReport
-	helm        uint64
+	term        uint64
 	ready, ends time.Time
 }
 
@@ -66,7 +66,7 @@
 	Post         func(ctx context.Context, node string, r *api.Report) (status int, body any)
 	Every, Lease time.Duration
 	Runs         func(task string) time.Duration
-	Starts       func(task string, helm uint64, at time.Time)
+	Starts       func(task string, term uint64, at time.Time)
 	// Ends is told of each end, in order with the starts and with the lock; nil: not told.
 	Ends func(task string, done bool)
 	// Fetch is the image that a task needs and how long it takes to fetch alone: images come one after the other
@@ -82,7 +82,7 @@
 
 // Seen is the highest token it has seen, when it was last answered, and how many of its
 // tasks its lease ended.
-func (w *Worker) Seen() (helm uint64, answered time.Time, killed, running int) {
+func (w *Worker) Seen() (term uint64, answered time.Time, killed, running int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.pass()
@@ -91,7 +91,7 @@
 			running++
 		}
 	}
-	return w.helm, w.answered, w.killed, running
+	return w.term, w.answered, w.killed, running
 }
 
 // Hang has the machine stand still, or go on: meanwhile it executes nothing, reports nothing and answers nobody,
@@ -181,9 +181,9 @@
 	switch {
 	case w.starts == nil:
 	case w.ends != nil:
-		w.starts(t.Task, t.helm, w.clock.Now())
+		w.starts(t.Task, t.term, w.clock.Now())
 	default:
-		go w.starts(t.Task, t.helm, w.clock.Now())
+		go w.starts(t.Task, t.term, w.clock.Now())
 	}
 }
 
@@ -248,7 +248,7 @@
 
 func (w *Worker) report() *api.Report {
 	w.seq++
-	r := &api.Report{Machine: w.Name, Address: w.Address, Type: w.Type, Zone: w.Zone, Spot: w.Spot, Session: w.session, Seq: w.seq, Helm: w.helm, Tasks: []api.TaskReport{}}
+	r := &api.Report{Machine: w.Name, Address: w.Address, Type: w.Type, Zone: w.Zone, Spot: w.Spot, Session: w.session, Seq: w.seq, Term: w.term, Tasks: []api.TaskReport{}}
 	for _, t := range w.tasks {
 		r.Tasks = append(r.Tasks, t.TaskReport)
 	}
@@ -267,7 +267,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.forget()
-	w.helm = 0
+	w.term = 0
 	w.session++
 	w.renewed = w.clock.Now()
 	if w.hung != nil {
@@ -316,7 +316,7 @@
 	w.pass()
 	if status == http.StatusOK {
 		o, ok := body.(api.Orders)
-		if !ok || r.Session != w.session || o.Helm < w.helm || o.Helm == 0 {
+		if !ok || r.Session != w.session || o.Term < w.term || o.Term == 0 {
 			return w.every / 2
 		}
 		w.renewed, w.answered = sent, w.clock.Now()
@@ -336,8 +336,8 @@
 
 // obey executes commands in order.
 func (w *Worker) obey(o api.Orders) {
-	if o.Helm > w.helm {
-		w.helm = o.Helm
+	if o.Term > w.term {
+		w.term = o.Term
 		w.changed()
 	}
 	now := w.clock.Now()
@@ -346,7 +346,7 @@
 		switch {
 		case c.Verb == api.Start && t == nil:
 			ready := w.fetches(c.Task, now)
-			t = &workerTask{TaskReport: api.TaskReport{Task: c.Task, Attempt: c.Attempt, State: api.TaskFetching}, helm: o.Helm, ready: ready, ends: ready.Add(w.runs(c.Task))}
+			t = &workerTask{TaskReport: api.TaskReport{Task: c.Task, Attempt: c.Attempt, State: api.TaskFetching}, term: o.Term, ready: ready, ends: ready.Add(w.runs(c.Task))}
 			w.tasks[c.Task] = t
 			w.passAt(t)
 			if !ready.After(now) {
@@ -387,7 +387,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.pass()
-	if o.Helm < w.helm || o.Session != w.session {
+	if o.Term < w.term || o.Session != w.session {
 		return w.report(), false
 	}
 	w.obey(o)
--- a/stager/agent.go
+++ b/stager/agent.go
@@ -58,7 +58,7 @@
 // state is what an agent must know after a crash: it may have told the controllers.
 type state struct {
 	Session uint64         `json:"session"`
-	Helm    uint64         `json:"helm"`
+	Term    uint64         `json:"helm"`
 	Order   uint64         `json:"order"`
 	Sets    []api.StageSet `json:"sets"`
 }
@@ -238,11 +238,11 @@
 	a.mu.Lock()
 	s := a.state
 	a.mu.Unlock()
-	if o.Helm < s.Helm || o.Helm == s.Helm && o.Order < s.Order || o.Session != 0 && o.Session != s.Session {
+	if o.Term < s.Term || o.Term == s.Term && o.Order < s.Order || o.Session != 0 && o.Session != s.Session {
 		return false, nil
 	}
-	if o.Helm != s.Helm || o.Order != s.Order {
-		s.Helm, s.Order, s.Sets = o.Helm, o.Order, o.Sets
+	if o.Term != s.Term || o.Order != s.Order {
+		s.Term, s.Order, s.Sets = o.Term, o.Order, o.Sets
 		if err := a.save(s); err != nil {
 			return false, err
 		}
@@ -553,7 +553,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.seq++
-	r := api.StageReport{Machine: a.opt.Machine, Address: a.opt.Address, Session: a.state.Session, Seq: a.seq, Helm: a.state.Helm,
+	r := api.StageReport{Machine: a.opt.Machine, Address: a.opt.Address, Session: a.state.Session, Seq: a.seq, Term: a.state.Term,
 		Order: a.state.Order, Quota: a.opt.Quota, Used: a.cache.Used(), Version: a.version, All: all,
 		FromStore: a.fromStore.Load(), FromPeers: a.fromPeers.Load()}
 	if all {
--- a/stager/serve.go
+++ b/stager/serve.go
@@ -42,7 +42,7 @@
 		if err == nil {
 			err = json.Unmarshal(raw, &o)
 		}
-		if err != nil || o.Helm == 0 {
+		if err != nil || o.Term == 0 {
 			return c.JSON(http.StatusBadRequest, api.Error{Error: "helm is missing, or the order is malformed"})
 		}
 		ok, err := a.Apply(&o)
--- a/stager/stager_test.go
+++ b/stager/stager_test.go
@@ -92,20 +92,20 @@
 	return a, api.StageSource{Peer: strings.TrimPrefix(s.URL, "http://")}
 }
 
-func order(helm, n uint64, name string, d dataset.Digest, from []api.StageSource, parts ...uint32) *api.StageOrder {
+func order(term, n uint64, name string, d dataset.Digest, from []api.StageSource, parts ...uint32) *api.StageOrder {
 	set := api.StageSet{Dataset: name, Manifest: d.String(), Parts: api.PartSet{Bitmap: roaring.BitmapOf(parts...)}}
 	for _, k := range parts {
 		if from != nil {
 			set.Copies = append(set.Copies, api.StageCopy{Part: int(k), From: from})
 		}
 	}
-	return &api.StageOrder{Helm: helm, Order: n, Sets: []api.StageSet{set}}
+	return &api.StageOrder{Term: term, Order: n, Sets: []api.StageSet{set}}
 }
 
 func (r *rig) apply(a *Agent, o *api.StageOrder) {
 	r.t.Helper()
 	if ok, err := a.Apply(o); !ok || err != nil {
-		r.t.Fatalf("order %d/%d: %v %v", o.Helm, o.Order, ok, err)
+		r.t.Fatalf("order %d/%d: %v %v", o.Term, o.Order, ok, err)
 	}
 }
 
@@ -277,11 +277,11 @@
 			a, at = r.agent(dir, 1<<20, nil)
 			eventually(t, "what was pinned is pinned after a restart", func() bool { return pinned(a, "inv").GetCardinality() == 2 })
 		}
-		for _, o := range []*api.StageOrder{order(6, 9, "inv", d, nil), order(7, 2, "inv", d, nil), {Helm: 7, Order: 4, Session: 99}} {
+		for _, o := range []*api.StageOrder{order(6, 9, "inv", d, nil), order(7, 2, "inv", d, nil), {Term: 7, Order: 4, Session: 99}} {
 			raw, _ := json.Marshal(o)
 			resp, err := http.Post("http://"+at.Peer+"/stage", "application/json", bytes.NewReader(raw))
 			if err != nil || resp.StatusCode != http.StatusConflict {
-				t.Fatalf("order %d/%d: %v %v", o.Helm, o.Order, resp, err)
+				t.Fatalf("order %d/%d: %v %v", o.Term, o.Order, resp, err)
 			}
 			_ = resp.Body.Close()
 		}
@@ -571,7 +571,7 @@
 		r.clock.Advance(tuning.StageReportMin)
 		mu.Lock()
 		defer mu.Unlock()
-		return len(last.Pinned) == 1 && last.Pinned[0].Parts.GetCardinality() == 2 && last.Helm == 4 && last.Order == 1 && fulls > 0
+		return len(last.Pinned) == 1 && last.Pinned[0].Parts.GetCardinality() == 2 && last.Term == 4 && last.Order == 1 && fulls > 0
 	})
 	if a.Version() == 0 {
 		t.Fatal("nothing was counted as held")
--- a/staging/proxy.go
+++ b/staging/proxy.go
@@ -49,7 +49,7 @@
 			return o, err
 		}
 	}
-	there := told.Helm == term && told.Session == r.Session
+	there := told.Term == term && told.Session == r.Session
 	if r.All {
 		s.version, s.holds, s.has = r.Version, r.Holds, true
 	}
@@ -76,7 +76,7 @@
 	p.Box.Put(r.Machine, body, !bytes.Equal(said, s.said), now)
 	s.said = said
 	// An order of number 0 changes nothing.
-	o = api.StageOrder{Helm: r.Helm, Sets: []api.StageSet{}}
+	o = api.StageOrder{Term: r.Term, Sets: []api.StageSet{}}
 	if there {
 		o = told
 	}
--- a/staging/staging.go
+++ b/staging/staging.go
@@ -154,7 +154,7 @@
 	}
 	a.session, a.seq, a.quota, a.used = r.Session, r.Seq, r.Quota, r.Used
 	a.applied = 0
-	if r.Helm == d.term {
+	if r.Term == d.term {
 		a.applied = r.Order
 	}
 	if r.All {
@@ -622,7 +622,7 @@
 	if a == nil || !a.planned {
 		return o, "", false
 	}
-	o = api.StageOrder{Helm: d.term, Session: a.session, Order: a.order, Known: a.version, Sets: []api.StageSet{}}
+	o = api.StageOrder{Term: d.term, Session: a.session, Order: a.order, Known: a.version, Sets: []api.StageSet{}}
 	for _, name := range slices.Sorted(maps.Keys(a.wants)) {
 		w := a.wants[name]
 		set := api.StageSet{Dataset: name, Manifest: w.set.Manifest.String(), Parts: api.PartSet{Bitmap: w.parts}}
--- a/staging/staging_test.go
+++ b/staging/staging_test.go
@@ -20,7 +20,7 @@
 type played struct {
 	name         string
 	session, seq uint64
-	helm, order  uint64
+	term, order  uint64
 	sets         []api.StageSet
 	has          map[uint32]bool
 	lies, down   bool
@@ -32,16 +32,16 @@
 func (p *played) addr() string { return p.name + ":1" }
 
 func (p *played) apply(o api.StageOrder) bool {
-	if o.Helm < p.helm || o.Helm == p.helm && o.Order < p.order || o.Session != p.session {
+	if o.Term < p.term || o.Term == p.term && o.Order < p.order || o.Session != p.session {
 		return false
 	}
-	p.helm, p.order, p.sets = o.Helm, o.Order, o.Sets
+	p.term, p.order, p.sets = o.Term, o.Order, o.Sets
 	return true
 }
 
 func (p *played) report() *api.StageReport {
 	p.seq++
-	r := &api.StageReport{Machine: p.name, Address: p.addr(), Session: p.session, Seq: p.seq, Helm: p.helm, Order: p.order, Quota: p.quota, All: true}
+	r := &api.StageReport{Machine: p.name, Address: p.addr(), Session: p.session, Seq: p.seq, Term: p.term, Order: p.order, Quota: p.quota, All: true}
 	held := roaring.New()
 	for k := range p.has {
 		held.Add(k)
@@ -290,7 +290,7 @@
 					p.session, p.seq = p.session+1, 0
 				case 2:
 					d.Gone(p.name)
-					p.has, p.session, p.seq, p.sets, p.helm, p.order = map[uint32]bool{}, p.session+1, 0, nil, 0, 0
+					p.has, p.session, p.seq, p.sets, p.term, p.order = map[uint32]bool{}, p.session+1, 0, nil, 0, 0
 				case 3:
 					w.storeDown = !w.storeDown
 				case 4:
