--- a/controller/keep.go
+++ b/controller/keep.go
@@ -16,7 +16,7 @@
 	"switchferry/peer"
 	"switchferry/store"
 	"switchferry/tuning"
-	"switchferry/word"
+	"switchferry/watermark"
 )
 
 // Whoever answers a worker renews its lease, and so keeps its tasks alive. A controller
@@ -24,7 +24,7 @@
 // working"), but not for as long as it likes: on the other side a user may be told that a
 // job is cancelled, and within cancel_s its tasks must be gone, which nobody can order
 // here. So leases are renewed only while the last one ends in time, counted from the moment
-// up to which this controller knows of all that was told (package word): that all
+// up to which this controller knows of all that was told (package watermark): that all
 // siblings were alive was once taken for that, and cancelled tasks ran on through an outage
 // (docs/incidents/hunt-told-before-an-outage.md). What it knows of it ends itself.
 
@@ -36,7 +36,7 @@
 	if !valid || term != n.loaded.Load() {
 		return false
 	}
-	n.word.Certain(now)
+	n.watermark.Certain(now)
 	return true
 }
 
@@ -44,14 +44,14 @@
 func (n *Node) keeps() bool {
 	n.sure()
 	now := n.clock.Now()
-	ok, without := n.word.Renews(now)
+	ok, without := n.watermark.Renews(now)
 	n.mu.Lock()
 	n.lone = now
 	changed := ok != n.keeping
 	n.keeping = ok
 	n.mu.Unlock()
 	if changed {
-		slog.Info("leases of workers", "kept", ok, "without_word", span(without), "why", n.word.Why())
+		slog.Info("leases of workers", "kept", ok, "without_word", span(without), "why", n.watermark.Why())
 	}
 	return ok
 }
@@ -72,15 +72,15 @@
 	if kept || n.sure() {
 		return nil
 	}
-	_, without := n.word.Renews(n.clock.Now())
-	return []string{fmt.Sprintf("leases of workers are not renewed here: last word of cancellations %s ago; %s", span(without), strings.Join(n.word.Why(), ", "))}
+	_, without := n.watermark.Renews(n.clock.Now())
+	return []string{fmt.Sprintf("leases of workers are not renewed here: last word of cancellations %s ago; %s", span(without), strings.Join(n.watermark.Why(), ", "))}
 }
 
 // ending adds to an answer what ends the tasks of cancelled jobs that the worker reports, and takes out what would
 // start more. The token is the one that it has: a stop is safe under any.
 func (n *Node) ending(r *api.Report, o api.Orders) api.Orders {
-	o.Commands = n.word.Without(o.Commands)
-	if more := n.word.Stops(r.Tasks, o.Commands); len(more) > 0 {
+	o.Commands = n.watermark.Without(o.Commands)
+	if more := n.watermark.Stops(r.Tasks, o.Commands); len(more) > 0 {
 		slog.Info("ending tasks of cancelled jobs for the leader", "machine", r.Machine, "tasks", len(more), "first", more[0].Task)
 		o.Commands = append(slices.Clone(o.Commands), more...)
 	}
@@ -98,7 +98,7 @@
 		return a
 	}
 	if st.State == api.Withdrawn {
-		n.word.Tell(n.clock.Now(), st.ID)
+		n.watermark.Tell(n.clock.Now(), st.ID)
 	}
 	if newest, older := n.ends.Newest(st); older {
 		return answer(http.StatusOK, newest)
@@ -107,29 +107,29 @@
 }
 
 // words is a node's side of what controllers tell each other of cancellations.
-type words struct{ n *Node }
+type watermarks struct{ n *Node }
 
 // Have is what is known of a sibling's word; nothing is asked while an older process may be there.
-func (w words) Have(member string) (life, have uint64, ok bool) {
+func (w watermarks) Have(member string) (life, have uint64, ok bool) {
 	if len(w.n.marks.Older()) > 0 {
 		return 0, 0, false
 	}
-	life, have = w.n.word.Have(member)
+	life, have = w.n.watermark.Have(member)
 	return life, have, true
 }
 
 // Say answers a sibling.
-func (w words) Say(life, have uint64) (word.Saying, bool) {
+func (w watermarks) Say(life, have uint64) (watermark.Saying, bool) {
 	if len(w.n.marks.Older()) > 0 {
-		return word.Saying{}, false
+		return watermark.Saying{}, false
 	}
 	w.n.sure()
-	return w.n.word.Say(w.n.clock.Now(), life, have), true
+	return w.n.watermark.Say(w.n.clock.Now(), life, have), true
 }
 
 // Heard takes in a sibling's answer.
-func (w words) Heard(member string, sent time.Time, s word.Saying) {
-	if err := w.n.word.Heard(w.n.clock.Now(), member, sent, s); err != nil {
+func (w watermarks) Heard(member string, sent time.Time, s watermark.Saying) {
+	if err := w.n.watermark.Heard(w.n.clock.Now(), member, sent, s); err != nil {
 		slog.Info("a sibling's word is not believed", "member", member, "err", err)
 	}
 }
@@ -140,7 +140,7 @@
 	after := uint64(0)
 	for ctx.Err() == nil {
 		n.mu.Lock()
-		needed := !n.lone.IsZero() && n.clock.Since(n.lone) < tuning.WordNeeded
+		needed := !n.lone.IsZero() && n.clock.Since(n.lone) < tuning.WatermarkNeeded
 		n.mu.Unlock()
 		if needed && n.leading() == nil {
 			if next, err := n.readJobs(ctx, after); err == nil {
@@ -165,7 +165,7 @@
 	if after == 0 {
 		all, epoch, err = n.client.List(ctx, store.JobPrefix)
 	} else {
-		log, epoch, err = n.client.Watch(ctx, store.JobPrefix, after, tuning.WordBlock)
+		log, epoch, err = n.client.Watch(ctx, store.JobPrefix, after, tuning.WatermarkBlock)
 	}
 	if err != nil {
 		return 0, err
@@ -178,10 +178,10 @@
 			Final string `json:"final"`
 		}
 		if bytes.Contains(it.Value, []byte(api.Withdrawn)) && json.Unmarshal(it.Value, &rec) == nil && rec.Final == api.Withdrawn {
-			n.word.Tell(n.clock.Now(), strings.TrimPrefix(it.Key, store.JobPrefix))
+			n.watermark.Tell(n.clock.Now(), strings.TrimPrefix(it.Key, store.JobPrefix))
 		}
 	}
-	n.word.Certain(sent)
+	n.watermark.Certain(sent)
 	return max(after, epoch), nil
 }
 
--- a/controller/keep_test.go
+++ b/controller/keep_test.go
@@ -15,7 +15,7 @@
 	"switchferry/settings"
 	"switchferry/store"
 	"switchferry/tuning"
-	"switchferry/word"
+	"switchferry/watermark"
 )
 
 // A controller that is cut off with its zone keeps its workers' leases only as long as the
@@ -41,7 +41,7 @@
 			t.Error("kept by a process that knows nothing")
 		}
 		word := clock.Now()
-		n.word.Certain(word)
+		n.watermark.Certain(word)
 		clock.Advance(time.Millisecond)
 		_, _ = n.client.Get(context.Background(), "k")
 		last := time.Duration(0)
@@ -157,7 +157,7 @@
 func TestCancellationsAreKnownBeforeTheyAreTold(t *testing.T) {
 	n, clock := threeNodes(t)
 	knows := func(job string) bool {
-		return len(n.word.Stops([]api.TaskReport{task(job+"/0", 1, api.TaskRunning, "")}, nil)) > 0
+		return len(n.watermark.Stops([]api.TaskReport{task(job+"/0", 1, api.TaskRunning, "")}, nil)) > 0
 	}
 	core := NewCore(7, clock, n.set, n.policy, testTypes, Hooks{Touch: func(string, int, func()) {}, Valid: func() bool { return true }, Final: n.final})
 	core.Load([]store.Item{{Key: store.JobKey("run-1"), Value: []byte(`{"job":{"name_id":"run-1","parts":1},"at":1}`)},
@@ -182,10 +182,10 @@
 		t.Errorf("a user who cancels without a leader is told %d %s, and siblings nothing", a.Status, a.Body)
 	}
 	// Nothing that they did not always hear goes to processes that may be older.
-	if _, _, ok := (words{n}).Have("n0"); ok {
+	if _, _, ok := (watermarks{n}).Have("n0"); ok {
 		t.Error("asks a sibling without a mark")
 	}
-	if _, ok := (words{n}).Say(0, 0); ok {
+	if _, ok := (watermarks{n}).Say(0, 0); ok {
 		t.Error("answers a sibling without a mark")
 	}
 }
@@ -195,7 +195,7 @@
 func TestFreshLeaderRenewsNothingBeforeItKnows(t *testing.T) {
 	n, clock := threeNodes(t)
 	n.set.Facts.Workers.CancelS = 40
-	n.word = word.New(clock.Now(), []string{"n0", "n2"}, word.LimitsOf(40*time.Second, 10*time.Second))
+	n.watermark = watermark.New(clock.Now(), []string{"n0", "n2"}, watermark.LimitsOf(40*time.Second, 10*time.Second))
 	core := NewCore(7, clock, n.set, n.policy, testTypes, Hooks{Valid: func() bool { return true }})
 	ask := func(seq uint64) api.Orders {
 		status, body := n.judge(core, &api.Report{Machine: "b1", Zone: "b", Session: 1, Seq: seq}, "")
@@ -208,7 +208,7 @@
 	if o := ask(1); o.Term != 0 {
 		t.Errorf("a lease is renewed under token %d by a leader that knows nothing", o.Term)
 	}
-	n.word.Certain(clock.Now())
+	n.watermark.Certain(clock.Now())
 	if o := ask(2); o.Term != 7 {
 		t.Errorf("token %d from a leader that knows", o.Term)
 	}
--- a/controller/node.go
+++ b/controller/node.go
@@ -41,7 +41,7 @@
 	"switchferry/traffic"
 	"switchferry/tuning"
 	"switchferry/upgrade"
-	"switchferry/word"
+	"switchferry/watermark"
 	"switchferry/worker"
 )
 
@@ -67,14 +67,14 @@
 	// hearing is when a worker last reported to this node itself; newest are the reports that did.
 	hearing time.Time
 	newest  *contact.Newest
-	// word is what it knows of cancellations; loaded is the term whose records it has read, lone when it
+	// watermark is what it knows of cancellations; loaded is the term whose records it has read, lone when it
 	// last answered a worker by itself. keeping: leases were renewed at the last report.
-	word    *word.Book
-	loaded  atomic.Uint64
-	lone    time.Time
-	keeping bool
-	bounces steering.Bounces
-	users   traffic.Counter
+	watermark *watermark.Tracker
+	loaded    atomic.Uint64
+	lone      time.Time
+	keeping   bool
+	bounces   steering.Bounces
+	users     traffic.Counter
 
 	// reads limits what questions of users take of the state service, records reads jobs' records
 	// within that.
@@ -133,14 +133,14 @@
 		all = append(all, s.Member)
 	}
 	n.files = []*configuration.Active{configuration.FromFiles(set.Facts.Teams, pol)}
-	n.word = word.New(n.born, all[1:], word.LimitsOf(seconds(set.Facts.Workers.CancelS), seconds(set.Facts.Workers.LeaseS)))
+	n.watermark = watermark.New(n.born, all[1:], watermark.LimitsOf(seconds(set.Facts.Workers.CancelS), seconds(set.Facts.Workers.LeaseS)))
 	n.client = store.NewClient(set.External.State, transport)
 	n.marks = upgrade.NewMarker(set.Member, all, n.client, clock)
 	n.client.Seen = n.stateSeen
 	n.cloud = cloud.New(set.External.Cloud, set.Facts.Cloud.RPS, transport)
 	n.worker = worker.New(transport)
 	n.peers = peer.New(set.Siblings, clock, n.hello, func(ctx context.Context, r peer.Request) peer.Answer { return n.Handle(ctx, r, true) })
-	n.peers.Words = words{n}
+	n.peers.Watermarks = watermarks{n}
 	n.elector = election.New(set.Member, n.client, clock, n)
 	share := tuning.ReadShare * set.Facts.State.RPS / float64(1+len(set.Siblings))
 	n.reads = rate.NewLimiter(rate.Limit(share), max(1, int(share)))
@@ -313,7 +313,7 @@
 
 func (n *Node) final(id string, f store.FinalRecord) {
 	if f.State == api.Withdrawn {
-		n.word.Tell(n.clock.Now(), id)
+		n.watermark.Tell(n.clock.Now(), id)
 	}
 	n.finals.Keep(id, f)
 }
@@ -335,7 +335,7 @@
 func (s source) Record(key string) (value any, exists bool, more []store.Cond) {
 	value, exists, more = s.Core.Record(key)
 	if rec, ok := value.(store.JobRecord); ok && rec.Final == api.Withdrawn {
-		s.n.word.Tell(s.n.clock.Now(), rec.Job.ID)
+		s.n.watermark.Tell(s.n.clock.Now(), rec.Job.ID)
 	}
 	return value, exists, more
 }
--- a/controller/relay_test.go
+++ b/controller/relay_test.go
@@ -104,7 +104,7 @@
 		t.Fatal("two leaders")
 	}
 	_, term := n.elector.Leader()
-	n.word.Certain(clock.Now())
+	n.watermark.Certain(clock.Now())
 	st.Down = true
 	clock.Advance(time.Second)
 	n.told(context.Background(), nil, "run-1", true)
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -25,7 +25,7 @@
 	"switchferry/settings"
 	"switchferry/sockets"
 	"switchferry/tuning"
-	"switchferry/word"
+	"switchferry/watermark"
 )
 
 // Request is what a user asked of a sibling. Answer is what to say.
@@ -71,12 +71,12 @@
 // Handler serves a sibling's requests.
 type Handler func(ctx context.Context, r Request) Answer
 
-// Words is what this controller knows of cancellations. False: older processes may be there, to which
+// Watermarks is what this controller knows of cancellations. False: older processes may be there, to which
 // nothing is said that they did not always hear.
-type Words interface {
+type Watermarks interface {
 	Have(member string) (life, have uint64, ok bool)
-	Say(life, have uint64) (word.Saying, bool)
-	Heard(member string, sent time.Time, s word.Saying)
+	Say(life, have uint64) (watermark.Saying, bool)
+	Heard(member string, sent time.Time, s watermark.Saying)
 }
 
 type sibling struct {
@@ -108,8 +108,8 @@
 	// Told is told of all that is seen of siblings; it may be replaced before Run and must not
 	// block.
 	Told func(membership.Observation)
-	// Words is nil, or set before Run.
-	Words Words
+	// Watermarks is nil, or set before Run.
+	Watermarks Watermarks
 
 	mu       sync.Mutex
 	siblings map[string]*sibling
@@ -238,11 +238,11 @@
 // answer greets back, and answers what a greeting asks.
 func (n *Net) answer(f frame) frame {
 	h := n.helloFrame()
-	if f.seq == 0 || n.Words == nil {
+	if f.seq == 0 || n.Watermarks == nil {
 		return h
 	}
-	if s, ok := n.Words.Say(f.life, f.toldFrom); ok {
-		h.seq, h.life, h.toldFrom, h.toldTo, h.toldLatest, h.told, h.knows, h.wordAge = f.seq, s.Life, s.From, s.To, s.Latest, s.Told, s.Knows, s.Age
+	if s, ok := n.Watermarks.Say(f.life, f.toldFrom); ok {
+		h.seq, h.life, h.toldFrom, h.toldTo, h.toldLatest, h.told, h.knows, h.watermarkAge = f.seq, s.Life, s.From, s.To, s.Latest, s.Told, s.Knows, s.Age
 	}
 	return h
 }
@@ -250,16 +250,16 @@
 // question greets a sibling, and asks it for word.
 func (n *Net) question(s *sibling) frame {
 	h := n.helloFrame()
-	if n.Words == nil {
+	if n.Watermarks == nil {
 		return h
 	}
-	life, have, ok := n.Words.Have(s.Member)
+	life, have, ok := n.Watermarks.Have(s.Member)
 	if !ok {
 		return h
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if len(s.asked) == tuning.AskedWords {
+	if len(s.asked) == tuning.WatermarksAsked {
 		// An older process answers none.
 		clear(s.asked)
 	}
@@ -359,7 +359,7 @@
 		n.mu.Unlock()
 		if f.kind == wire.KindHello && f.seq != 0 {
 			if asked {
-				n.Words.Heard(s.Member, sent, word.Saying{Life: f.life, From: f.toldFrom, To: f.toldTo, Latest: f.toldLatest, Told: f.told, Knows: f.knows, Age: f.wordAge})
+				n.Watermarks.Heard(s.Member, sent, watermark.Saying{Life: f.life, From: f.toldFrom, To: f.toldTo, Latest: f.toldLatest, Told: f.told, Knows: f.knows, Age: f.watermarkAge})
 			} else {
 				slog.Info("a sibling answers what it was not asked", "member", s.Member, "seq", f.seq)
 			}
@@ -450,9 +450,9 @@
 	leaving   bool
 
 	life, toldFrom, toldTo, toldLatest uint64
-	told                               []word.Told
+	told                               []watermark.Told
 	knows                              bool
-	wordAge                            time.Duration
+	watermarkAge                       time.Duration
 }
 
 // ms is a duration in whole milliseconds; what does not fit is the most that does.
@@ -516,7 +516,7 @@
 	wire.FrameAddTold(b, told)
 	wire.FrameAddKnows(b, f.knows)
 	// Rounded up: what is said is known is never more than what is.
-	wire.FrameAddWordAgeMs(b, ms(f.wordAge+time.Millisecond-1))
+	wire.FrameAddWordAgeMs(b, ms(f.watermarkAge+time.Millisecond-1))
 	b.FinishSizePrefixed(wire.FrameEnd(b))
 	return b.FinishedBytes()
 }
@@ -560,14 +560,14 @@
 		f.whom = append(f.whom, string(w.Hears(i)))
 	}
 	f.life, f.toldFrom, f.toldTo, f.toldLatest, f.knows = w.Life(), w.ToldFrom(), w.ToldTo(), w.ToldLatest(), w.Knows()
-	f.wordAge = time.Duration(w.WordAgeMs()) * time.Millisecond
-	if w.ToldLength() > tuning.WordsAtOnce {
+	f.watermarkAge = time.Duration(w.WordAgeMs()) * time.Millisecond
+	if w.ToldLength() > tuning.CancellationsAtOnce {
 		return f, fmt.Errorf("%d cancellations", w.ToldLength())
 	}
 	for i := range w.ToldLength() {
 		var t wire.Told
 		if w.Told(&t, i) {
-			f.told = append(f.told, word.Told{Job: string(t.Job()), Age: time.Duration(t.AgeMs()) * time.Millisecond})
+			f.told = append(f.told, watermark.Told{Job: string(t.Job()), Age: time.Duration(t.AgeMs()) * time.Millisecond})
 		}
 	}
 	if f.kind > wire.KindReply {
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -17,7 +17,7 @@
 	"switchferry/peer/wire"
 	"switchferry/settings"
 	"switchferry/tuning"
-	"switchferry/word"
+	"switchferry/watermark"
 )
 
 func TestFrameRoundTrip(t *testing.T) {
@@ -148,17 +148,17 @@
 
 // spoken is what a test says and hears of cancellations.
 type spoken struct {
-	say   word.Saying
+	say   watermark.Saying
 	heard chan time.Time
-	got   word.Saying
+	got   watermark.Saying
 }
 
 func (s *spoken) Have(string) (uint64, uint64, bool) { return 3, 1, true }
-func (s *spoken) Say(life, have uint64) (word.Saying, bool) {
+func (s *spoken) Say(life, have uint64) (watermark.Saying, bool) {
 	s.say.Life, s.say.From = life, have
 	return s.say, true
 }
-func (s *spoken) Heard(_ string, sent time.Time, w word.Saying) { s.got = w; s.heard <- sent }
+func (s *spoken) Heard(_ string, sent time.Time, w watermark.Saying) { s.got = w; s.heard <- sent }
 
 // Word goes from question to answer, and counts from when the question was sent, however late the answer is. An
 // answer that nobody asked for is passed over, and too many cancellations end the connection.
@@ -168,9 +168,9 @@
 	defer there.Close()
 	n := New([]settings.Sibling{{Member: "n1"}}, clock, func() Hello { return Hello{Member: "n0"} }, nil)
 	mine := &spoken{heard: make(chan time.Time, 4)}
-	n.Words = mine
+	n.Watermarks = mine
 	other := New(nil, clock, func() Hello { return Hello{Member: "n1"} }, nil)
-	other.Words = &spoken{say: word.Saying{To: 2, Latest: 5, Told: []word.Told{{Job: "run-1", Age: 1500 * time.Millisecond}}, Knows: true, Age: 20*time.Millisecond + 1}}
+	other.Watermarks = &spoken{say: watermark.Saying{To: 2, Latest: 5, Told: []watermark.Told{{Job: "run-1", Age: 1500 * time.Millisecond}}, Knows: true, Age: 20*time.Millisecond + 1}}
 	sent := clock.Now()
 	done := make(chan membership.Outcome)
 	go func() { done <- n.talk(context.Background(), n.siblings["n1"], here) }()
@@ -191,12 +191,12 @@
 	if at := <-mine.heard; !at.Equal(sent) {
 		t.Errorf("counts from %v after the question", at.Sub(sent))
 	}
-	want := word.Saying{Life: 3, From: 1, To: 2, Latest: 5, Told: []word.Told{{Job: "run-1", Age: 1500 * time.Millisecond}}, Knows: true, Age: 21 * time.Millisecond}
+	want := watermark.Saying{Life: 3, From: 1, To: 2, Latest: 5, Told: []watermark.Told{{Job: "run-1", Age: 1500 * time.Millisecond}}, Knows: true, Age: 21 * time.Millisecond}
 	if !reflect.DeepEqual(mine.got, want) {
 		t.Errorf("heard %+v, want %+v", mine.got, want)
 	}
-	for range tuning.WordsAtOnce {
-		a.told = append(a.told, word.Told{Job: "run-1"})
+	for range tuning.CancellationsAtOnce {
+		a.told = append(a.told, watermark.Told{Job: "run-1"})
 	}
 	a.told = append(a.told, a.told[0])
 	if err := write(there, &mu, a); err != nil {
--- a/tuning/tuning.go
+++ b/tuning/tuning.go
@@ -596,28 +596,28 @@
 	NewestKept = 4096
 )
 
-// Word of cancellations between controllers (package word).
+// Word of cancellations between controllers (package watermark).
 const (
-	// WordMost is how many cancellations a controller remembers, some 100 bytes each: those of two
-	// minutes at the highest limit of writes, one a cancellation. WordsAtOnce go into an answer, which
+	// CancellationsKept is how many cancellations a controller remembers, some 100 bytes each: those of two
+	// minutes at the highest limit of writes, one a cancellation. CancellationsAtOnce go into an answer, which
 	// stays under FrameLimit.
-	WordMost    = 30_000
-	WordsAtOnce = 800
-	// AskedWords are questions to a sibling that may wait for their answers: a connection without any
+	CancellationsKept   = 30_000
+	CancellationsAtOnce = 800
+	// WatermarksAsked are questions to a sibling that may wait for their answers: a connection without any
 	// answer ends after PeerDead.
-	AskedWords = 16
-	// WordAgain: a cancellation told so much later once more counts from then.
-	WordAgain = 5 * time.Second
-	// WordSweep is how often those that are due for long are forgotten.
-	WordSweep = time.Second
-	// WordGrain is taken off what a sibling says of its knowledge: milliseconds on the way, and
+	WatermarksAsked = 16
+	// CancellationAgain: a cancellation told so much later once more counts from then.
+	CancellationAgain = 5 * time.Second
+	// CancellationSweep is how often those that are due for long are forgotten.
+	CancellationSweep = time.Second
+	// WatermarkGrain is taken off what a sibling says of its knowledge: milliseconds on the way, and
 	// the drift of two clocks over a minute and a half.
-	WordGrain = 50 * time.Millisecond
-	// WordBlock is how long a look at the records of jobs waits for a change: what is known is that
+	WatermarkGrain = 50 * time.Millisecond
+	// WatermarkBlock is how long a look at the records of jobs waits for a change: what is known is that
 	// much older while nothing happens.
-	WordBlock = time.Second
-	// WordNeeded: a controller that answered a worker by itself so lately reads the records of jobs.
-	WordNeeded = 10 * time.Second
+	WatermarkBlock = time.Second
+	// WatermarkNeeded: a controller that answered a worker by itself so lately reads the records of jobs.
+	WatermarkNeeded = 10 * time.Second
 )
 
 // Live configuration (package configuration).
--- a/word/word.go
+++ b/watermark/watermark.go
@@ -1,16 +1,16 @@
-// Package word is what a controller knows of the cancellations that users were told, and until when it may
+// Package watermark is what a controller knows of the cancellations that users were told, and until when it may
 // renew workers' leases on that ground (rule 10 of docs/design.md).
 //
 // Its ground is information, not presence. A controller knows of everything that was told before a moment in
 // one of three ways: it leads, and its key certainly stands, or it has read the records, so that it is certain
 // by itself; a sibling says how far that one knows, and gives the cancellations with it; or, on from a moment
 // up to which it knows, every sibling has said in answer to a question what its process told since, and no
-// process but those was there to tell any. What a process that has ended told last vouches for nothing.
+// process but those was there to tell any. What a process that has ended told last confirms nothing.
 //
 // Answers count from when the question was sent: an answer that is late is as old as its question.
-// All of it is pure: it reads no clock, starts nothing and blocks nowhere. A Book may be used from several
+// All of it is pure: it reads no clock, starts nothing and blocks nowhere. A Tracker may be used from several
 // goroutines at once.
-package word
+package watermark
 
 import (
 	"fmt"
@@ -65,21 +65,21 @@
 	life uint64
 	// first is when this life's first answer came: it began before that.
 	first time.Time
-	// have is the last of its cancellations that was taken in; vouched is when the last question was
+	// have is the last of its cancellations that was taken in; confirmed is when the last question was
 	// sent whose answer gave all there were.
-	have    uint64
-	vouched time.Time
+	have      uint64
+	confirmed time.Time
 }
 
-// Book is one process's knowledge.
-type Book struct {
+// Tracker is one process's knowledge.
+type Tracker struct {
 	limits Limits
 
 	mu   sync.Mutex
 	life uint64
 	born time.Time
-	// word: all that anyone told before it is here.
-	word time.Time
+	// mark: all that anyone told before it is here.
+	mark time.Time
 	told map[string]*cancelled
 	// log has them in the order in which they came to be known.
 	log    []*cancelled
@@ -96,8 +96,8 @@
 }
 
 // New makes the book of a process that begins now, beside these siblings.
-func New(now time.Time, siblings []string, l Limits) *Book {
-	b := &Book{limits: l, siblings: map[string]*sibling{}}
+func New(now time.Time, siblings []string, l Limits) *Tracker {
+	b := &Tracker{limits: l, siblings: map[string]*sibling{}}
 	for _, s := range siblings {
 		b.siblings[s] = nil
 	}
@@ -106,8 +106,8 @@
 }
 
 // begin forgets all; the lock is held, or nobody else is there yet.
-func (b *Book) begin(now time.Time) {
-	b.life, b.born, b.word = rand.Uint64()|1, now, time.Time{}
+func (b *Tracker) begin(now time.Time) {
+	b.life, b.born, b.mark = rand.Uint64()|1, now, time.Time{}
 	b.told, b.log, b.latest = map[string]*cancelled{}, nil, 0
 	for name := range b.siblings {
 		b.siblings[name] = nil
@@ -116,7 +116,7 @@
 
 // Tell notes a cancellation that a user is about to be told, or may be told by whoever reads its record
 // from now on. It is called before either can happen.
-func (b *Book) Tell(now time.Time, job string) {
+func (b *Tracker) Tell(now time.Time, job string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.take(now, job, now)
@@ -124,16 +124,16 @@
 
 // take notes a cancellation of that time. One that is known already is said again only if it was told
 // again a good while later: its tasks have that much longer.
-func (b *Book) take(now time.Time, job string, at time.Time) {
+func (b *Tracker) take(now time.Time, job string, at time.Time) {
 	b.sweep(now)
 	if c := b.told[job]; c != nil {
-		if at.Sub(c.at) < tuning.WordAgain {
+		if at.Sub(c.at) < tuning.CancellationAgain {
 			return
 		}
 		b.log = slices.DeleteFunc(b.log, func(x *cancelled) bool { return x == c })
 	}
-	if len(b.told) >= tuning.WordMost {
-		// What is forgotten here cannot be vouched for: as if the process had ended.
+	if len(b.told) >= tuning.CancellationsKept {
+		// What is forgotten here cannot be confirmed for: as if the process had ended.
 		b.begin(now)
 	}
 	b.latest++
@@ -142,8 +142,8 @@
 }
 
 // sweep forgets what has been due for long.
-func (b *Book) sweep(now time.Time) {
-	if now.Sub(b.swept) < tuning.WordSweep {
+func (b *Tracker) sweep(now time.Time) {
+	if now.Sub(b.swept) < tuning.CancellationSweep {
 		return
 	}
 	b.swept = now
@@ -157,20 +157,20 @@
 }
 
 // Certain notes that all that anyone told before a moment has been noted here.
-func (b *Book) Certain(at time.Time) {
+func (b *Tracker) Certain(at time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.certain(at)
 }
 
-func (b *Book) certain(at time.Time) {
-	if at.After(b.word) {
-		b.word = at
+func (b *Tracker) certain(at time.Time) {
+	if at.After(b.mark) {
+		b.mark = at
 	}
 }
 
 // Have is what to ask a sibling with: which life of it is known, and up to where its word.
-func (b *Book) Have(member string) (life, have uint64) {
+func (b *Tracker) Have(member string) (life, have uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if s := b.siblings[member]; s != nil {
@@ -180,7 +180,7 @@
 }
 
 // Say answers whoever knows a life's word up to there.
-func (b *Book) Say(now time.Time, life, have uint64) Saying {
+func (b *Tracker) Say(now time.Time, life, have uint64) Saying {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.sweep(now)
@@ -195,13 +195,13 @@
 		return 1
 	})
 	for _, c := range b.log[at:] {
-		if len(s.Told) == tuning.WordsAtOnce {
+		if len(s.Told) == tuning.CancellationsAtOnce {
 			s.To = c.seq - 1
 			break
 		}
 		s.Told = append(s.Told, Told{c.job, max(0, now.Sub(c.at))})
 	}
-	if age := max(0, now.Sub(b.word)); !b.word.IsZero() && age < b.limits.Keep {
+	if age := max(0, now.Sub(b.mark)); !b.mark.IsZero() && age < b.limits.Keep {
 		s.Knows, s.Age = true, age
 	}
 	return s
@@ -209,7 +209,7 @@
 
 // Heard takes in what a sibling answered, now, to a question of that time. An error tells what of it is
 // not believed; what is believed only ever adds to what is known.
-func (b *Book) Heard(now time.Time, member string, sent time.Time, s Saying) error {
+func (b *Tracker) Heard(now time.Time, member string, sent time.Time, s Saying) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	x, known := b.siblings[member]
@@ -249,27 +249,27 @@
 	if x.have < s.Latest {
 		return nil
 	}
-	if sent.After(x.vouched) {
-		x.vouched = sent
+	if sent.After(x.confirmed) {
+		x.confirmed = sent
 	}
 	if s.Knows {
-		b.certain(sent.Add(-s.Age - tuning.WordGrain))
+		b.certain(sent.Add(-s.Age - tuning.WatermarkGrain))
 	}
-	b.vouch()
+	b.advance()
 	return nil
 }
 
-// vouch goes on from the moment up to which all is known to where every sibling has said what it told since:
+// advance goes on from the moment up to which all is known to where every sibling has said what it told since:
 // only if each was heard, in the life that it has, before that moment, so that neither it nor this process
 // can have had another since.
-func (b *Book) vouch() {
+func (b *Tracker) advance() {
 	var least time.Time
 	for _, s := range b.siblings {
-		if s == nil || s.first.After(b.word) {
+		if s == nil || s.first.After(b.mark) {
 			return
 		}
-		if least.IsZero() || s.vouched.Before(least) {
-			least = s.vouched
+		if least.IsZero() || s.confirmed.Before(least) {
+			least = s.confirmed
 		}
 	}
 	b.certain(least)
@@ -277,33 +277,33 @@
 
 // Renews tells whether a lease may be renewed now: the last one that is ends in time. Without is how long
 // ago the moment is up to which all is known; negative: there is none.
-func (b *Book) Renews(now time.Time) (ok bool, without time.Duration) {
+func (b *Tracker) Renews(now time.Time) (ok bool, without time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if len(b.siblings) == 0 && !b.word.IsZero() && !b.born.After(b.word) {
+	if len(b.siblings) == 0 && !b.mark.IsZero() && !b.born.After(b.mark) {
 		b.certain(now)
 	}
-	if b.word.IsZero() {
+	if b.mark.IsZero() {
 		return false, -1
 	}
-	without = now.Sub(b.word)
+	without = now.Sub(b.mark)
 	return without < b.limits.Renew, without
 }
 
-// Why names the siblings that vouch for nothing at present, and what for, for operators.
-func (b *Book) Why() (why []string) {
+// Why names the siblings that confirm nothing at present, and what for, for operators.
+func (b *Tracker) Why() (why []string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.born.After(b.word) {
+	if b.born.After(b.mark) {
 		why = append(why, "this process began since")
 	}
 	for name, s := range b.siblings {
 		switch {
 		case s == nil:
 			why = append(why, name+" has said nothing")
-		case s.first.After(b.word):
+		case s.first.After(b.mark):
 			why = append(why, name+" may have been another process since")
-		case !s.vouched.After(b.word):
+		case !s.confirmed.After(b.mark):
 			why = append(why, name+" has said nothing since")
 		}
 	}
@@ -313,7 +313,7 @@
 
 // Stops are the commands, beside those that are there, that end what a machine reports of cancelled jobs. A
 // stop is safe under any token: a cancelled job never runs again.
-func (b *Book) Stops(tasks []api.TaskReport, there []api.Command) (out []api.Command) {
+func (b *Tracker) Stops(tasks []api.TaskReport, there []api.Command) (out []api.Command) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if len(b.told) == 0 {
@@ -332,7 +332,7 @@
 }
 
 // Without is what there is of commands without starts of cancelled jobs: some were derived before that was known.
-func (b *Book) Without(there []api.Command) []api.Command {
+func (b *Tracker) Without(there []api.Command) []api.Command {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	starts := func(c api.Command) bool { return c.Verb == api.Start && b.has(c.Task) }
@@ -343,7 +343,7 @@
 }
 
 // has tells whether a task is one of a cancelled job.
-func (b *Book) has(task string) bool {
+func (b *Tracker) has(task string) bool {
 	job, _, _ := strings.Cut(task, "/")
 	return b.told[job] != nil
 }
--- a/word/word_test.go
+++ b/watermark/watermark_test.go
@@ -1,4 +1,4 @@
-package word
+package watermark
 
 import (
 	"fmt"
@@ -14,7 +14,7 @@
 type trio struct {
 	t  *testing.T
 	at time.Time
-	of map[string]*Book
+	of map[string]*Tracker
 	// off are those who do not reach each other, "ab".
 	off map[string]bool
 }
@@ -25,7 +25,7 @@
 )
 
 func newTrio(t *testing.T) *trio {
-	x := &trio{t: t, at: start.Add(-20 * time.Second), of: map[string]*Book{}, off: map[string]bool{}}
+	x := &trio{t: t, at: start.Add(-20 * time.Second), of: map[string]*Tracker{}, off: map[string]bool{}}
 	for _, m := range []string{"a", "b", "c"} {
 		x.begin(m)
 	}
@@ -87,7 +87,7 @@
 			if s == 5 {
 				x.of["b"].Tell(x.at, "run-1")
 			}
-			// c vouches for what b has told it.
+			// c confirms what b has told it.
 		}, ever, true},
 		{"told by one that is cut off then", func(x *trio, s int) {
 			if x.off["ab"], x.off["bc"] = s >= 5, s >= 5; s == 5 {
@@ -153,14 +153,14 @@
 		}, ever, true},
 		{"more at once than an answer holds", func(x *trio, s int) {
 			if s == 5 {
-				for i := range 2*tuning.WordsAtOnce + 1 {
+				for i := range 2*tuning.CancellationsAtOnce + 1 {
 					x.of["b"].Tell(x.at, fmt.Sprintf("run-%d", i+1))
 				}
 			}
 		}, ever, true},
 		{"more than can be remembered", func(x *trio, s int) {
 			if s == 5 {
-				for i := range tuning.WordMost + 1 {
+				for i := range tuning.CancellationsKept + 1 {
 					x.of["b"].Tell(x.at, fmt.Sprintf("run-%d", i+1))
 				}
 			}
@@ -249,7 +249,7 @@
 	if x.of["a"].Heard(x.at, "d", x.at, x.of["b"].Say(x.at, 0, 0)) == nil {
 		t.Error("a stranger is believed")
 	}
-	// What is only said from further on than we have leaves a gap, and vouches for nothing.
+	// What is only said from further on than we have leaves a gap, and confirms nothing.
 	x.of["b"].Tell(x.at, "run-1")
 	x.of["b"].Tell(x.at, "run-2")
 	at := x.at.Add(20 * time.Second)
