--- a/experiment/scale_measure.go
+++ b/experiment/scale_measure.go
@@ -40,18 +40,21 @@
 	done  chan struct{}
 
 	controllers []usages
-	agents      []usages
-	self        usages
-	traffic     map[string]cluster.Count
-	changes     map[string]int
-	starts      int
-	tasks, n    int
-	err         error
+	// pids are the controllers' last processes, former what those before them took.
+	pids     []int
+	former   []float64
+	agents   []usages
+	self     usages
+	traffic  map[string]cluster.Count
+	changes  map[string]int
+	starts   int
+	tasks, n int
+	err      error
 }
 
 func (run *scaleRun) record() *recording {
 	r := &recording{run: run, began: time.Now(), quit: make(chan struct{}), done: make(chan struct{}), traffic: run.cluster.Traffic.Snapshot(), changes: run.cluster.State.Changes(), starts: run.audit.Starts(),
-		controllers: make([]usages, len(run.cluster.Controllers)), agents: make([]usages, len(run.agents))}
+		controllers: make([]usages, len(run.cluster.Controllers)), pids: make([]int, len(run.cluster.Controllers)), former: make([]float64, len(run.cluster.Controllers)), agents: make([]usages, len(run.agents))}
 	run.users.reset()
 	run.changer.reset()
 	go r.loop()
@@ -83,10 +86,12 @@
 		if err != nil {
 			continue // it ended just now
 		}
-		if last := len(r.controllers[i]) - 1; last >= 0 && usage.CPUSeconds < r.controllers[i][last].CPUSeconds {
+		if last := len(r.controllers[i]) - 1; last >= 0 && r.pids[i] != pid {
 			// Another process of the same controller: its time counts on from the former one's.
-			usage.CPUSeconds += r.controllers[i][last].CPUSeconds
+			r.former[i] = r.controllers[i][last].CPUSeconds
 		}
+		r.pids[i] = pid
+		usage.CPUSeconds += r.former[i]
 		r.controllers[i] = append(r.controllers[i], usage)
 	}
 	for i, a := range r.run.agents {
