--- a/capacity/capacity.go
+++ b/capacity/capacity.go
@@ -98,7 +98,7 @@
 // leastPoints is how many sizes a fit needs.
 const leastPoints = 4
 
-// ErrTooFew: there are not enough measurements of a figure.
+// ErrTooFew means: there are not enough measurements of a figure.
 var ErrTooFew = errors.New("too few measurements")
 
 // Fit fits every figure that was measured at four sizes or more; of others there are no slopes.
--- a/configuration/port/port.go
+++ b/configuration/port/port.go
@@ -18,7 +18,7 @@
 	"switchferry/upgrade"
 )
 
-// History, in place of a revision's number, asks for the last revisions.
+// History asks, in place of a revision's number, for the last revisions.
 const History = "history"
 
 // Port answers for one controller.
--- a/controller/rent.go
+++ b/controller/rent.go
@@ -438,7 +438,7 @@
 	return out
 }
 
-// Returned: the cloud has answered, so these machines and all on them are gone.
+// Returned means: the cloud has answered, so these machines and all on them are gone.
 func (c *Core) Returned(names []string, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -258,7 +258,7 @@
 	return c.Until(most, func() bool { return c.Leader() != nil })
 }
 
-// ErrTimeout: what was waited for did not happen in time.
+// ErrTimeout means: what was waited for did not happen in time.
 var ErrTimeout = errors.New("not in time")
 
 // Until waits until f holds, looking five times a second.
--- a/lookup/lookup.go
+++ b/lookup/lookup.go
@@ -16,7 +16,7 @@
 	"switchferry/tuning"
 )
 
-// ErrTooDeep: more jobs stand before one than are looked at to answer a question.
+// ErrTooDeep means: more jobs stand before one than are looked at to answer a question.
 var ErrTooDeep = errors.New("too many jobs before this one to look at without the leader")
 
 // Jobs reads jobs' records. Its functions are safe for use from several goroutines at once if what it
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -62,10 +62,10 @@
 	Leaving bool
 }
 
-// ErrUnreachable: the request may or may not have been handled.
+// ErrUnreachable means: the request may or may not have been handled.
 var ErrUnreachable = errors.New("sibling out of reach")
 
-// ErrBusy: the sibling is there, but has not answered in time.
+// ErrBusy means: the sibling is there, but has not answered in time.
 var ErrBusy = errors.New("sibling is busy")
 
 // Handler serves a sibling's requests.
--- a/sockets/sockets.go
+++ b/sockets/sockets.go
@@ -45,7 +45,7 @@
 
 func (c Class) String() string { return names[c] }
 
-// ErrScarce: no socket is left for this class.
+// ErrScarce means: no socket is left for this class.
 var ErrScarce = errors.New("sockets are scarce")
 
 // Budget counts the sockets of this process. A limit of 0 is none. Its methods may be called
--- a/stager/cache.go
+++ b/stager/cache.go
@@ -21,10 +21,10 @@
 	"switchferry/tuning"
 )
 
-// ErrFull: the quota or the disk has no room, and nothing that might go.
+// ErrFull means: the quota or the disk has no room, and nothing that might go.
 var ErrFull = errors.New("the cache is full of what must be kept")
 
-// ErrWrong: bytes that do not have their digest.
+// ErrWrong means: bytes that do not have their digest.
 var ErrWrong = errors.New("wrong bytes")
 
 // Cache keeps chunks on disk under their digests. A file in chunks/ is whole: it gets its
--- a/store/records.go
+++ b/store/records.go
@@ -45,7 +45,7 @@
 	StageMailPrefix  = "sf/smail/"
 )
 
-// JobKey, FinalKey and InboxKey are the keys of a job.
+// JobKey is the key of a job that is not over, FinalKey that of its final state, InboxKey that of what siblings say of it.
 func JobKey(id string) string   { return JobPrefix + id }
 func FinalKey(id string) string { return FinalPrefix + id }
 func InboxKey(id string) string { return InboxPrefix + id }
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -14,7 +14,7 @@
 	"switchferry/tuning"
 )
 
-// ErrNotSent: the command certainly did not reach the worker. Any other error
+// ErrNotSent means: the command certainly did not reach the worker. Any other error
 // leaves it open whether and when the command is executed.
 var ErrNotSent = errors.New("not sent")
 
