--- a/configuration/keeper/applier.go
+++ b/configuration/keeper/applier.go
@@ -101,9 +101,28 @@
 	a.active, a.document, a.stamp = right.Active, document, right.Stamp
 	a.mu.Unlock()
 	a.leader.Use(right.Active)
+	if right.Stamp != 0 {
+		a.takeOver(right.Active)
+	}
 	return nil
 }
 
+// takeOver sees to it that what the last leader stored comes into force: that one may have ended before it did, and some
+// may still go by an older one.
+func (a *Applier) takeOver(active *configuration.Active) {
+	change := configuration.NewApplication(active, active, a.leader.Siblings())
+	change.Stored(a.clock.Now())
+	a.mu.Lock()
+	a.change = change
+	a.mu.Unlock()
+	// No change has been asked for in this term yet.
+	a.turn <- struct{}{}
+	go func() {
+		defer a.endTurn()
+		a.spread(change, func() int { return 0 })
+	}()
+}
+
 // Candidates are the revisions by which an answer that is final for a user must come out the same: the present one,
 // and while a change is on its way both. None: nothing was read yet.
 func (a *Applier) Candidates() []*configuration.Active {
@@ -112,7 +131,7 @@
 	switch {
 	case a.active == nil:
 		return nil
-	case a.change != nil && (a.change.Stage() == configuration.Storing || a.change.Stage() == configuration.Spreading):
+	case a.change != nil && a.change.Before != a.change.After && (a.change.Stage() == configuration.Storing || a.change.Stage() == configuration.Spreading):
 		return []*configuration.Active{a.change.Before, a.change.After}
 	}
 	return []*configuration.Active{a.active}
--- a/controller/configuration.go
+++ b/controller/configuration.go
@@ -164,15 +164,16 @@
 	}
 }
 
-// heldBy are the tasks of a team that can be stopped: a start whose answer is lost may be executed at any later time of
-// this term, so its task has to be seen first. Stopped before that, it counted for the limit for ever.
+// heldBy are the tasks of a team that can be stopped. A start whose answer is lost may be executed at any later time of
+// this term. Stopped before it is seen, its task counted for the limit for ever; stopped after that, its exit is not
+// cleared, and a new attempt that came to the same machine was never begun. Such a task runs to its end.
 func heldBy(c *Core, team string) (tasks []*assign, held []quota.Held) {
 	for _, j := range c.order {
 		if j.Job.Team != team {
 			continue
 		}
 		for _, a := range j.live {
-			if !a.stop && (a.seen || !a.sent) {
+			if !a.stop && (a.seen && a.open == 0 || !a.sent) {
 				tasks = append(tasks, a)
 				held = append(held, quota.Held{Rank: j.rank, Loss: c.loss(a), Need: fleet.Of(&j.Job)})
 			}
