--- a/capacity/capacity.go
+++ b/capacity/capacity.go
@@ -35,7 +35,6 @@
 	HollowCPU         = "worker_cpu_at_most" // share of one core of all hollow workers, the stand-ins and users included
 	TakeoverFirst     = "takeover_first"     // seconds from a crash of the leader to the first start
 	TakeoverAll       = "takeover_all_heard" // seconds until every worker was answered by the new leader
-	StartsPerSecond   = "starts"             // starts a second, as counted
 )
 
 // Measurement is what was measured of a deployment at one size.
--- a/configuration/active.go
+++ b/configuration/active.go
@@ -1,8 +1,6 @@
 package configuration
 
 import (
-	"slices"
-
 	"switchferry/policy"
 	"switchferry/quota"
 	"switchferry/settings"
@@ -101,6 +99,3 @@
 	}
 	return min(a, b)
 }
-
-// SameTeams tells whether two have the same teams with the same amounts.
-func SameTeams(a, b *Active) bool { return slices.Equal(a.teams, b.teams) }
--- a/controller/configuration.go
+++ b/controller/configuration.go
@@ -54,14 +54,17 @@
 // Condition holds while the term lasts.
 func (l *configurationLeader) Condition() (store.Cond, bool) { return source{l.core, l.n}.Condition() }
 
-// Use has the term's decisions go by a configuration.
+// Use has the term's decisions go by a configuration. What it lacks is as this controller's files have it, also where the
+// revision before had something else.
 func (l *configurationLeader) Use(active *configuration.Active) (undecided func() int) {
-	if active.Topology == nil && l.n.topology != nil {
-		withFile := *active
-		withFile.Topology = l.n.topology.Map()
-		active = &withFile
+	withFiles := *active
+	if withFiles.Topology == nil && l.n.topology != nil {
+		withFiles.Topology = l.n.topology.Map()
 	}
-	return l.core.Configure(active)
+	if withFiles.AheadTasks == nil {
+		withFiles.AheadTasks = &l.n.data.Ahead
+	}
+	return l.core.Configure(&withFiles)
 }
 
 // Siblings are all other controllers.
--- a/controller/configuration_test.go
+++ b/controller/configuration_test.go
@@ -10,6 +10,7 @@
 
 	"switchferry/api"
 	"switchferry/configuration"
+	"switchferry/features"
 	"switchferry/peer"
 	"switchferry/policy"
 	"switchferry/settings"
@@ -239,3 +240,19 @@
 		t.Errorf("before all marks: %d %s", a.Status, a.Body)
 	}
 }
+
+// A setting that a later revision leaves out is as the files have it again.
+func TestSettingLeftOutIsAsInTheFiles(t *testing.T) {
+	s := newDataStage(t, features.Staged)
+	n := s.beside()
+	n.data.Ahead = 5
+	l := &configurationLeader{n, s.Core}
+	l.Use(configured(t, "[features]\nahead_tasks = 9\n"))
+	if s.data.set.Ahead != 9 {
+		t.Fatalf("ahead %d with 9 configured", s.data.set.Ahead)
+	}
+	l.Use(configured(t, ""))
+	if s.data.set.Ahead != 5 {
+		t.Errorf("ahead %d once it is left out, the features file has 5", s.data.set.Ahead)
+	}
+}
