--- a/controller/leader_helper_test.go
+++ b/controller/leader_helper_test.go
@@ -54,19 +54,37 @@
 func newLeader(t *testing.T) *testLeader {
 	t.Helper()
 	clock := clockwork.NewFakeClock()
-	leader := &testLeader{T: t, clock: clock, state: fake.NewState(clock), leading: true, commands: map[string][]api.Command{}, terminal: lookup.NewTerminalStates()}
+	leader := &testLeader{T: t, clock: clock, state: fake.NewState(clock), terminal: lookup.NewTerminalStates()}
+	leader.elect()
+	return leader
+}
+
+// newLeaderProcess returns a leader together with the process that answers for it; both remember the same terminal states.
+func newLeaderProcess(t *testing.T) (*testLeader, *Controller) {
+	t.Helper()
+	clock := clockwork.NewFakeClock()
+	leader := &testLeader{T: t, clock: clock, state: fake.NewState(clock)}
+	process := leader.beside()
+	leader.terminal = process.jobs.TerminalStates.TerminalStates
+	leader.elect()
+	process.term.begin(&leaderTerm{scheduler: leader.Scheduler, committer: leader.committer})
+	return leader, process
+}
+
+// elect begins a new term of the leader x, which has read no records.
+func (l *testLeader) elect() {
+	l.leading, l.commands = true, map[string][]api.Command{}
 	set := &settings.Settings{Member: "x"}
 	set.Facts.Workers = settings.Workers{ReportS: 1, LeaseS: 10, CancelS: 40}
 	set.Facts.State = settings.State{RPS: 200, WriteRPS: 5000, ValueKB: 16, TxnOps: 12}
 	set.Facts.Teams = []settings.Team{{Name: "t", CPUsMax: 400}}
-	term := leader.state.Put(store.LeaderKey, store.LeaderRecord{Member: "x"})
-	collaborators := testCollaborators(func() bool { return leader.leading })
-	collaborators.Records, collaborators.Sender = leaderRecords{leader}, leaderCommands{leader: leader}
-	collaborators.TerminalStates = leader.terminal
-	leader.Scheduler = scheduler.New(term, clock, set, policy.Default(), testTypes, collaborators)
-	leader.committer = store.NewCommitter(store.NewClient("state:1", leader.state), committedRecords{leader.Scheduler, leader}, clock, set.Facts.State, map[string]uint64{})
-	leader.Load(nil, nil)
-	return leader
+	term := l.state.Put(store.LeaderKey, store.LeaderRecord{Member: "x"})
+	collaborators := testCollaborators(func() bool { return l.leading })
+	collaborators.Records, collaborators.Sender = leaderRecords{l}, leaderCommands{leader: l}
+	collaborators.TerminalStates = l.terminal
+	l.Scheduler = scheduler.New(term, l.clock, set, policy.Default(), testTypes, collaborators)
+	l.committer = store.NewCommitter(store.NewClient("state:1", l.state), committedRecords{l.Scheduler, l}, l.clock, set.Facts.State, map[string]uint64{})
+	l.Load(nil, nil)
 }
 
 // commit writes all dirty records.
