The leader adopts no record of a job that has ended since the read was sent

Cause: who read a job's record for the leader (inbox, look-up of dependencies, questions) took a job that was not in memory for a new one. It may have ended and been archived since the read: then it was pending again, its tasks were started, and its end replaced what its user had been told. Change: AdoptJob decides in one place, under the scheduler's lock, by values: the term remembers the jobs that it archived, up to a limit, and refuses reads from before what it remembers. Revisions are set with the adoption, no longer beside it. The callback is bound to its job. Every write of a job's record is conditional on there being no final record, and a final record is neither replaced nor deleted: a contradiction is logged with its evidence and counted (package invariant). The test of the callback failed with the callback by id and without the condition (answered as pending, started), and passes.

--- a/controller/collaborators_helper_test.go
+++ b/controller/collaborators_helper_test.go
@@ -29,6 +29,7 @@
 
 func (discardedRecords) MarkDirty(string, int, func())                      {}
 func (discardedRecords) MarkDirtyWithin(string, int, time.Duration, func()) {}
+func (discardedRecords) SetRevision(string, uint64)                         {}
 func (discardedRecords) Delay() time.Duration                               { return 0 }
 
 // discardedCommands sends nothing.
@@ -48,6 +49,10 @@
 	r.leader.committer.MarkDirty(key, urgency, stored)
 }
 
+func (r leaderRecords) SetRevision(key string, revision uint64) {
+	r.leader.committer.SetRevision(key, revision)
+}
+
 func (r leaderRecords) Delay() time.Duration { return r.leader.committer.Delay() }
 
 // leaderCommands are kept by a test's leader.
--- a/controller/dependency_lookup.go
+++ b/controller/dependency_lookup.go
@@ -18,7 +18,7 @@
 		}
 		ids := t.scheduler.UnresolvedDependencies()
 		for len(ids) > 0 && ctx.Err() == nil {
-			t.scheduler.LookUpDependencies(ctx, t.controller.jobs.Records, t.committer, ids)
+			t.scheduler.LookUpDependencies(ctx, t.controller.jobs.Records, ids)
 			if ids = t.scheduler.UnresolvedDependencies(); len(ids) > 0 {
 				sleep.For(ctx, t.controller.clock, tuning.DependencyRetryEvery)
 			}
--- a/controller/inbox/inbox.go
+++ b/controller/inbox/inbox.go
@@ -93,13 +93,13 @@
 // again: a job that was passed over here once was accepted, and ran only after its user had asked for it.
 func (f *Follower) take(ctx context.Context, key string) (done bool) {
 	id := strings.TrimPrefix(key, store.InboxPrefix)
+	sentAt := f.clock.Now()
 	job, err := f.client.Get(ctx, store.JobKey(id))
 	if err != nil && !errors.Is(err, store.ErrNotFound) {
 		return false
 	}
-	if err == nil && !f.scheduler.HasJob(id) {
-		f.committer.SetRevision(job.Key, job.Revision)
-		f.scheduler.Conflict(store.JobKey(id), &job)
+	if err == nil && f.scheduler.AdoptJob(&job, sentAt) == scheduler.ReadOutdated {
+		return false
 	}
 	entry, err := f.client.Get(ctx, key)
 	if errors.Is(err, store.ErrNotFound) {
--- a/controller/jobstatus/reader.go
+++ b/controller/jobstatus/reader.go
@@ -6,6 +6,8 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
+	"fmt"
 	"net/http"
 
 	"github.com/jonboulle/clockwork"
@@ -69,20 +71,40 @@
 		}()
 	}
 	// Requests of users must not take the share of reads that leading needs.
-	x, err := j.Records.ReadInTurn(ctx, id, waitingUser)
-	if err != nil || !x.Found {
+	sentAt := j.clock.Now()
+	record, err := j.Records.ReadInTurn(ctx, id, waitingUser)
+	if err != nil || !record.Found {
 		return api.JobStatus{}, false, err
 	}
-	if _, over := j.TerminalStates.Get(id); x.Record != nil && !over && sched != nil {
-		sched.Conflict(x.Record.Key, x.Record)
+	if record.Record != nil && sched != nil {
+		outcome := sched.AdoptJob(record.Record, sentAt)
 		if job, ok := sched.JobStatus(id); ok {
 			return job, true, nil
 		}
+		if err := j.checkAnswerable(id, record, outcome); err != nil {
+			return api.JobStatus{}, false, err
+		}
 	}
-	job, err := j.Records.Status(ctx, id, x, waitingUser)
+	job, err := j.Records.Status(ctx, id, record, waitingUser)
 	return job, err == nil, err
 }
 
+// ErrNotAnswerable is returned where a record says that a job goes on and the leader knows or suspects otherwise.
+var ErrNotAnswerable = errors.New("the record does not tell the job's present state")
+
+// checkAnswerable returns ErrNotAnswerable if a record must not be answered from although it says that the job goes on:
+// the leader knows that it is over, or cannot tell.
+func (j *Reader) checkAnswerable(id string, record lookup.Job, outcome scheduler.Adoption) error {
+	if _, remembered := j.TerminalStates.Get(id); remembered || record.Final.State != "" {
+		return nil
+	}
+	switch outcome {
+	case scheduler.JobEnded, scheduler.ReadOutdated, scheduler.RecordDamaged:
+		return fmt.Errorf("%w: %s", ErrNotAnswerable, outcome)
+	}
+	return nil
+}
+
 // PublishAnswer states a cancellation to the peers before its user is told, and returns the answer that may be sent: a
 // status that was read before its job ended may be due only after the user was told of the end.
 func (j *Reader) PublishAnswer(response peer.Response) peer.Response {
--- a/controller/stale_record_test.go
+++ b/controller/stale_record_test.go
@@ -30,7 +30,7 @@
 			inbox.NewFollower(leader.clock, process.client, leader.Scheduler, leader.committer, 0).Run(ctx)
 		}},
 		{"dependency", func(ctx context.Context, leader *testLeader, process *Controller) {
-			leader.LookUpDependencies(ctx, process.jobs.Records, leader.committer, []string{id})
+			leader.LookUpDependencies(ctx, process.jobs.Records, []string{id})
 		}},
 		{"question", func(ctx context.Context, _ *testLeader, process *Controller) {
 			process.Handle(ctx, peer.Request{Verb: VerbStatus, Job: id}, true)
--- a/controller/term_collaborators.go
+++ b/controller/term_collaborators.go
@@ -33,6 +33,11 @@
 	r.term.committer.MarkDirtyWithin(key, urgency, wait, stored)
 }
 
+// SetRevision notes the revision of a record that was adopted.
+func (r termRecords) SetRevision(key string, revision uint64) {
+	r.term.committer.SetRevision(key, revision)
+}
+
 // Delay returns how long a record of a new job would wait.
 func (r termRecords) Delay() time.Duration { return r.term.committer.Delay() }
 
--- a/experiment/locality.go
+++ b/experiment/locality.go
@@ -313,6 +313,9 @@
 	r.MarkDirty(key, urgency, stored)
 }
 
+// SetRevision does nothing.
+func (localityRecords) SetRevision(string, uint64) {}
+
 // Delay returns zero: there is no limit of writes.
 func (r localityRecords) Delay() time.Duration { return 0 }
 
--- a/experiment/topology_placers.go
+++ b/experiment/topology_placers.go
@@ -281,6 +281,9 @@
 	r.MarkDirty(key, urgency, stored)
 }
 
+// SetRevision does nothing.
+func (placerRecords) SetRevision(string, uint64) {}
+
 // Delay returns zero: there is no limit of writes.
 func (r placerRecords) Delay() time.Duration { return 0 }
 
--- /dev/null
+++ b/invariant/invariant_test.go
@@ -0,0 +1,18 @@
+package invariant
+
+import "testing"
+
+func TestViolationsAreCountedUntilTaken(t *testing.T) {
+	TakeViolations()
+	Violated("one", "job", "run-000001")
+	Violated("two")
+	if got := Violations(); got != 2 {
+		t.Errorf("%d violations, want 2", got)
+	}
+	if got := TakeViolations(); got != 2 {
+		t.Errorf("%d violations taken, want 2", got)
+	}
+	if got := Violations(); got != 0 {
+		t.Errorf("%d violations left, want none", got)
+	}
+}
--- /dev/null
+++ b/scheduler/adoption_test.go
@@ -0,0 +1,190 @@
+package scheduler
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"time"
+
+	"switchferry/api"
+	"switchferry/invariant"
+	"switchferry/store"
+)
+
+func TestAdoptionIsDecidedByWhatTheTermKnows(t *testing.T) {
+	fresh := adoptionFacts{loaded: true, covered: true}
+	cases := []struct {
+		name   string
+		change func(*adoptionFacts)
+		want   Adoption
+	}{
+		{"a new job", func(*adoptionFacts) {}, Adopted},
+		{"before the records are read", func(f *adoptionFacts) { f.loaded = false }, RecordsNotLoaded},
+		{"a job with a damaged record", func(f *adoptionFacts) { f.damaged = true }, RecordDamaged},
+		{"a job in memory", func(f *adoptionFacts) { f.accepted = true }, AlreadyInMemory},
+		{"a job that is over, in memory", func(f *adoptionFacts) { f.accepted, f.ended = true, true }, AlreadyInMemory},
+		{"a job that is over, archived", func(f *adoptionFacts) { f.ended = true }, JobEnded},
+		{"a read from before what is remembered", func(f *adoptionFacts) { f.covered = false }, ReadOutdated},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			facts := fresh
+			tc.change(&facts)
+			if got := decideAdoption(facts); got != tc.want {
+				t.Errorf("%q, want %q", got, tc.want)
+			}
+		})
+	}
+}
+
+// The memory of archived jobs is bounded; what was dropped from it counts as archived for every read that is as old.
+func TestArchivedJobsCoverReadsSinceTheOldestDropped(t *testing.T) {
+	start := time.Unix(1000, 0)
+	jobs := newArchivedJobs(2)
+	for second, id := range []string{"run-000001", "run-000002", "run-000001", "run-000003"} {
+		jobs.add(id, start.Add(time.Duration(second)*time.Second))
+	}
+	if _, known := jobs.at("run-000001"); known {
+		t.Error("three jobs are kept, the limit is two")
+	}
+	if at, known := jobs.at("run-000002"); !known || !at.Equal(start.Add(time.Second)) {
+		t.Errorf("run-000002 archived at %v, %v", at, known)
+	}
+	if jobs.covers(start) || !jobs.covers(start.Add(time.Millisecond)) {
+		t.Errorf("covers a read of that time %v, of later %v", jobs.covers(start), jobs.covers(start.Add(time.Millisecond)))
+	}
+}
+
+// A leader that does not know of a job's end takes a repeated submission for a new one, until the state service refuses the
+// record. While the committer is on its way to note that nothing is to be written any more, the submission is repeated once
+// more: that job's record is not stored, whatever became of the first one's.
+func TestCallbackOfADroppedJobDoesNotAcceptItsSuccessor(t *testing.T) {
+	h := newHarness(t)
+	h.state.Put(store.FinalKey("run-000001"), store.FinalRecord{State: api.Done, Tasks: 1})
+	submission := &api.Submission{ID: "run-000001", Class: "c", Team: "t", Shape: api.JobArray, Rank: "normal", Tasks: 1, CPUs: 4, MemoryGB: 8, Image: "img", EstimateS: 30}
+	h.Submit(cancelledContext(), submission, h.clock.Now())
+	h.committer.Step(t.Context())
+	if h.jobs["run-000001"] != nil {
+		t.Fatal("kept in spite of its final record")
+	}
+	other := *submission
+	other.ID = "run-000002"
+	h.Submit(cancelledContext(), &other, h.clock.Now())
+	late := h.state.LateNext(true)
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		h.committer.Step(context.Background())
+	}()
+	<-late.Asked
+	// The memory of ended jobs has lost it meanwhile.
+	delete(h.terminalStates, "run-000001")
+	h.archived = newArchivedJobs(1)
+	h.Submit(cancelledContext(), submission, h.clock.Now())
+	late.Answer()
+	<-written
+	if status, ok := h.JobStatus("run-000001"); ok {
+		t.Errorf("its user was told %s, it is answered as %s", api.Done, status.State)
+	}
+	h.heartbeat("a1", 1)
+	h.Place()
+	h.commit()
+	if starts := h.starts("run-000001/0"); len(starts) > 0 || h.state.Get(store.JobKey("run-000001")) != nil {
+		t.Errorf("%d starts of a job that is done; its record: %s", len(starts), h.state.Get(store.JobKey("run-000001")))
+	}
+}
+
+func TestSubmissionOfAJobThatIsOverIsNotTakenForANewOne(t *testing.T) {
+	h := newHarness(t)
+	h.terminalStates["run-000001"] = store.FinalRecord{State: api.Done}
+	submission := &api.Submission{ID: "run-000001", Tasks: 1, Shape: api.JobArray, Team: "t"}
+	if response, ok := h.Submit(cancelledContext(), submission, h.clock.Now()); ok || h.jobs["run-000001"] != nil {
+		t.Errorf("answered %v, %d, in memory %v", ok, response.Status, h.jobs["run-000001"] != nil)
+	}
+}
+
+// A job whose record of tasks is damaged is not started anew because its own record can be read.
+func TestJobWithDamagedTasksIsNotAdopted(t *testing.T) {
+	h := newHarness(t)
+	h.submit("run-000001", 1, nil)
+	h.heartbeat("a1", 1)
+	h.Place()
+	h.commit()
+	items, _, err := h.client().List(t.Context(), store.ShardPrefix)
+	if err != nil || len(items) != 1 {
+		t.Fatalf("%d records of tasks, %v", len(items), err)
+	}
+	h.state.Put(items[0].Key, "damaged")
+	h.elect()
+	record, err := h.client().Get(t.Context(), store.JobKey("run-000001"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := h.AdoptJob(&record, h.clock.Now()); got != RecordDamaged || h.HasJob("run-000001") {
+		t.Errorf("%q, in memory %v", got, h.HasJob("run-000001"))
+	}
+}
+
+// A final record ends its job and stays, whatever a leader has in memory. It is a contradiction, and reported.
+func TestFinalRecordIsNotReplaced(t *testing.T) {
+	for _, inMemory := range []string{api.Done, api.Cancelled} {
+		onRecord := map[string]string{api.Done: api.Cancelled, api.Cancelled: api.Done}[inMemory]
+		t.Run(onRecord+" on record", func(t *testing.T) {
+			h := newHarness(t)
+			h.submit("run-000001", 1, nil)
+			final := string(mustJSON(t, store.FinalRecord{State: onRecord, Tasks: 1}))
+			h.state.Put(store.FinalKey("run-000001"), store.FinalRecord{State: onRecord, Tasks: 1})
+			invariant.TakeViolations()
+			if inMemory == api.Done {
+				h.complete("run-000001", "b1")
+			} else {
+				h.Cancel(cancelledContext(), "run-000001")
+			}
+			h.commit()
+			if got := h.status("run-000001"); got != onRecord {
+				t.Errorf("answered as %s", got)
+			}
+			if got := string(h.state.Get(store.FinalKey("run-000001"))); got != final {
+				t.Errorf("the final record is %s now, and was %s", got, final)
+			}
+			if invariant.TakeViolations() != 1 {
+				t.Error("the contradiction was not reported")
+			}
+			if h.committer.Pending() > 0 {
+				t.Errorf("%d records are still to be written", h.committer.Pending())
+			}
+		})
+	}
+}
+
+// Each write of a job's own record is refused by the state service if there is a final record.
+func TestJobRecordIsWrittenOnlyWithoutFinalRecord(t *testing.T) {
+	h := newHarness(t)
+	h.submit("run-000001", 1, nil)
+	h.Cancel(cancelledContext(), "run-000001")
+	if _, exists, conditions := h.Record(store.JobKey("run-000001")); !exists || !slices.Contains(conditions, store.Condition{Key: store.FinalKey("run-000001")}) {
+		t.Errorf("record %v, conditions %v", exists, conditions)
+	}
+}
+
+// A record that goes on, read after the job was archived, is a contradiction.
+func TestRecordOfAnArchivedJobIsReported(t *testing.T) {
+	h := newHarness(t)
+	h.submit("run-000001", 1, nil)
+	record, err := h.client().Get(t.Context(), store.JobKey("run-000001"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	readAt := h.clock.Now()
+	h.clock.Advance(time.Millisecond)
+	h.Cancel(cancelledContext(), "run-000001")
+	h.commit()
+	invariant.TakeViolations()
+	if got := h.AdoptJob(&record, readAt); got != JobEnded || invariant.TakeViolations() != 0 {
+		t.Errorf("read before the end: %q", got)
+	}
+	h.clock.Advance(time.Second)
+	if got := h.AdoptJob(&record, h.clock.Now()); got != JobEnded || invariant.TakeViolations() != 1 {
+		t.Errorf("read after the end: %q, or not reported", got)
+	}
+}
--- a/scheduler/collaborators.go
+++ b/scheduler/collaborators.go
@@ -25,6 +25,8 @@
 	MarkDirty(key string, urgency int, stored func())
 	// MarkDirtyWithin is MarkDirty for a change that may wait that long to be written with others of its key.
 	MarkDirtyWithin(key string, urgency int, wait time.Duration, stored func())
+	// SetRevision notes the revision of a record that another controller wrote and that the scheduler has adopted.
+	SetRevision(key string, revision uint64)
 	// Delay returns how long a record of a new job would wait for the limits of the state service.
 	Delay() time.Duration
 }
--- a/scheduler/dependencies_test.go
+++ b/scheduler/dependencies_test.go
@@ -67,7 +67,7 @@
 
 // lookUpDependencies looks up what the leader does not know of awaited jobs.
 func (h *harness) lookUpDependencies() {
-	h.LookUpDependencies(context.Background(), h.records(), h.committer, h.UnresolvedDependencies())
+	h.LookUpDependencies(context.Background(), h.records(), h.UnresolvedDependencies())
 }
 
 // A job waits until the done of all that it awaits is on record: not when the last task ends,
--- a/scheduler/dependency_resolution.go
+++ b/scheduler/dependency_resolution.go
@@ -5,22 +5,21 @@
 	"log/slog"
 
 	"switchferry/lookup"
-	"switchferry/store"
 )
 
 // LookUpDependencies reads the records of awaited jobs that this term does not know: they ended before it began, or a peer
 // has just accepted them. A job that cannot be read stays in UnresolvedDependencies. The records are read without the
 // scheduler's lock.
-func (s *Scheduler) LookUpDependencies(ctx context.Context, records *lookup.Jobs, committer *store.Committer, ids []string) {
+func (s *Scheduler) LookUpDependencies(ctx context.Context, records *lookup.Jobs, ids []string) {
 	lookup.ForEach(ids, func(_ int, id string) {
+		sentAt := s.now()
 		found, err := records.Read(ctx, id)
 		switch {
 		case err != nil:
 			slog.Info("an awaited job is not looked up yet", "job", id, "err", err)
 		case found.Record != nil:
-			if !s.HasJob(id) {
-				committer.SetRevision(found.Record.Key, found.Record.Revision)
-				s.Conflict(found.Record.Key, found.Record)
+			if s.AdoptJob(found.Record, sentAt) == JobEnded && found.Final.State != "" {
+				s.ResolveDependency(id, found.Final)
 			}
 		case found.Found:
 			s.ResolveDependency(id, found.Final)
--- a/scheduler/harness_test.go
+++ b/scheduler/harness_test.go
@@ -105,6 +105,10 @@
 	c.harness.committer.MarkDirty(key, urgency, stored)
 }
 
+func (c harnessCollaborators) SetRevision(key string, revision uint64) {
+	c.harness.committer.SetRevision(key, revision)
+}
+
 func (c harnessCollaborators) Delay() time.Duration { return c.harness.committer.Delay() }
 
 func (c harnessCollaborators) SendCommands(machine, _ string, response api.HeartbeatResponse) {
@@ -382,3 +386,13 @@
 }
 
 func oneTeam(limit string) string { return "[[teams]]\nname = \"t\"\ncpus_max = " + limit + "\n" }
+
+// mustJSON encodes a value as the state service keeps it.
+func mustJSON(t *testing.T, value any) []byte {
+	t.Helper()
+	raw, err := json.Marshal(value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return raw
+}
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -51,6 +51,8 @@
 	// archived is set once the terminal state has been handed to the committer under its own key, after which the
 	// job's other records are deleted.
 	archived bool
+	// finalRecord is the job's final record as it was found in the state service; nil if none was found.
+	finalRecord *store.FinalRecord
 	// onTerminal are called in order once the terminal state is stored.
 	onTerminal []func()
 	// terminalAt is when the terminal state was decided; zero while there is none.
@@ -169,7 +171,9 @@
 
 // removeJob removes a job from the job table and from the run queues. s.mu must be held.
 func (s *Scheduler) removeJob(job *jobState) {
-	delete(s.jobs, job.id)
+	if s.jobs[job.id] == job {
+		delete(s.jobs, job.id)
+	}
 	s.jobOrder = slices.DeleteFunc(s.jobOrder, func(other *jobState) bool { return other == job })
 	s.removeFromQueues(job)
 }
--- a/scheduler/lifecycle.go
+++ b/scheduler/lifecycle.go
@@ -103,6 +103,7 @@
 	job.archived = true
 	s.records.MarkDirty(store.FinalKey(job.id), store.Lazy, s.withLock(func() {
 		s.removeJob(job)
+		s.archived.add(job.id, s.now())
 		s.records.MarkDirty(store.JobKey(job.id), store.Lazy, func() {
 			for shard := range job.shards {
 				s.records.MarkDirty(shard.Key(), store.Lazy, nil)
--- a/scheduler/records.go
+++ b/scheduler/records.go
@@ -51,16 +51,18 @@
 	return nil, false, nil
 }
 
-// jobRecord builds the record of a job that is not archived. A job that is not accepted yet is written on condition
-// that it has no terminal state, lest one that is over come back to life, and that its inputs are as they were checked.
+// jobRecord builds the record of a job that is not archived. It is written on condition that the job has no final record,
+// lest one that is over come back to life, and that the inputs of a job that is not accepted yet are as they were checked.
 func (s *Scheduler) jobRecord(id string) recordContent {
 	job := s.jobs[id]
 	if job == nil {
 		return recordContent{}
 	}
 	var conditions []store.Condition
-	if !job.accepted {
+	if job.finalRecord == nil && !job.archived {
 		conditions = append(conditions, store.Condition{Key: store.FinalKey(job.id), Revision: 0})
+	}
+	if !job.accepted {
 		conditions = append(conditions, s.inputConditions(job)...)
 	}
 	record := job.JobRecord
@@ -77,12 +79,15 @@
 	return err == nil && len(raw) > s.settings.Facts.State.Least().ValueBytes()
 }
 
-// finalRecord builds the record of a job's terminal state.
+// finalRecord builds the record of a job's terminal state. One that is on record stays as it is.
 func (s *Scheduler) finalRecord(id string) recordContent {
 	job := s.jobs[id]
 	if job == nil || job.FinalState == "" {
 		return recordContent{}
 	}
+	if job.finalRecord != nil {
+		return recordContent{value: *job.finalRecord, exists: true}
+	}
 	return recordContent{value: job.terminalRecord(s.currentFormat), exists: true}
 }
 
@@ -180,6 +185,15 @@
 	}
 }
 
+// decodeFinalRecord decodes a job's final record.
+func decodeFinalRecord(found *store.Item) (store.FinalRecord, error) {
+	var final store.FinalRecord
+	if err := json.Unmarshal(found.Value, &final); err != nil {
+		return final, fmt.Errorf("decoding %s: %w", found.Key, err)
+	}
+	return final, nil
+}
+
 // decodeJobRecord decodes a job's record and checks that it is that of the job id.
 func decodeJobRecord(id string, value []byte) (store.JobRecord, error) {
 	var record store.JobRecord
@@ -261,7 +275,8 @@
 }
 
 // Conflict adopts a record that another controller wrote, or that this one wrote without getting the answer, and that
-// kept a record of this scheduler from being written.
+// kept a record of this scheduler from being written. It is for the committer, which reads a record after all that it has
+// written; others call AdoptJob.
 func (s *Scheduler) Conflict(key string, found *store.Item) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -279,19 +294,6 @@
 	}
 }
 
-// adoptFinalRecord drops a job that was to be accepted although it was already over. s.mu must be held.
-func (s *Scheduler) adoptFinalRecord(id string, found *store.Item) {
-	var final store.FinalRecord
-	job := s.jobs[id]
-	if json.Unmarshal(found.Value, &final) != nil || job == nil || job.accepted {
-		return
-	}
-	s.removeJob(job)
-	s.terminalStates.Remember(id, final)
-	job.notify()
-	s.dependencies.onTerminal(id, final.State)
-}
-
 // adoptJobRecord adds a job that is on record, in place of one of the same id whose record is not stored yet. Requests
 // that wait for that one then wait for this one. s.mu must be held.
 func (s *Scheduler) adoptJobRecord(jobID string, found *store.Item) {
@@ -314,7 +316,7 @@
 	if record.FinalState != "" {
 		s.markTerminalOnRecord(job)
 	}
-	s.markAccepted(jobID)
+	s.markAccepted(job)
 	if job.terminalStored {
 		s.dependencies.onTerminal(jobID, job.FinalState)
 	}
@@ -322,17 +324,16 @@
 }
 
 // markAccepted notes that a job's record is stored: users may learn of the job, and its tasks may start once its
-// dependencies are done. s.mu must be held.
-func (s *Scheduler) markAccepted(id string) {
-	job := s.jobs[id]
-	if job == nil || job.accepted {
+// dependencies are done. Another job of the same id may have taken its place meanwhile. s.mu must be held.
+func (s *Scheduler) markAccepted(job *jobState) {
+	if s.jobs[job.id] != job || job.accepted {
 		return
 	}
 	job.accepted = true
 	if job.FinalState == "" && !s.dependencies.add(job) {
 		job.makeEligible()
 	}
-	slog.Info("job accepted", "job", id, "class", job.Job.Class, "team", job.Job.Team, "tasks", job.taskCount, "cpus", job.request.CPUs,
+	slog.Info("job accepted", "job", job.id, "class", job.Job.Class, "team", job.Job.Team, "tasks", job.taskCount, "cpus", job.request.CPUs,
 		"rank", job.Job.Rank, "expect_s", job.Job.EstimateS, "due_s", job.Job.DeadlineS, "awaits", strings.Join(job.Job.Awaits, ","))
 	job.notify()
 	s.wakePlacer()
--- a/scheduler/requests.go
+++ b/scheduler/requests.go
@@ -64,13 +64,18 @@
 	s.mu.Lock()
 	job := s.jobs[submission.ID]
 	isNew := job == nil
+	if isNew && s.knowsEnd(submission.ID) {
+		s.mu.Unlock()
+		return peer.Response{}, false
+	}
 	if refusal, refused := s.refuseSubmission(submission, isNew); refused {
 		s.mu.Unlock()
 		return refusal, true
 	}
 	if isNew {
-		job = s.addJob(store.JobRecord{Job: *submission, AcceptedAt: now.UnixMilli()}, false)
-		s.records.MarkDirty(store.JobKey(submission.ID), store.Urgent, s.withLock(func() { s.markAccepted(submission.ID) }))
+		added := s.addJob(store.JobRecord{Job: *submission, AcceptedAt: now.UnixMilli()}, false)
+		job = added
+		s.records.MarkDirty(store.JobKey(submission.ID), store.Urgent, s.withLock(func() { s.markAccepted(added) }))
 	}
 	accepted, changed := job.accepted, job.changed
 	s.mu.Unlock()
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -77,6 +77,7 @@
 	jobs map[string]*jobState
 	// jobOrder lists the jobs in the order of compareJobs as of the last placement round; new ones are at the end.
 	jobOrder     []*jobState
+	archived     *archivedJobs
 	dependencies *dependencies
 	// lastAttempt and lastInstanceRequest make attempts and idempotency keys unique within the term.
 	lastAttempt         uint64
@@ -164,6 +165,7 @@
 		lastDirectContact: started,
 		machineTypes:      map[string]*api.MachineType{},
 		jobs:              map[string]*jobState{},
+		archived:          newArchivedJobs(tuning.ArchivedKept),
 		machines:          map[string]*machineState{},
 		releasedAt:        map[string]time.Time{},
 		commandsReady:     map[*machineState]bool{},
--- a/store/transaction.go
+++ b/store/transaction.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"switchferry/invariant"
 	"switchferry/tuning"
 )
 
@@ -98,6 +99,12 @@
 			transaction.records = append(transaction.records, record)
 			continue
 		}
+		if !exists && strings.HasPrefix(record.key, FinalPrefix) {
+			// Without it, the job could be accepted anew.
+			invariant.Violated("a final record is never deleted", "key", record.key, "revision", revision)
+			transaction.records = append(transaction.records, record)
+			continue
+		}
 		operation := Operation{Delete: record.key}
 		if exists {
 			encoded, err := c.encode(value)
--- a/tuning/tuning.go
+++ b/tuning/tuning.go
@@ -158,6 +158,10 @@
 	ShardMargin = 100
 	// FinalCache is the number of jobs in a terminal state that a controller keeps in memory.
 	FinalCache = 4000
+	// ArchivedKept is the number of jobs that a leader knows to have archived in its term. At the write limits of large
+	// deployments, two changes for each job, that is half a minute or more, and no read of the state service takes as long;
+	// one that does is not adopted.
+	ArchivedKept = 4000
 	// ImagesEvery is the interval of storing which machines hold which images. It is a hint for the next leader, worth
 	// few writes.
 	ImagesEvery = 8 * time.Second
