A test that fails: a dependant of a cancellation whose answer was lost is pending again

Cause: by reading. Records answer for a dependant as soon as a job that it depends on is cancelled on record; the leader looks at the dependant's own end alone until it knows that the cancellation is stored.

--- a/controller/job_end_test.go
+++ b/controller/job_end_test.go
@@ -14,7 +14,13 @@
 // statusOf is the state that a controller answers about the job run-000001, or the status code of a failure.
 func statusOf(t *testing.T, controller *Controller) any {
 	t.Helper()
-	response := controller.Handle(context.Background(), peer.Request{Verb: VerbStatus, Job: "run-000001"}, false)
+	return stateAnswered(t, controller, peer.Request{Verb: VerbStatus, Job: "run-000001"})
+}
+
+// stateAnswered is the state that a controller answers to a request about a job, or the status code of a failure.
+func stateAnswered(t *testing.T, controller *Controller, request peer.Request) any {
+	t.Helper()
+	response := controller.Handle(context.Background(), request, false)
 	var job api.JobStatus
 	if response.Status != 200 {
 		return response.Status
