One decision on what a term answers about a job, and it looks at the dependencies' ends too

Cause: records answer for a dependant as soon as a job that it depends on is cancelled on record. The leader looked at the dependant's own end alone, so a cancellation whose answer was lost made it answer pending after others had answered withdrawn. A dependency whose cancellation may be on record is a reason to read the records. Cancel answers only once the terminal state is known to be stored. explain no longer answers from memory while a job's end is under way.

--- a/scheduler/dependencies.go
+++ b/scheduler/dependencies.go
@@ -71,25 +71,42 @@
 	return true
 }
 
-// hasUnknown reports whether a dependency of a job, direct or not, has yet to be looked up: it may be cancelled, and an
-// earlier leader may have told the job's user so. Until then the records answer for the job.
-func (p *dependencies) hasUnknown(job *jobState) bool {
-	if !job.waitsForDependencies || len(p.missing) == 0 {
-		return false
+// answerBasis returns whether a job may be answered from memory as far as its dependencies go, direct or not: each of them
+// may be cancelled, and with it the job, as soon as that is on record. An earlier leader may have cancelled one that has yet
+// to be looked up, and a transaction of this one may have been executed without an answer.
+func (p *dependencies) answerBasis(job *jobState) AnswerBasis {
+	if !job.waitsForDependencies {
+		return FromMemory
 	}
+	basis := FromMemory
+	p.visitDependencies(job.id, func(dependency string) (goOn bool) {
+		other := p.scheduler.jobs[dependency]
+		switch {
+		case p.missing[dependency]:
+			basis = DependencyUnknown
+		case other != nil && other.FinalState == api.Cancelled && !other.terminalStored:
+			basis = DependencyEndUnderWay
+		}
+		return basis == FromMemory
+	})
+	return basis
+}
+
+// visitDependencies calls visit once for each job that a job depends on, directly or not, until visit returns false.
+func (p *dependencies) visitDependencies(id string, visit func(dependency string) (goOn bool)) {
 	seen := map[string]bool{}
-	for unvisited := []string{job.id}; len(unvisited) > 0; unvisited = unvisited[1:] {
+	for unvisited := []string{id}; len(unvisited) > 0; unvisited = unvisited[1:] {
 		for _, dependency := range p.graph.Dependencies(unvisited[0]) {
-			if p.missing[dependency] {
-				return true
+			if seen[dependency] {
+				continue
 			}
-			if !seen[dependency] {
-				seen[dependency] = true
-				unvisited = append(unvisited, dependency)
+			if !visit(dependency) {
+				return
 			}
+			seen[dependency] = true
+			unvisited = append(unvisited, dependency)
 		}
 	}
-	return false
 }
 
 // requestLookup asks for the final state of a dependency that this leader does not know.
--- a/scheduler/explain.go
+++ b/scheduler/explain.go
@@ -63,10 +63,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	job := s.jobs[id]
-	if !s.knowsStatus(job) || !job.terminalStored && !s.leadership.Leading() {
+	status, basis := s.answer(job)
+	if !basis.Known() {
 		return explanation, false
 	}
-	status := s.status(job)
 	explanation = api.Explanation{
 		Job:       id,
 		State:     status.State,
--- a/scheduler/requests.go
+++ b/scheduler/requests.go
@@ -28,27 +28,6 @@
 	return status
 }
 
-// JobStatus returns the status of a job in memory. It returns false if the job is not in memory, or if what is there
-// may be out of date. That is so from the decision that a job is over until its terminal state is known to be stored: a
-// transaction without an answer may have been executed, and whoever has read the record has told users of the end.
-// Whether this controller leads is checked last: the process may be paused between any two steps while another one
-// leads and cancels the job.
-func (s *Scheduler) JobStatus(id string) (api.JobStatus, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	job := s.jobs[id]
-	if !s.knowsStatus(job) {
-		return api.JobStatus{}, false
-	}
-	status := s.status(job)
-	return status, job.terminalStored || job.FinalState == "" && s.leadership.Leading()
-}
-
-// knowsStatus reports whether the status of a job, which may be nil, follows from what is in memory. s.mu must be held.
-func (s *Scheduler) knowsStatus(job *jobState) bool {
-	return job != nil && job.accepted && !s.dependencies.hasUnknown(job)
-}
-
 // HasJob reports whether an accepted job is in memory, whether or not this controller still leads.
 func (s *Scheduler) HasJob(id string) bool {
 	s.mu.Lock()
@@ -139,6 +118,9 @@
 	s.waitForSettledStarts(ctx, job)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !job.terminalStored {
+		return peer.RetryLater("the record is not stored yet"), true
+	}
 	return peer.JSONResponse(http.StatusOK, api.JobStatus{ID: jobID, State: job.FinalState, Done: job.completedCount}), true
 }
 
