Contradictions are reported, answers say what they rest on, and one function recalls a job

Change: jobstatus.Reader.Recall is the one place where a question, a submission and a look-up ask what the process knows. A final state that replaces another, an archived job's record that goes on, a start of a task whose job is over: each is logged with its evidence, counted, and neither answered nor sent. New in logs: the basis of an answer, the revision and age of a read (debug), dropped older answers (debug, counted), the records that a term read with revision and time, the term of a new leader; in the statistics answers from records, the oldest read and the violations. Where the leader knows that a job is over, it answers by the final record. Found by the new check and mended with it: a cancellation that stops its tasks one after the other sent starts of the others to the same machine.

--- a/controller/admission/service.go
+++ b/controller/admission/service.go
@@ -118,8 +118,10 @@
 // already is answered with its state.
 func (s *Service) Submit(ctx context.Context, sched *scheduler.Scheduler, body []byte) peer.Response {
 	submission, id, err := api.ParseSubmission(body)
-	if job, ok := s.recallJob(sched, id); ok {
-		return peer.JSONResponse(http.StatusOK, job)
+	if id != "" {
+		if job, ok := s.jobs.Recall(sched, id); ok {
+			return peer.JSONResponse(http.StatusOK, job)
+		}
 	}
 	verdict := submissionVerdict{status: http.StatusBadRequest, err: err}
 	if err == nil {
@@ -143,20 +145,6 @@
 	return response
 }
 
-// recallJob returns the status of a job that this process knows; ok is false if it knows none, or the id is empty.
-func (s *Service) recallJob(sched *scheduler.Scheduler, id string) (job api.JobStatus, ok bool) {
-	if id == "" {
-		return job, false
-	}
-	if final, ok := s.jobs.TerminalStates.Get(id); ok {
-		return final.JobStatus(id), true
-	}
-	if sched == nil {
-		return job, false
-	}
-	return sched.JobStatus(id)
-}
-
 // answerChangedDataset answers a submission one of whose datasets was taken off the list while it was being accepted.
 func (s *Service) answerChangedDataset(ctx context.Context, sched *scheduler.Scheduler, submission *api.Submission, body []byte) peer.Response {
 	if status, _, err := s.checkInputs(ctx, sched, submission, body); err != nil {
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -99,7 +99,7 @@
 	controller.workers = newWorkerRouter(set, clock, controller.peers)
 	controller.heartbeats = newHeartbeatMonitor(clock, set.Facts.Workers)
 	controller.agents = newAgentGateway(controller, transport)
-	controller.jobs = jobstatus.NewReader(clock, controller.client, controller.readLimiter, controller.leases.watermark)
+	controller.jobs = jobstatus.NewReader(clock, controller.client, controller.readLimiter, controller.leases.watermark, &controller.requestCounts)
 	controller.datasets = newDatasetService(controller)
 	controller.configuration = newLiveConfiguration(controller)
 	controller.submissions = admission.New(admission.Options{Settings: set, Clock: clock, Client: controller.client, Versions: controller.versions,
--- a/controller/jobstatus/reader.go
+++ b/controller/jobstatus/reader.go
@@ -8,7 +8,9 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"log/slog"
 	"net/http"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	"golang.org/x/time/rate"
@@ -18,6 +20,7 @@
 	"switchferry/peer"
 	"switchferry/scheduler"
 	"switchferry/store"
+	"switchferry/traffic"
 	"switchferry/watermark"
 )
 
@@ -31,21 +34,38 @@
 	TerminalStates TerminalStates
 	// notifications are the states that it has sent to users.
 	notifications *lookup.Notifications
+	counts        *traffic.Counter
 }
 
 // NewReader returns a reader that remembers nothing yet. The limiter bounds its reads of the state service; cancellations are what
-// is stated to the peers.
-func NewReader(clock clockwork.Clock, client *store.Client, limiter *rate.Limiter, cancellations *watermark.Tracker) *Reader {
-	j := &Reader{clock: clock, watermark: cancellations, TerminalStates: TerminalStates{lookup.NewTerminalStates(), clock, cancellations},
+// is stated to the peers, and counts takes the answers.
+func NewReader(clock clockwork.Clock, client *store.Client, limiter *rate.Limiter, cancellations *watermark.Tracker, counts *traffic.Counter) *Reader {
+	j := &Reader{clock: clock, watermark: cancellations, counts: counts, TerminalStates: TerminalStates{lookup.NewTerminalStates(), clock, cancellations},
 		notifications: lookup.NewNotifications()}
 	j.Records = &lookup.Jobs{Client: client, Recall: j.TerminalStates.Get, Remember: j.TerminalStates.Remember, Queue: lookup.NewFairQueue(clock, limiter)}
 	return j
 }
 
+// Recall returns the status of a job as this process may answer it without reading a record: the terminal state that it
+// remembers, or what the scheduler of its term says. Sched is nil without one.
+func (j *Reader) Recall(sched *scheduler.Scheduler, id string) (api.JobStatus, bool) {
+	if final, ok := j.TerminalStates.Get(id); ok {
+		return final.JobStatus(id), true
+	}
+	if sched == nil {
+		return api.JobStatus{}, false
+	}
+	status, basis := sched.Answer(id)
+	slog.Debug("answer of the term", "job", id, "state", status.State, "basis", string(basis), "term", sched.Term())
+	return status, basis.Known()
+}
+
 // AnswerStatus answers a request for a job's status from the state service. Waits is as for LookUp.
 func (j *Reader) AnswerStatus(ctx context.Context, sched *scheduler.Scheduler, id string, waits bool) peer.Response {
 	job, found, err := j.LookUp(ctx, sched, id, waits)
 	switch {
+	case errors.Is(err, ErrNotAnswerable):
+		return peer.RetryLater("the job's state is not known now")
 	case err != nil:
 		return peer.RetryLater("the state service is out of reach")
 	case !found:
@@ -78,31 +98,52 @@
 	}
 	if record.Record != nil && sched != nil {
 		outcome := sched.AdoptJob(record.Record, sentAt)
-		if job, ok := sched.JobStatus(id); ok {
+		if job, ok := j.Recall(sched, id); ok {
 			return job, true, nil
 		}
-		if err := j.checkAnswerable(id, record, outcome); err != nil {
+		if record, err = j.readNewer(ctx, id, record, outcome); err != nil {
 			return api.JobStatus{}, false, err
 		}
 	}
 	job, err := j.Records.Status(ctx, id, record, waitingUser)
+	j.noteRecordAnswer(job, record, sentAt, err)
 	return job, err == nil, err
 }
 
+// noteRecordAnswer counts and logs an answer from a record that was asked for at a time, unless there is none for the error.
+func (j *Reader) noteRecordAnswer(job api.JobStatus, record lookup.Job, sentAt time.Time, err error) {
+	if err != nil {
+		return
+	}
+	age := j.clock.Since(sentAt)
+	j.counts.AnsweredFromRecord(age)
+	revision := uint64(0)
+	if record.Record != nil {
+		revision = record.Record.Revision
+	}
+	slog.Debug("answer from a record", "job", job.ID, "state", job.State, "revision", revision, "read_ago", age)
+}
+
 // ErrNotAnswerable is returned where a record says that a job goes on and the leader knows or suspects otherwise.
 var ErrNotAnswerable = errors.New("the record does not tell the job's present state")
 
-// checkAnswerable returns ErrNotAnswerable if a record must not be answered from although it says that the job goes on:
-// the leader knows that it is over, or cannot tell.
-func (j *Reader) checkAnswerable(id string, record lookup.Job, outcome scheduler.Adoption) error {
-	if _, remembered := j.TerminalStates.Get(id); remembered || record.Final.State != "" {
-		return nil
+// readNewer returns what is to be answered from in place of a record that the leader did not adopt: the job's final record
+// if the record says that the job goes on and the leader knows that it is over, or cannot tell.
+func (j *Reader) readNewer(ctx context.Context, id string, record lookup.Job, outcome scheduler.Adoption) (lookup.Job, error) {
+	if record.Final.State != "" {
+		return record, nil
 	}
 	switch outcome {
-	case scheduler.JobEnded, scheduler.ReadOutdated, scheduler.RecordDamaged:
-		return fmt.Errorf("%w: %s", ErrNotAnswerable, outcome)
+	case scheduler.JobEnded, scheduler.ReadOutdated:
+		final, err := j.Records.ReadArchived(ctx, id)
+		if err == nil && !final.Found {
+			err = fmt.Errorf("%w: %s", ErrNotAnswerable, outcome)
+		}
+		return final, err
+	case scheduler.RecordDamaged:
+		return record, fmt.Errorf("%w: %s", ErrNotAnswerable, outcome)
 	}
-	return nil
+	return record, nil
 }
 
 // PublishAnswer states a cancellation to the peers before its user is told, and returns the answer that may be sent: a
@@ -118,8 +159,14 @@
 	if job.State == api.Cancelled {
 		j.watermark.RecordCancellation(j.clock.Now(), job.ID)
 	}
-	if newest, older := j.notifications.Newest(job); older {
+	newest, notification := j.notifications.Newest(job)
+	switch notification {
+	case lookup.Older:
+		j.counts.OlderAnswerDropped()
+		slog.Debug("older answer dropped", "job", job.ID, "found", job.State, "told", newest.State)
 		return peer.JSONResponse(http.StatusOK, newest)
+	case lookup.Contradiction:
+		return peer.RetryLater("what is known of the job contradicts itself")
 	}
 	return response
 }
--- a/controller/main_test.go
+++ b/controller/main_test.go
@@ -1,13 +1,21 @@
 package controller
 
 import (
+	"fmt"
 	"io"
 	"log/slog"
 	"os"
 	"testing"
+
+	"switchferry/invariant"
 )
 
 func TestMain(m *testing.M) {
 	slog.SetDefault(slog.New(slog.NewTextHandler(io.Discard, nil)))
-	os.Exit(m.Run())
+	code := m.Run()
+	if violations := invariant.Violations(); violations > 0 {
+		fmt.Printf("FAIL: %d contradictions were reported that no test brought about\n", violations)
+		code = 1
+	}
+	os.Exit(code)
 }
--- a/controller/routing.go
+++ b/controller/routing.go
@@ -52,8 +52,8 @@
 	case VerbRegister, VerbRemove, VerbData:
 		return c.datasets.handle(ctx, request, forwarded)
 	}
-	if final, ok := c.jobs.TerminalStates.Get(request.Job); ok && request.Verb != VerbSubmit {
-		return peer.JSONResponse(http.StatusOK, final.JobStatus(request.Job))
+	if job, ok := c.jobs.Recall(nil, request.Job); ok && request.Verb != VerbSubmit {
+		return peer.JSONResponse(http.StatusOK, job)
 	}
 	if sched := c.term.scheduler(); sched != nil {
 		return c.routeInTerm(ctx, sched, request)
@@ -79,8 +79,8 @@
 	}
 	if request.Verb == VerbSubmit {
 		_, id, _ := api.ParseSubmission(request.Body)
-		if final, ok := c.jobs.TerminalStates.Get(id); ok {
-			return peer.JSONResponse(http.StatusOK, final.JobStatus(id))
+		if job, ok := c.jobs.Recall(nil, id); ok {
+			return peer.JSONResponse(http.StatusOK, job)
 		}
 	}
 	return peer.RetryLater("the state service is out of reach")
@@ -130,10 +130,8 @@
 	case VerbSubmit:
 		return c.submissions.Submit(ctx, sched, request.Body)
 	case VerbStatus:
-		if sched != nil {
-			if job, ok := sched.JobStatus(request.Job); ok {
-				return peer.JSONResponse(http.StatusOK, job)
-			}
+		if job, ok := c.jobs.Recall(sched, request.Job); ok {
+			return peer.JSONResponse(http.StatusOK, job)
 		}
 		return c.jobs.AnswerStatus(ctx, sched, request.Job, true)
 	case VerbCancel:
--- a/controller/term_records.go
+++ b/controller/term_records.go
@@ -55,7 +55,7 @@
 // loadJobs has the scheduler take in the records of jobs, and what the last leader knew of images and replicas, which may be
 // missing. It returns the revision of the list of jobs.
 func (t *leaderTerm) loadJobs(ctx context.Context) (revision uint64, err error) {
-	client := t.controller.client
+	client, askedAt := t.controller.client, t.controller.clock.Now()
 	jobs, revision, err := client.List(ctx, store.JobPrefix)
 	if err != nil {
 		return 0, fmt.Errorf("list jobs: %w", err)
@@ -72,6 +72,7 @@
 			t.scheduler.LoadReplicaHints(replicas)
 		}
 	}
+	slog.Info("records read", "term", t.scheduler.Term(), "revision", revision, "jobs", len(jobs), "shards", len(shards), "in", t.controller.clock.Since(askedAt))
 	t.setRevisions(jobs)
 	t.setRevisions(shards)
 	t.scheduler.Load(jobs, shards)
--- a/election/election.go
+++ b/election/election.go
@@ -127,6 +127,6 @@
 	}
 	e.mu.Unlock()
 	if changed && member != "" {
-		slog.Info("leader changed", "leader", member)
+		slog.Info("leader changed", "leader", member, "term", term)
 	}
 }
--- a/internal/simulation/simulation_test.go
+++ b/internal/simulation/simulation_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"switchferry/internal/compress"
+	"switchferry/invariant"
 	"switchferry/settings"
 )
 
@@ -42,6 +43,9 @@
 func playOverloaded(t *testing.T, scenario *Scenario, pending int) (result *Result) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) { result = scenario.Run(t.Context()) })
+	if violations := invariant.TakeViolations(); violations > 0 {
+		t.Errorf("seed %d: the controllers reported %d contradictions; -logs shows them", scenario.Seed, violations)
+	}
 	for rule, n := range result.Rules {
 		t.Errorf("seed %d: %s %d times", scenario.Seed, rule, n)
 	}
--- a/lookup/lookup.go
+++ b/lookup/lookup.go
@@ -60,11 +60,11 @@
 	case !errors.Is(err, store.ErrNotFound):
 		return Job{}, fmt.Errorf("reading job %s: %w", jobID, err)
 	}
-	return j.readArchived(ctx, jobID)
+	return j.ReadArchived(ctx, jobID)
 }
 
-// readArchived reads the final record of a job, and remembers it.
-func (j *Jobs) readArchived(ctx context.Context, jobID string) (Job, error) {
+// ReadArchived reads the final record of a job, and remembers it. The errors are those of Read.
+func (j *Jobs) ReadArchived(ctx context.Context, jobID string) (Job, error) {
 	item, err := j.Client.Get(ctx, store.FinalKey(jobID))
 	switch {
 	case errors.Is(err, store.ErrNotFound):
--- a/lookup/terminal_states.go
+++ b/lookup/terminal_states.go
@@ -5,6 +5,7 @@
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
+	"switchferry/invariant"
 	"switchferry/store"
 	"switchferry/tuning"
 )
@@ -21,10 +22,14 @@
 	return &TerminalStates{records: newCache[store.FinalRecord](tuning.FinalCache)}
 }
 
-// Remember adds the final record of a job.
+// Remember adds the final record of a job. One that contradicts what is remembered is reported, and not taken in.
 func (s *TerminalStates) Remember(id string, record store.FinalRecord) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if known, ok := s.records.Peek(id); ok && known.State != record.State {
+		invariant.Violated("a terminal state does not change", "job", id, "remembered", known.State, "found", record.State)
+		return
+	}
 	s.records.Add(id, record)
 }
 
--- a/scheduler/adoption.go
+++ b/scheduler/adoption.go
@@ -97,14 +97,14 @@
 	return archived || terminal
 }
 
-// checkOutdatedRecord reports a record without a terminal state that was read after the job had been archived. s.mu must
-// be held.
+// checkOutdatedRecord reports a record without a terminal state that was read after the job had been archived. That of a
+// job that was cancelled with a dependency stays without one until it is deleted. s.mu must be held.
 func (s *Scheduler) checkOutdatedRecord(id string, found *store.Item, sentAt time.Time) {
 	archivedAt, archived := s.archived.at(id)
 	if !archived || !sentAt.After(archivedAt) {
 		return
 	}
-	if record, err := decodeJobRecord(id, found.Value); err == nil && record.FinalState == "" {
+	if record, err := decodeJobRecord(id, found.Value); err == nil && record.FinalState == "" && len(record.Job.Awaits) == 0 {
 		invariant.Violated("an archived job has no record without terminal state", "job", id, "term", s.term,
 			"revision", found.Revision, "read_at", sentAt, "archived_at", archivedAt)
 	}
--- a/scheduler/commands.go
+++ b/scheduler/commands.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"switchferry/api"
+	"switchferry/invariant"
 )
 
 // stopTask has a task stopped, with so many seconds to save its progress. A task that is being stopped already is only
@@ -86,6 +87,14 @@
 		// heartbeat proves (rule 4).
 		return false
 	}
+	if a.job.terminalStored {
+		invariant.Violated("no task of a job that is over is started", "task", a.key, "attempt", a.attempt, "machine", a.machine.Name, "state", a.job.FinalState)
+		return false
+	}
+	if a.job.FinalState != "" {
+		// Its tasks are being stopped one after the other, and each stop sends the machine its other commands.
+		return false
+	}
 	return !slices.ContainsFunc(a.victims, (*allocation).blocksSuccessor)
 }
 
--- a/scheduler/records.go
+++ b/scheduler/records.go
@@ -163,7 +163,7 @@
 	}
 	s.loaded = true
 	s.wakePlacer()
-	slog.Info("records loaded", "jobs", len(s.jobs), "damaged", len(s.damagedJobs))
+	slog.Info("records loaded", "term", s.term, "jobs", len(s.jobs), "damaged", len(s.damagedJobs))
 }
 
 // loadJobs adds the jobs on record. s.mu must be held.
--- a/traffic/traffic.go
+++ b/traffic/traffic.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+
+	"switchferry/invariant"
 )
 
 // Counts are users' requests since the counts were last taken.
@@ -18,6 +20,12 @@
 	StateQueries, OtherRequests, Refused int
 	// LeaderBypassed is how often a request was handled without the leader, as it did not answer.
 	LeaderBypassed int
+	// OlderAnswers are answers that were not sent since their user had been told of the job's end.
+	OlderAnswers int
+	// RecordAnswers are answers from a record of the state service; OldestRead is how long before its answer the oldest of
+	// these records was asked for.
+	RecordAnswers int
+	OldestRead    time.Duration
 }
 
 // Counter counts requests. The zero value is ready for use. It is safe for concurrent use.
@@ -48,6 +56,21 @@
 	c.current.LeaderBypassed++
 }
 
+// OlderAnswerDropped counts an answer that was not sent since its user had been told of the job's end.
+func (c *Counter) OlderAnswerDropped() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.current.OlderAnswers++
+}
+
+// AnsweredFromRecord counts an answer from a record that was asked for so long before.
+func (c *Counter) AnsweredFromRecord(age time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.current.RecordAnswers++
+	c.current.OldestRead = max(c.current.OldestRead, age)
+}
+
 // Take returns the counts and resets them.
 func (c *Counter) Take() Counts {
 	c.mu.Lock()
@@ -66,7 +89,9 @@
 		case <-clock.After(every):
 		}
 		if counts := c.Take(); counts != (Counts{}) {
-			slog.Info("request statistics", "questions", counts.StateQueries, "other_requests", counts.OtherRequests, "refused", counts.Refused, "leader_silent", counts.LeaderBypassed)
+			slog.Info("request statistics", "questions", counts.StateQueries, "other_requests", counts.OtherRequests, "refused", counts.Refused, "leader_silent", counts.LeaderBypassed,
+				"older_answers", counts.OlderAnswers, "from_records", counts.RecordAnswers, "oldest_read_ms", counts.OldestRead.Milliseconds(),
+				"invariant_violations", invariant.Violations())
 		}
 	}
 }
--- a/traffic/traffic_test.go
+++ b/traffic/traffic_test.go
@@ -1,6 +1,9 @@
 package traffic
 
-import "testing"
+import (
+	"testing"
+	"time"
+)
 
 func TestTakeReturnsCountsSinceLastTaken(t *testing.T) {
 	var counter Counter
@@ -8,7 +11,10 @@
 	counter.Add(true, true)
 	counter.Add(false, true)
 	counter.LeaderBypassed()
-	want := Counts{StateQueries: 2, OtherRequests: 1, Refused: 2, LeaderBypassed: 1}
+	counter.OlderAnswerDropped()
+	counter.AnsweredFromRecord(time.Second)
+	counter.AnsweredFromRecord(time.Millisecond)
+	want := Counts{StateQueries: 2, OtherRequests: 1, Refused: 2, LeaderBypassed: 1, OlderAnswers: 1, RecordAnswers: 2, OldestRead: time.Second}
 	if got := counter.Take(); got != want {
 		t.Errorf("counts %+v, want %+v", got, want)
 	}
