experiment soak: random faults on real processes, and an audit of questions with their times

Cause: nothing played random faults against real processes; the audit of the scale run judged answers without when they were asked. Change: experiment/soak draws a schedule from a seed and plays kills, pauses, cuts, refusals, outages, slow and lost answers, late writes, heartbeats and commands, deaf, mute, hung and restarted workers, and waves of cancellations, while users submit also pipelines, ask, repeat and cancel at all controllers. internal/cluster has the faults, and its audit judges each question by when it was asked and answered: also invented, too_early, orphaned, and cancelled without a request. The test of the audit in experiment is replaced by one in internal/cluster with each rule broken alone, and histories that break none. The help of experiment has the new command (golden file cli/help.txt).

--- a/cli/experiment.go
+++ b/cli/experiment.go
@@ -23,7 +23,7 @@
 	cmd := &cobra.Command{Use: "experiment", Short: "Play workloads on this machine and measure them"}
 	cmd.AddCommand(
 		localityExperiment(), recoveryExperiment(), orderExperiment(), topologyExperiment(), upgradeExperiment(),
-		handoverExperiment(), gapsExperiment(), dayEndExperiment(), scaleExperiment(),
+		handoverExperiment(), gapsExperiment(), dayEndExperiment(), scaleExperiment(), soakExperiment(),
 	)
 	return cmd
 }
@@ -40,6 +40,8 @@
 	run func(ctx context.Context) (R, error)
 	// draw fills a table with the result.
 	draw func(result R, writer table.Writer)
+	// failure returns why the command fails in spite of a result, which is printed before; it may be nil.
+	failure func(result R) error
 }
 
 // newExperiment makes a command run an experiment and print its result as a table or as JSON.
@@ -73,11 +75,17 @@
 	if asJSON {
 		encoder := json.NewEncoder(cmd.OutOrStdout())
 		encoder.SetIndent("", "  ")
-		return encoder.Encode(result)
+		if err := encoder.Encode(result); err != nil {
+			return err
+		}
+	} else {
+		writer := newTable(cmd.OutOrStdout())
+		spec.draw(result, writer)
+		writer.Render()
+	}
+	if spec.failure != nil {
+		return withExitCode(ExitFailed, spec.failure(result))
 	}
-	writer := newTable(cmd.OutOrStdout())
-	spec.draw(result, writer)
-	writer.Render()
 	return nil
 }
 
--- a/experiment/population.go
+++ b/experiment/population.go
@@ -145,10 +145,10 @@
 		return false
 	}
 	for began := time.Now(); time.Since(began) < submitsFor; {
+		askedAt := time.Now()
 		status, answer := p.ask(ctx, callPatience, http.MethodPost, "/submissions", body)
 		if status == http.StatusCreated || status == http.StatusOK {
-			p.audit.Accept(job.ID)
-			p.audit.Answered(job.ID, true, answer.State)
+			p.judge(cluster.AskSubmit, job.ID, askedAt, status, answer.State)
 			p.note(func() { _ = p.submissions.RecordValue(max(1, time.Since(began).Milliseconds())) })
 			return true
 		}
@@ -161,23 +161,31 @@
 }
 
 func (p *population) cancel(ctx context.Context, id string) bool {
+	p.audit.CancelRequested(id)
+	askedAt := time.Now()
 	status, answer := p.ask(ctx, callPatience, http.MethodPost, "/submissions/"+id+"/cancel", nil)
 	if status != http.StatusOK {
 		return false
 	}
-	p.audit.Answered(id, true, answer.State)
+	p.judge(cluster.AskCancel, id, askedAt, status, answer.State)
 	return true
 }
 
+// judge has the audit check an answer; it reports whether the job is over.
+func (p *population) judge(kind cluster.QuestionKind, id string, askedAt time.Time, status int, state string) (over bool) {
+	return p.audit.Judge(cluster.Question{Job: id, Kind: kind, AskedAt: askedAt, AnsweredAt: time.Now(), Status: status, State: state})
+}
+
 // poll asks once; true: the job is over.
 func (p *population) poll(ctx context.Context, id string) bool {
+	askedAt := time.Now()
 	status, answer := p.ask(ctx, pollPatience, http.MethodGet, "/submissions/"+id, nil)
 	p.note(func() { p.polls++ })
 	if status != http.StatusOK && status != http.StatusNotFound {
 		p.note(func() { p.failed++ })
 		return false
 	}
-	over := p.audit.Answered(id, status == http.StatusOK, answer.State)
+	over := p.judge(cluster.AskStatus, id, askedAt, status, answer.State)
 	if over && answer.State == api.Done {
 		p.audit.Jobs(func(j *cluster.AuditedJob) {
 			if at := j.Finished(); j.ID == id && !at.IsZero() {
--- a/experiment/scale_test.go
+++ b/experiment/scale_test.go
@@ -9,8 +9,6 @@
 	"testing"
 	"time"
 
-	"switchferry/api"
-	"switchferry/internal/cluster"
 	"switchferry/settings"
 )
 
@@ -63,28 +61,3 @@
 		}
 	}
 }
-
-// The audit finds each rule broken that hollow workers and users can see.
-func TestAuditFindsBrokenRules(t *testing.T) {
-	a := cluster.NewAudit([]settings.Team{{Name: "t", CPUsMax: 3}}, settings.Workers{CancelS: 0.001})
-	job := func(id string) { a.Submit(api.Submission{ID: id, Team: "t", Tasks: 2, CPUs: 2}); a.Accept(id) }
-	for _, id := range []string{"run-1", "run-2", "run-3"} {
-		job(id)
-	}
-	a.Started("run-1/0", "m1", 1)
-	a.Started("run-1/0", "m2", 1) // twice, and 4 of 3 processors
-	a.Ended("run-1/0", "m2", true)
-	a.Answered("run-1", true, api.Done) // one of two tasks
-	a.Answered("run-1", true, api.Pending)
-	a.Answered("run-2", true, api.Cancelled)
-	time.Sleep(2 * time.Millisecond)
-	a.Started("run-2/0", "m1", 1)
-	a.Sweep()
-	a.Answered("run-3", false, "")
-	broken, why := a.Broken()
-	for rule, want := range map[string]int{cluster.RanTwice: 1, cluster.OverQuota: 2, cluster.NotDone: 1, cluster.WentBack: 1, cluster.RanCancelled: 2, cluster.Forgotten: 1} {
-		if broken[rule] != want {
-			t.Errorf("%s %d times, want %d: %v", rule, broken[rule], want, why)
-		}
-	}
-}
--- /dev/null
+++ b/experiment/soak/faults.go
@@ -0,0 +1,229 @@
+package soak
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"switchferry/internal/cluster"
+)
+
+// Strengths of faults.
+const (
+	slowUpTo         = 1200 * time.Millisecond
+	lostAnswerShare  = 0.3
+	lateWriteShare   = 0.2
+	messageShare     = 0.25
+	workersMet       = 5 // one in so many
+	seriesInterval   = 1500 * time.Millisecond
+	seriesDowntime   = 300 * time.Millisecond
+	jobsOfCancelWave = 12
+)
+
+// injector brings the faults of a schedule about. Faults that overlap add up.
+type injector struct {
+	cluster *cluster.Cluster
+	program string
+	users   *users
+
+	// mu guards active, the faults under way with the controller that each meets.
+	mu     sync.Mutex
+	active map[*Fault]int
+}
+
+func newInjector(run *cluster.Cluster, program string, users *users) *injector {
+	return &injector{cluster: run, program: program, users: users, active: map[*Fault]int{}}
+}
+
+// play plays a schedule until all its faults are over or ctx ends; then everything is in order again.
+func (in *injector) play(ctx context.Context, faults []Fault) {
+	began := time.Now()
+	var playing sync.WaitGroup
+	for i := range faults {
+		if !sleep(ctx, time.Until(began.Add(faults[i].At))) {
+			break
+		}
+		playing.Go(func() { in.playOne(ctx, &faults[i]) })
+	}
+	playing.Wait()
+	in.restore()
+}
+
+// restore ends whatever is wrong and starts the controllers that do not run.
+func (in *injector) restore() {
+	in.mu.Lock()
+	clear(in.active)
+	in.mu.Unlock()
+	in.apply()
+	for _, controller := range in.cluster.Controllers {
+		controller.Resume()
+		_ = controller.Start(in.program) // It may run.
+	}
+	for _, worker := range in.cluster.Workers() {
+		worker.LoseOneWay(false, false)
+		worker.Hang(false)
+	}
+}
+
+// playOne brings one fault about and ends it.
+func (in *injector) playOne(ctx context.Context, fault *Fault) {
+	target := in.target(fault)
+	switch fault.Kind {
+	case Kill:
+		in.kill(ctx, []*cluster.Controller{in.cluster.Controllers[target]}, fault.For)
+	case KillAll:
+		in.kill(ctx, in.cluster.Controllers, fault.For)
+	case KillSeries:
+		in.killSeries(ctx, fault)
+	case Pause:
+		in.cluster.Controllers[target].Pause()
+		sleep(ctx, fault.For)
+		in.cluster.Controllers[target].Resume()
+	case DeafWorkers, MuteWorkers, RestartedWorkers, HungWorkers:
+		in.meetWorkers(ctx, fault)
+	case CancelWave:
+		in.users.cancelMany(ctx, jobsOfCancelWave)
+	case RefusedThenOutage:
+		half := *fault
+		half.Kind, half.For = Refused, fault.For/2
+		in.hold(ctx, &half, target)
+		half.Kind = Outage
+		in.hold(ctx, &half, target)
+	default:
+		in.hold(ctx, fault, target)
+	}
+}
+
+// target returns the number of the controller that a fault meets.
+func (in *injector) target(fault *Fault) int {
+	if fault.Target != TheLeader {
+		return int(fault.Target)
+	}
+	if leader := in.cluster.Leader(); leader != nil {
+		return slices.Index(in.cluster.Controllers, leader)
+	}
+	return rand.IntN(len(in.cluster.Controllers))
+}
+
+// kill ends controllers and starts them again after a time.
+func (in *injector) kill(ctx context.Context, controllers []*cluster.Controller, downtime time.Duration) {
+	for _, controller := range controllers {
+		controller.Kill()
+	}
+	sleep(ctx, downtime)
+	for _, controller := range controllers {
+		_ = controller.Start(in.program) // Another fault may have started it.
+	}
+}
+
+// killSeries ends one leader after the other.
+func (in *injector) killSeries(ctx context.Context, fault *Fault) {
+	for end := time.Now().Add(fault.For); time.Now().Before(end) && ctx.Err() == nil; {
+		in.kill(ctx, []*cluster.Controller{in.cluster.Controllers[in.target(&Fault{Target: TheLeader})]}, seriesDowntime)
+		sleep(ctx, seriesInterval)
+	}
+}
+
+// meetWorkers has some workers lose messages, begin anew or hang.
+func (in *injector) meetWorkers(ctx context.Context, fault *Fault) {
+	workers := in.cluster.Workers()
+	rand.Shuffle(len(workers), func(i, j int) { workers[i], workers[j] = workers[j], workers[i] })
+	met := workers[:1+len(workers)/workersMet]
+	for _, worker := range met {
+		switch fault.Kind {
+		case RestartedWorkers:
+			worker.Restart()
+		case HungWorkers:
+			worker.Hang(true)
+		default:
+			worker.LoseOneWay(fault.Kind == MuteWorkers, fault.Kind == DeafWorkers)
+		}
+	}
+	sleep(ctx, fault.For)
+	for _, worker := range met {
+		worker.LoseOneWay(false, false)
+		worker.Hang(false)
+	}
+}
+
+// hold keeps a fault of the ways between processes up while it lasts.
+func (in *injector) hold(ctx context.Context, fault *Fault, target int) {
+	in.mu.Lock()
+	in.active[fault] = target
+	in.mu.Unlock()
+	in.apply()
+	sleep(ctx, fault.For)
+	in.mu.Lock()
+	delete(in.active, fault)
+	in.mu.Unlock()
+	in.apply()
+}
+
+// apply sets the ways between processes to the sum of the faults under way.
+func (in *injector) apply() {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	state := make([]cluster.StateFaults, len(in.cluster.Controllers))
+	alone := make([]bool, len(in.cluster.Controllers))
+	var messages cluster.MessageFaults
+	outage := false
+	for fault, target := range in.active {
+		switch fault.Kind {
+		case CutFromState:
+			state[target].Silent = true
+		case CutFromPeers:
+			alone[target] = true
+		case CutFromBoth:
+			state[target].Silent, alone[target] = true, true
+		case Refused:
+			state[target].Refused = true
+		case Outage:
+			outage = true
+		case LostHeartbeats:
+			messages.LostHeartbeats = messageShare
+		case RepeatedHeartbeats:
+			messages.RepeatedHeartbeats = messageShare
+		case LateCommands:
+			messages.LateCommands = messageShare
+		case SlowState, LostAnswers, LateWrites:
+			for number := range state {
+				addStateFault(&state[number], fault.Kind)
+			}
+		}
+	}
+	in.cluster.State.Outage(outage)
+	in.cluster.SetMessageFaults(messages)
+	for number, controller := range in.cluster.Controllers {
+		in.cluster.SetStateFaults(controller.Settings.Member, state[number])
+		for other := range number {
+			in.cluster.CutPeers(controller.Settings.Member, in.cluster.Controllers[other].Settings.Member, alone[number] || alone[other])
+		}
+	}
+}
+
+// addStateFault adds a fault that meets the ways of all controllers to the state service.
+func addStateFault(faults *cluster.StateFaults, kind Kind) {
+	switch kind {
+	case SlowState:
+		faults.SlowUpTo = slowUpTo
+	case LostAnswers:
+		faults.LostAnswers = lostAnswerShare
+	case LateWrites:
+		faults.LateWrites = lateWriteShare
+	}
+}
+
+// sleep waits; it reports false if the context ended before.
+func sleep(ctx context.Context, duration time.Duration) bool {
+	if duration <= 0 {
+		return ctx.Err() == nil
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(duration):
+		return true
+	}
+}
--- /dev/null
+++ b/experiment/soak/schedule_test.go
@@ -0,0 +1,48 @@
+package soak
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+func TestScheduleFollowsFromTheSeed(t *testing.T) {
+	const duration = 30 * time.Second
+	if !slices.Equal(Draw(7, Kinds(), controllers, duration), Draw(7, Kinds(), controllers, duration)) {
+		t.Error("one seed draws two schedules")
+	}
+	if slices.Equal(Draw(7, Kinds(), controllers, duration), Draw(8, Kinds(), controllers, duration)) {
+		t.Error("two seeds draw one schedule")
+	}
+}
+
+func TestFaultsOverlapAndEndInTime(t *testing.T) {
+	const duration = 30 * time.Second
+	overlaps, seen := 0, map[Kind]bool{}
+	for seed := range uint64(50) {
+		faults := Draw(seed, Kinds(), controllers, duration)
+		for i, fault := range faults {
+			seen[fault.Kind] = true
+			if fault.At < quietStart || fault.End() > duration || fault.For < durations[fault.Kind].shortest {
+				t.Fatalf("seed %d: %s", seed, fault)
+			}
+			if i > 0 && faults[i-1].End() > fault.At {
+				overlaps++
+			}
+		}
+	}
+	if len(seen) != len(Kinds()) {
+		t.Errorf("%d of %d kinds in 50 schedules", len(seen), len(Kinds()))
+	}
+	if overlaps < 200 {
+		t.Errorf("%d overlaps in 50 schedules", overlaps)
+	}
+}
+
+func TestScheduleHasOnlyTheKindsAskedFor(t *testing.T) {
+	for _, fault := range Draw(3, []Kind{SlowState, Kill}, controllers, time.Minute) {
+		if fault.Kind != SlowState && fault.Kind != Kill {
+			t.Errorf("%s", fault)
+		}
+	}
+}
--- /dev/null
+++ b/experiment/soak/soak_test.go
@@ -0,0 +1,94 @@
+package soak
+
+import (
+	"context"
+	"errors"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+// buildProgram builds the program of this repository.
+func buildProgram(t *testing.T) string {
+	t.Helper()
+	program := filepath.Join(t.TempDir(), "switchferry")
+	if out, err := exec.CommandContext(t.Context(), "go", "build", "-o", program, "../../cmd/switchferry").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	return program
+}
+
+// Random faults with fixed seeds on real processes break no rule, no controller contradicts itself, and no process is left.
+func TestRandomFaultsBreakNoRule(t *testing.T) {
+	if raceDetector {
+		t.Skip("the processes are built without the race detector, so it would see the same run again")
+	}
+	options := Defaults()
+	options.Program, options.Seeds, options.ForS, options.AtOnce, options.LogDir = buildProgram(t), 3, 20, 3, t.TempDir()
+	options.Progress = t.Logf
+	ctx, stop := context.WithTimeout(t.Context(), 4*time.Minute)
+	defer stop()
+	result, err := options.Play(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, run := range result.Runs {
+		if run.Failed() || run.Vacuous != "" {
+			t.Errorf("seed %d: broken %v, %d contradictions, %q: %v", run.Seed, run.Broken, run.Contradictions, run.Vacuous, run.Why)
+			printLogs(t, run.Logs)
+		}
+	}
+	if out, err := exec.CommandContext(t.Context(), "pgrep", "-f", options.Program).Output(); err == nil && len(out) > 0 {
+		t.Errorf("processes are left: %s", out)
+	}
+}
+
+// printLogs prints the end of each log of a run that broke something, as a test's directory does not outlive it.
+func printLogs(t *testing.T, directory string) {
+	t.Helper()
+	const mostBytes = 20_000
+	files, _ := filepath.Glob(filepath.Join(directory, "*.log"))
+	for _, file := range files {
+		raw, err := os.ReadFile(file)
+		if err != nil {
+			t.Error(err)
+		}
+		t.Logf("%s: %s", file, raw[max(0, len(raw)-mostBytes):])
+	}
+}
+
+func TestOptionsNameWhatIsWrong(t *testing.T) {
+	cases := []struct {
+		want   error
+		change func(o *Options)
+	}{
+		{ErrSeeds, func(o *Options) { o.Seeds = 0 }},
+		{ErrWorkers, func(o *Options) { o.Workers = 100_000 }},
+		{ErrFor, func(o *Options) { o.ForS = 0 }},
+		{ErrAtOnce, func(o *Options) { o.AtOnce = 99 }},
+		{ErrKind, func(o *Options) { o.Kinds = []string{"flood"} }},
+		{ErrProgram, func(o *Options) { o.Program = "/nonexistent" }},
+	}
+	for _, tc := range cases {
+		options := Defaults()
+		options.Program, _ = os.Executable()
+		tc.change(options)
+		if _, err := options.Play(t.Context()); !errors.Is(err, tc.want) {
+			t.Errorf("%v, want %v", err, tc.want)
+		}
+	}
+}
+
+func TestContradictionsAreCountedInAllLogs(t *testing.T) {
+	directory := t.TempDir()
+	for name, text := range map[string]string{"n0.log": "msg=\"invariant violated\" a\nmsg=\"invariant violated\" b\n", "n1.log": "msg=elected\n", "n2.log": "msg=\"invariant violated\" c\n"} {
+		if err := os.WriteFile(filepath.Join(directory, name), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got := countContradictions(directory); got != 3 {
+		t.Errorf("%d contradictions, want 3", got)
+	}
+}
--- a/internal/cluster/agent.go
+++ b/internal/cluster/agent.go
@@ -44,7 +44,7 @@
 func (cluster *Cluster) StartAgents(program string, n int) ([]*Agent, error) {
 	arguments := []string{"stager", "--store", cluster.datasetStore, "--cache", "1GB"}
 	for _, controller := range cluster.Controllers {
-		link, err := cluster.newLink(controller.Settings.Listen, "agents to "+controller.Settings.Member, RegionalServices, RegionalServices)
+		link, err := cluster.newLink(peerLink{target: controller.Settings.Listen, kind: "agents to " + controller.Settings.Member})
 		if err != nil {
 			return nil, err
 		}
--- a/internal/cluster/audit.go
+++ b/internal/cluster/audit.go
@@ -20,6 +20,9 @@
 	NotDone      = "not_done"
 	WentBack     = "went_back"
 	Forgotten    = "forgotten"
+	Invented     = "invented"
+	TooEarly     = "too_early"
+	Orphaned     = "orphaned"
 )
 
 // Audit records what runs where and what users were told, and checks it against the protocol's rules. It is safe for
@@ -33,11 +36,13 @@
 	jobs          map[string]*AuditedJob
 	machineByTask map[string]string // task -> machine
 	// startedAt is when each task last started; terms when a leader's first start came, by its term.
-	startedAt    map[string]time.Time
-	firstStarts  map[uint64]time.Time
-	starts       int
-	violations   map[string]int
-	explanations []string
+	startedAt   map[string]time.Time
+	firstStarts map[uint64]time.Time
+	starts      int
+	violations  map[string]int
+	// questions, answers, crossed and told are the fields of AuditCounts.
+	questions, answers, crossed, told int
+	explanations                      []string
 }
 
 // AuditedJob is a job as its user knows it.
@@ -51,6 +56,10 @@
 	// Told is the final state that its user was told, at ToldAt.
 	Told   string
 	ToldAt time.Time
+	// AnsweredAt is when a question about it was last answered.
+	AnsweredAt time.Time
+	// cancelRequested is set before its user first asks for its cancellation.
+	cancelRequested bool
 
 	startedTasks, doneTasks map[string]bool
 	finished                time.Time
@@ -84,27 +93,13 @@
 	audit.jobs[jobID].Accepted = time.Now()
 }
 
-// Answered records the state of a job that its user was told, or that it is unknown. It reports whether the job is over.
-func (audit *Audit) Answered(jobID string, found bool, state string) (over bool) {
-	audit.mu.Lock()
-	defer audit.mu.Unlock()
-	job := audit.jobs[jobID]
-	switch {
-	case !found:
-		audit.recordViolation(Forgotten, "%s: no such job", jobID)
-		return false
-	case job.Told != "" && state != job.Told:
-		audit.recordViolation(WentBack, "%s was %s, now %s", jobID, job.Told, state)
-	case state == api.Done && job.Done < job.Tasks:
-		audit.recordViolation(NotDone, "%s with %d of %d tasks done", jobID, job.Done, job.Tasks)
-	}
-	if state != api.Done && state != api.Cancelled {
-		return false
-	}
-	if job.Told == "" {
-		job.Told, job.ToldAt = state, time.Now()
+// checkDependencies checks that the jobs that a started task's job awaits are done; mu is held.
+func (audit *Audit) checkDependencies(job *AuditedJob, task string) {
+	for _, id := range job.Awaits {
+		if awaited := audit.jobs[id]; awaited != nil && awaited.Done < awaited.Tasks {
+			audit.recordViolation(TooEarly, "%s before %s, of which %d of %d tasks are done", task, id, awaited.Done, awaited.Tasks)
+		}
 	}
-	return true
 }
 
 // Started records that a machine started a task under a leader's term, and checks that it may.
@@ -125,6 +120,7 @@
 	if job == nil {
 		return
 	}
+	audit.checkDependencies(job, task)
 	audit.usage[job.Team] += job.CPUs
 	if limit, ok := audit.limits[job.Team]; ok && audit.usage[job.Team] > limit+1e-6 {
 		audit.recordViolation(OverQuota, "%s: %s uses %g of %g", task, job.Team, audit.usage[job.Team], limit)
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -68,8 +68,11 @@
 	Controllers []*Controller
 	Traffic     *Traffic
 	network     *zoneNetwork
-	http        *http.Client
-	cleanup     []func()
+	messages    messageFaults
+	// stateLinks are the controllers' ways to the state service, by member.
+	stateLinks map[string]*stateLink
+	http       *http.Client
+	cleanup    []func()
 	// datasetStore is the base URL of the store of datasets, and features the text of the features file; both may be empty.
 	datasetStore, features string
 
@@ -100,7 +103,7 @@
 	facts := options.Facts
 	cluster := &Cluster{options: options, dir: dir, clock: clock, ctx: ctx, stop: stop, State: fake.NewState(clock),
 		Cloud: fake.NewCloud(clock, []api.MachineType{options.Type}, facts.Cloud.RPS), Traffic: newTraffic(), network: newNetwork(),
-		http: &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64}}, workers: map[string]*Worker{}, zonesByTerm: map[uint64]string{},
+		http: &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64}}, workers: map[string]*Worker{}, stateLinks: map[string]*stateLink{}, zonesByTerm: map[uint64]string{},
 		Returned: func(*Worker, int) {}}
 	cluster.cleanup = append(cluster.cleanup, func() { _ = os.RemoveAll(dir) })
 	cluster.State.Limit(fake.Limits{RPS: facts.State.RPS, WriteRPS: facts.State.WriteRPS, ValueKB: facts.State.ValueKB, TxnOps: facts.State.TxnOps})
@@ -146,13 +149,13 @@
 			if j == index {
 				continue
 			}
-			link, err := cluster.newLink(free[2*j+1], fmt.Sprintf("siblings of %s", name(index)), zone, other)
+			link, err := cluster.newLink(peerLink{target: free[2*j+1], kind: fmt.Sprintf("siblings of %s", name(index)), fromZone: zone, toZone: other, fromMember: name(index), toMember: name(j)})
 			if err != nil {
 				return err
 			}
 			set.Peers = append(set.Peers, settings.Peer{Member: name(j), Zone: other, Address: link})
 		}
-		if set.External.State, err = cluster.serveRegional(cluster.State, "state", name(index), zone); err != nil {
+		if set.External.State, err = cluster.serveRegional(cluster.newStateLinkOf(name(index)), "state", name(index), zone); err != nil {
 			return err
 		}
 		if set.External.Cloud, err = cluster.serveRegional(cluster.Cloud, "cloud", name(index), zone); err != nil {
@@ -170,6 +173,13 @@
 	return nil
 }
 
+// newStateLinkOf returns the way to the state service of a controller.
+func (cluster *Cluster) newStateLinkOf(member string) *stateLink {
+	link := newStateLink(cluster.ctx, cluster.State)
+	cluster.stateLinks[member] = link
+	return link
+}
+
 func (cluster *Cluster) settingsFile(member string) string {
 	return filepath.Join(cluster.dir, member+".toml")
 }
@@ -238,6 +248,21 @@
 	controller.command = nil
 }
 
+// Pause suspends the process, whose clocks run on; Resume lets it go on.
+func (controller *Controller) Pause() { controller.signal(syscall.SIGSTOP) }
+
+// Resume ends Pause.
+func (controller *Controller) Resume() { controller.signal(syscall.SIGCONT) }
+
+// signal sends the process a signal, if there is one.
+func (controller *Controller) signal(signal os.Signal) {
+	controller.mu.Lock()
+	defer controller.mu.Unlock()
+	if controller.command != nil {
+		_ = controller.command.Process.Signal(signal)
+	}
+}
+
 // PID is the process's number, 0 if none runs.
 func (controller *Controller) PID() int {
 	controller.mu.Lock()
--- a/internal/cluster/network.go
+++ b/internal/cluster/network.go
@@ -20,19 +20,38 @@
 	mu sync.Mutex
 	// isolatedZones reach each other, but no other zone and no service; empty if nothing is cut off.
 	isolatedZones []string
+	// cutMembers are pairs of controllers that do not reach each other, in both orders.
+	cutMembers map[[2]string]bool
 	// changed is closed and replaced with each change.
 	changed chan struct{}
 }
 
-func newNetwork() *zoneNetwork { return &zoneNetwork{changed: make(chan struct{})} }
+func newNetwork() *zoneNetwork {
+	return &zoneNetwork{cutMembers: map[[2]string]bool{}, changed: make(chan struct{})}
+}
 
 // Isolate cuts some zones, which go on reaching each other, off from everything else; without any it ends that.
 func (cluster *Cluster) Isolate(zones ...string) {
 	cluster.network.mu.Lock()
 	defer cluster.network.mu.Unlock()
 	cluster.network.isolatedZones = zones
-	close(cluster.network.changed)
-	cluster.network.changed = make(chan struct{})
+	cluster.network.notifyChange()
+}
+
+// CutPeers cuts two controllers off from each other, or ends that. Nothing else is cut.
+func (cluster *Cluster) CutPeers(member, other string, cut bool) {
+	cluster.network.mu.Lock()
+	defer cluster.network.mu.Unlock()
+	for _, pair := range [][2]string{{member, other}, {other, member}} {
+		cluster.network.cutMembers[pair] = cut
+	}
+	cluster.network.notifyChange()
+}
+
+// notifyChange wakes who waits for a cut to end; mu is held.
+func (network *zoneNetwork) notifyChange() {
+	close(network.changed)
+	network.changed = make(chan struct{})
 }
 
 // blocked reports whether two places are cut off from each other, and returns a channel that is closed when that may have
@@ -58,9 +77,33 @@
 	}
 }
 
-// newLink opens a port through which a controller in zone from reaches one in zone to; what a cut holds up is
-// delivered after it.
-func (cluster *Cluster) newLink(target, kind, fromZone, toZone string) (address string, err error) {
+// peerLink is the way from one controller to another one, which listens at target. Kind is what its traffic counts as.
+type peerLink struct {
+	target, kind         string
+	fromZone, toZone     string
+	fromMember, toMember string
+}
+
+// await waits until both ends of a link reach each other. It reports false if ctx ended before.
+func (network *zoneNetwork) await(ctx context.Context, link peerLink) bool {
+	for network.wait(ctx, link.fromZone, link.toZone) {
+		network.mu.Lock()
+		cut, changed := network.cutMembers[[2]string{link.fromMember, link.toMember}], network.changed
+		network.mu.Unlock()
+		if !cut {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-changed:
+		}
+	}
+	return false
+}
+
+// newLink opens a port through which a controller reaches another one; what a cut holds up is delivered after it.
+func (cluster *Cluster) newLink(link peerLink) (address string, err error) {
 	listener, err := listenLoopback(cluster.ctx)
 	if err != nil {
 		return "", err
@@ -72,21 +115,21 @@
 			if err != nil {
 				return
 			}
-			go cluster.forward(conn, target, kind, fromZone, toZone)
+			go cluster.forward(conn, link)
 		}
 	}()
 	return listener.Addr().String(), nil
 }
 
-// forward connects a connection with a target, delays what is sent while the zones are cut off from each other, and counts
-// the bytes of each direction.
-func (cluster *Cluster) forward(inbound net.Conn, target, kind, fromZone, toZone string) {
+// forward connects a connection with a link's target, delays what is sent while the ends are cut off from each other, and
+// counts the bytes of each direction.
+func (cluster *Cluster) forward(inbound net.Conn, link peerLink) {
 	defer closeQuietly(inbound)
-	if !cluster.network.wait(cluster.ctx, fromZone, toZone) {
+	if !cluster.network.await(cluster.ctx, link) {
 		return
 	}
 	dialer := net.Dialer{Timeout: time.Second}
-	outbound, err := dialer.DialContext(cluster.ctx, "tcp4", target)
+	outbound, err := dialer.DialContext(cluster.ctx, "tcp4", link.target)
 	if err != nil {
 		return
 	}
@@ -99,8 +142,8 @@
 		for {
 			n, err := out.Read(buffer)
 			if n > 0 {
-				cluster.Traffic.Add(kind+direction, n)
-				if !cluster.network.wait(cluster.ctx, fromZone, toZone) {
+				cluster.Traffic.Add(link.kind+direction, n)
+				if !cluster.network.await(cluster.ctx, link) {
 					return
 				}
 				if _, err := into.Write(buffer[:n]); err != nil {
--- a/internal/cluster/worker.go
+++ b/internal/cluster/worker.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -21,10 +22,11 @@
 	stop    context.CancelFunc
 	client  *http.Client
 
-	// mu guards lost, whether the worker is cut off, and changed, which is closed and replaced with each change.
-	mu      sync.Mutex
-	lost    bool
-	changed chan struct{}
+	// mu guards the fields below: whether heartbeats of the worker are lost, whether answers and commands to it are, and
+	// changed, which is closed and replaced with each change.
+	mu         sync.Mutex
+	mute, deaf bool
+	changed    chan struct{}
 }
 
 // AddWorkers starts n machines, spread evenly over the zones.
@@ -124,25 +126,42 @@
 	}
 	worker.stop()
 	_, _, _, running := worker.Seen()
+	// Commands that come after this are of another incarnation.
 	worker.Restart()
 	cluster.Returned(worker, running)
 }
 
 // Lose cuts the worker off in both directions, or ends that.
-func (worker *Worker) Lose(on bool) {
+func (worker *Worker) Lose(on bool) { worker.LoseOneWay(on, on) }
+
+// LoseOneWay has the worker's heartbeats lost, if it is mute, and answers and commands to it, if it is deaf.
+func (worker *Worker) LoseOneWay(mute, deaf bool) {
 	worker.mu.Lock()
 	defer worker.mu.Unlock()
-	worker.lost = on
+	worker.mute, worker.deaf = mute, deaf
 	close(worker.changed)
 	worker.changed = make(chan struct{})
 }
 
-// reachable waits until the worker and a place, a zone or RegionalServices, reach each other. It reports false if ctx ended
-// before.
-func (worker *Worker) reachable(ctx context.Context, place string) bool {
+// direction is a direction of messages between a worker and a place.
+type direction int
+
+const (
+	// fromWorker is that of heartbeats, and of answers to commands.
+	fromWorker direction = iota
+	// toWorker is that of answers to heartbeats, and of commands.
+	toWorker
+)
+
+// reachable waits until a message of a direction passes between the worker and a place, a zone or RegionalServices. It
+// reports false if ctx ended before.
+func (worker *Worker) reachable(ctx context.Context, place string, way direction) bool {
 	for worker.cluster.network.wait(ctx, worker.Zone, place) {
 		worker.mu.Lock()
-		lost, changed := worker.lost, worker.changed
+		lost, changed := worker.mute, worker.changed
+		if way == toWorker {
+			lost = worker.deaf
+		}
 		worker.mu.Unlock()
 		if !lost {
 			return true
@@ -165,7 +184,16 @@
 		}
 	}
 	raw, err := json.Marshal(heartbeat)
-	if err != nil || !worker.reachable(ctx, recipient.Settings.Zone) {
+	if err != nil || !worker.reachable(ctx, recipient.Settings.Zone, fromWorker) {
+		return 0, nil
+	}
+	faults := worker.cluster.messages.current()
+	if happens(faults.RepeatedHeartbeats) {
+		late := context.WithoutCancel(ctx)
+		time.AfterFunc(lateness(), func() { worker.repeatHeartbeat(late, raw) })
+	}
+	if happens(faults.LostHeartbeats) {
+		<-ctx.Done()
 		return 0, nil
 	}
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+recipient.Settings.Listen+"/v1/report", bytes.NewReader(raw))
@@ -178,13 +206,22 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	answer, err := io.ReadAll(response.Body)
-	if err != nil || !worker.reachable(ctx, recipient.Settings.Zone) {
+	if err != nil || !worker.reachable(ctx, recipient.Settings.Zone, toWorker) {
 		return 0, nil
 	}
 	worker.cluster.Traffic.Add("reports to "+member, len(raw)+len(answer))
 	return response.StatusCode, decodeAnswer(response.StatusCode, answer)
 }
 
+// repeatHeartbeat sends a copy of an earlier heartbeat to any controller; nobody gets the answer.
+func (worker *Worker) repeatHeartbeat(ctx context.Context, raw []byte) {
+	ctx, stop := context.WithTimeout(ctx, time.Second)
+	defer stop()
+	controllers := worker.cluster.Controllers
+	recipient := controllers[rand.IntN(len(controllers))]
+	_, _, _ = worker.cluster.Call(ctx, recipient, http.MethodPost, "/v1/report", raw)
+}
+
 // decodeAnswer decodes an answer to a heartbeat, to nil if it is malformed.
 func decodeAnswer(status int, raw []byte) any {
 	if status == http.StatusOK {
@@ -207,12 +244,16 @@
 		return
 	}
 	fromZone := worker.cluster.zoneOfTerm(orders.Term)
-	if !worker.reachable(request.Context(), fromZone) {
+	if !worker.reachable(request.Context(), fromZone, toWorker) {
+		panic(http.ErrAbortHandler)
+	}
+	if happens(worker.cluster.messages.current().LateCommands) {
+		time.AfterFunc(lateness(), func() { worker.Direct(orders) })
 		panic(http.ErrAbortHandler)
 	}
 	heartbeat, executed := worker.Direct(orders)
 	raw, err := json.Marshal(heartbeat)
-	if err != nil || !worker.reachable(request.Context(), fromZone) {
+	if err != nil || !worker.reachable(request.Context(), fromZone, toWorker) {
 		panic(http.ErrAbortHandler)
 	}
 	worker.cluster.Traffic.Add("commands", int(max(0, request.ContentLength))+len(raw))
@@ -249,6 +290,13 @@
 	}
 }
 
+// Terms is how many terms of leaders there were.
+func (cluster *Cluster) Terms() int {
+	cluster.mu.Lock()
+	defer cluster.mu.Unlock()
+	return len(cluster.zonesByTerm)
+}
+
 // zoneOfTerm is the zone of a term's leader, RegionalServices if that is not known.
 func (cluster *Cluster) zoneOfTerm(term uint64) string {
 	cluster.mu.Lock()
