--- a/controller/admission/dependencies.go
+++ b/controller/admission/dependencies.go
@@ -43,12 +43,12 @@
 	}
 	for again := false; ; again = true {
 		if sched != nil {
-			switch pending, accepted, service := sched.DependencyState(id); {
-			case service:
+			switch dependency := sched.Presence(id); {
+			case dependency.Service:
 				return "", refusal("is a service, which is never done")
-			case accepted:
+			case dependency.Accepted:
 				return "", nil
-			case pending:
+			case dependency.InMemory:
 				return id + " is just being accepted", nil
 			}
 		}
--- a/controller/admission/service.go
+++ b/controller/admission/service.go
@@ -189,7 +189,7 @@
 func (s *Service) refuseSubmission(ctx context.Context, sched *scheduler.Scheduler, id string, verdict submissionVerdict) peer.Response {
 	if id != "" {
 		if sched != nil {
-			if pending, _, _ := sched.DependencyState(id); pending {
+			if sched.Presence(id).InMemory {
 				return peer.RetryLater("the job is just being accepted")
 			}
 		}
--- a/controller/stale_record_test.go
+++ b/controller/stale_record_test.go
@@ -95,7 +95,7 @@
 	if got := statusOf(t, process); got != api.Cancelled {
 		t.Fatalf("cancelled, and answered as %v", got)
 	}
-	if leader.HasJob(id) {
+	if leader.Presence(id).InMemory {
 		t.Fatal("not archived")
 	}
 }
--- a/experiment/soak/faults.go
+++ b/experiment/soak/faults.go
@@ -13,6 +13,7 @@
 // Strengths of faults.
 const (
 	slowUpTo         = 1200 * time.Millisecond
+	lateAnswerShare  = 0.15
 	lostAnswerShare  = 0.3
 	lateWriteShare   = 0.2
 	messageShare     = 0.25
@@ -187,7 +188,7 @@
 			messages.RepeatedHeartbeats = messageShare
 		case LateCommands:
 			messages.LateCommands = messageShare
-		case SlowState, LostAnswers, LateWrites:
+		case SlowState, LateAnswers, LostAnswers, LateWrites:
 			for number := range state {
 				addStateFault(&state[number], fault.Kind)
 			}
@@ -208,6 +209,8 @@
 	switch kind {
 	case SlowState:
 		faults.SlowUpTo = slowUpTo
+	case LateAnswers:
+		faults.LateAnswers = lateAnswerShare
 	case LostAnswers:
 		faults.LostAnswers = lostAnswerShare
 	case LateWrites:
--- a/experiment/soak/schedule.go
+++ b/experiment/soak/schedule.go
@@ -31,9 +31,10 @@
 	RefusedThenOutage Kind = "refused-then-outage"
 	// Outage has the state service refuse all.
 	Outage Kind = "outage"
-	// SlowState delays the state service's answers; LostAnswers loses those to transactions, and LateWrites executes these
+	// SlowState delays all that the state service is asked, and LateAnswers some answers; LostAnswers loses those to transactions, and LateWrites executes these
 	// later.
 	SlowState   Kind = "slow-state"
+	LateAnswers Kind = "late-answers"
 	LostAnswers Kind = "lost-answers"
 	LateWrites  Kind = "late-writes"
 	// LostHeartbeats, RepeatedHeartbeats and LateCommands meet a share of the messages of all workers.
@@ -66,6 +67,7 @@
 	RefusedThenOutage:  {2 * time.Second, 8 * time.Second},
 	Outage:             {500 * time.Millisecond, 5 * time.Second},
 	SlowState:          {2 * time.Second, 10 * time.Second},
+	LateAnswers:        {2 * time.Second, 10 * time.Second},
 	LostAnswers:        {2 * time.Second, 10 * time.Second},
 	LateWrites:         {2 * time.Second, 10 * time.Second},
 	LostHeartbeats:     {2 * time.Second, 10 * time.Second},
--- a/internal/cluster/audit.go
+++ b/internal/cluster/audit.go
@@ -86,13 +86,6 @@
 	audit.jobs[submission.ID] = &AuditedJob{Submission: submission, Submitted: time.Now(), startedTasks: map[string]bool{}, doneTasks: map[string]bool{}}
 }
 
-// Accept records that a job's acceptance was reported to its user.
-func (audit *Audit) Accept(jobID string) {
-	audit.mu.Lock()
-	defer audit.mu.Unlock()
-	audit.jobs[jobID].Accepted = time.Now()
-}
-
 // checkDependencies checks that the jobs that a started task's job awaits are done; mu is held.
 func (audit *Audit) checkDependencies(job *AuditedJob, task string) {
 	for _, id := range job.Awaits {
--- a/internal/cluster/state_link.go
+++ b/internal/cluster/state_link.go
@@ -17,12 +17,17 @@
 	maxLateWrite = 4 * time.Second
 )
 
+// maxLateAnswer bounds the delay of an answer that is late while others are not.
+const maxLateAnswer = 1500 * time.Millisecond
+
 // StateFaults is what is wrong with one controller's way to the state service. The zero value is a way in order.
 type StateFaults struct {
 	// Refused has every request answered with 503, and Silent none until that is over.
 	Refused, Silent bool
 	// SlowUpTo delays each request, or its answer, by up to that long.
 	SlowUpTo time.Duration
+	// LateAnswers is the share of requests that are executed at once and answered up to maxLateAnswer late.
+	LateAnswers float64
 	// LostAnswers is the share of transactions that are executed and whose answers are lost; LateWrites is the share that
 	// gets no answer and is executed later.
 	LostAnswers, LateWrites float64
@@ -80,6 +85,9 @@
 		return link.transact(request, faults)
 	}
 	response, err := link.service.RoundTrip(request)
+	if happens(faults.LateAnswers) {
+		delay += randomDuration(maxLateAnswer)
+	}
 	if !sleepFor(request.Context(), delay) {
 		return nil, errNoAnswer
 	}
--- a/scheduler/adoption_test.go
+++ b/scheduler/adoption_test.go
@@ -120,8 +120,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if got := h.AdoptJob(&record, h.clock.Now()); got != RecordDamaged || h.HasJob("run-000001") {
-		t.Errorf("%q, in memory %v", got, h.HasJob("run-000001"))
+	if got := h.AdoptJob(&record, h.clock.Now()); got != RecordDamaged || h.Presence("run-000001").Accepted {
+		t.Errorf("%q, in memory %v", got, h.Presence("run-000001").Accepted)
 	}
 }
 
--- a/scheduler/dataset_removal_test.go
+++ b/scheduler/dataset_removal_test.go
@@ -147,7 +147,7 @@
 	}
 	h.commit()
 	for i := range 20 {
-		if !h.HasJob(fmt.Sprintf("run-%06d", i)) {
+		if !h.Presence(fmt.Sprintf("run-%06d", i)).Accepted {
 			t.Fatalf("job %d is not accepted", i)
 		}
 	}
@@ -168,7 +168,7 @@
 		h.Submit(cancelledContext(), &sub, h.clock.Now())
 		h.unlist(told)
 		h.commit()
-		if h.state.Get(store.JobKey("run-000001")) != nil || h.HasJob("run-000001") || h.jobs["run-000001"] != nil {
+		if h.state.Get(store.JobKey("run-000001")) != nil || h.Presence("run-000001").Accepted || h.jobs["run-000001"] != nil {
 			t.Errorf("told %v: accepted after its dataset was taken off the list", told)
 		}
 		h.InboxSeen(1 << 40)
--- a/scheduler/dependencies.go
+++ b/scheduler/dependencies.go
@@ -278,15 +278,3 @@
 		s.dependencies.onTerminal(id, final.State)
 	}
 }
-
-// DependencyState reports of a job that another names as dependency whether this leader knows it, whether it is
-// accepted, and whether it is a service.
-func (s *Scheduler) DependencyState(id string) (known, accepted, service bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	job := s.jobs[id]
-	if job == nil {
-		return false, false, false
-	}
-	return true, job.accepted, job.Job.Shape == api.Service
-}
--- a/scheduler/requests.go
+++ b/scheduler/requests.go
@@ -28,12 +28,24 @@
 	return status
 }
 
-// HasJob reports whether an accepted job is in memory, whether or not this controller still leads.
-func (s *Scheduler) HasJob(id string) bool {
+// Presence is what a term knows of a job, whether or not this controller still leads. Its zero value is that of a job that
+// is not in memory.
+type Presence struct {
+	// InMemory is set for a job that is being accepted, or Accepted.
+	InMemory, Accepted bool
+	// Service is set for a service, which is never done.
+	Service bool
+}
+
+// Presence returns what this term knows of a job.
+func (s *Scheduler) Presence(id string) Presence {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	job := s.jobs[id]
-	return job != nil && job.accepted
+	if job == nil {
+		return Presence{}
+	}
+	return Presence{InMemory: true, Accepted: job.accepted, Service: job.Job.Shape == api.Service}
 }
 
 // Submit has a job stored, unless it is already, and waits until it is. The submission has been checked; now is the
