--- a/experiment/soak/soak.go
+++ b/experiment/soak/soak.go
@@ -117,6 +117,8 @@
 	Terms  int `json:"terms"`
 	// Unfinished are accepted jobs that were not over when the run ended.
 	Unfinished int `json:"unfinished"`
+	// EndedByThemselves are controllers whose last process ended although nothing ended it.
+	EndedByThemselves int `json:"ended_by_themselves"`
 	// Contradictions are those that the controllers reported of themselves.
 	Contradictions int            `json:"contradictions"`
 	Broken         map[string]int `json:"broken"`
@@ -127,8 +129,10 @@
 	Logs string `json:"logs,omitempty"`
 }
 
-// Failed reports whether a rule was broken or a controller contradicted itself.
-func (r *Run) Failed() bool { return len(r.Broken) > 0 || r.Contradictions > 0 }
+// Failed reports whether a rule was broken, or a controller contradicted itself or ended by itself.
+func (r *Run) Failed() bool {
+	return len(r.Broken) > 0 || r.Contradictions > 0 || r.EndedByThemselves > 0
+}
 
 // Result is what the experiment prints.
 type Result struct {
@@ -204,6 +208,11 @@
 	run.Unfinished = o.playFaults(ctx, running, audit, faults, duration)
 	run.Seconds = time.Since(began).Seconds()
 	run.Terms = running.Terms()
+	for _, controller := range running.Controllers {
+		if controller.EndedByItself() {
+			run.EndedByThemselves++
+		}
+	}
 	running.Close()
 	o.judge(run, audit, logs)
 	return run, ctx.Err()
@@ -323,8 +332,11 @@
 	} else {
 		_ = os.RemoveAll(logs) // Nothing in them is missed.
 	}
-	o.Progress("seed %d: %.0f s, %d of %d questions answered, %d ends told, %d starts, %d terms, %d unfinished, %d contradictions, broken %v %s", run.Seed, run.Seconds,
-		run.Answers, run.Questions, run.Told, run.Starts, run.Terms, run.Unfinished, run.Contradictions, run.Broken, run.Vacuous)
+	o.Progress("seed %d: %.0f s, %d of %d questions answered, %d ends told, %d starts, %d terms, %d unfinished, %d ended by themselves, %d contradictions, broken %v %s", run.Seed, run.Seconds,
+		run.Answers, run.Questions, run.Told, run.Starts, run.Terms, run.Unfinished, run.EndedByThemselves, run.Contradictions, run.Broken, run.Vacuous)
+	for _, why := range run.Why {
+		o.Progress("seed %d: %s", run.Seed, why)
+	}
 }
 
 // countContradictions counts the contradictions that controllers have logged.
--- a/experiment/soak/soak_test.go
+++ b/experiment/soak/soak_test.go
@@ -36,7 +36,7 @@
 	}
 	for _, run := range result.Runs {
 		if run.Failed() || run.Vacuous != "" {
-			t.Errorf("seed %d: broken %v, %d contradictions, %q: %v", run.Seed, run.Broken, run.Contradictions, run.Vacuous, run.Why)
+			t.Errorf("seed %d: broken %v, %d contradictions, %d ended by themselves, %q: %v", run.Seed, run.Broken, run.Contradictions, run.EndedByThemselves, run.Vacuous, run.Why)
 			printLogs(t, run.Logs)
 		}
 	}
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -24,6 +24,7 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/pelletier/go-toml/v2"
+	"github.com/prometheus/procfs"
 
 	"switchferry/api"
 	"switchferry/internal/fake"
@@ -184,20 +185,6 @@
 	return filepath.Join(cluster.dir, member+".toml")
 }
 
-// freeAddresses are loopback addresses on which nothing listens at the moment.
-func freeAddresses(ctx context.Context, n int) ([]string, error) {
-	var out []string
-	for range n {
-		l, err := listenLoopback(ctx)
-		if err != nil {
-			return nil, err
-		}
-		defer closeQuietly(l)
-		out = append(out, l.Addr().String())
-	}
-	return out, nil
-}
-
 // Start begins a process of the controller.
 func (controller *Controller) Start(program string) error {
 	controller.mu.Lock()
@@ -263,6 +250,23 @@
 	}
 }
 
+// EndedByItself reports whether the process has ended although nobody ended it.
+func (controller *Controller) EndedByItself() bool {
+	pid := controller.PID()
+	if pid == 0 {
+		return false
+	}
+	proc, err := procfs.NewProc(pid)
+	if err != nil {
+		return true
+	}
+	stat, err := proc.Stat()
+	return err != nil || stat.State == zombieState
+}
+
+// zombieState is how the kernel calls a process that has ended and was not waited for.
+const zombieState = "Z"
+
 // PID is the process's number, 0 if none runs.
 func (controller *Controller) PID() int {
 	controller.mu.Lock()
