Each soak run has a directory for its logs

Cause: logs of an earlier run of the same seed in the same directory were counted as this run's contradictions. Change: a new directory for each run.

--- a/experiment/soak/soak.go
+++ b/experiment/soak/soak.go
@@ -155,12 +155,8 @@
 	if err := o.Check(); err != nil {
 		return nil, err
 	}
-	if o.LogDir == "" {
-		dir, err := os.MkdirTemp("", "soak")
-		if err != nil {
-			return nil, fmt.Errorf("making a directory for logs: %w", err)
-		}
-		o.LogDir = dir
+	if err := o.makeLogDir(); err != nil {
+		return nil, fmt.Errorf("making a directory for logs: %w", err)
 	}
 	runs := make([]*Run, o.Seeds)
 	errs := make([]error, o.Seeds)
@@ -180,10 +176,20 @@
 	return result, errors.Join(append(errs, ctx.Err())...)
 }
 
+// makeLogDir makes the directory for logs, a new one if none is named.
+func (o *Options) makeLogDir() (err error) {
+	if o.LogDir == "" {
+		o.LogDir, err = os.MkdirTemp("", "soak")
+		return err
+	}
+	return os.MkdirAll(o.LogDir, 0o750)
+}
+
 // play plays one seed.
 func (o *Options) play(ctx context.Context, seed uint64) (*Run, error) {
-	logs := filepath.Join(o.LogDir, fmt.Sprintf("seed-%d", seed))
-	if err := os.MkdirAll(logs, 0o750); err != nil {
+	// Logs of an earlier run of the seed are another run's.
+	logs, err := os.MkdirTemp(o.LogDir, fmt.Sprintf("seed-%d-", seed))
+	if err != nil {
 		return nil, fmt.Errorf("making a directory for logs: %w", err)
 	}
 	facts := o.facts()
