The look-up of dependencies reads the clock without the scheduler's lock

Cause: the race detector reported it in a third run of all checks (TestOlderConfigurationRevisionIsNeverUsed of internal/simulation), after two that passed: LookUpDependencies, which runs without the lock, took its time from Scheduler.now, which reads the time of the placement round. Change: it asks the clock.

--- a/scheduler/dependency_resolution.go
+++ b/scheduler/dependency_resolution.go
@@ -12,7 +12,7 @@
 // scheduler's lock.
 func (s *Scheduler) LookUpDependencies(ctx context.Context, records *lookup.Jobs, ids []string) {
 	lookup.ForEach(ids, func(_ int, id string) {
-		sentAt := s.now()
+		sentAt := s.clock.Now()
 		found, err := records.Read(ctx, id)
 		switch {
 		case err != nil:
