One wait on the real clock, one loop that waits for a way to open

Cause: read over once more, the soak and the cluster each had the wait that the simulation has, and beside internal/sleep a fourth one stood; the loop that waits until a way is open stood four times in internal/cluster, two of them new. Change: sleep.For reports whether its context lasts, and sleep.Real is For on the real clock, in place of four waits; awaitPassage is the one loop, and the two ends of a link are looked at under one lock. A variable of Submit that only repeated another is gone.

--- a/experiment/soak/faults.go
+++ b/experiment/soak/faults.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"switchferry/internal/cluster"
+	"switchferry/internal/sleep"
 )
 
 // Strengths of faults.
@@ -43,7 +44,7 @@
 	began := time.Now()
 	var playing sync.WaitGroup
 	for i := range faults {
-		if !sleep(ctx, time.Until(began.Add(faults[i].At))) {
+		if !sleep.Real(ctx, time.Until(began.Add(faults[i].At))) {
 			break
 		}
 		playing.Go(func() { in.playOne(ctx, &faults[i]) })
@@ -80,7 +81,7 @@
 		in.killSeries(ctx, fault)
 	case Pause:
 		in.cluster.Controllers[target].Pause()
-		sleep(ctx, fault.For)
+		sleep.Real(ctx, fault.For)
 		in.cluster.Controllers[target].Resume()
 	case DeafWorkers, MuteWorkers, RestartedWorkers, HungWorkers:
 		in.meetWorkers(ctx, fault)
@@ -113,7 +114,7 @@
 	for _, controller := range controllers {
 		controller.Kill()
 	}
-	sleep(ctx, downtime)
+	sleep.Real(ctx, downtime)
 	for _, controller := range controllers {
 		_ = controller.Start(in.program) // Another fault may have started it.
 	}
@@ -123,7 +124,7 @@
 func (in *injector) killSeries(ctx context.Context, fault *Fault) {
 	for end := time.Now().Add(fault.For); time.Now().Before(end) && ctx.Err() == nil; {
 		in.kill(ctx, []*cluster.Controller{in.cluster.Controllers[in.target(&Fault{Target: TheLeader})]}, seriesDowntime)
-		sleep(ctx, seriesInterval)
+		sleep.Real(ctx, seriesInterval)
 	}
 }
 
@@ -142,7 +143,7 @@
 			worker.LoseOneWay(fault.Kind == MuteWorkers, fault.Kind == DeafWorkers)
 		}
 	}
-	sleep(ctx, fault.For)
+	sleep.Real(ctx, fault.For)
 	for _, worker := range met {
 		worker.LoseOneWay(false, false)
 		worker.Hang(false)
@@ -155,7 +156,7 @@
 	in.active[fault] = target
 	in.mu.Unlock()
 	in.apply()
-	sleep(ctx, fault.For)
+	sleep.Real(ctx, fault.For)
 	in.mu.Lock()
 	delete(in.active, fault)
 	in.mu.Unlock()
@@ -217,16 +218,3 @@
 		faults.LateWrites = lateWriteShare
 	}
 }
-
-// sleep waits; it reports false if the context ended before.
-func sleep(ctx context.Context, duration time.Duration) bool {
-	if duration <= 0 {
-		return ctx.Err() == nil
-	}
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(duration):
-		return true
-	}
-}
--- a/experiment/soak/soak.go
+++ b/experiment/soak/soak.go
@@ -18,6 +18,7 @@
 
 	"switchferry/api"
 	"switchferry/internal/cluster"
+	"switchferry/internal/sleep"
 	"switchferry/settings"
 )
 
@@ -289,13 +290,13 @@
 	}
 	rest.Go(func() { users.revisit(settled) })
 	rest.Go(func() {
-		for sleep(settled, sweepEvery) {
+		for sleep.Real(settled, sweepEvery) {
 			audit.Sweep()
 		}
 	})
 	newInjector(running, o.Program, users).play(ctx, faults)
 	<-coming.Done()
-	for end := time.Now().Add(settleLimit); users.unfinished() > 0 && time.Now().Before(end) && sleep(ctx, settleLook); {
+	for end := time.Now().Add(settleLimit); users.unfinished() > 0 && time.Now().Before(end) && sleep.Real(ctx, settleLook); {
 		// Users go on asking.
 	}
 	if ctx.Err() == nil {
--- a/experiment/soak/users.go
+++ b/experiment/soak/users.go
@@ -11,6 +11,7 @@
 
 	"switchferry/api"
 	"switchferry/internal/cluster"
+	"switchferry/internal/sleep"
 )
 
 // What users do.
@@ -92,7 +93,7 @@
 			following.Go(func() { u.follow(settled, next) })
 			awaits = []string{next.ID}
 		}
-		sleep(ctx, rand.N(longestPause))
+		sleep.Real(ctx, rand.N(longestPause))
 	}
 }
 
@@ -105,7 +106,7 @@
 			u.mu.Unlock()
 			return true
 		}
-		sleep(ctx, retryPause)
+		sleep.Real(ctx, retryPause)
 	}
 	return false
 }
@@ -119,7 +120,7 @@
 		u.cancel(ctx, job)
 	case fate < atOnceShare+laterShare || job.Shape == api.Service:
 		go func() {
-			sleep(ctx, rand.N(4*time.Second))
+			sleep.Real(ctx, rand.N(4*time.Second))
 			u.cancel(ctx, job)
 		}()
 	}
@@ -127,7 +128,7 @@
 		if _, over := u.ask(ctx, cluster.AskStatus, job, u.anyController()); over {
 			break
 		}
-		if !sleep(ctx, retryPause+rand.N(longestPoll)) {
+		if !sleep.Real(ctx, retryPause+rand.N(longestPoll)) {
 			return
 		}
 	}
@@ -146,7 +147,7 @@
 			u.lookClosely(ctx, job)
 			return
 		}
-		sleep(ctx, retryPause)
+		sleep.Real(ctx, retryPause)
 	}
 }
 
@@ -181,7 +182,7 @@
 
 // revisit asks about jobs that are over, repeats their submissions, and asks about jobs of nobody, until ctx ends.
 func (u *users) revisit(ctx context.Context) {
-	for sleep(ctx, revisitPause) {
+	for sleep.Real(ctx, revisitPause) {
 		if rand.Float64() < unknownShare {
 			unknown := &job{Submission: api.Submission{ID: fmt.Sprintf("run-%06d", invalidIDStart+rand.IntN(1000))}}
 			u.ask(ctx, cluster.AskStatus, unknown, u.anyController())
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -28,6 +28,7 @@
 
 	"switchferry/api"
 	"switchferry/internal/fake"
+	"switchferry/internal/sleep"
 	"switchferry/settings"
 )
 
@@ -310,14 +311,7 @@
 }
 
 // Sleep waits for a duration; it reports false if the cluster was closed before.
-func (cluster *Cluster) Sleep(d time.Duration) bool {
-	select {
-	case <-cluster.ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
+func (cluster *Cluster) Sleep(d time.Duration) bool { return sleep.Real(cluster.ctx, d) }
 
 // Call sends a user's request to a controller.
 func (cluster *Cluster) Call(ctx context.Context, controller *Controller, method, path string, body []byte) (status int, answer []byte, err error) {
--- a/internal/cluster/network.go
+++ b/internal/cluster/network.go
@@ -59,14 +59,25 @@
 func (network *zoneNetwork) blocked(a, b string) (bool, <-chan struct{}) {
 	network.mu.Lock()
 	defer network.mu.Unlock()
-	return slices.Contains(network.isolatedZones, a) != slices.Contains(network.isolatedZones, b), network.changed
+	return network.zonesCut(a, b), network.changed
+}
+
+// zonesCut reports whether two places are cut off from each other; mu is held.
+func (network *zoneNetwork) zonesCut(a, b string) bool {
+	return slices.Contains(network.isolatedZones, a) != slices.Contains(network.isolatedZones, b)
 }
 
 // wait waits until two places reach each other. It reports false if ctx ended before.
 func (network *zoneNetwork) wait(ctx context.Context, a, b string) bool {
+	return awaitPassage(ctx, func() (bool, <-chan struct{}) { return network.blocked(a, b) })
+}
+
+// awaitPassage waits until a way is not blocked any more. Blocked also returns a channel that is closed when its answer may
+// have changed. It reports false if ctx ended before.
+func awaitPassage(ctx context.Context, blocked func() (bool, <-chan struct{})) bool {
 	for {
-		blocked, changed := network.blocked(a, b)
-		if !blocked {
+		isBlocked, changed := blocked()
+		if !isBlocked {
 			return ctx.Err() == nil
 		}
 		select {
@@ -84,22 +95,17 @@
 	fromMember, toMember string
 }
 
+// linkBlocked is blocked for the two ends of a link.
+func (network *zoneNetwork) linkBlocked(link peerLink) (bool, <-chan struct{}) {
+	network.mu.Lock()
+	defer network.mu.Unlock()
+	cut := network.cutMembers[[2]string{link.fromMember, link.toMember}]
+	return cut || network.zonesCut(link.fromZone, link.toZone), network.changed
+}
+
 // await waits until both ends of a link reach each other. It reports false if ctx ended before.
 func (network *zoneNetwork) await(ctx context.Context, link peerLink) bool {
-	for network.wait(ctx, link.fromZone, link.toZone) {
-		network.mu.Lock()
-		cut, changed := network.cutMembers[[2]string{link.fromMember, link.toMember}], network.changed
-		network.mu.Unlock()
-		if !cut {
-			return true
-		}
-		select {
-		case <-ctx.Done():
-			return false
-		case <-changed:
-		}
-	}
-	return false
+	return awaitPassage(ctx, func() (bool, <-chan struct{}) { return network.linkBlocked(link) })
 }
 
 // newLink opens a port through which a controller reaches another one; what a cut holds up is delivered after it.
--- a/internal/cluster/state_link.go
+++ b/internal/cluster/state_link.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"switchferry/internal/sleep"
 )
 
 // Delays of transactions that are executed late.
@@ -79,7 +81,7 @@
 		return &http.Response{StatusCode: http.StatusServiceUnavailable, Header: http.Header{}, Body: io.NopCloser(bytes.NewReader([]byte("{}")))}, nil
 	}
 	delay := randomDuration(faults.SlowUpTo)
-	if rand.IntN(2) == 0 && !sleepFor(request.Context(), delay) {
+	if rand.IntN(2) == 0 && !sleep.Real(request.Context(), delay) {
 		return nil, errNoAnswer
 	} else if request.URL.Path == "/multi" {
 		return link.transact(request, faults)
@@ -88,25 +90,23 @@
 	if happens(faults.LateAnswers) {
 		delay += randomDuration(maxLateAnswer)
 	}
-	if !sleepFor(request.Context(), delay) {
+	if !sleep.Real(request.Context(), delay) {
 		return nil, errNoAnswer
 	}
 	return response, err
 }
 
-// awaitOpen waits while the way is silent.
-func (link *stateLink) awaitOpen(ctx context.Context) (StateFaults, error) {
-	for {
-		faults, changed := link.current()
-		if !faults.Silent {
-			return faults, nil
-		}
-		select {
-		case <-ctx.Done():
-			return faults, errNoAnswer
-		case <-changed:
-		}
+// awaitOpen waits while the way is silent, and returns what else is wrong with it then.
+func (link *stateLink) awaitOpen(ctx context.Context) (faults StateFaults, err error) {
+	open := awaitPassage(ctx, func() (bool, <-chan struct{}) {
+		var changed <-chan struct{}
+		faults, changed = link.current()
+		return faults.Silent, changed
+	})
+	if !open {
+		return faults, errNoAnswer
 	}
+	return faults, nil
 }
 
 // transact passes a transaction on: at once, without its answer, or later.
@@ -144,16 +144,3 @@
 	}
 	return rand.N(limit)
 }
-
-// sleepFor waits; it reports false if the context ended before.
-func sleepFor(ctx context.Context, duration time.Duration) bool {
-	if duration <= 0 {
-		return ctx.Err() == nil
-	}
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(duration):
-		return true
-	}
-}
--- a/internal/cluster/worker.go
+++ b/internal/cluster/worker.go
@@ -156,23 +156,22 @@
 // reachable waits until a message of a direction passes between the worker and a place, a zone or RegionalServices. It
 // reports false if ctx ended before.
 func (worker *Worker) reachable(ctx context.Context, place string, way direction) bool {
-	for worker.cluster.network.wait(ctx, worker.Zone, place) {
-		worker.mu.Lock()
-		lost, changed := worker.mute, worker.changed
-		if way == toWorker {
-			lost = worker.deaf
-		}
-		worker.mu.Unlock()
-		if !lost {
-			return true
-		}
-		select {
-		case <-ctx.Done():
-			return false
-		case <-changed:
+	return awaitPassage(ctx, func() (bool, <-chan struct{}) {
+		if blocked, changed := worker.cluster.network.blocked(worker.Zone, place); blocked {
+			return true, changed
 		}
+		return worker.loses(way)
+	})
+}
+
+// loses reports whether messages of a direction are lost, and returns a channel that is closed when that may have changed.
+func (worker *Worker) loses(way direction) (bool, <-chan struct{}) {
+	worker.mu.Lock()
+	defer worker.mu.Unlock()
+	if way == toWorker {
+		return worker.deaf, worker.changed
 	}
-	return false
+	return worker.mute, worker.changed
 }
 
 // post sends a heartbeat to a controller; status 0 stands for no answer.
--- a/internal/simulation/simulation.go
+++ b/internal/simulation/simulation.go
@@ -23,6 +23,7 @@
 
 	"switchferry/api"
 	"switchferry/internal/fake"
+	"switchferry/internal/sleep"
 )
 
 // simulation is one run of a scenario.
@@ -194,15 +195,7 @@
 
 // sleep waits for a duration; it reports false if ctx ended before.
 func (sim *simulation) sleep(ctx context.Context, duration time.Duration) bool {
-	if duration <= 0 {
-		return ctx.Err() == nil
-	}
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(duration):
-		return true
-	}
+	return sleep.Real(ctx, duration)
 }
 
 // actorRNG makes the random numbers of one actor from the seed and the actor's name, so that no actor's numbers
--- a/internal/sleep/sleep_test.go
+++ b/internal/sleep/sleep_test.go
@@ -41,3 +41,19 @@
 	cancel()
 	<-woken
 }
+
+func TestWaitReportsWhetherItsContextLasts(t *testing.T) {
+	lasting, ended := t.Context(), func() context.Context {
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		return ctx
+	}()
+	for _, duration := range []time.Duration{-time.Second, 0, time.Millisecond} {
+		if !Real(lasting, duration) {
+			t.Errorf("%v: reports that the context has ended", duration)
+		}
+		if Real(ended, duration) {
+			t.Errorf("%v: reports that the context lasts", duration)
+		}
+	}
+}
--- a/scheduler/requests.go
+++ b/scheduler/requests.go
@@ -64,9 +64,8 @@
 		return refusal, true
 	}
 	if isNew {
-		added := s.addJob(store.JobRecord{Job: *submission, AcceptedAt: now.UnixMilli()}, false)
-		job = added
-		s.records.MarkDirty(store.JobKey(submission.ID), store.Urgent, s.withLock(func() { s.markAccepted(added) }))
+		job = s.addJob(store.JobRecord{Job: *submission, AcceptedAt: now.UnixMilli()}, false)
+		s.records.MarkDirty(store.JobKey(submission.ID), store.Urgent, s.withLock(func() { s.markAccepted(job) }))
 	}
 	accepted, changed := job.accepted, job.changed
 	s.mu.Unlock()
