Stand-in workers keep several attempts of a task

Cause: a stand-in worker passed over a start of a task that it had with another attempt. The protocol has it refuse the start as busy beside an attempt that has not exited, and take it beside exited ones, so that a report can list several attempts of one task, in any order. No simulation could meet that.

Change: attempts are kept apart, an option ends starts at once with any cause, and every second report has the newest attempt first. Saving progress and the kept results of completed tasks are not played.

--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -1,9 +1,11 @@
 package fake
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -33,7 +35,7 @@
 	sequence        uint64
 	term            uint64
 	renewedAt       time.Time
-	tasks           map[string]*workerTask
+	tasks           map[attemptKey]*workerTask
 	changes         chan struct{}
 	// killed counts tasks that ended with the lease or the worker.
 	killed     int
@@ -48,9 +50,17 @@
 	// onStart and onEnd are WorkerOptions.Starts and Ends.
 	onStart func(task string, term uint64, at time.Time)
 	onEnd   func(task string, done bool)
+	// failure is WorkerOptions.Fails.
+	failure func(task string) (cause string)
 }
 
-// workerTask is a task on the machine: its image is there at readyAt, and it completes at endsAt.
+// attemptKey names one attempt of a task. A worker may have several attempts of a task, of which one has not exited.
+type attemptKey struct {
+	task    string
+	attempt uint64
+}
+
+// workerTask is an attempt on the machine: its image is there at readyAt, and it completes at endsAt.
 type workerTask struct {
 	api.TaskReport
 	term            uint64
@@ -79,12 +89,14 @@
 	// Fetch is the image that a task needs and how long its pull takes. Images are pulled one after the other
 	// and stay. Nil: tasks need none.
 	Fetch func(task string) (image string, d time.Duration)
+	// Fails, if not nil, is why a task that is started ends at once, one of the causes of exits; empty if it runs.
+	Fails func(task string) (cause string)
 }
 
 // NewWorker makes a worker without tasks, whose lease begins now.
 func NewWorker(options WorkerOptions) *Worker {
-	return &Worker{Host: options.Host, clock: options.Clock, controllers: options.Nodes, post: options.Post, interval: options.Every, lease: options.Lease, runTime: options.Runs, onStart: options.Starts, onEnd: options.Ends, imagePull: options.Fetch, cachedImages: map[string]time.Time{},
-		incarnation: 1, renewedAt: options.Clock.Now(), tasks: map[string]*workerTask{}, changes: make(chan struct{}, 1)}
+	return &Worker{Host: options.Host, clock: options.Clock, controllers: options.Nodes, post: options.Post, interval: options.Every, lease: options.Lease, runTime: options.Runs, onStart: options.Starts, onEnd: options.Ends, imagePull: options.Fetch, failure: options.Fails, cachedImages: map[string]time.Time{},
+		incarnation: 1, renewedAt: options.Clock.Now(), tasks: map[attemptKey]*workerTask{}, changes: make(chan struct{}, 1)}
 }
 
 // Seen is the highest fencing token that the worker has seen, when it was last answered, how many tasks ended with its
@@ -140,7 +152,7 @@
 			worker.endTask(current.Task, false)
 		}
 	}
-	worker.tasks = map[string]*workerTask{}
+	worker.tasks = map[attemptKey]*workerTask{}
 }
 
 // waitWhileHung waits until the machine is not suspended; mu is not held.
@@ -254,18 +266,20 @@
 	}
 }
 
-// heartbeat makes the next heartbeat, its tasks in the order of their names; mu is held.
+// heartbeat makes the next heartbeat, its tasks in the order of their names. The protocol gives the attempts of one task
+// no order, so every second heartbeat has the newest first; mu is held.
 func (worker *Worker) heartbeat() *api.Heartbeat {
 	worker.sequence++
 	heartbeat := &api.Heartbeat{Machine: worker.Name, Address: worker.Address, Type: worker.Type, Zone: worker.Zone, Spot: worker.Spot, Incarnation: worker.incarnation, Seq: worker.sequence, Term: worker.term, Tasks: []api.TaskReport{}}
 	for _, current := range worker.tasks {
 		heartbeat.Tasks = append(heartbeat.Tasks, current.TaskReport)
 	}
+	newestFirst := worker.sequence%2 == 0
 	slices.SortFunc(heartbeat.Tasks, func(a, b api.TaskReport) int {
-		if a.Task < b.Task {
-			return -1
+		if newestFirst {
+			return cmp.Or(strings.Compare(a.Task, b.Task), cmp.Compare(b.Attempt, a.Attempt))
 		}
-		return 1
+		return cmp.Or(strings.Compare(a.Task, b.Task), cmp.Compare(a.Attempt, b.Attempt))
 	})
 	return heartbeat
 }
@@ -350,21 +364,13 @@
 		worker.term = response.Term
 		worker.notifyChange()
 	}
-	now := worker.clock.Now()
 	for _, command := range response.Commands {
-		current := worker.tasks[command.Task]
+		key := attemptKey{command.Task, command.Attempt}
+		current := worker.tasks[key]
 		switch {
 		case command.Verb == api.CommandRun && current == nil:
-			ready := worker.imageReadyAt(command.Task, now)
-			current = &workerTask{TaskReport: api.TaskReport{Task: command.Task, Attempt: command.Attempt, State: api.TaskFetching}, term: response.Term, readyAt: ready, endsAt: ready.Add(worker.runTime(command.Task))}
-			worker.tasks[command.Task] = current
-			worker.scheduleTransitions(current)
-			if !ready.After(now) {
-				worker.startTask(current)
-			} else {
-				worker.notifyChange()
-			}
-		case current == nil || current.Attempt != command.Attempt:
+			worker.runAttempt(key, response.Term)
+		case current == nil:
 		case command.Verb == api.CommandKill && current.State != api.TaskExited:
 			ran := current.State == api.TaskRunning
 			current.State, current.Cause = api.TaskExited, api.CauseStopped
@@ -373,9 +379,47 @@
 			}
 			worker.notifyChange()
 		case command.Verb == api.CommandClear && current.State == api.TaskExited:
-			delete(worker.tasks, command.Task)
+			delete(worker.tasks, key)
+		}
+	}
+}
+
+// runAttempt starts an attempt that the worker does not know, or refuses it; mu is held.
+func (worker *Worker) runAttempt(key attemptKey, term uint64) {
+	now := worker.clock.Now()
+	current := &workerTask{TaskReport: api.TaskReport{Task: key.task, Attempt: key.attempt, State: api.TaskFetching}, term: term}
+	busy := worker.hasUnfinishedAttempt(key.task)
+	worker.tasks[key] = current
+	if busy {
+		current.State, current.Cause = api.TaskExited, api.CauseBusy
+		worker.notifyChange()
+		return
+	}
+	if worker.failure != nil {
+		if cause := worker.failure(key.task); cause != "" {
+			current.State, current.Cause = api.TaskExited, cause
+			worker.notifyChange()
+			return
+		}
+	}
+	current.readyAt = worker.imageReadyAt(key.task, now)
+	current.endsAt = current.readyAt.Add(worker.runTime(key.task))
+	worker.scheduleTransitions(current)
+	if current.readyAt.After(now) {
+		worker.notifyChange()
+	} else {
+		worker.startTask(current)
+	}
+}
+
+// hasUnfinishedAttempt reports whether an attempt of a task is on the machine that has not exited; mu is held.
+func (worker *Worker) hasUnfinishedAttempt(task string) bool {
+	for key, current := range worker.tasks {
+		if key.task == task && current.State != api.TaskExited {
+			return true
 		}
 	}
+	return false
 }
 
 // Report is the heartbeat that the worker would send now. Answer applies an answer to it, as Run does.
