Simulation: slow heartbeats beside quick commands, failing machines, a leader whose links come and go

Three kinds of faults: half of the heartbeats and of their responses take up to 1.9 s while direct commands take 0.3 s at most; machines that fail half of what they start; and the leader's links to the other controllers, cut in both directions and then in that of its replies alone, again and again.

--- a/internal/simulation/faults.go
+++ b/internal/simulation/faults.go
@@ -41,6 +41,9 @@
 	LateWrites:          func(s *activeFault) { s.during(func(by int) { s.withLock(func() { s.lateWriteFaults += by }) }) },
 	DelayedCommands:     func(s *activeFault) { s.during(func(by int) { s.withLock(func() { s.delayedCommandFaults += by }) }) },
 	CancelAtEnd:         func(s *activeFault) { s.during(func(by int) { s.cancelAtEndFaults.Add(int32(by)) }) },
+	SlowHeartbeats:      func(s *activeFault) { s.during(func(by int) { s.withLock(func() { s.slowHeartbeatFaults += by }) }) },
+	LeaderLinkFlapping:  (*activeFault).flapLeaderLinks,
+	FailingMachines:     (*activeFault).failMachines,
 	InvalidRequests:     func(s *activeFault) { s.during(func(by int) { s.invalidRequestFaults.Add(int32(by)) }) },
 }
 
@@ -52,12 +55,18 @@
 }
 
 // cutLinks cuts links, each from one host to another, for as long as the fault lasts.
-func (active *activeFault) cutLinks(links [][2]string) {
-	active.during(func(by int) {
+func (active *activeFault) cutLinks(links [][2]string) { active.cutFor(links, active.For) }
+
+// cutFor cuts links for a while.
+func (active *activeFault) cutFor(links [][2]string, duration time.Duration) {
+	set := func(cut bool) {
 		for _, link := range links {
-			active.partitions.setCut(link[0], link[1], by > 0)
+			active.partitions.setCut(link[0], link[1], cut)
 		}
-	})
+	}
+	set(true)
+	active.sleep(active.ctx, duration)
+	set(false)
 }
 
 // bothDirections are the links between one host and others, in both directions.
@@ -110,6 +119,23 @@
 	active.cutLinks(bothDirections(active.targetName, others))
 }
 
+// flapLeaderLinks cuts the leader off from the other controllers again and again.
+func (active *activeFault) flapLeaderLinks() {
+	end := time.Now().Add(active.For)
+	links := bothDirections(active.leaderName, controllerNames)
+	replies := slices.DeleteFunc(slices.Clone(links), func(link [2]string) bool { return link[0] != active.leaderName })
+	for time.Now().Before(end) {
+		active.cutFor(links, flapCutBoth)
+		if !active.sleep(active.ctx, flapOpen) {
+			return
+		}
+		active.cutFor(replies, flapCutReplies)
+		if !active.sleep(active.ctx, flapOpen) {
+			return
+		}
+	}
+}
+
 // markFaulted marks all machines as met by a fault and returns the names of those selected.
 func (active *activeFault) markFaulted(which func(machine *simulatedMachine) bool) (names []string) {
 	active.withLock(func() {
@@ -206,6 +232,19 @@
 	active.hangMachines(active.ctx, active.pickMachines(active.Count), active.For)
 }
 
+// failMachines has some machines fail half of the tasks that they start.
+func (active *activeFault) failMachines() {
+	failing := active.pickMachines(active.Count)
+	active.during(func(by int) {
+		active.withLock(func() {
+			for _, machine := range failing {
+				machine.failingCount += by
+				machine.lastFaultAt = time.Now()
+			}
+		})
+	})
+}
+
 // loseInbound keeps the heartbeats of some machines, or of all in the leader's zone, from the controllers.
 func (active *activeFault) loseInbound() {
 	mute := active.pickMachines(active.Count)
--- a/internal/simulation/scenario.go
+++ b/internal/simulation/scenario.go
@@ -61,11 +61,33 @@
 	// InvalidRequests has users repeat submissions, also with other contents, cancel jobs that are over, and
 	// submit jobs that cannot run.
 	InvalidRequests = "odd"
+	// SlowHeartbeats has half of the heartbeats, and half of the responses to them, take up to maxHeartbeatDelay, while
+	// direct commands take maxQuickCommandDelay at most.
+	SlowHeartbeats = "slow-heartbeats"
+	// LeaderLinkFlapping cuts the leader off from the other controllers again and again: in both directions for
+	// flapCutBoth, then, after flapOpen, for flapCutReplies in the direction from the leader alone.
+	LeaderLinkFlapping = "flapping"
+	// FailingMachines has Count machines fail half of the tasks that they start, at once.
+	FailingMachines = "failing"
 )
 
+// maxHeartbeatDelay bounds the delay of a heartbeat and of its response during a SlowHeartbeats fault. With both, a worker
+// still gets some responses within its timeout of 4 s.
+const maxHeartbeatDelay = 1900 * time.Millisecond
+
+// maxQuickCommandDelay bounds the delay of commands to workers during a SlowHeartbeats fault.
+const maxQuickCommandDelay = 300 * time.Millisecond
+
 // maxSlowDelay bounds the delay of an answer during a SlowState fault.
 const maxSlowDelay = 1500 * time.Millisecond
 
+// How long the phases of a LeaderLinkFlapping fault last. Within flapCutReplies the leader still counts as reachable.
+const (
+	flapCutBoth    = 5 * time.Second
+	flapOpen       = 900 * time.Millisecond
+	flapCutReplies = 2 * time.Second
+)
+
 // rollInterval is the time between two ends of controllers in a RollingRestart.
 const rollInterval = 5 * time.Second
 
--- a/internal/simulation/simulation.go
+++ b/internal/simulation/simulation.go
@@ -53,8 +53,8 @@
 	// machines are the rented ones by address.
 	machines              map[string]*simulatedMachine
 	duplicatingHeartbeats bool
-	// lateWriteFaults and delayedCommandFaults count the active faults of these kinds.
-	lateWriteFaults, delayedCommandFaults int
+	// lateWriteFaults, delayedCommandFaults and slowHeartbeatFaults count the active faults of these kinds.
+	lateWriteFaults, delayedCommandFaults, slowHeartbeatFaults int
 	// slowStateFaults counts those by controller; the empty name stands for all controllers.
 	slowStateFaults map[string]int
 	// pausedProcesses holds, for each paused controller, a channel that is closed when it continues.
--- a/internal/simulation/transport.go
+++ b/internal/simulation/transport.go
@@ -149,7 +149,7 @@
 func (t *controllerTransport) delay(request *http.Request, host string, via http.RoundTripper) (delay requestDelay, delayed bool) {
 	endpoint, toWorker := via.(workerEndpoint)
 	t.sim.mu.Lock()
-	lateWrites, delayedCommands := t.sim.lateWriteFaults > 0, t.sim.delayedCommandFaults > 0
+	lateWrites, delayedCommands, slowHeartbeats := t.sim.lateWriteFaults > 0, t.sim.delayedCommandFaults > 0, t.sim.slowHeartbeatFaults > 0
 	slow := host == stateHost && (t.sim.slowStateFaults[""] > 0 || t.sim.slowStateFaults[t.from] > 0)
 	hung := toWorker && endpoint.machine.hangCount > 0
 	t.sim.mu.Unlock()
@@ -169,6 +169,8 @@
 		return requestDelay{}, true
 	case toWorker && delayedCommands:
 		return t.commandDelay()
+	case toWorker && slowHeartbeats:
+		return requestDelay{before: t.randomBelow(maxQuickCommandDelay)}, true
 	}
 	return requestDelay{}, false
 }
--- a/internal/simulation/workers.go
+++ b/internal/simulation/workers.go
@@ -28,25 +28,25 @@
 	dead bool
 	// lastFaultAt is when a fault last began or ceased to affect it.
 	lastFaultAt time.Time
-	// inboundLossCount and hangCount count the active faults in which it reaches no controller and in which
-	// it is suspended.
-	inboundLossCount, hangCount int
+	// inboundLossCount, hangCount and failingCount count the active faults in which it reaches no controller, in which it
+	// is suspended and in which it fails tasks.
+	inboundLossCount, hangCount, failingCount int
 }
 
 // healthy reports whether no fault affects the machine; the simulation's mu is held.
 func (machine *simulatedMachine) healthy() bool {
-	return !machine.dead && machine.outboundLostSince.IsZero() && machine.inboundLossCount+machine.hangCount == 0
+	return !machine.dead && machine.outboundLostSince.IsZero() && machine.inboundLossCount+machine.hangCount+machine.failingCount == 0
 }
 
 // startWorker adds a machine and runs its worker until ctx ends or the machine is given back.
 func (sim *simulation) startWorker(ctx context.Context, host fake.Host) {
 	ctx, stop := context.WithCancel(ctx)
 	machine := &simulatedMachine{Host: host, stop: stop}
-	rng := sim.actorRNG("reports of " + host.Name)
+	rng, failureRNG := sim.actorRNG("reports of "+host.Name), sim.actorRNG("failures of "+host.Name)
 	machine.worker = fake.NewWorker(fake.WorkerOptions{Host: host, Clock: sim.clock, Nodes: controllerNames, Post: sim.heartbeatSender(machine, rng),
 		Every: seconds(sim.Workers.ReportS), Lease: seconds(sim.Workers.LeaseS), Runs: sim.checker.taskRunTime,
 		Starts: func(task string, _ uint64, _ time.Time) { sim.checker.taskStarted(task, machine) }, Fetch: sim.imagePull(),
-		Ends: func(task string, done bool) { sim.checker.taskEnded(task, machine, done) }})
+		Ends: func(task string, done bool) { sim.checker.taskEnded(task, machine, done) }, Fails: func(string) string { return sim.startFailure(machine, failureRNG) }})
 	sim.mu.Lock()
 	sim.machines[host.Address] = machine
 	sim.mu.Unlock()
@@ -78,6 +78,7 @@
 			<-ctx.Done()
 			return 0, nil
 		}
+		sim.delayHeartbeat(ctx, rng)
 		instance := sim.runningController(member)
 		if instance == nil {
 			return 0, nil
@@ -85,6 +86,7 @@
 		sim.waitWhilePaused(member)
 		code, body := instance.HandleHeartbeat(ctx, heartbeat, raw)
 		sim.waitWhilePaused(member)
+		sim.delayHeartbeat(ctx, rng)
 		if ctx.Err() != nil {
 			return 0, nil
 		}
@@ -100,6 +102,26 @@
 	}
 }
 
+// delayHeartbeat holds half of the heartbeats, and of the responses to them, up while a SlowHeartbeats fault is active.
+func (sim *simulation) delayHeartbeat(ctx context.Context, rng *rand.Rand) {
+	sim.mu.Lock()
+	slow := sim.slowHeartbeatFaults > 0
+	sim.mu.Unlock()
+	if slow && rng.IntN(2) == 0 {
+		sim.sleep(ctx, time.Duration(rng.Int64N(int64(maxHeartbeatDelay))))
+	}
+}
+
+// startFailure is why a task that a machine starts ends at once, empty if it runs. The worker's lock guards rng.
+func (sim *simulation) startFailure(machine *simulatedMachine, rng *rand.Rand) string {
+	sim.mu.Lock()
+	defer sim.mu.Unlock()
+	if machine.failingCount > 0 && rng.IntN(2) == 0 {
+		return api.CauseError
+	}
+	return ""
+}
+
 // duplicateHeartbeat delivers one heartbeat in five again, two seconds to three leases later and to any controller,
 // while a DuplicateHeartbeats fault is active.
 func (sim *simulation) duplicateHeartbeat(ctx context.Context, raw []byte, rng *rand.Rand) {
