Each start, kill, clear and release of an allocation is logged with what allows it

Cause: after a task had run on two machines, the logs of three controllers could not tell which of them had sent a start or a clear under which term, nor what the move had rested on: the release of an allocation and the clear left no line.

Change: at debug, start sent, kill sent and clear sent name task, attempt, machine, incarnation, sequence number, path and what allows the command; allocation released names the proof; task ended names the starts that are still under way. What is decided stays as it is.

--- a/scheduler/allocation.go
+++ b/scheduler/allocation.go
@@ -40,9 +40,10 @@
 	allocatedAt  time.Time
 	runningSince time.Time
 
-	// stopping is set once the task is to be stopped, within stopGraceS seconds.
+	// stopping is set once the task is to be stopped, within stopGraceS seconds, for stopReason.
 	stopping   bool
 	stopGraceS float64
+	stopReason string
 	// startedByAgeing is set if the task was started because its job was starved.
 	startedByAgeing bool
 	// victims are stopped for this task. They are killed in the command that starts it.
@@ -71,11 +72,13 @@
 	return alloc
 }
 
-// releaseAllocation ends an allocation whose machine is proved to be done with it. s.mu must be held.
-func (s *Scheduler) releaseAllocation(alloc *allocation) {
+// releaseAllocation ends an allocation whose machine is proved to be done with it. The proof is logged. s.mu must be held.
+func (s *Scheduler) releaseAllocation(alloc *allocation, proof string) {
 	if alloc.job.allocations[alloc.task] != alloc {
 		return
 	}
+	slog.Debug("allocation released", "task", alloc.key, "attempt", alloc.attempt, "machine", alloc.machine.Name,
+		"incarnation", alloc.machine.Incarnation, "seq", alloc.machine.Seq, "term", s.term, "proof", proof)
 	s.removeAllocation(alloc)
 	alloc.job.notifySettledStarts()
 	s.archive(alloc.job)
@@ -109,7 +112,7 @@
 // loseTask releases an allocation whose task has to run again. Why is logged. s.mu must be held.
 func (s *Scheduler) loseTask(alloc *allocation, why string) {
 	slog.Info("task lost", "task", alloc.key, "machine", alloc.machine.Name, "attempt", alloc.attempt, "why", why)
-	s.releaseAllocation(alloc)
+	s.releaseAllocation(alloc, why)
 	s.requeue(alloc.job, alloc.task)
 }
 
--- a/scheduler/commands.go
+++ b/scheduler/commands.go
@@ -19,10 +19,10 @@
 		team := alloc.job.Job.Team
 		s.stoppingUsage[team] = s.stoppingUsage[team].Add(alloc.job.request)
 	}
-	alloc.stopping, alloc.stopGraceS = true, graceS
+	alloc.stopping, alloc.stopGraceS, alloc.stopReason = true, graceS, why
 	if !alloc.runSent {
 		// No leader has sent the start, so the task is on no machine.
-		s.releaseAllocation(alloc)
+		s.releaseAllocation(alloc, "no start was sent")
 		s.requeue(alloc.job, alloc.task)
 		return
 	}
@@ -37,6 +37,7 @@
 	for _, alloc := range machine.allocations {
 		// A task that is saving is ended by a second kill with a grace period of 0; other kills are not repeated to it.
 		if alloc.stopping && alloc.reported && (alloc.state != api.TaskSaving || alloc.stopGraceS == 0) {
+			machine.logCommand("kill sent", alloc.key, alloc.attempt, path, alloc.stopReason)
 			commands = append(commands, killCommand(alloc.key, alloc.attempt, alloc.stopGraceS))
 		}
 	}
@@ -48,9 +49,11 @@
 			// Only the worker remembers an exit that is not stored (rule 2), and a run of the attempt that is still under
 			// way would start it again after a clear (rule 4).
 			if exit.stored && exit.unansweredRuns == 0 {
+				machine.logCommand("clear sent", key, report.Attempt, path, "its end is on record")
 				commands = append(commands, api.Command{Verb: api.CommandClear, Task: key, Attempt: report.Attempt})
 			}
 		} else if report.State != api.TaskExited {
+			machine.logCommand("kill sent", key, report.Attempt, path, "no allocation")
 			commands = append(commands, killCommand(key, report.Attempt, 0))
 		}
 	}
@@ -65,6 +68,13 @@
 	return commands
 }
 
+// logCommand logs a command for one attempt and why it may be sent, so that the logs of the controllers tell what each of
+// them did about a task.
+func (m *machineState) logCommand(message, key string, attempt uint64, path deliveryPath, allowedBy string) {
+	slog.Debug(message, "task", key, "attempt", attempt, "machine", m.Name, "incarnation", m.Incarnation, "seq", m.Seq,
+		"path", path.String(), "allowed_by", allowedBy)
+}
+
 // killCommand returns the command that stops an attempt of a task, with so many seconds to save its progress.
 func killCommand(key string, attempt uint64, graceS float64) api.Command {
 	return api.Command{Verb: api.CommandKill, Task: key, Attempt: attempt, GraceS: &graceS}
@@ -118,7 +128,7 @@
 	case byRelay:
 		a.runRelayed = true
 	}
-	slog.Debug("starting task", "task", a.key, "machine", a.machine.Name, "attempt", a.attempt, "direct", path == byCommandResponse)
+	a.machine.logCommand("start sent", a.key, a.attempt, path, "allocation on record")
 	return api.Command{Verb: api.CommandRun, Task: a.key, Attempt: a.attempt}
 }
 
--- a/scheduler/reconcile.go
+++ b/scheduler/reconcile.go
@@ -21,6 +21,11 @@
 	byRelay
 )
 
+// String returns the path's name for logs.
+func (p deliveryPath) String() string {
+	return [...]string{"heartbeat", "command", "relay"}[p]
+}
+
 // HandleHeartbeat handles a worker's heartbeat and returns the response to it. Via is the peer that forwarded the
 // heartbeat, or empty if the worker sent it to this controller. Deposed says that the worker has seen a higher term
 // than this one, refused that the machine was returned to the cloud. In both cases the response must not be sent.
@@ -173,7 +178,8 @@
 func (s *Scheduler) reconcileExited(machine *machineState, alloc *allocation, cause string) {
 	exit := &exitedTask{attempt: alloc.attempt, unansweredRuns: alloc.unansweredRuns, stored: cause != api.CauseDone}
 	machine.exited[alloc.key] = exit
-	slog.Debug("task ended", "task", alloc.key, "machine", machine.Name, "cause", cause)
+	slog.Debug("task ended", "task", alloc.key, "attempt", alloc.attempt, "machine", machine.Name, "cause", cause,
+		"unanswered_starts", alloc.unansweredRuns, "start_in_response_to", alloc.answeredSeq, "start_relayed", alloc.runRelayed)
 	if cause == api.CauseDone {
 		s.reconcileCompleted(machine, alloc, exit)
 		return
@@ -189,7 +195,7 @@
 			job.pausedUntil = now.Add(tuning.BackoffBase)
 		}
 	}
-	s.releaseAllocation(alloc)
+	s.releaseAllocation(alloc, "exit reported")
 	s.requeue(job, alloc.task)
 	s.pushCommands(machine)
 }
@@ -201,7 +207,7 @@
 	machine.faultLogged = false
 	alloc.job.clearFailures()
 	s.recordImageUse(machine, alloc.job)
-	s.releaseAllocation(alloc)
+	s.releaseAllocation(alloc, "exit reported")
 	s.markCompleted(alloc.job, alloc.task, s.allowClear(machine, exit))
 }
 
@@ -279,7 +285,8 @@
 // resources until it is proved gone (rule 3 of docs/design.md). It is stopped if its job does not need it. s.mu must be
 // held.
 func (s *Scheduler) adoptTask(machine *machineState, job *jobState, task int, report api.TaskReport) {
-	slog.Info("adopting unknown task", "task", taskKey(job.id, task), "machine", machine.Name, "attempt", report.Attempt)
+	slog.Info("adopting unknown task", "task", taskKey(job.id, task), "machine", machine.Name, "attempt", report.Attempt,
+		"incarnation", machine.Incarnation, "seq", machine.Seq, "term", s.term, "state", report.State)
 	alloc := s.allocate(job, task, machine, report.Attempt)
 	alloc.committed = true
 	s.reconcileActive(machine, alloc, report)
