--- a/controller/collaborators_helper_test.go
+++ b/controller/collaborators_helper_test.go
@@ -61,7 +61,8 @@
 	leader *testLeader
 }
 
-func (c leaderCommands) SendCommands(_, _ string, response api.HeartbeatResponse) {
+func (c leaderCommands) SendCommands(machine, _ string, response api.HeartbeatResponse) {
+	c.leader.sent = append(c.leader.sent, directCommands{machine, response})
 	for _, command := range response.Commands {
 		c.leader.commands[command.Task] = append(c.leader.commands[command.Task], command)
 	}
--- a/controller/leader_helper_test.go
+++ b/controller/leader_helper_test.go
@@ -34,10 +34,18 @@
 	seq uint64
 	// commands are those sent directly, by task.
 	commands map[string][]api.Command
+	// sent are all direct commands that the test has not delivered.
+	sent []directCommands
 	// terminal has the jobs that are over for good.
 	terminal *lookup.TerminalStates
 }
 
+// directCommands are commands sent directly to a machine.
+type directCommands struct {
+	machine  string
+	response api.HeartbeatResponse
+}
+
 // committedRecords lets the leader's committer write while it leads.
 type committedRecords struct {
 	*scheduler.Scheduler
--- /dev/null
+++ b/scheduler/start_under_way_test.go
@@ -0,0 +1,181 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"switchferry/api"
+	"switchferry/internal/fake"
+)
+
+// playedWorkers are workers that keep the protocol and whose messages the test delivers one by one. They note where each
+// task runs, and when a second machine starts one.
+type playedWorkers struct {
+	*testing.T
+	harness *harness
+	workers map[string]*fake.Worker
+	// failures is why a machine's next starts end at once, by machine.
+	failures map[string]string
+	// running are the machines that run each task.
+	running map[string]map[string]bool
+	// twice are tasks that started on one machine while they ran on another.
+	twice []string
+}
+
+func newPlayedWorkers(t *testing.T, h *harness, names ...string) *playedWorkers {
+	played := &playedWorkers{T: t, harness: h, workers: map[string]*fake.Worker{}, failures: map[string]string{}, running: map[string]map[string]bool{}}
+	for _, name := range names {
+		played.workers[name] = fake.NewWorker(fake.WorkerOptions{
+			Host: fake.Host{Name: name, Address: name + ":1", Type: "m8", Zone: zoneOf(name)}, Clock: h.clock,
+			Every: time.Second, Lease: 10 * time.Second,
+			Runs:   func(string) time.Duration { return time.Hour },
+			Starts: func(task string, _ uint64, _ time.Time) { played.started(task, name) },
+			Ends:   func(task string, _ bool) { delete(played.running[task], name) },
+			Fails:  func(string) string { return played.failures[name] },
+		})
+	}
+	return played
+}
+
+func (p *playedWorkers) started(task, machine string) {
+	if p.running[task] == nil {
+		p.running[task] = map[string]bool{}
+	}
+	for other := range p.running[task] {
+		if other != machine {
+			p.twice = append(p.twice, task+" on "+other+" and "+machine)
+		}
+	}
+	p.running[task][machine] = true
+}
+
+// heartbeat has a worker report and executes the response.
+func (p *playedWorkers) heartbeat(name string) {
+	report := p.workers[name].Report()
+	response, _, _ := p.harness.HandleHeartbeat(report, "")
+	p.workers[name].Answer(report, p.harness.clock.Now(), response)
+}
+
+// join has a worker report for the first time, and then with the term's token.
+func (p *playedWorkers) join(name string) {
+	p.heartbeat(name)
+	p.heartbeat(name)
+}
+
+// answerCommands delivers all direct commands that wait, and their answers.
+func (p *playedWorkers) answerCommands() {
+	for h := p.harness; h.answered < len(h.sent); {
+		sent := h.sent[h.answered]
+		h.answered++
+		heartbeat, _ := p.workers[sent.machine].Direct(sent.response)
+		h.CommandsAnswered(sent.machine, sent.response, heartbeat, true)
+	}
+}
+
+// place places and commits what waits.
+func (p *playedWorkers) place() {
+	p.harness.Place()
+	p.harness.commit()
+}
+
+// The operators saw a task on two machines at some 4,000 of them, under faults. There, responses to heartbeats take
+// seconds while direct commands are quick. A start went out in both; the direct one arrived, the task ended at once and was
+// cleared, and went to another machine. Then the response arrived, and the first worker, which knew the attempt no more,
+// started it. The end of an attempt had forgotten which starts of it were still under way; the same order of messages,
+// played here, started the task twice.
+func TestExitIsNotClearedWhileAHeartbeatResponseMayStartTheAttempt(t *testing.T) {
+	const task = "run-000001/0"
+	for _, cause := range []string{api.CauseError, api.CauseNoRoom, api.CauseUnknown, api.CauseStopped} {
+		t.Run(cause, func(t *testing.T) {
+			h := newHarness(t)
+			played := newPlayedWorkers(t, h, "a1", "b1")
+			played.join("a1")
+			h.submit("run-000001", 1, nil)
+			played.place()
+
+			overtaken := played.workers["a1"].Report()
+			late, _, _ := h.HandleHeartbeat(overtaken, "")
+			if !hasCommand(late, api.CommandRun, task) {
+				t.Fatalf("the response repeats no start: %+v", late)
+			}
+			if cause != api.CauseStopped {
+				played.failures["a1"] = cause
+			}
+			played.answerCommands()
+			if cause == api.CauseStopped {
+				h.mu.Lock()
+				h.stopTask(h.jobs["run-000001"].allocations[0], 0, "test")
+				h.mu.Unlock()
+				played.answerCommands()
+			}
+			delete(played.failures, "a1")
+
+			h.machines["a1"].refusedUntil = h.clock.Now().Add(time.Minute)
+			h.clock.Advance(2 * time.Second)
+			played.join("b1")
+			played.place()
+			played.answerCommands()
+			if !played.running[task]["b1"] {
+				t.Fatal("the task does not run on the second machine")
+			}
+			played.workers["a1"].Answer(overtaken, h.clock.Now(), late)
+			if len(played.twice) > 0 {
+				t.Errorf("ran twice: %v", played.twice)
+			}
+			for range 3 {
+				h.clock.Advance(time.Second)
+				played.heartbeat("a1")
+				played.answerCommands()
+			}
+			if report := played.workers["a1"].Report(); len(report.Tasks) > 0 {
+				t.Errorf("the first machine never forgets the attempt: %+v", report.Tasks)
+			}
+		})
+	}
+}
+
+// A worker reports two attempts of one task, the older one ended and not cleared since a direct start of it may still
+// arrive. The newer one, which runs, is on the machine whatever the order of the list. Only one entry a task was looked at,
+// the last one, so that the running attempt counted as gone and the task went to another machine.
+func TestRunningAttemptIsSeenBesideAnEarlierOne(t *testing.T) {
+	const task = "run-000001/0"
+	h := newHarness(t)
+	played := newPlayedWorkers(t, h, "a1", "b1")
+	played.join("a1")
+	h.submit("run-000001", 1, nil)
+	played.place()
+	lost := h.sent[0]
+	h.answered = len(h.sent)
+	h.CommandsAnswered("a1", lost.response, nil, false)
+	played.heartbeat("a1")
+	played.heartbeat("a1")
+	first := h.jobs["run-000001"].allocations[0]
+	if !first.reported || first.unansweredRuns != 1 {
+		t.Fatalf("first attempt %+v", first)
+	}
+	h.mu.Lock()
+	h.stopTask(first, 0, "test")
+	h.mu.Unlock()
+	played.answerCommands()
+	played.heartbeat("a1")
+	played.place()
+	played.answerCommands()
+	if second := h.jobs["run-000001"].allocations[0]; second == nil || second == first || second.machine.Name != "a1" || len(played.workers["a1"].Report().Tasks) != 2 {
+		t.Fatalf("no second attempt beside the first: %+v, %+v", second, played.workers["a1"].Report().Tasks)
+	}
+	h.machines["a1"].refusedUntil = h.clock.Now().Add(time.Minute)
+	played.join("b1")
+	for range 4 {
+		h.clock.Advance(time.Second)
+		played.heartbeat("a1")
+		played.heartbeat("b1")
+		played.place()
+		played.answerCommands()
+	}
+	if _, executed := played.workers["a1"].Direct(lost.response); !executed {
+		t.Error("the first start can arrive no more")
+	}
+	if len(played.twice) > 0 {
+		t.Errorf("ran twice: %v", played.twice)
+	}
+}
