An attempt keeps its starts that are under way until it is cleared

Cause: what may still start an attempt was kept in parts that knew of each other's end. The exit of an attempt took over the direct starts without an answer, and forgot a start in the response to a heartbeat and one in a relay's packet. So the attempt was cleared, its task started elsewhere, and then the slow response started it on the first machine again: a task on two machines, without a change of leader. And reports and exits were kept by task: beside a newer attempt in the same report the exit of an earlier one was dropped with its open starts, or the newer one, which ran, counted as gone, by the order of the list.

Change: pendingStarts holds all three ways, belongs to the attempt through its exit up to its clear, and is settled in one place by each newer report. Reports and exits are kept by attempt. attemptState.absentFrom and exitedTask.mayClear decide by values what a missing attempt proves and whether an exit may be cleared; an allocation is released with a named proof only. At run time these are reported and not acted on: a waiting task with an allocation or an end, an attempt beside another one that may have started, an attempt cleared while a start of it could arrive. Proofs and crossings are counted and logged every 10 s (attempts released).

Five tests played workers that drop an exit which nobody had cleared, with its start never answered; they answer commands now. The impossible report of TestInvalidHeartbeatsChangeNothing must be reported as a contradiction, once.

--- a/fleet/machine.go
+++ b/fleet/machine.go
@@ -9,6 +9,12 @@
 	"switchferry/tuning"
 )
 
+// Attempt names one attempt of a task.
+type Attempt struct {
+	Task   string
+	Number uint64
+}
+
 // Machine is what is known of one machine. The zero value is a machine that has not reported. It is not safe for
 // concurrent use.
 type Machine struct {
@@ -33,8 +39,8 @@
 	RequestedAt   time.Time
 	// PreemptedAt is when the cloud preempts the instance; zero without a preemption notice.
 	PreemptedAt time.Time
-	// Tasks are the tasks of the latest accepted heartbeat, by name.
-	Tasks map[string]api.TaskReport
+	// Attempts are the tasks of the latest accepted heartbeat. A worker may report several attempts of one task.
+	Attempts map[Attempt]api.TaskReport
 
 	cache imageCache
 	// Failures counts, by job, the tasks that failed since a task last completed here.
@@ -57,9 +63,9 @@
 	} else {
 		m.PreemptedAt = time.Time{}
 	}
-	m.Tasks = make(map[string]api.TaskReport, len(heartbeat.Tasks))
-	for _, task := range heartbeat.Tasks {
-		m.Tasks[task.Task] = task
+	m.Attempts = make(map[Attempt]api.TaskReport, len(heartbeat.Tasks))
+	for _, report := range heartbeat.Tasks {
+		m.Attempts[Attempt{report.Task, report.Attempt}] = report
 	}
 }
 
--- a/scheduler/allocation.go
+++ b/scheduler/allocation.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"switchferry/fleet"
+	"switchferry/invariant"
 	"switchferry/tuning"
 )
 
@@ -18,30 +19,16 @@
 	machine *machineState
 	attempt uint64
 
+	attemptState
+
 	// committed is set once the record that holds the allocation is stored, so that the run command may be sent.
 	committed bool
-	// runSent is set once a run command was sent, by this leader or perhaps by an earlier one.
-	runSent bool
-	// incarnation is the worker's incarnation that the run was sent to or that reported the attempt; 0: not known.
-	incarnation uint64
-	// unansweredRuns counts run commands sent directly whose outcome is unknown. Each may be executed at any later
-	// time of this term.
-	unansweredRuns int
-	// answeredSeq is the sequence number of the heartbeat whose response carried a run last, or 0. The worker has
-	// executed that response, or dropped it, when it sends its next heartbeat.
-	answeredSeq uint64
-	// runRelayed is set once a run was handed to a relay. A relayed heartbeat does not show whether the run is still
-	// to come. A heartbeat that reaches this leader directly does, since the relay then starts afresh with that worker.
-	runRelayed bool
-
-	// reported is set once a heartbeat showed the attempt; state is the task state of the newest such heartbeat.
-	reported     bool
+	// state is the task state of the newest heartbeat that showed the attempt.
 	state        string
 	allocatedAt  time.Time
 	runningSince time.Time
 
-	// stopping is set once the task is to be stopped, within stopGraceS seconds, for stopReason.
-	stopping   bool
+	// stopGraceS is how many seconds a task that is stopping has, and stopReason why it is stopped.
 	stopGraceS float64
 	stopReason string
 	// startedByAgeing is set if the task was started because its job was starved.
@@ -57,7 +44,22 @@
 	return s.term<<tuning.AttemptBits | s.lastAttempt
 }
 
-// allocate adds an allocation and counts its resources. s.mu must be held.
+// mayAllocate reports whether a task that waits may get an allocation. One that has an allocation, or that has completed,
+// must not be waiting. s.mu must be held.
+func (s *Scheduler) mayAllocate(job *jobState, task int) bool {
+	holder := job.allocations[task]
+	switch {
+	case holder != nil:
+		invariant.Violated("a task has one allocation", "task", holder.key, "attempt", holder.attempt, "machine", holder.machine.Name)
+	case job.completed.Has(task):
+		invariant.Violated("a completed task does not wait", "task", taskKey(job.id, task))
+	default:
+		return true
+	}
+	return false
+}
+
+// allocate adds an allocation and counts its resources. The task must have none. s.mu must be held.
 func (s *Scheduler) allocate(job *jobState, task int, machine *machineState, attempt uint64) *allocation {
 	alloc := &allocation{job: job, task: task, key: taskKey(job.id, task), machine: machine, attempt: attempt, allocatedAt: s.now()}
 	job.allocations[task] = alloc
@@ -72,11 +74,13 @@
 	return alloc
 }
 
-// releaseAllocation ends an allocation whose machine is proved to be done with it. The proof is logged. s.mu must be held.
-func (s *Scheduler) releaseAllocation(alloc *allocation, proof string) {
+// releaseAllocation ends an allocation whose machine is proved to be done with it. The proof is logged and counted.
+// s.mu must be held.
+func (s *Scheduler) releaseAllocation(alloc *allocation, proof proof) {
 	if alloc.job.allocations[alloc.task] != alloc {
 		return
 	}
+	s.evidence.proofs[proof]++
 	slog.Debug("allocation released", "task", alloc.key, "attempt", alloc.attempt, "machine", alloc.machine.Name,
 		"incarnation", alloc.machine.Incarnation, "seq", alloc.machine.Seq, "term", s.term, "proof", proof)
 	s.removeAllocation(alloc)
@@ -109,15 +113,19 @@
 	s.updateFreeResources(machine)
 }
 
-// loseTask releases an allocation whose task has to run again. Why is logged. s.mu must be held.
-func (s *Scheduler) loseTask(alloc *allocation, why string) {
-	slog.Info("task lost", "task", alloc.key, "machine", alloc.machine.Name, "attempt", alloc.attempt, "why", why)
-	s.releaseAllocation(alloc, why)
+// loseTask releases an allocation whose task has to run again. The proof is logged. s.mu must be held.
+func (s *Scheduler) loseTask(alloc *allocation, proof proof) {
+	slog.Info("task lost", "task", alloc.key, "machine", alloc.machine.Name, "attempt", alloc.attempt, "why", proof)
+	s.releaseAllocation(alloc, proof)
 	s.requeue(alloc.job, alloc.task)
 }
 
 // requeue makes a task pending again, unless it needs no further run. s.mu must be held.
 func (s *Scheduler) requeue(job *jobState, task int) {
+	if holder := job.allocations[task]; holder != nil {
+		invariant.Violated("a task is pending only without an allocation", "task", holder.key, "attempt", holder.attempt, "machine", holder.machine.Name)
+		return
+	}
 	if job.FinalState != "" || job.waitsForDependencies || job.completed.Has(task) {
 		return
 	}
--- a/scheduler/commands.go
+++ b/scheduler/commands.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"switchferry/api"
+	"switchferry/fleet"
 	"switchferry/invariant"
 )
 
@@ -22,10 +23,13 @@
 	alloc.stopping, alloc.stopGraceS, alloc.stopReason = true, graceS, why
 	if !alloc.runSent {
 		// No leader has sent the start, so the task is on no machine.
-		s.releaseAllocation(alloc, "no start was sent")
+		s.releaseAllocation(alloc, proofNotSent)
 		s.requeue(alloc.job, alloc.task)
 		return
 	}
+	if !alloc.starts.none() {
+		s.evidence.stopsCrossed++
+	}
 	s.pushCommands(alloc.machine)
 }
 
@@ -37,24 +41,24 @@
 	for _, alloc := range machine.allocations {
 		// A task that is saving is ended by a second kill with a grace period of 0; other kills are not repeated to it.
 		if alloc.stopping && alloc.reported && (alloc.state != api.TaskSaving || alloc.stopGraceS == 0) {
-			machine.logCommand("kill sent", alloc.key, alloc.attempt, path, alloc.stopReason)
+			s.logCommand("kill sent", machine, alloc.attemptOf(), path, alloc.stopReason)
 			commands = append(commands, killCommand(alloc.key, alloc.attempt, alloc.stopGraceS))
 		}
 	}
-	for key, report := range machine.Tasks {
-		if machine.allocationOf(key, report.Attempt) != nil {
+	for attempt, report := range machine.Attempts {
+		if machine.allocationOf(attempt) != nil {
 			continue
 		}
-		if exit := machine.exitOf(key, report.Attempt); exit != nil {
+		if exit := machine.exited[attempt]; exit != nil {
 			// Only the worker remembers an exit that is not stored (rule 2), and a run of the attempt that is still under
 			// way would start it again after a clear (rule 4).
-			if exit.stored && exit.unansweredRuns == 0 {
-				machine.logCommand("clear sent", key, report.Attempt, path, "its end is on record")
-				commands = append(commands, api.Command{Verb: api.CommandClear, Task: key, Attempt: report.Attempt})
+			if exit.mayClear(path) {
+				s.logCommand("clear sent", machine, attempt, path, "its end is on record, no start under way")
+				commands = append(commands, api.Command{Verb: api.CommandClear, Task: attempt.Task, Attempt: attempt.Number})
 			}
 		} else if report.State != api.TaskExited {
-			machine.logCommand("kill sent", key, report.Attempt, path, "no allocation")
-			commands = append(commands, killCommand(key, report.Attempt, 0))
+			s.logCommand("kill sent", machine, attempt, path, "no allocation")
+			commands = append(commands, killCommand(attempt.Task, attempt.Number, 0))
 		}
 	}
 	if !s.leadership.Leading() || machine.releasing {
@@ -62,7 +66,7 @@
 	}
 	for _, alloc := range machine.allocations {
 		if alloc.runDue(path) {
-			commands = append(commands, alloc.sendRun(path))
+			commands = append(commands, s.sendRun(alloc, path))
 		}
 	}
 	return commands
@@ -70,9 +74,9 @@
 
 // logCommand logs a command for one attempt and why it may be sent, so that the logs of the controllers tell what each of
 // them did about a task.
-func (m *machineState) logCommand(message, key string, attempt uint64, path deliveryPath, allowedBy string) {
-	slog.Debug(message, "task", key, "attempt", attempt, "machine", m.Name, "incarnation", m.Incarnation, "seq", m.Seq,
-		"path", path.String(), "allowed_by", allowedBy)
+func (s *Scheduler) logCommand(message string, machine *machineState, attempt fleet.Attempt, path deliveryPath, allowedBy string) {
+	slog.Debug(message, "task", attempt.Task, "attempt", attempt.Number, "machine", machine.Name, "incarnation", machine.Incarnation,
+		"seq", machine.Seq, "path", path, "term", s.term, "allowed_by", allowedBy)
 }
 
 // killCommand returns the command that stops an attempt of a task, with so many seconds to save its progress.
@@ -92,7 +96,7 @@
 		// reconcileMissing to decide (rule 3).
 		return false
 	}
-	if path == byCommandResponse && (a.unansweredRuns > 0 || a.answeredSeq > 0 || a.runRelayed) {
+	if path == byCommandResponse && !a.starts.none() {
 		// The run may be under way already. It is repeated in responses to heartbeats alone, whose execution the next
 		// heartbeat proves (rule 4).
 		return false
@@ -116,20 +120,13 @@
 	return !released && !endsAtOnce
 }
 
-// sendRun returns the command that starts an allocation's attempt, and notes that it is sent on that path.
-// Scheduler.mu must be held.
-func (a *allocation) sendRun(path deliveryPath) api.Command {
-	a.runSent, a.incarnation = true, a.machine.Incarnation
-	switch path {
-	case byHeartbeat:
-		a.answeredSeq = a.machine.Seq
-	case byCommandResponse:
-		a.unansweredRuns++
-	case byRelay:
-		a.runRelayed = true
-	}
-	a.machine.logCommand("start sent", a.key, a.attempt, path, "allocation on record")
-	return api.Command{Verb: api.CommandRun, Task: a.key, Attempt: a.attempt}
+// sendRun returns the command that starts an allocation's attempt, and notes that it is sent on that path. s.mu must be
+// held.
+func (s *Scheduler) sendRun(alloc *allocation, path deliveryPath) api.Command {
+	alloc.runSent, alloc.incarnation = true, alloc.machine.Incarnation
+	alloc.starts.add(path, alloc.machine.Seq)
+	s.logCommand("start sent", alloc.machine, alloc.attemptOf(), path, "allocation on record")
+	return api.Command{Verb: api.CommandRun, Task: alloc.key, Attempt: alloc.attempt}
 }
 
 // pushCommands sends a machine its commands without waiting for its next heartbeat: directly, one request at a time, or
@@ -200,23 +197,18 @@
 
 // settleRun counts one unanswered run command less, as it was answered or never sent. Scheduler.mu must be held.
 func (m *machineState) settleRun(command api.Command, answered bool) {
-	if alloc := m.allocationOf(command.Task, command.Attempt); alloc != nil {
-		alloc.unansweredRuns--
-		if !answered && !alloc.runMayHaveArrived() {
+	attempt := fleet.Attempt{Task: command.Task, Number: command.Attempt}
+	if alloc := m.allocationOf(attempt); alloc != nil {
+		alloc.starts.settleDirect()
+		if !answered && !alloc.reported && alloc.starts.none() {
 			alloc.runSent = false
 		}
 	}
-	if exit := m.exitOf(command.Task, command.Attempt); exit != nil && exit.unansweredRuns > 0 {
-		exit.unansweredRuns--
+	if exit := m.exited[attempt]; exit != nil {
+		exit.starts.settleDirect()
 	}
 }
 
-// runMayHaveArrived reports whether a run command of this leader has reached the worker or may still reach it.
-// Scheduler.mu must be held.
-func (a *allocation) runMayHaveArrived() bool {
-	return a.reported || a.unansweredRuns != 0 || a.answeredSeq > 0 || a.runRelayed
-}
-
 // noteCommandOutcome notes what the outcome of a direct command shows of the network: a worker that responds receives
 // commands, and shows that this controller's own network works. s.mu must be held.
 func (s *Scheduler) noteCommandOutcome(machine *machineState, heartbeat *api.Heartbeat, settled bool) {
--- a/scheduler/datasets_test.go
+++ b/scheduler/datasets_test.go
@@ -74,6 +74,7 @@
 	}
 	h.Place()
 	h.commit()
+	h.answerCommands()
 }
 
 // workerHeartbeat keeps a machine heard, with what it runs.
--- a/scheduler/dependencies_random_test.go
+++ b/scheduler/dependencies_random_test.go
@@ -129,6 +129,7 @@
 	r.Place()
 	r.committer.Step(context.Background())
 	r.committer.Step(context.Background())
+	r.answerCommands()
 	r.running = nil
 	for key, alloc := range r.machineNamed("a1").allocations {
 		if alloc.committed {
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -46,6 +46,7 @@
 		s.fleetLoggedAt = now
 		s.logDatasets()
 		s.logFleet()
+		s.evidence.log(s.term)
 	}
 	maps.DeleteFunc(s.releasedAt, func(_ string, at time.Time) bool { return now.Sub(at) > releasedMachineMemory })
 	return released
@@ -243,7 +244,7 @@
 		}
 		s.releasedAt[name] = s.now()
 		for _, alloc := range machine.allocations {
-			s.loseTask(alloc, "its machine is gone")
+			s.loseTask(alloc, proofReleased)
 		}
 		s.forgetMachine(machine)
 	}
--- a/scheduler/harness_test.go
+++ b/scheduler/harness_test.go
@@ -327,7 +327,7 @@
 // again repeats a worker's last report.
 func (h *harness) again(name string) {
 	var tasks []api.TaskReport
-	for _, t := range h.machines[name].Tasks {
+	for _, t := range h.machines[name].Attempts {
 		tasks = append(tasks, t)
 	}
 	h.heartbeat(name, 1, tasks...)
@@ -361,9 +361,11 @@
 	if len(done) == 0 {
 		h.Fatalf("%s did not start", id)
 	}
+	h.answerCommands()
 	h.heartbeat(machine, 1, ran...)
 	h.heartbeat(machine, 1, done...)
 	h.commit()
+	h.answerCommands()
 	h.heartbeat(machine, 1)
 }
 
--- a/scheduler/machine.go
+++ b/scheduler/machine.go
@@ -24,8 +24,8 @@
 	imagesInUse map[string]int
 	// queues are in the order of compareJobs as of the last placement round.
 	queues []*runQueue
-	// exited are the tasks, by key, that have ended and that the worker still reports.
-	exited map[string]*exitedTask
+	// exited are the attempts that have ended and that the worker still reports.
+	exited map[fleet.Attempt]*exitedTask
 
 	// commandInFlight is true while a direct command awaits its answer; resendCommands, if another must follow it.
 	commandInFlight, resendCommands bool
@@ -62,15 +62,6 @@
 	refusedUntil time.Time
 }
 
-// exitedTask is a task that ended on a machine and is not cleared yet.
-type exitedTask struct {
-	attempt uint64
-	// unansweredRuns counts direct starts of it whose outcome is unknown: they may yet be executed.
-	unansweredRuns int
-	// stored is true once its end is on record, so that it can be cleared.
-	stored bool
-}
-
 // machineNamed returns a machine by its name, and adds it if it is not known. s.mu must be held.
 func (s *Scheduler) machineNamed(name string) *machineState {
 	machine := s.machines[name]
@@ -79,7 +70,7 @@
 			Machine:     &fleet.Machine{Name: name, LastHeartbeat: s.now(), RequestedAt: s.now()},
 			allocations: map[string]*allocation{},
 			imagesInUse: map[string]int{},
-			exited:      map[string]*exitedTask{},
+			exited:      map[fleet.Attempt]*exitedTask{},
 			idleSince:   s.now(),
 		}
 		s.machines[name] = machine
--- a/scheduler/ordering_test.go
+++ b/scheduler/ordering_test.go
@@ -49,11 +49,11 @@
 		job.pending, job.queued = nil, 1
 	}
 	var ended []api.TaskReport
-	for _, r := range h.machines["a2"].Tasks {
+	for _, r := range h.machines["a2"].Attempts {
 		ended = append(ended, taskReport(r.Task, r.Attempt, api.TaskExited, api.CauseDone))
 		break
 	}
-	for _, r := range h.machines["a2"].Tasks {
+	for _, r := range h.machines["a2"].Attempts {
 		if r.Task != ended[0].Task {
 			ended = append(ended, r)
 		}
--- a/scheduler/placement_round.go
+++ b/scheduler/placement_round.go
@@ -383,6 +383,9 @@
 // startTask allocates a task to a machine and commits its start. Victims are the allocations that make way for it; they
 // must be stopping. Reason is logged. s.mu must be held.
 func (s *Scheduler) startTask(job *jobState, task int, machine *machineState, victims []*allocation, reason string) {
+	if !s.mayAllocate(job, task) {
+		return
+	}
 	alloc := s.allocate(job, task, machine, s.nextAttempt())
 	alloc.victims = victims
 	s.commitStart(alloc, reason)
--- a/scheduler/placement_round_test.go
+++ b/scheduler/placement_round_test.go
@@ -115,8 +115,8 @@
 				tasks = append(tasks, taskReport(key, alloc.attempt, api.TaskExited, api.CauseDone))
 			}
 		}
-		for key, e := range machine.exited {
-			tasks = append(tasks, taskReport(key, e.attempt, api.TaskExited, api.CauseDone))
+		for attempt := range machine.exited {
+			tasks = append(tasks, taskReport(attempt.Task, attempt.Number, api.TaskExited, api.CauseDone))
 		}
 		most = max(most, len(tasks))
 		// The worker does not hear what to clear; the ends stay in its reports.
--- a/scheduler/placement_topology_test.go
+++ b/scheduler/placement_topology_test.go
@@ -87,6 +87,7 @@
 			y.obey(o.machine, o.response)
 		}
 	}
+	y.answerCommands()
 	y.clock.Advance(time.Second)
 }
 
--- a/scheduler/quotas.go
+++ b/scheduler/quotas.go
@@ -90,7 +90,7 @@
 			continue
 		}
 		for _, alloc := range job.allocations {
-			if !alloc.stopping && (alloc.reported && alloc.unansweredRuns == 0 || !alloc.runSent) {
+			if !alloc.stopping && (alloc.reported && alloc.starts.direct == 0 || !alloc.runSent) {
 				allocations = append(allocations, alloc)
 				usage = append(usage, quota.Usage{Rank: job.rank, Loss: s.preemptionLoss(alloc), Resources: fleet.RequestOf(&job.Job)})
 			}
--- a/scheduler/quotas_test.go
+++ b/scheduler/quotas_test.go
@@ -131,7 +131,7 @@
 		running := 0
 		for _, id := range []string{"run-000001", "run-000002"} {
 			for _, alloc := range h.jobs[id].allocations {
-				alloc.reported, alloc.unansweredRuns = true, 0
+				alloc.reported, alloc.starts.direct = true, 0
 				running++
 			}
 		}
@@ -196,7 +196,7 @@
 		t.Fatalf("%d tasks are stopped before they are seen", n)
 	}
 	h.MaintainFleet()
-	if n := stopped(func(alloc *allocation) { alloc.unansweredRuns = 0 }); n != 0 {
+	if n := stopped(func(alloc *allocation) { alloc.starts.direct = 0 }); n != 0 {
 		t.Fatalf("%d tasks are stopped while their start may be executed once more", n)
 	}
 	h.MaintainFleet()
--- a/scheduler/reconcile.go
+++ b/scheduler/reconcile.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"switchferry/api"
+	"switchferry/fleet"
+	"switchferry/invariant"
 	"switchferry/reachability"
 	"switchferry/tuning"
 )
@@ -102,25 +104,47 @@
 	if first {
 		s.restoreImages(machine)
 	}
-	for key, alloc := range machine.allocations {
-		if report, ok := machine.Tasks[key]; ok && report.Attempt == alloc.attempt {
+	s.reconcileAttempts(machine, path)
+}
+
+// reconcileAttempts compares the attempts that a machine's newest heartbeat lists with the allocations and exits that
+// are known there. s.mu must be held.
+func (s *Scheduler) reconcileAttempts(machine *machineState, path deliveryPath) {
+	for _, alloc := range machine.allocations {
+		alloc.starts.observe(path, machine.Seq)
+	}
+	for _, exit := range machine.exited {
+		exit.starts.observe(path, machine.Seq)
+	}
+	for _, alloc := range machine.allocations {
+		if report, ok := machine.Attempts[alloc.attemptOf()]; ok {
 			s.reconcileActive(machine, alloc, report)
 		} else {
-			s.reconcileMissing(machine, alloc, path)
+			s.reconcileMissing(machine, alloc)
 		}
 	}
-	for key, exit := range machine.exited {
-		if report, ok := machine.Tasks[key]; !ok || report.Attempt != exit.attempt {
-			delete(machine.exited, key)
+	for attempt, exit := range machine.exited {
+		if _, ok := machine.Attempts[attempt]; !ok {
+			s.forgetExit(machine, attempt, exit)
 		}
 	}
-	for key, report := range machine.Tasks {
-		if machine.allocationOf(key, report.Attempt) == nil && machine.exitOf(key, report.Attempt) == nil {
-			s.reconcileUnknown(machine, key, report)
+	for attempt, report := range machine.Attempts {
+		if machine.allocationOf(attempt) == nil && machine.exited[attempt] == nil {
+			s.reconcileUnknown(machine, attempt, report)
 		}
 	}
 }
 
+// forgetExit drops the exit of an attempt that the machine's newest heartbeat lacks: it was cleared, or a new incarnation
+// began. s.mu must be held.
+func (s *Scheduler) forgetExit(machine *machineState, attempt fleet.Attempt, exit *exitedTask) {
+	if machine.Incarnation == exit.incarnation && !exit.starts.noneBehind(byRelay) {
+		invariant.Violated("an attempt is cleared only when no start of it can arrive", "task", attempt.Task, "attempt", attempt.Number,
+			"machine", machine.Name, "incarnation", machine.Incarnation, "seq", machine.Seq, "direct", exit.starts.direct, "response_to", exit.starts.responseSeq)
+	}
+	delete(machine.exited, attempt)
+}
+
 // recordMachineUp notes the first heartbeat of a machine in this term. s.mu must be held.
 func (s *Scheduler) recordMachineUp(machine *machineState, heartbeat *api.Heartbeat, now time.Time) {
 	startup := now.Sub(machine.RequestedAt)
@@ -134,22 +158,14 @@
 	s.wakePlacer()
 }
 
-// allocationOf returns the machine's allocation of one attempt of a task, or nil. Scheduler.mu must be held.
-func (m *machineState) allocationOf(key string, attempt uint64) *allocation {
-	if alloc := m.allocations[key]; alloc != nil && alloc.attempt == attempt {
+// allocationOf returns the machine's allocation of an attempt, or nil. Scheduler.mu must be held.
+func (m *machineState) allocationOf(attempt fleet.Attempt) *allocation {
+	if alloc := m.allocations[attempt.Task]; alloc != nil && alloc.attempt == attempt.Number {
 		return alloc
 	}
 	return nil
 }
 
-// exitOf returns what is known of the exit of one attempt of a task, or nil. Scheduler.mu must be held.
-func (m *machineState) exitOf(key string, attempt uint64) *exitedTask {
-	if exit := m.exited[key]; exit != nil && exit.attempt == attempt {
-		return exit
-	}
-	return nil
-}
-
 // reconcileActive takes over the reported state of an allocation's attempt. s.mu must be held.
 func (s *Scheduler) reconcileActive(machine *machineState, alloc *allocation, report api.TaskReport) {
 	now := s.now()
@@ -176,10 +192,14 @@
 
 // reconcileExited handles the exit of an allocation's attempt, which is proof that it runs no more. s.mu must be held.
 func (s *Scheduler) reconcileExited(machine *machineState, alloc *allocation, cause string) {
-	exit := &exitedTask{attempt: alloc.attempt, unansweredRuns: alloc.unansweredRuns, stored: cause != api.CauseDone}
-	machine.exited[alloc.key] = exit
+	// The worker may be told to forget the attempt only once no start of it is under way, on any path.
+	exit := &exitedTask{starts: alloc.starts, incarnation: machine.Incarnation, stored: cause != api.CauseDone}
+	machine.exited[alloc.attemptOf()] = exit
+	if !exit.starts.none() {
+		s.evidence.exitsCrossed++
+	}
 	slog.Debug("task ended", "task", alloc.key, "attempt", alloc.attempt, "machine", machine.Name, "cause", cause,
-		"unanswered_starts", alloc.unansweredRuns, "start_in_response_to", alloc.answeredSeq, "start_relayed", alloc.runRelayed)
+		"unanswered_starts", alloc.starts.direct, "start_in_response_to", alloc.starts.responseSeq, "start_relayed", alloc.starts.relayed)
 	if cause == api.CauseDone {
 		s.reconcileCompleted(machine, alloc, exit)
 		return
@@ -195,7 +215,7 @@
 			job.pausedUntil = now.Add(tuning.BackoffBase)
 		}
 	}
-	s.releaseAllocation(alloc, "exit reported")
+	s.releaseAllocation(alloc, proofExited)
 	s.requeue(job, alloc.task)
 	s.pushCommands(machine)
 }
@@ -207,7 +227,7 @@
 	machine.faultLogged = false
 	alloc.job.clearFailures()
 	s.recordImageUse(machine, alloc.job)
-	s.releaseAllocation(alloc, "exit reported")
+	s.releaseAllocation(alloc, proofExited)
 	s.markCompleted(alloc.job, alloc.task, s.allowClear(machine, exit))
 }
 
@@ -220,67 +240,54 @@
 	}
 }
 
-// reconcileMissing judges an allocation that the newest heartbeat lacks. Only a heartbeat that no command under way can
-// overtake proves that the attempt is not there and will not be (rules 3 and 4 of docs/design.md). s.mu must be held.
-func (s *Scheduler) reconcileMissing(machine *machineState, alloc *allocation, path deliveryPath) {
-	switch {
-	case !alloc.runSent:
-		// No leader has sent the start yet.
-	case machine.Term != s.term:
-		// The worker has not seen this term, so it may still execute a command of an earlier leader.
-	case alloc.incarnation != 0 && machine.Incarnation > alloc.incarnation:
-		// With its lease a worker ends all tasks, and it drops responses to heartbeats of the incarnation before.
-		s.loseTask(alloc, "the worker began a new session")
-	case alloc.runMayArrive(machine.Seq, path):
-		// The worker may start the attempt after this heartbeat.
-	case alloc.reported:
-		s.loseTask(alloc, "the worker no longer has it")
-	case alloc.incarnation == 0:
-		s.loseTask(alloc, "an earlier leader's start never arrived")
-	case alloc.stopping:
-		s.loseTask(alloc, "stopped before it started")
-	default:
-		// The command was lost. The same attempt is sent again.
-		alloc.runSent, alloc.answeredSeq, alloc.runRelayed = false, 0, false
-	}
-}
-
-// runMayArrive reports whether a run command of this leader may reach the worker after it sent a heartbeat with such a
-// sequence number (rule 4 of docs/design.md). Scheduler.mu must be held.
-func (a *allocation) runMayArrive(seq uint64, path deliveryPath) bool {
-	switch {
-	case a.unansweredRuns > 0:
-		// A command sent directly and not answered may be executed at any time.
-		return true
-	case a.answeredSeq > 0 && (path == byCommandResponse || seq <= a.answeredSeq):
-		// A response is executed before the worker sends its next heartbeat, but answers to commands come in between.
-		return true
-	case a.runRelayed && !a.reported && path != byHeartbeat:
-		// A relay delivers until the worker sends a heartbeat to another controller.
-		return true
+// reconcileMissing judges an allocation that the newest heartbeat lacks (rules 3 and 4 of docs/design.md). s.mu must be
+// held.
+func (s *Scheduler) reconcileMissing(machine *machineState, alloc *allocation) {
+	verdict, proof := alloc.absentFrom(observedWorker{seenTerm: machine.Term == s.term, incarnation: machine.Incarnation})
+	switch verdict {
+	case absenceProved:
+		s.loseTask(alloc, proof)
+	case absenceLost:
+		alloc.runSent = false
+	case absenceOpen:
+		if !alloc.starts.none() {
+			s.evidence.absencesCrossed++
+		}
 	}
-	return false
 }
 
 // reconcileUnknown judges a reported attempt that is neither an allocation nor a known exit. s.mu must be held.
-func (s *Scheduler) reconcileUnknown(machine *machineState, key string, report api.TaskReport) {
-	id, task, ok := parseTaskKey(key)
+func (s *Scheduler) reconcileUnknown(machine *machineState, attempt fleet.Attempt, report api.TaskReport) {
+	id, task, ok := parseTaskKey(attempt.Task)
 	job := s.jobs[id]
 	known := ok && job != nil && task < job.taskCount
 	switch {
 	case report.State == api.TaskExited:
-		exit := &exitedTask{attempt: report.Attempt, stored: !known || report.Cause != api.CauseDone}
-		machine.exited[key] = exit
+		exit := &exitedTask{incarnation: machine.Incarnation, stored: !known || report.Cause != api.CauseDone}
+		machine.exited[attempt] = exit
 		if !exit.stored {
 			s.removeQueuedTask(job, task)
 			s.markCompleted(job, task, s.allowClear(machine, exit))
 		}
-	case known && job.allocations[task] == nil && machine.allocations[key] == nil:
+	case known && job.allocations[task] == nil && machine.allocations[attempt.Task] == nil:
 		s.adoptTask(machine, job, task, report)
+	case known && machine.Term == s.term:
+		s.reportSecondAttempt(machine, attempt, job.allocations[task])
 	}
 	// Whatever else runs is killed by the next commands.
 }
 
+// reportSecondAttempt reports an attempt that is on a machine although its task has an allocation elsewhere that may have
+// started. s.mu must be held.
+func (s *Scheduler) reportSecondAttempt(machine *machineState, attempt fleet.Attempt, alloc *allocation) {
+	if alloc == nil || !alloc.runSent {
+		return
+	}
+	invariant.Violated("a task is on one machine", "task", attempt.Task, "attempt", attempt.Number, "machine", machine.Name,
+		"incarnation", machine.Incarnation, "seq", machine.Seq, "term", s.term, "allocated_to", alloc.machine.Name, "allocated_attempt", alloc.attempt,
+		"reported", alloc.reported, "state", alloc.state)
+}
+
 // adoptTask makes an allocation of a running attempt that no record holds, so that it counts for limits, zones and
 // resources until it is proved gone (rule 3 of docs/design.md). It is stopped if its job does not need it. s.mu must be
 // held.
--- a/scheduler/reconcile_test.go
+++ b/scheduler/reconcile_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"switchferry/api"
+	"switchferry/invariant"
 )
 
 func TestNewIncarnationProvesTasksLost(t *testing.T) {
@@ -113,7 +114,8 @@
 }
 
 // Reports that make no sense move nothing: of tasks that nobody has, with a tally that falls, of a machine that nobody
-// instancesGranted, and of an earlier session, minutes late.
+// rented, and of an earlier session, minutes late. A running attempt of a task that runs elsewhere is reported as a
+// contradiction.
 func TestInvalidHeartbeatsChangeNothing(t *testing.T) {
 	h := newHarness(t)
 	workers := newInboundLostWorkers(h, "a1", "a2")
@@ -141,6 +143,9 @@
 	if len(before) != 2 || !slices.Equal(where(), before) || len(workers.begun) != begun || slices.Contains(workers.released, "a1") || slices.Contains(workers.released, "a2") {
 		t.Errorf("tasks stood at %v, now at %v; returned %v", before, where(), workers.released)
 	}
+	if violations := invariant.TakeViolations(); violations != 1 {
+		t.Errorf("%d contradictions were reported, want 1", violations)
+	}
 }
 
 // Copies of a machine's reports kept it alive: it was given up only when they ended, its tasks waited,
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -118,6 +118,8 @@
 
 	// Commands.
 
+	// evidence counts what moves of tasks have rested on.
+	evidence attemptEvidence
 	// commandsReady are machines with commands whose records have been stored.
 	commandsReady map[*machineState]bool
 	// commandMailboxes holds the commands that are relayed through each peer.
@@ -169,6 +171,7 @@
 		machines:          map[string]*machineState{},
 		releasedAt:        map[string]time.Time{},
 		commandsReady:     map[*machineState]bool{},
+		evidence:          attemptEvidence{proofs: map[proof]int{}},
 		usage:             map[string]fleet.Resources{},
 		stoppingUsage:     map[string]fleet.Resources{},
 		imageHints:        map[string][]fleet.Image{},
--- a/scheduler/services_gangs.go
+++ b/scheduler/services_gangs.go
@@ -174,7 +174,11 @@
 			continue
 		}
 		for len(allocations) < len(job.pending) && s.canStart(job, machine) && s.mayStage(job, machine) {
-			allocations = append(allocations, s.allocate(job, int(job.pending[len(allocations)]), machine, attempt))
+			task := int(job.pending[len(allocations)])
+			if !s.mayAllocate(job, task) {
+				return allocations
+			}
+			allocations = append(allocations, s.allocate(job, task, machine, attempt))
 		}
 	}
 	return allocations
--- a/scheduler/start_under_way_test.go
+++ b/scheduler/start_under_way_test.go
@@ -138,7 +138,6 @@
 // arrive. The newer one, which runs, is on the machine whatever the order of the list. Only one entry a task was looked at,
 // the last one, so that the running attempt counted as gone and the task went to another machine.
 func TestRunningAttemptIsSeenBesideAnEarlierOne(t *testing.T) {
-	const task = "run-000001/0"
 	h := newHarness(t)
 	played := newPlayedWorkers(t, h, "a1", "b1")
 	played.join("a1")
@@ -150,7 +149,7 @@
 	played.heartbeat("a1")
 	played.heartbeat("a1")
 	first := h.jobs["run-000001"].allocations[0]
-	if !first.reported || first.unansweredRuns != 1 {
+	if !first.reported || first.starts.direct != 1 {
 		t.Fatalf("first attempt %+v", first)
 	}
 	h.mu.Lock()
--- a/scheduler/task_failures_test.go
+++ b/scheduler/task_failures_test.go
@@ -75,6 +75,7 @@
 		h.runTasks(bad)
 		h.Place()
 		h.commit()
+		h.answerCommands()
 		returned = append(returned, h.MaintainFleet()...)
 	}
 	return returned
