--- a/controller/relayed_start_test.go
+++ b/controller/relayed_start_test.go
@@ -45,31 +45,31 @@
 func newRelayedWorkers(t *testing.T, names ...string) *relayedWorkers {
 	t.Helper()
 	leader := newLeader(t)
-	r := &relayedWorkers{T: t, leader: leader, workers: map[string]*fake.Worker{}, failing: map[string]bool{}, handled: make(chan struct{}, 1), running: map[string]bool{}, carried: leader.Term()}
+	played := &relayedWorkers{T: t, leader: leader, workers: map[string]*fake.Worker{}, failing: map[string]bool{}, handled: make(chan struct{}, 1), running: map[string]bool{}, carried: leader.Term()}
 	listener, err := new(net.ListenConfig).Listen(t.Context(), "tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	network := peer.New(nil, leader.clock, func() peer.Hello { return peer.Hello{Member: "x", Term: leader.Term(), StateOK: true} }, r.serveForwarded)
+	network := peer.New(nil, leader.clock, func() peer.Hello { return peer.Hello{Member: "x", Term: leader.Term(), StateOK: true} }, played.serveForwarded)
 	go func() { _ = network.Serve(t.Context(), listener) }()
 	set := &settings.Settings{Member: "y", Zone: "a", Peers: []settings.Peer{{Member: "x", Zone: "b", Address: listener.Addr().String()}}}
 	set.Facts.Workers = settings.Workers{ReportS: 1, LeaseS: 10, CancelS: 40}
 	set.Facts.State = settings.State{RPS: 200, WriteRPS: 5000, ValueKB: 16, TxnOps: 12}
-	r.follower = New(t.Context(), set, policy.Default(), leader.clock, leader.state)
-	if r.follower.elector.Campaign(t.Context()) {
+	played.follower = New(t.Context(), set, policy.Default(), leader.clock, leader.state)
+	if played.follower.elector.Campaign(t.Context()) {
 		t.Fatal("two leaders")
 	}
-	r.follower.leases.watermark.MarkCurrent(leader.clock.Now())
+	played.follower.leases.watermark.MarkCurrent(leader.clock.Now())
 	for _, name := range names {
-		r.workers[name] = fake.NewWorker(fake.WorkerOptions{
+		played.workers[name] = fake.NewWorker(fake.WorkerOptions{
 			Host: fake.Host{Name: name, Address: name + ":1", Type: "m8", Zone: "a"}, Clock: leader.clock, Every: time.Second, Lease: 10 * time.Second,
 			Runs:   func(string) time.Duration { return time.Hour },
-			Starts: func(string, uint64, time.Time) { r.started(name) },
-			Ends:   func(string, bool) { delete(r.running, name) },
-			Fails:  r.failure(name),
+			Starts: func(string, uint64, time.Time) { played.started(name) },
+			Ends:   func(string, bool) { delete(played.running, name) },
+			Fails:  played.failure(name),
 		})
 	}
-	return r
+	return played
 }
 
 func (r *relayedWorkers) started(name string) {
@@ -179,52 +179,52 @@
 // failed, and started the task elsewhere, and then the follower delivered the old start once more.
 func TestForwardedHeartbeatWithoutReplyDeliversNoEarlierRelayedStart(t *testing.T) {
 	const task = "run-000001/0"
-	r := newRelayedWorkers(t, "a1", "a2")
-	r.heartbeat("a1")
-	r.heartbeat("a1")
-	r.carryReports()
-	r.leader.submit(smallJob("run-000001"))
-	r.leader.Place()
-	r.leader.commit()
-	r.fetchCommands()
-	r.failing["a1"] = true
-	r.heartbeat("a1")
-	report := r.workers["a1"].Report()
-	if len(report.Tasks) != 1 || report.Tasks[0].Cause != api.CauseError || len(r.leader.commands[task]) > 0 {
-		t.Fatalf("the relayed start did not arrive: %+v, sent directly %v", report.Tasks, r.leader.commands[task])
-	}
-	delete(r.failing, "a1")
-
-	r.connect()
-	r.mu.Lock()
-	r.silent = true
-	r.mu.Unlock()
+	played := newRelayedWorkers(t, "a1", "a2")
+	played.heartbeat("a1")
+	played.heartbeat("a1")
+	played.carryReports()
+	played.leader.submit(smallJob("run-000001"))
+	played.leader.Place()
+	played.leader.commit()
+	played.fetchCommands()
+	played.failing["a1"] = true
+	played.heartbeat("a1")
+	report := played.workers["a1"].Report()
+	if len(report.Tasks) != 1 || report.Tasks[0].Cause != api.CauseError || len(played.leader.commands[task]) > 0 {
+		t.Fatalf("the relayed start did not arrive: %+v, sent directly %v", report.Tasks, played.leader.commands[task])
+	}
+	delete(played.failing, "a1")
+
+	played.connect()
+	played.mu.Lock()
+	played.silent = true
+	played.mu.Unlock()
 	answered := make(chan any, 1)
-	go func() { answered <- r.ask(report) }()
-	<-r.handled
-	r.deliverCommands()
+	go func() { answered <- played.ask(report) }()
+	<-played.handled
+	played.deliverCommands()
 	for range 2 {
-		second := r.workers["a2"].Report()
-		response, _, _ := r.leader.HandleHeartbeat(second, "")
-		r.answer("a2", second, response)
-	}
-	r.leader.Place()
-	r.leader.commit()
-	r.deliverCommands()
-	if !r.running["a2"] {
+		second := played.workers["a2"].Report()
+		response, _, _ := played.leader.HandleHeartbeat(second, "")
+		played.answer("a2", second, response)
+	}
+	played.leader.Place()
+	played.leader.commit()
+	played.deliverCommands()
+	if !played.running["a2"] {
 		t.Fatal("the task does not run on the second machine")
 	}
 	for waiting := true; waiting; {
 		select {
 		case body := <-answered:
-			r.answer("a1", report, body)
+			played.answer("a1", report, body)
 			waiting = false
 		default:
-			r.leader.clock.Advance(100 * time.Millisecond)
+			played.leader.clock.Advance(100 * time.Millisecond)
 			time.Sleep(time.Millisecond)
 		}
 	}
-	if len(r.twice) > 0 {
-		t.Errorf("%s ran twice: %v", task, r.twice)
+	if len(played.twice) > 0 {
+		t.Errorf("%s ran twice: %v", task, played.twice)
 	}
 }
