A follower delivers no earlier relayed command for a heartbeat that it offered to the leader

Cause: a follower that gets no reply to a forwarded heartbeat in time answers it itself, with commands from the leader's packets. It took the heartbeat for one that the leader had not seen. The leader may have handled it, and then counts starts relayed before as settled: it clears or gives up the attempt, and the task starts elsewhere. Where the follower had not read the leader's newer packet yet, it delivered the old start after that, and the task ran on two machines.

Change: the relay starts afresh with a worker whose heartbeat was offered to the leader, as it does after a gap, so that nothing derived from an earlier heartbeat is delivered. Considered: that the leader believes no heartbeat that came through the relaying peer. It cannot tell such a peer from any other, and would wait for ever.

--- a/controller/heartbeats.go
+++ b/controller/heartbeats.go
@@ -50,10 +50,10 @@
 		if response, err := c.peers.Ask(ctx, leader, request, tuning.PeerTimeout); err == nil && response.Status != http.StatusMisdirectedRequest {
 			return answer{response.Status, json.RawMessage(response.Body)}
 		}
-		// Whatever the leader has answered, the response to this heartbeat is up to this controller now: it renews the
-		// lease and carries only commands that were relayed before.
+		// Whatever the leader has answered, the response to this heartbeat is up to this controller now, and renews the lease.
+		return c.answerForUnreachableLeader(heartbeat, term, c.workerProxy.HandleOfferedHeartbeat)
 	}
-	return c.answerForUnreachableLeader(heartbeat, term)
+	return c.answerForUnreachableLeader(heartbeat, term, c.workerProxy.HandleHeartbeat)
 }
 
 // redirectWorker returns the controller to which the sender of a heartbeat should turn while that leader leads; ok is
@@ -77,15 +77,15 @@
 }
 
 // answerForUnreachableLeader answers a heartbeat with commands that the leader of the term has relayed, and relays the
-// heartbeat to it.
-func (c *Controller) answerForUnreachableLeader(heartbeat *api.Heartbeat, term uint64) answer {
+// heartbeat to it, by a method of workerProxy.
+func (c *Controller) answerForUnreachableLeader(heartbeat *api.Heartbeat, term uint64, relay func(*api.Heartbeat, uint64) api.HeartbeatResponse) answer {
 	if heartbeat.Term > term {
 		return answer{http.StatusServiceUnavailable, api.Error{Error: "the leader is out of reach"}}
 	}
 	if !c.leases.mayRenew() {
 		return c.leases.refuse()
 	}
-	return answer{http.StatusOK, c.leases.enforceCancellations(heartbeat, c.workerProxy.HandleHeartbeat(heartbeat, term))}
+	return answer{http.StatusOK, c.leases.enforceCancellations(heartbeat, relay(heartbeat, term))}
 }
 
 // handleForwardedHeartbeat serves a heartbeat that a peer forwards.
--- a/relay/proxy/workers.go
+++ b/relay/proxy/workers.go
@@ -33,8 +33,8 @@
 // workerState is what a proxy knows of one worker.
 type workerState struct {
 	heartbeat api.Heartbeat
-	// firstSeq is the first of the heartbeats that came here without a gap. Commands derived from an earlier one may be
-	// overtaken by what other controllers told the worker in between.
+	// firstSeq is the first of the heartbeats that came here without a gap and that nobody else was offered. Commands derived
+	// from an earlier one may be overtaken by what other controllers told the worker in between.
 	firstSeq uint64
 	// deliveredSeq is the heartbeat from which the last delivered commands were derived: commands derived from an older
 	// one are not delivered after it.
@@ -66,6 +66,18 @@
 // HandleHeartbeat takes in a worker's heartbeat for the leader of a term and returns the commands that the leader has sent
 // for it, none if they could be out of date.
 func (w *Workers) HandleHeartbeat(heartbeat *api.Heartbeat, term uint64) api.HeartbeatResponse {
+	return w.handleHeartbeat(heartbeat, term, false)
+}
+
+// HandleOfferedHeartbeat is HandleHeartbeat for a heartbeat that was forwarded to the leader without a reply in time. The
+// leader may have handled it, and then takes it for proof that no start relayed before is delivered any more (rule 4 of
+// docs/design.md).
+func (w *Workers) HandleOfferedHeartbeat(heartbeat *api.Heartbeat, term uint64) api.HeartbeatResponse {
+	return w.handleHeartbeat(heartbeat, term, true)
+}
+
+// handleHeartbeat is HandleHeartbeat, or HandleOfferedHeartbeat if offered is set.
+func (w *Workers) handleHeartbeat(heartbeat *api.Heartbeat, term uint64, offered bool) api.HeartbeatResponse {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	response := api.HeartbeatResponse{Term: term, Commands: []api.Command{}}
@@ -78,13 +90,16 @@
 		// count as delivered.
 		return response
 	}
-	changed := false
-	if worker == nil || worker.heartbeat.Incarnation != heartbeat.Incarnation || heartbeat.Seq != worker.heartbeat.Seq+1 {
+	begins := worker == nil || worker.heartbeat.Incarnation != heartbeat.Incarnation || heartbeat.Seq != worker.heartbeat.Seq+1
+	if begins {
 		slog.Debug("relaying a machine's reports", "machine", heartbeat.Machine, "session", heartbeat.Incarnation)
-		worker, changed = &workerState{firstSeq: heartbeat.Seq}, true
+	}
+	changed := begins || !sameStatus(heartbeat, &worker.heartbeat)
+	if begins || offered {
+		// Commands derived from earlier heartbeats are not delivered any more: the task may run elsewhere by now.
+		worker = &workerState{firstSeq: heartbeat.Seq}
 		w.workers[heartbeat.Machine] = worker
 	}
-	changed = changed || !sameStatus(heartbeat, &worker.heartbeat)
 	worker.heartbeat = *heartbeat
 	body, err := json.Marshal(heartbeat)
 	if err != nil {
--- a/relay/proxy/workers_test.go
+++ b/relay/proxy/workers_test.go
@@ -84,3 +84,37 @@
 		t.Error("a copy undid what the worker had said since")
 	}
 }
+
+// Commands derived from an earlier heartbeat are not delivered in answer to one that was offered to the leader, nor after
+// it: the leader may have handled it, and started the task elsewhere.
+func TestOfferedHeartbeatGetsNoEarlierCommands(t *testing.T) {
+	workers := newWorkers()
+	heartbeat := func(seq uint64) *api.Heartbeat {
+		return &api.Heartbeat{Machine: "b1", Incarnation: 1, Seq: seq, Term: 7}
+	}
+	relayStart := func(revision, seq uint64) {
+		t.Helper()
+		mailbox := relay.NewMailbox(exchange.PacketLimits(settings.State{RPS: 120, WriteRPS: 30, ValueKB: 16, TxnOps: 24}))
+		mailbox.AssignPacket("b1")
+		raw, _ := json.Marshal(store.RelayedCommands{Incarnation: 1, Seq: seq, Commands: []api.Command{{Verb: api.CommandRun, Task: "run-1/0", Attempt: 3}}})
+		packet, _, _, err := mailbox.BuildPacket(7, 0, func(string) json.RawMessage { return raw })
+		if err == nil {
+			err = workers.inbox.Apply(store.RelayResponseKey("y", 0), revision, &packet)
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	workers.HandleHeartbeat(heartbeat(10), 7)
+	relayStart(50, 10)
+	if response := workers.HandleOfferedHeartbeat(heartbeat(11), 7); len(response.Commands) > 0 || response.Term != 7 {
+		t.Errorf("answer to an offered heartbeat: %+v", response)
+	}
+	if response := workers.HandleHeartbeat(heartbeat(12), 7); len(response.Commands) > 0 {
+		t.Errorf("answer after an offered heartbeat: %+v", response)
+	}
+	relayStart(51, 12)
+	if response := workers.HandleHeartbeat(heartbeat(13), 7); len(response.Commands) != 1 {
+		t.Errorf("commands derived from a later heartbeat are not delivered: %+v", response)
+	}
+}
