--- /dev/null
+++ b/scheduler/pending_starts_test.go
@@ -0,0 +1,91 @@
+package scheduler
+
+import "testing"
+
+func TestStartsAreSettledByWhatProvesThemSettled(t *testing.T) {
+	const sentAfter = 10
+	cases := []struct {
+		name string
+		sent deliveryPath
+		// heardOn and heardSeq are the path and number of the next newer heartbeat; answered is that the command was answered.
+		heardOn  deliveryPath
+		heardSeq uint64
+		answered bool
+		// none, behindHeartbeat and behindRelay are whether no start is left, and none behind a command on these paths.
+		none, behindHeartbeat, behindRelay bool
+	}{
+		{"a direct start, and a heartbeat", byCommandResponse, byHeartbeat, 11, false, false, false, false},
+		{"a direct start, and a relayed heartbeat", byCommandResponse, byRelay, 11, false, false, false, false},
+		{"a direct start, answered", byCommandResponse, byCommandResponse, 11, true, true, true, true},
+		{"a start in a response, and the next heartbeat", byHeartbeat, byHeartbeat, 11, false, true, true, true},
+		{"a start in a response, and the next heartbeat through a relay", byHeartbeat, byRelay, 11, false, true, true, true},
+		{"a start in a response, and an answer to a command", byHeartbeat, byCommandResponse, 11, true, false, false, false},
+		{"a relayed start, and a relayed heartbeat", byRelay, byRelay, 11, false, false, false, true},
+		{"a relayed start, and an answer to a command", byRelay, byCommandResponse, 11, true, false, false, true},
+		{"a relayed start, and a heartbeat", byRelay, byHeartbeat, 11, false, true, true, true},
+	}
+	for _, tc := range cases {
+		var starts pendingStarts
+		if !starts.none() {
+			t.Fatal("the zero value has starts")
+		}
+		starts.add(tc.sent, sentAfter)
+		if starts.none() || starts.noneBehind(byHeartbeat) {
+			t.Errorf("%s: settled once it is sent", tc.name)
+		}
+		if tc.answered {
+			starts.settleDirect()
+		}
+		starts.observe(tc.heardOn, tc.heardSeq)
+		if starts.none() != tc.none || starts.noneBehind(byHeartbeat) != tc.behindHeartbeat || starts.noneBehind(byRelay) != tc.behindRelay {
+			t.Errorf("%s: %+v", tc.name, starts)
+		}
+	}
+}
+
+func TestAbsenceIsProofOnlyWhenNoStartCanArrive(t *testing.T) {
+	current, later := observedWorker{seenTerm: true, incarnation: 2}, observedWorker{seenTerm: true, incarnation: 3}
+	cases := []struct {
+		name    string
+		attempt attemptState
+		worker  observedWorker
+		want    absence
+		proof   proof
+	}{
+		{"never sent", attemptState{}, current, absenceOpen, ""},
+		{"of an earlier leader, the token not seen", attemptState{runSent: true}, observedWorker{incarnation: 3}, absenceOpen, ""},
+		{"of an earlier leader", attemptState{runSent: true}, current, absenceProved, proofNeverArrived},
+		{"a new incarnation", attemptState{runSent: true, incarnation: 2, starts: pendingStarts{direct: 1, relayed: true}}, later, absenceProved, proofNewIncarnation},
+		{"a direct start open", attemptState{runSent: true, incarnation: 2, starts: pendingStarts{direct: 1}, stopping: true}, current, absenceOpen, ""},
+		{"a start in a response open", attemptState{runSent: true, incarnation: 2, starts: pendingStarts{responseSeq: 9}, stopping: true}, current, absenceOpen, ""},
+		{"a relayed start open", attemptState{runSent: true, incarnation: 2, starts: pendingStarts{relayed: true}, stopping: true}, current, absenceOpen, ""},
+		{"reported, and a start open", attemptState{runSent: true, incarnation: 2, starts: pendingStarts{relayed: true}, reported: true}, current, absenceOpen, ""},
+		{"reported before", attemptState{runSent: true, incarnation: 2, reported: true}, current, absenceProved, proofForgotten},
+		{"stopped before it started", attemptState{runSent: true, incarnation: 2, stopping: true}, current, absenceProved, proofStopped},
+		{"lost on the way", attemptState{runSent: true, incarnation: 2}, current, absenceLost, ""},
+	}
+	for _, tc := range cases {
+		if got, proof := tc.attempt.absentFrom(tc.worker); got != tc.want || proof != tc.proof {
+			t.Errorf("%s: %v, %q, want %v, %q", tc.name, got, proof, tc.want, tc.proof)
+		}
+	}
+}
+
+func TestExitIsClearedOnceStoredAndNoStartCanArrive(t *testing.T) {
+	cases := []struct {
+		name                  string
+		exit                  exitedTask
+		byHeartbeat, inPacket bool
+	}{
+		{"stored", exitedTask{stored: true}, true, true},
+		{"not stored", exitedTask{}, false, false},
+		{"a direct start open", exitedTask{stored: true, starts: pendingStarts{direct: 1}}, false, false},
+		{"a start in a response open", exitedTask{stored: true, starts: pendingStarts{responseSeq: 4}}, false, false},
+		{"a relayed start open", exitedTask{stored: true, starts: pendingStarts{relayed: true}}, false, true},
+	}
+	for _, tc := range cases {
+		if tc.exit.mayClear(byHeartbeat) != tc.byHeartbeat || tc.exit.mayClear(byCommandResponse) != tc.byHeartbeat || tc.exit.mayClear(byRelay) != tc.inPacket {
+			t.Errorf("%s: %+v", tc.name, tc.exit)
+		}
+	}
+}
--- a/scheduler/start_under_way_test.go
+++ b/scheduler/start_under_way_test.go
@@ -14,6 +14,8 @@
 	*testing.T
 	harness *harness
 	workers map[string]*fake.Worker
+	// runTime is how long a task runs.
+	runTime time.Duration
 	// failures is why a machine's next starts end at once, by machine.
 	failures map[string]string
 	// running are the machines that run each task.
@@ -23,12 +25,12 @@
 }
 
 func newPlayedWorkers(t *testing.T, h *harness, names ...string) *playedWorkers {
-	played := &playedWorkers{T: t, harness: h, workers: map[string]*fake.Worker{}, failures: map[string]string{}, running: map[string]map[string]bool{}}
+	played := &playedWorkers{T: t, harness: h, workers: map[string]*fake.Worker{}, runTime: time.Hour, failures: map[string]string{}, running: map[string]map[string]bool{}}
 	for _, name := range names {
 		played.workers[name] = fake.NewWorker(fake.WorkerOptions{
 			Host: fake.Host{Name: name, Address: name + ":1", Type: "m8", Zone: zoneOf(name)}, Clock: h.clock,
 			Every: time.Second, Lease: 10 * time.Second,
-			Runs:   func(string) time.Duration { return time.Hour },
+			Runs:   func(string) time.Duration { return played.runTime },
 			Starts: func(task string, _ uint64, _ time.Time) { played.started(task, name) },
 			Ends:   func(task string, _ bool) { delete(played.running[task], name) },
 			Fails:  func(string) string { return played.failures[name] },
