--- a/controller/fleet_loops.go
+++ b/controller/fleet_loops.go
@@ -83,6 +83,7 @@
 
 // maintainFleet requests and releases machines as the scheduler decides, until the context ends.
 func (t *leaderTerm) maintainFleet(ctx context.Context) {
+	defer t.scheduler.LogReleases()
 	for ctx.Err() == nil {
 		if names := t.scheduler.MaintainFleet(); len(names) > 0 {
 			for len(names) > 0 {
--- a/scheduler/attempt_evidence.go
+++ b/scheduler/attempt_evidence.go
@@ -17,6 +17,13 @@
 	absencesCrossed int
 }
 
+// LogReleases logs the proofs on which allocations were released in this term, and how often messages crossed.
+func (s *Scheduler) LogReleases() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.evidence.log(s.term)
+}
+
 // log writes the counts as one line.
 func (e *attemptEvidence) log(term uint64) {
 	attributes := []any{"term", term, "exits_crossed", e.exitsCrossed, "stops_crossed", e.stopsCrossed, "absences_crossed", e.absencesCrossed}
--- a/scheduler/starts_random_test.go
+++ b/scheduler/starts_random_test.go
@@ -132,7 +132,7 @@
 
 // submitAndPlace has the leader place, store and send, with more jobs than there is room for.
 func (r *randomStarts) submitAndPlace() {
-	if len(r.harness.Scheduler.jobs) < mostOpenJobs {
+	if len(r.harness.jobs) < mostOpenJobs {
 		r.jobs++
 		r.harness.submit(fmt.Sprintf("run-%06d", r.jobs), 3, nil)
 	}
@@ -226,9 +226,9 @@
 	h := r.harness
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for _, id := range slices.Sorted(maps.Keys(h.Scheduler.jobs)) {
-		for _, task := range slices.Sorted(maps.Keys(h.Scheduler.jobs[id].allocations)) {
-			alloc := h.Scheduler.jobs[id].allocations[task]
+	for _, id := range slices.Sorted(maps.Keys(h.jobs)) {
+		for _, task := range slices.Sorted(maps.Keys(h.jobs[id].allocations)) {
+			alloc := h.jobs[id].allocations[task]
 			if (alloc.reported || !alloc.runSent) && r.rng.IntN(2) == 0 {
 				h.stopTask(alloc, 0, "test")
 				return
@@ -297,7 +297,7 @@
 			t.Fatalf("seed %d: ran twice: %v", seed, random.twice)
 		}
 		if !random.settle() {
-			t.Fatalf("seed %d: not all of %d jobs are done in the end: %+v", seed, random.jobs, random.harness.Scheduler.jobs)
+			t.Fatalf("seed %d: not all of %d jobs are done in the end: %+v", seed, random.jobs, random.harness.jobs)
 		}
 		if len(random.twice) > 0 || invariant.Violations() > 0 {
 			t.Fatalf("seed %d: ran twice: %v, %d contradictions", seed, random.twice, invariant.Violations())
