Random messages: jobs that failed are waited for, failures name the open work, the workers' record has a lock

Change: it waits for the longest pause and a minute more; a lock; a failure prints the jobs, allocations and exits that are left.

--- a/scheduler/start_under_way_test.go
+++ b/scheduler/start_under_way_test.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -18,6 +20,9 @@
 	runTime time.Duration
 	// failures is why a machine's next starts end at once, by machine.
 	failures map[string]string
+
+	// mu guards the fields below, as workers complete tasks on goroutines of their own.
+	mu sync.Mutex
 	// running are the machines that run each task.
 	running map[string]map[string]bool
 	// twice are tasks that started on one machine while they ran on another.
@@ -32,14 +37,22 @@
 			Every: time.Second, Lease: 10 * time.Second,
 			Runs:   func(string) time.Duration { return played.runTime },
 			Starts: func(task string, _ uint64, _ time.Time) { played.started(task, name) },
-			Ends:   func(task string, _ bool) { delete(played.running[task], name) },
+			Ends:   func(task string, _ bool) { played.ended(task, name) },
 			Fails:  func(string) string { return played.failures[name] },
 		})
 	}
 	return played
 }
 
+func (p *playedWorkers) ended(task, machine string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.running[task], machine)
+}
+
 func (p *playedWorkers) started(task, machine string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	if p.running[task] == nil {
 		p.running[task] = map[string]bool{}
 	}
@@ -51,6 +64,13 @@
 	p.running[task][machine] = true
 }
 
+// startedTwice are the tasks that started on one machine while they ran on another.
+func (p *playedWorkers) startedTwice() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.twice)
+}
+
 // heartbeat has a worker report and executes the response.
 func (p *playedWorkers) heartbeat(name string) {
 	report := p.workers[name].Report()
@@ -121,8 +141,8 @@
 				t.Fatal("the task does not run on the second machine")
 			}
 			played.workers["a1"].Answer(overtaken, h.clock.Now(), late)
-			if len(played.twice) > 0 {
-				t.Errorf("ran twice: %v", played.twice)
+			if twice := played.startedTwice(); len(twice) > 0 {
+				t.Errorf("ran twice: %v", twice)
 			}
 			for range 3 {
 				h.clock.Advance(time.Second)
@@ -176,7 +196,7 @@
 	if _, executed := played.workers["a1"].Direct(lost.response); !executed {
 		t.Error("the first start can arrive no more")
 	}
-	if len(played.twice) > 0 {
-		t.Errorf("ran twice: %v", played.twice)
+	if twice := played.startedTwice(); len(twice) > 0 {
+		t.Errorf("ran twice: %v", twice)
 	}
 }
--- a/scheduler/starts_random_test.go
+++ b/scheduler/starts_random_test.go
@@ -5,6 +5,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -15,6 +16,7 @@
 	"switchferry/relay/proxy"
 	"switchferry/settings"
 	"switchferry/store"
+	"switchferry/tuning"
 )
 
 // exchangedHeartbeat is a heartbeat whose worker waits for the response.
@@ -27,6 +29,10 @@
 // mostOpenJobs is how many jobs there are at a time: their tasks are more than the machines can run.
 const mostOpenJobs = 4
 
+// settledWithin is how long jobs may take once all messages arrive: a job that failed pauses for tuning.BackoffMax at the
+// most, and its tasks run after that.
+const settledWithin = tuning.BackoffMax + time.Minute
+
 // randomStarts plays a leader and workers that keep the protocol, with the messages between them late, lost, repeated and in
 // any order, on all three paths: direct commands, responses to heartbeats, and packets of a relay.
 type randomStarts struct {
@@ -251,7 +257,7 @@
 func (r *randomStarts) settle() bool {
 	clear(r.failures)
 	clear(r.relayed)
-	for range 60 {
+	for end := r.harness.clock.Now().Add(settledWithin); r.harness.clock.Now().Before(end); {
 		for _, name := range r.names {
 			r.respond(name)
 			delete(r.waiting, name)
@@ -278,6 +284,25 @@
 	return false
 }
 
+// openWork describes the jobs that are not over, and the machines.
+func (r *randomStarts) openWork() string {
+	var text strings.Builder
+	for id, job := range r.harness.jobs {
+		fmt.Fprintf(&text, "%s %q: %d of %d done, %v pending, %d queued, paused until %v\n", id, job.FinalState, job.completedCount, job.taskCount, job.pending, job.queued, job.pausedUntil)
+		for _, alloc := range job.allocations {
+			fmt.Fprintf(&text, "  %s attempt %d on %s: %+v, committed %v, %s\n", alloc.key, alloc.attempt, alloc.machine.Name, alloc.attemptState, alloc.committed, alloc.state)
+		}
+	}
+	for name, machine := range r.harness.machines {
+		fmt.Fprintf(&text, "%s: incarnation %d, seq %d, token seen %v, %v, command in flight %v, reported %v\n", name, machine.Incarnation, machine.Seq, machine.Term == r.harness.term,
+			machine.link.State(r.harness.clock.Now(), r.harness.lease()), machine.commandInFlight, machine.Attempts)
+		for attempt, exit := range machine.exited {
+			fmt.Fprintf(&text, "  exited %v: %+v\n", attempt, *exit)
+		}
+	}
+	return text.String()
+}
+
 // Whatever happens to the messages between the leaders and the workers, no task runs on two machines, nothing contradicts
 // itself, and in the end all jobs are done: no proof is waited for that never comes.
 func TestRandomMessagesRunNoTaskTwice(t *testing.T) {
@@ -293,14 +318,14 @@
 		}
 		evidence := random.harness.evidence
 		crossed += evidence.exitsCrossed + evidence.stopsCrossed + evidence.absencesCrossed
-		if len(random.twice) > 0 {
-			t.Fatalf("seed %d: ran twice: %v", seed, random.twice)
+		if twice := random.startedTwice(); len(twice) > 0 {
+			t.Fatalf("seed %d: ran twice: %v", seed, twice)
 		}
 		if !random.settle() {
-			t.Fatalf("seed %d: not all of %d jobs are done in the end: %+v", seed, random.jobs, random.harness.jobs)
+			t.Fatalf("seed %d: not all of %d jobs are done in the end:\n%s", seed, random.jobs, random.openWork())
 		}
-		if len(random.twice) > 0 || invariant.Violations() > 0 {
-			t.Fatalf("seed %d: ran twice: %v, %d contradictions", seed, random.twice, invariant.Violations())
+		if twice := random.startedTwice(); len(twice) > 0 || invariant.Violations() > 0 {
+			t.Fatalf("seed %d: ran twice: %v, %d contradictions", seed, twice, invariant.Violations())
 		}
 	}
 	if crossed == 0 {
