--- a/scheduler/commands.go
+++ b/scheduler/commands.go
@@ -41,7 +41,7 @@
 	for _, alloc := range machine.allocations {
 		// A task that is saving is ended by a second kill with a grace period of 0; other kills are not repeated to it.
 		if alloc.stopping && alloc.reported && (alloc.state != api.TaskSaving || alloc.stopGraceS == 0) {
-			s.logCommand("kill sent", machine, alloc.attemptOf(), path, alloc.stopReason)
+			s.logCommand(api.CommandKill, machine, alloc.attemptOf(), path, alloc.stopReason)
 			commands = append(commands, killCommand(alloc.key, alloc.attempt, alloc.stopGraceS))
 		}
 	}
@@ -53,11 +53,11 @@
 			// Only the worker remembers an exit that is not stored (rule 2), and a run of the attempt that is still under
 			// way would start it again after a clear (rule 4).
 			if exit.mayClear(path) {
-				s.logCommand("clear sent", machine, attempt, path, "its end is on record, no start under way")
+				s.logCommand(api.CommandClear, machine, attempt, path, "its end is on record, no start under way")
 				commands = append(commands, api.Command{Verb: api.CommandClear, Task: attempt.Task, Attempt: attempt.Number})
 			}
 		} else if report.State != api.TaskExited {
-			s.logCommand("kill sent", machine, attempt, path, "no allocation")
+			s.logCommand(api.CommandKill, machine, attempt, path, "no allocation")
 			commands = append(commands, killCommand(attempt.Task, attempt.Number, 0))
 		}
 	}
@@ -74,8 +74,8 @@
 
 // logCommand logs a command for one attempt and why it may be sent, so that the logs of the controllers tell what each of
 // them did about a task.
-func (s *Scheduler) logCommand(message string, machine *machineState, attempt fleet.Attempt, path deliveryPath, allowedBy string) {
-	slog.Debug(message, "task", attempt.Task, "attempt", attempt.Number, "machine", machine.Name, "incarnation", machine.Incarnation,
+func (s *Scheduler) logCommand(verb string, machine *machineState, attempt fleet.Attempt, path deliveryPath, allowedBy string) {
+	slog.Debug("command sent", "verb", verb, "task", attempt.Task, "attempt", attempt.Number, "machine", machine.Name, "incarnation", machine.Incarnation,
 		"seq", machine.Seq, "path", path, "term", s.term, "allowed_by", allowedBy)
 }
 
@@ -125,7 +125,7 @@
 func (s *Scheduler) sendRun(alloc *allocation, path deliveryPath) api.Command {
 	alloc.runSent, alloc.incarnation = true, alloc.machine.Incarnation
 	alloc.starts.add(path, alloc.machine.Seq)
-	s.logCommand("start sent", alloc.machine, alloc.attemptOf(), path, "allocation on record")
+	s.logCommand(api.CommandRun, alloc.machine, alloc.attemptOf(), path, "allocation on record")
 	return api.Command{Verb: api.CommandRun, Task: alloc.key, Attempt: alloc.attempt}
 }
 
