Soak: slow heartbeats beside quick commands, failing starts, ending workers, flapping peers; the audit keeps all machines of a task

Cause: the soak could not meet what made a task run on two machines. Its heartbeats and commands were equally fast, nothing failed or was refused, nothing was stopped for other work, links between controllers were whole or cut, and machines came back. Its audit kept one machine a task, so that a second start hid the first, and a third was compared with the second alone.

Change: seven kinds of faults more; jobs of three ranks that fill the machines, some of which end at once; each run begins with slow heartbeats and failing starts. The audit keeps the set of machines of each task. Workers count starts that reach them in vain: a run in which none does is vacuous. A run reports the proofs that its leaders used.

Saving progress and disk faults are not played.

--- a/experiment/soak/faults.go
+++ b/experiment/soak/faults.go
@@ -13,12 +13,20 @@
 
 // Strengths of faults.
 const (
-	slowUpTo         = 1200 * time.Millisecond
-	lateAnswerShare  = 0.15
-	lostAnswerShare  = 0.3
-	lateWriteShare   = 0.2
-	messageShare     = 0.25
-	workersMet       = 5 // one in so many
+	slowUpTo        = 1200 * time.Millisecond
+	lateAnswerShare = 0.15
+	lostAnswerShare = 0.3
+	lateWriteShare  = 0.2
+	messageShare    = 0.25
+	workersMet      = 5  // one in so many
+	workersEnded    = 10 // one in so many
+	slowShare       = 0.5
+	failingShare    = 0.3
+	slowPeersUpTo   = 900 * time.Millisecond
+	// Within flapReplies after a cut of flapCut and a way open for flapOpen, a leader still counts as reachable.
+	flapCut          = 2500 * time.Millisecond
+	flapOpen         = 700 * time.Millisecond
+	flapReplies      = 1800 * time.Millisecond
 	seriesInterval   = 1500 * time.Millisecond
 	seriesDowntime   = 300 * time.Millisecond
 	jobsOfCancelWave = 12
@@ -85,6 +93,10 @@
 		in.cluster.Controllers[target].Resume()
 	case DeafWorkers, MuteWorkers, RestartedWorkers, HungWorkers:
 		in.meetWorkers(ctx, fault)
+	case DyingWorkers, NoticedWorkers:
+		in.endWorkers(ctx, fault)
+	case FlappingPeers:
+		in.flap(ctx, fault, target)
 	case CancelWave:
 		in.users.cancelMany(ctx, jobsOfCancelWave)
 	case RefusedThenOutage:
@@ -150,6 +162,45 @@
 	}
 }
 
+// endWorkers ends some workers for good, with a notice or without.
+func (in *injector) endWorkers(ctx context.Context, fault *Fault) {
+	workers := in.cluster.Workers()
+	rand.Shuffle(len(workers), func(i, j int) { workers[i], workers[j] = workers[j], workers[i] })
+	ended := workers[:1+len(workers)/workersEnded]
+	if fault.Kind == NoticedWorkers {
+		for _, worker := range ended {
+			worker.Notice(fault.For)
+		}
+		sleep.Real(ctx, fault.For)
+	}
+	for _, worker := range ended {
+		worker.Die()
+	}
+}
+
+// flap cuts a controller off from its peers again and again, in both directions and then in that of its replies.
+func (in *injector) flap(ctx context.Context, fault *Fault, target int) {
+	member := in.cluster.Controllers[target].Settings.Member
+	for end := time.Now().Add(fault.For); time.Now().Before(end) && ctx.Err() == nil; {
+		cut := Fault{Kind: CutFromPeers, For: flapCut}
+		in.hold(ctx, &cut, target)
+		sleep.Real(ctx, flapOpen)
+		in.cutReplies(member, true)
+		sleep.Real(ctx, flapReplies)
+		in.cutReplies(member, false)
+		sleep.Real(ctx, flapOpen)
+	}
+}
+
+// cutReplies holds up what a controller sends to its peers, or ends that.
+func (in *injector) cutReplies(member string, cut bool) {
+	for _, controller := range in.cluster.Controllers {
+		if other := controller.Settings.Member; other != member {
+			in.cluster.CutPeerOneWay(member, other, cut)
+		}
+	}
+}
+
 // hold keeps a fault of the ways between processes up while it lasts.
 func (in *injector) hold(ctx context.Context, fault *Fault, target int) {
 	in.mu.Lock()
@@ -171,6 +222,7 @@
 	alone := make([]bool, len(in.cluster.Controllers))
 	var messages cluster.MessageFaults
 	outage := false
+	peerDelay := time.Duration(0)
 	for fault, target := range in.active {
 		switch fault.Kind {
 		case CutFromState:
@@ -189,6 +241,14 @@
 			messages.RepeatedHeartbeats = messageShare
 		case LateCommands:
 			messages.LateCommands = messageShare
+		case SlowHeartbeats:
+			messages.SlowHeartbeats = slowShare
+		case SlowCommands:
+			messages.SlowCommands = slowShare
+		case FailingStarts:
+			messages.FailingStarts = failingShare
+		case SlowPeers:
+			peerDelay = slowPeersUpTo
 		case SlowState, LateAnswers, LostAnswers, LateWrites:
 			for number := range state {
 				addStateFault(&state[number], fault.Kind)
@@ -197,6 +257,7 @@
 	}
 	in.cluster.State.Outage(outage)
 	in.cluster.SetMessageFaults(messages)
+	in.cluster.SlowPeers(peerDelay)
 	for number, controller := range in.cluster.Controllers {
 		in.cluster.SetStateFaults(controller.Settings.Member, state[number])
 		for other := range number {
--- a/experiment/soak/schedule.go
+++ b/experiment/soak/schedule.go
@@ -47,6 +47,18 @@
 	MuteWorkers      Kind = "mute-workers"
 	RestartedWorkers Kind = "restarted-workers"
 	HungWorkers      Kind = "hung-workers"
+	// DyingWorkers end for good, and NoticedWorkers once their notice is over; both meet one in ten.
+	DyingWorkers   Kind = "dying-workers"
+	NoticedWorkers Kind = "noticed-workers"
+	// SlowHeartbeats are slow in both directions while direct commands are quick, and SlowCommands the reverse.
+	SlowHeartbeats Kind = "slow-heartbeats"
+	SlowCommands   Kind = "slow-commands"
+	// FailingStarts has a share of all starts fail or be refused at once.
+	FailingStarts Kind = "failing-starts"
+	// SlowPeers delays what controllers send each other. FlappingPeers cuts the leader off from its peers again and again, at
+	// first in both directions and then in that of its replies alone.
+	SlowPeers     Kind = "slow-peers"
+	FlappingPeers Kind = "flapping-peers"
 	// CancelWave has the users of many jobs cancel them at once.
 	CancelWave Kind = "cancel-wave"
 )
@@ -77,6 +89,13 @@
 	MuteWorkers:        {time.Second, 8 * time.Second},
 	RestartedWorkers:   {100 * time.Millisecond, 200 * time.Millisecond},
 	HungWorkers:        {time.Second, 7 * time.Second},
+	DyingWorkers:       {100 * time.Millisecond, 200 * time.Millisecond},
+	NoticedWorkers:     {time.Second, 3 * time.Second},
+	SlowHeartbeats:     {3 * time.Second, 10 * time.Second},
+	SlowCommands:       {2 * time.Second, 10 * time.Second},
+	FailingStarts:      {3 * time.Second, 10 * time.Second},
+	SlowPeers:          {2 * time.Second, 8 * time.Second},
+	FlappingPeers:      {5 * time.Second, 12 * time.Second},
 	CancelWave:         {200 * time.Millisecond, 400 * time.Millisecond},
 }
 
@@ -125,10 +144,21 @@
 	leaderShare = 0.6
 )
 
-// Draw draws the schedule of a run from some kinds of faults: all begin and end within the duration.
+// opening are faults with which each run begins, if their kinds are played: starts cross with exits and stops then.
+var opening = []Kind{SlowHeartbeats, FailingStarts}
+
+// openingFor is how long the opening lasts.
+const openingFor = 6 * time.Second
+
+// Draw draws the schedule of a run from some kinds of faults, after the opening: all begin and end within the duration.
 func Draw(seed uint64, kinds []Kind, controllers int, duration time.Duration) []Fault {
 	rng := rand.New(rand.NewPCG(seed, 0))
 	var faults []Fault
+	for _, kind := range opening {
+		if slices.Contains(kinds, kind) {
+			faults = append(faults, Fault{Kind: kind, At: quietStart, For: min(openingFor, duration-quietStart), Target: TheLeader})
+		}
+	}
 	for at := quietStart; at < duration; at += time.Duration(rng.ExpFloat64() * float64(faultInterval)) {
 		fault := Fault{Kind: kinds[rng.IntN(len(kinds))], At: at, Target: Target(rng.IntN(controllers))}
 		lasts := durations[fault.Kind]
--- a/experiment/soak/soak.go
+++ b/experiment/soak/soak.go
@@ -11,7 +11,9 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"regexp"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -27,14 +29,17 @@
 
 // Limits of a run.
 const (
-	controllers = 3
-	mostWorkers = 1000
-	mostSeeds   = 1000
+	// limitPerWorker is the team's limit in processors for each worker of eight: nearly all of them.
+	limitPerWorker = 7
+	controllers    = 3
+	mostWorkers    = 1000
+	mostSeeds      = 1000
 	// settleLimit is how long a run goes on after its faults while jobs are not over. A job about which nothing was to be
 	// learnt for forgottenAfter counts as forgotten.
 	settleLimit    = 85 * time.Second
 	forgottenAfter = 75 * time.Second
-	// A run in which fewer questions were answered for each second, or fewer terms began, shows nothing.
+	// A run in which fewer questions were answered for each second, fewer terms began or no start crossed with anything shows
+	// nothing.
 	leastAnswersPerS = 5
 	leastTerms       = 2
 	settleLook       = 250 * time.Millisecond
@@ -116,6 +121,10 @@
 	Told   int `json:"told"`
 	Starts int `json:"starts"`
 	Terms  int `json:"terms"`
+	// Crossings are starts that reached a worker in vain. Releases are the proofs on which allocations were released, and how
+	// often messages about an attempt crossed, as far as the leaders' logs count them.
+	Crossings cluster.CrossedStarts `json:"crossings"`
+	Releases  map[string]int        `json:"releases"`
 	// Unfinished are accepted jobs that were not over when the run ended.
 	Unfinished int `json:"unfinished"`
 	// EndedByThemselves are controllers whose last process ended although nothing ended it.
@@ -243,7 +252,7 @@
 	scale := max(1, float64(o.Workers)/smallFleet)
 	return settings.Facts{
 		Nodes: controllers, Zones: []string{"a"},
-		Teams:     []settings.Team{{Name: teamName, CPUsMax: float64(4 * o.Workers)}},
+		Teams:     []settings.Team{{Name: teamName, CPUsMax: float64(limitPerWorker * o.Workers)}},
 		Workers:   settings.Workers{ReportS: 0.5, LeaseS: 5, CancelS: 20},
 		State:     settings.State{RPS: 400 * scale, WriteRPS: 80 * scale, ValueKB: 16, TxnOps: 12},
 		Cloud:     settings.Cloud{RPS: 20, ListLagS: 1},
@@ -256,7 +265,7 @@
 	machine := api.MachineType{Name: "m", CPUs: 8, MemoryGB: 32, CacheGB: 50, PullGBs: 1, BootS: 2, Price: 1, SpotPrice: 0.5, Zones: facts.Zones}
 	return cluster.Options{
 		Zones: slices.Repeat(facts.Zones, controllers), Facts: facts, Type: machine, Room: o.Workers, LogDir: logs, LogLevel: o.LogLevel,
-		Runs: audit.Estimate, Audit: audit,
+		Runs: audit.Estimate, Audit: audit, Crossed: audit.StartCrossed,
 	}
 }
 
@@ -328,24 +337,65 @@
 	run.Questions, run.Answers, run.Crossed, run.Told, run.Starts = counts.Questions, counts.Answers, counts.Crossed, counts.Told, audit.Starts()
 	run.Broken, run.Why = audit.Broken()
 	run.Contradictions = countContradictions(logs)
+	run.Crossings, run.Releases = audit.Crossings(), countReleases(logs)
 	switch {
 	case float64(run.Answers) < leastAnswersPerS*o.ForS:
 		run.Vacuous = "too few questions were answered"
 	case run.Terms < leastTerms:
 		run.Vacuous = "no leader changed"
+	case run.Crossings.Sum() == 0:
+		run.Vacuous = "no start crossed with anything"
 	}
 	if run.Failed() {
 		run.Logs = logs
 	} else {
 		_ = os.RemoveAll(logs) // Nothing in them is missed.
 	}
-	o.Progress("seed %d: %.0f s, %d of %d questions answered, %d ends told, %d starts, %d terms, %d unfinished, %d ended by themselves, %d contradictions, broken %v %s", run.Seed, run.Seconds,
-		run.Answers, run.Questions, run.Told, run.Starts, run.Terms, run.Unfinished, run.EndedByThemselves, run.Contradictions, run.Broken, run.Vacuous)
+	o.Progress("seed %d: %.0f s, %d of %d questions answered, %d ends told, %d starts, %d terms, %d crossed starts, %d unfinished, %d ended by themselves, %d contradictions, broken %v %s", run.Seed, run.Seconds,
+		run.Answers, run.Questions, run.Told, run.Starts, run.Terms, run.Crossings.Sum(), run.Unfinished, run.EndedByThemselves, run.Contradictions, run.Broken, run.Vacuous)
 	for _, why := range run.Why {
 		o.Progress("seed %d: %s", run.Seed, why)
 	}
 }
 
+// releasesLine is what a term logs of the allocations that it has released.
+const releasesLine = `msg="attempts released"`
+
+// countReleases sums up what the terms in all logs have counted last.
+func countReleases(logs string) map[string]int {
+	counts := map[string]int{}
+	files, _ := filepath.Glob(filepath.Join(logs, "*.log")) // The pattern is well-formed.
+	for _, file := range files {
+		raw, err := os.ReadFile(file)
+		if err != nil {
+			continue
+		}
+		newest := map[string]string{}
+		for line := range strings.Lines(string(raw)) {
+			if _, attributes, ok := strings.Cut(line, releasesLine); ok {
+				term, rest, _ := strings.Cut(strings.TrimSpace(attributes), " ")
+				newest[term] = rest
+			}
+		}
+		for _, attributes := range newest {
+			addCounts(counts, attributes)
+		}
+	}
+	return counts
+}
+
+// attributePattern matches an attribute of a log line whose value is a number.
+var attributePattern = regexp.MustCompile(`("[^"]+"|[a-z_]+)=(\d+)`)
+
+// addCounts adds up the numbers among a log line's attributes, by name.
+func addCounts(counts map[string]int, attributes string) {
+	for _, match := range attributePattern.FindAllStringSubmatch(attributes, -1) {
+		if count, err := strconv.Atoi(match[2]); err == nil {
+			counts[strings.Trim(match[1], `"`)] += count
+		}
+	}
+}
+
 // countContradictions counts the contradictions that controllers have logged.
 func countContradictions(logs string) (count int) {
 	files, _ := filepath.Glob(filepath.Join(logs, "*.log")) // The pattern is well-formed.
--- a/experiment/soak/soak_test.go
+++ b/experiment/soak/soak_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"maps"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -26,7 +28,7 @@
 		t.Skip("the processes are built without the race detector, so it would see the same run again")
 	}
 	options := Defaults()
-	options.Program, options.Seeds, options.ForS, options.AtOnce, options.LogDir = buildProgram(t), 3, 20, 3, t.TempDir()
+	options.Program, options.Seeds, options.ForS, options.AtOnce, options.LogDir = buildProgram(t), 6, 20, 3, t.TempDir()
 	options.Progress = t.Logf
 	ctx, stop := context.WithTimeout(t.Context(), 4*time.Minute)
 	defer stop()
@@ -81,6 +83,22 @@
 	}
 }
 
+func TestReleasesAreCountedOnceATerm(t *testing.T) {
+	directory := t.TempDir()
+	line := func(term, exits, crossed int) string {
+		return fmt.Sprintf("time=x level=INFO msg=\"attempts released\" term=%d exits_crossed=%d \"exit reported\"=%d\n", term, crossed, exits)
+	}
+	for name, text := range map[string]string{"n0.log": line(7, 1, 0) + line(7, 5, 1) + line(9, 2, 0), "n1.log": line(8, 10, 2)} {
+		if err := os.WriteFile(filepath.Join(directory, name), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want := map[string]int{"exit reported": 17, "exits_crossed": 3}
+	if got := countReleases(directory); !maps.Equal(got, want) {
+		t.Errorf("%v, want %v", got, want)
+	}
+}
+
 func TestContradictionsAreCountedInAllLogs(t *testing.T) {
 	directory := t.TempDir()
 	for name, text := range map[string]string{"n0.log": "msg=\"invariant violated\" a\nmsg=\"invariant violated\" b\n", "n1.log": "msg=elected\n", "n2.log": "msg=\"invariant violated\" c\n"} {
--- a/experiment/soak/users.go
+++ b/experiment/soak/users.go
@@ -33,6 +33,8 @@
 	unknownShare    = 0.05
 	longestPipeline = 3
 	mostTasks       = 5
+	mostCPUs        = 3
+	shortestTask    = 0.01
 )
 
 // users submit jobs, ask about them at all controllers, repeat their submissions and cancel some. What they are answered goes
@@ -64,8 +66,12 @@
 	u.jobs++
 	number := u.jobs
 	u.mu.Unlock()
-	submission := api.Submission{ID: fmt.Sprintf("run-%06d", number), Class: "soak", Team: teamName, Shape: api.JobArray, Rank: "normal", Tasks: 1 + rand.IntN(mostTasks),
-		CPUs: 1, MemoryGB: 1, Image: "img", ImageGB: 0.1, Spot: true, EstimateS: 0.3 + 3*rand.Float64(), Awaits: awaits}
+	ranks := []string{"low", "normal", "high"}
+	submission := api.Submission{ID: fmt.Sprintf("run-%06d", number), Class: "soak", Team: teamName, Shape: api.JobArray, Rank: ranks[rand.IntN(len(ranks))], Tasks: 1 + rand.IntN(mostTasks),
+		CPUs: float64(1 + rand.IntN(mostCPUs)), MemoryGB: 1, Image: "img", ImageGB: 0.1, Spot: true, EstimateS: 0.3 + 3*rand.Float64(), Awaits: awaits}
+	if rand.Float64() < atOnceShare {
+		submission.EstimateS = shortestTask
+	}
 	if len(awaits) == 0 && rand.Float64() < serviceShare {
 		submission.Shape, submission.Rank, submission.EstimateS = api.Service, "prod", 0
 	}
--- a/internal/cluster/audit.go
+++ b/internal/cluster/audit.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"switchferry/api"
+	"switchferry/internal/fake"
 	"switchferry/settings"
 )
 
@@ -30,16 +31,18 @@
 type Audit struct {
 	cancelWithin time.Duration
 
-	mu            sync.Mutex
-	limits        map[string]float64
-	usage         map[string]float64
-	jobs          map[string]*AuditedJob
-	machineByTask map[string]string // task -> machine
+	mu     sync.Mutex
+	limits map[string]float64
+	usage  map[string]float64
+	jobs   map[string]*AuditedJob
+	// machinesByTask are the machines on which each task runs; more than one break a rule.
+	machinesByTask map[string]map[string]bool
 	// startedAt is when each task last started; terms when a leader's first start came, by its term.
 	startedAt   map[string]time.Time
 	firstStarts map[uint64]time.Time
 	starts      int
 	violations  map[string]int
+	crossings   CrossedStarts
 	// questions, answers, crossed and told are the fields of AuditCounts.
 	questions, answers, crossed, told int
 	explanations                      []string
@@ -70,7 +73,7 @@
 
 // NewAudit makes an audit of a deployment that knows no jobs yet. A team without a limit is not bounded.
 func NewAudit(teams []settings.Team, workers settings.Workers) *Audit {
-	audit := &Audit{cancelWithin: seconds(workers.CancelS), limits: map[string]float64{}, usage: map[string]float64{}, jobs: map[string]*AuditedJob{}, machineByTask: map[string]string{}, startedAt: map[string]time.Time{}, firstStarts: map[uint64]time.Time{}, violations: map[string]int{}}
+	audit := &Audit{cancelWithin: seconds(workers.CancelS), limits: map[string]float64{}, usage: map[string]float64{}, jobs: map[string]*AuditedJob{}, machinesByTask: map[string]map[string]bool{}, startedAt: map[string]time.Time{}, firstStarts: map[uint64]time.Time{}, violations: map[string]int{}}
 	for _, team := range teams {
 		if team.CPUsMax > 0 {
 			audit.limits[team.Name] = team.CPUsMax
@@ -105,16 +108,15 @@
 	if audit.firstStarts[term].IsZero() {
 		audit.firstStarts[term] = now
 	}
-	if on, ok := audit.machineByTask[task]; ok && on != machine {
-		audit.recordViolation(RanTwice, "%s on %s and %s", task, on, machine)
-	}
-	audit.machineByTask[task] = machine
+	again := audit.place(task, machine)
 	job := audit.jobOf(task)
 	if job == nil {
 		return
 	}
 	audit.checkDependencies(job, task)
-	audit.usage[job.Team] += job.CPUs
+	if !again {
+		audit.usage[job.Team] += job.CPUs
+	}
 	if limit, ok := audit.limits[job.Team]; ok && audit.usage[job.Team] > limit+1e-6 {
 		audit.recordViolation(OverQuota, "%s: %s uses %g of %g", task, job.Team, audit.usage[job.Team], limit)
 	}
@@ -128,16 +130,75 @@
 	}
 }
 
+// place records that a task runs on a machine, and checks that it runs nowhere else. It reports whether the task was there
+// already; mu is held.
+func (audit *Audit) place(task, machine string) (again bool) {
+	machines := audit.machinesByTask[task]
+	if machines == nil {
+		machines = map[string]bool{}
+		audit.machinesByTask[task] = machines
+	}
+	again = machines[machine]
+	for other := range machines {
+		if other != machine {
+			audit.recordViolation(RanTwice, "%s on %s and %s", task, other, machine)
+		}
+	}
+	machines[machine] = true
+	return again
+}
+
+// remove records that a task does not run on a machine any more, and reports whether it did; mu is held.
+func (audit *Audit) remove(task, machine string) bool {
+	machines := audit.machinesByTask[task]
+	if !machines[machine] {
+		return false
+	}
+	delete(machines, machine)
+	if len(machines) == 0 {
+		delete(audit.machinesByTask, task)
+	}
+	return true
+}
+
+// CrossedStarts counts starts that reached a worker when it had the attempt already or another one of the task: starts
+// and exits, or starts and stops, had crossed on the way.
+type CrossedStarts struct {
+	// Repeated came while the attempt had not ended, Late after it had, and Busy beside another attempt.
+	Repeated, Late, Busy int
+}
+
+// Sum is how many starts crossed in any way.
+func (c CrossedStarts) Sum() int { return c.Repeated + c.Late + c.Busy }
+
+// StartCrossed records a start that changed nothing.
+func (audit *Audit) StartCrossed(kind fake.CrossedStart) {
+	audit.mu.Lock()
+	defer audit.mu.Unlock()
+	switch kind {
+	case fake.RepeatedStart:
+		audit.crossings.Repeated++
+	case fake.LateStart:
+		audit.crossings.Late++
+	case fake.BusyStart:
+		audit.crossings.Busy++
+	}
+}
+
+// Crossings counts the starts that crossed with something on the way.
+func (audit *Audit) Crossings() CrossedStarts {
+	audit.mu.Lock()
+	defer audit.mu.Unlock()
+	return audit.crossings
+}
+
 // Ended records that a task is no longer on a machine, and whether it completed.
 func (audit *Audit) Ended(task, machine string, done bool) {
 	audit.mu.Lock()
 	defer audit.mu.Unlock()
 	job := audit.jobOf(task)
-	if audit.machineByTask[task] == machine {
-		delete(audit.machineByTask, task)
-		if job != nil {
-			audit.usage[job.Team] -= job.CPUs
-		}
+	if audit.remove(task, machine) && job != nil {
+		audit.usage[job.Team] -= job.CPUs
 	}
 	if job == nil || !done || job.doneTasks[task] {
 		return
@@ -152,9 +213,10 @@
 func (audit *Audit) Sweep() {
 	audit.mu.Lock()
 	defer audit.mu.Unlock()
-	for task, machine := range audit.machineByTask {
+	for task, machines := range audit.machinesByTask {
 		if job := audit.jobOf(task); job != nil && job.Told == api.Cancelled && time.Since(job.ToldAt) > audit.cancelWithin {
-			audit.recordViolation(RanCancelled, "%s is on %s %v after its cancellation was told", task, machine, time.Since(job.ToldAt).Round(time.Millisecond))
+			on := slices.Sorted(maps.Keys(machines))
+			audit.recordViolation(RanCancelled, "%s is on %v %v after its cancellation was told", task, on, time.Since(job.ToldAt).Round(time.Millisecond))
 		}
 	}
 }
@@ -179,9 +241,11 @@
 func (audit *Audit) RunningOn(machines map[string]bool) (tasks []string) {
 	audit.mu.Lock()
 	defer audit.mu.Unlock()
-	for task, machine := range audit.machineByTask {
-		if machines[machine] {
-			tasks = append(tasks, task)
+	for task, on := range audit.machinesByTask {
+		for machine := range on {
+			if machines[machine] {
+				tasks = append(tasks, task)
+			}
 		}
 	}
 	return tasks
--- a/internal/cluster/audit_test.go
+++ b/internal/cluster/audit_test.go
@@ -114,6 +114,30 @@
 			h.Started(id+"/0", "m1", 1)
 			h.Started(id+"/0", "m2", 1)
 		}, map[string]int{RanTwice: 1}},
+		{"on a machine again after it ended there", func(h *history) {
+			h.Started(id+"/0", "m1", 1)
+			h.Ended(id+"/0", "m1", false)
+			h.Started(id+"/0", "m1", 1)
+			h.Ended(id+"/0", "m1", false)
+			h.Started(id+"/0", "m2", 1)
+		}, nil},
+		{"on two machines, and a third one after the second ended", func(h *history) {
+			h.Started(id+"/0", "m1", 1)
+			h.Started(id+"/0", "m2", 1)
+			h.Ended(id+"/0", "m2", false)
+			h.Started(id+"/0", "m3", 1)
+		}, map[string]int{RanTwice: 2}},
+		{"on two machines, and a third one after the first ended", func(h *history) {
+			h.Started(id+"/0", "m1", 1)
+			h.Started(id+"/0", "m2", 1)
+			h.Ended(id+"/0", "m1", false)
+			h.Started(id+"/0", "m3", 1)
+		}, map[string]int{RanTwice: 2}},
+		{"on three machines", func(h *history) {
+			h.Started(id+"/0", "m1", 1)
+			h.Started(id+"/0", "m2", 1)
+			h.Started(id+"/0", "m3", 1)
+		}, map[string]int{RanTwice: 3}},
 		{"more than its team's limit", func(h *history) {
 			for _, task := range []string{id + "/0", id + "/1", "run-000002/0", "run-000002/1"} {
 				h.Started(task, "m1", 1)
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -48,6 +48,8 @@
 	// Runs is how long a task of a job runs. Audit is told of starts and ends, and may be nil.
 	Runs  func(task string) time.Duration
 	Audit Observer
+	// Crossed, if not nil, is told of each start that changes nothing at its worker.
+	Crossed func(kind fake.CrossedStart)
 }
 
 // Observer learns of what workers do with tasks, in order for each worker. It is called with that worker's lock held and
--- a/internal/cluster/message_faults.go
+++ b/internal/cluster/message_faults.go
@@ -1,9 +1,13 @@
 package cluster
 
 import (
+	"context"
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"switchferry/api"
+	"switchferry/internal/sleep"
 )
 
 // Delays of messages that arrive late.
@@ -18,6 +22,32 @@
 	LostHeartbeats, RepeatedHeartbeats float64
 	// LateCommands are executed later, if they still apply, and not answered.
 	LateCommands float64
+	// SlowHeartbeats take up to maxSlowMessage, and so do the responses to that share of the others. SlowCommands are
+	// executed and answered up to that late.
+	SlowHeartbeats, SlowCommands float64
+	// FailingStarts end at once, as failed or refused.
+	FailingStarts float64
+}
+
+// maxSlowMessage bounds by how much a slow message is late. With two of them a worker still takes some responses, which
+// must come within 4 s.
+const maxSlowMessage = 1900 * time.Millisecond
+
+// delay has a share of messages wait. It reports false if ctx ended before.
+func delay(ctx context.Context, share float64) bool {
+	if !happens(share) {
+		return ctx.Err() == nil
+	}
+	return sleep.Real(ctx, randomDuration(maxSlowMessage))
+}
+
+// startFailure returns why a start ends at once, empty if it does not.
+func (f MessageFaults) startFailure() string {
+	if !happens(f.FailingStarts) {
+		return ""
+	}
+	causes := []string{api.CauseError, api.CauseNoRoom, api.CauseUnknown}
+	return causes[rand.IntN(len(causes))]
 }
 
 // messageFaults holds MessageFaults that may change. Its zero value is ready for use.
--- a/internal/cluster/network.go
+++ b/internal/cluster/network.go
@@ -9,6 +9,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"switchferry/internal/sleep"
 )
 
 // RegionalServices is the place of the state service and the cloud, which belong to no zone.
@@ -20,8 +22,10 @@
 	mu sync.Mutex
 	// isolatedZones reach each other, but no other zone and no service; empty if nothing is cut off.
 	isolatedZones []string
-	// cutMembers are pairs of controllers that do not reach each other, in both orders.
+	// cutMembers are pairs of controllers of which the first does not reach the second.
 	cutMembers map[[2]string]bool
+	// peerDelay bounds by how much what controllers send each other is late.
+	peerDelay time.Duration
 	// changed is closed and replaced with each change.
 	changed chan struct{}
 }
@@ -48,6 +52,31 @@
 	cluster.network.notifyChange()
 }
 
+// CutPeerOneWay holds up what one controller sends to another one, or ends that.
+func (cluster *Cluster) CutPeerOneWay(from, to string, cut bool) {
+	cluster.network.mu.Lock()
+	defer cluster.network.mu.Unlock()
+	cluster.network.cutMembers[[2]string{from, to}] = cut
+	cluster.network.notifyChange()
+}
+
+// SlowPeers delays each piece of what controllers send each other by up to that time; 0 ends that.
+func (cluster *Cluster) SlowPeers(upTo time.Duration) {
+	cluster.network.mu.Lock()
+	defer cluster.network.mu.Unlock()
+	cluster.network.peerDelay = upTo
+}
+
+// delayPeer waits as long as a piece of what controllers send each other is late.
+func (network *zoneNetwork) delayPeer(ctx context.Context) {
+	network.mu.Lock()
+	upTo := network.peerDelay
+	network.mu.Unlock()
+	if upTo > 0 {
+		sleep.Real(ctx, randomDuration(upTo))
+	}
+}
+
 // notifyChange wakes who waits for a cut to end; mu is held.
 func (network *zoneNetwork) notifyChange() {
 	close(network.changed)
@@ -95,7 +124,14 @@
 	fromMember, toMember string
 }
 
-// linkBlocked is blocked for the two ends of a link.
+// reversed is the link in the direction of its replies.
+func (link peerLink) reversed() peerLink {
+	link.fromZone, link.toZone = link.toZone, link.fromZone
+	link.fromMember, link.toMember = link.toMember, link.fromMember
+	return link
+}
+
+// linkBlocked is blocked for one direction of a link.
 func (network *zoneNetwork) linkBlocked(link peerLink) (bool, <-chan struct{}) {
 	network.mu.Lock()
 	defer network.mu.Unlock()
@@ -103,7 +139,7 @@
 	return cut || network.zonesCut(link.fromZone, link.toZone), network.changed
 }
 
-// await waits until both ends of a link reach each other. It reports false if ctx ended before.
+// await waits until what is sent in the direction of a link arrives. It reports false if ctx ended before.
 func (network *zoneNetwork) await(ctx context.Context, link peerLink) bool {
 	return awaitPassage(ctx, func() (bool, <-chan struct{}) { return network.linkBlocked(link) })
 }
@@ -141,7 +177,7 @@
 	}
 	defer closeQuietly(outbound)
 	defer context.AfterFunc(cluster.ctx, func() { closeQuietly(inbound); closeQuietly(outbound) })()
-	pump := func(into, out net.Conn, direction string) {
+	pump := func(into, out net.Conn, link peerLink, direction string) {
 		defer closeQuietly(into)
 		defer closeQuietly(out)
 		buffer := make([]byte, 32<<10)
@@ -149,6 +185,7 @@
 			n, err := out.Read(buffer)
 			if n > 0 {
 				cluster.Traffic.Add(link.kind+direction, n)
+				cluster.network.delayPeer(cluster.ctx)
 				if !cluster.network.await(cluster.ctx, link) {
 					return
 				}
@@ -161,8 +198,8 @@
 			}
 		}
 	}
-	go pump(inbound, outbound, " in")
-	pump(outbound, inbound, " out")
+	go pump(inbound, outbound, link.reversed(), " in")
+	pump(outbound, inbound, link, " out")
 }
 
 // serveRegional opens a port at which one controller reaches a stand-in.
--- a/internal/cluster/worker.go
+++ b/internal/cluster/worker.go
@@ -23,10 +23,10 @@
 	client  *http.Client
 
 	// mu guards the fields below: whether heartbeats of the worker are lost, whether answers and commands to it are, and
-	// changed, which is closed and replaced with each change.
-	mu         sync.Mutex
-	mute, deaf bool
-	changed    chan struct{}
+	// changed, which is closed and replaced with each change. A dead worker stays mute and deaf.
+	mu               sync.Mutex
+	mute, deaf, dead bool
+	changed          chan struct{}
 }
 
 // AddWorkers starts n machines, spread evenly over the zones.
@@ -68,7 +68,7 @@
 		members = append(members, controller.Settings.Member)
 	}
 	options := fake.WorkerOptions{Host: host, Clock: cluster.clock, Nodes: members, Post: worker.post, Every: seconds(cluster.options.Facts.Workers.ReportS), Lease: seconds(cluster.options.Facts.Workers.LeaseS),
-		Runs: cluster.options.Runs}
+		Runs: cluster.options.Runs, Crossed: cluster.options.Crossed, Fails: func(string) string { return cluster.messages.current().startFailure() }}
 	if audit := cluster.options.Audit; audit != nil {
 		options.Starts = func(task string, term uint64, _ time.Time) { audit.Started(task, host.Name, term) }
 		options.Ends = func(task string, done bool) { audit.Ended(task, host.Name, done) }
@@ -138,11 +138,20 @@
 func (worker *Worker) LoseOneWay(mute, deaf bool) {
 	worker.mu.Lock()
 	defer worker.mu.Unlock()
-	worker.mute, worker.deaf = mute, deaf
+	worker.mute, worker.deaf = mute || worker.dead, deaf || worker.dead
 	close(worker.changed)
 	worker.changed = make(chan struct{})
 }
 
+// Die ends the machine for good, with all that runs on it.
+func (worker *Worker) Die() {
+	worker.mu.Lock()
+	worker.dead = true
+	worker.mu.Unlock()
+	worker.Lose(true)
+	worker.Restart()
+}
+
 // direction is a direction of messages between a worker and a place.
 type direction int
 
@@ -191,7 +200,7 @@
 		late := context.WithoutCancel(ctx)
 		time.AfterFunc(lateness(), func() { worker.repeatHeartbeat(late, raw) })
 	}
-	if happens(faults.LostHeartbeats) {
+	if happens(faults.LostHeartbeats) || !delay(ctx, faults.SlowHeartbeats) {
 		<-ctx.Done()
 		return 0, nil
 	}
@@ -205,7 +214,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	answer, err := io.ReadAll(response.Body)
-	if err != nil || !worker.reachable(ctx, recipient.Settings.Zone, toWorker) {
+	if err != nil || !worker.reachable(ctx, recipient.Settings.Zone, toWorker) || !delay(ctx, faults.SlowHeartbeats) {
 		return 0, nil
 	}
 	worker.cluster.Traffic.Add("reports to "+member, len(raw)+len(answer))
@@ -246,10 +255,14 @@
 	if !worker.reachable(request.Context(), fromZone, toWorker) {
 		panic(http.ErrAbortHandler)
 	}
-	if happens(worker.cluster.messages.current().LateCommands) {
+	faults := worker.cluster.messages.current()
+	if happens(faults.LateCommands) {
 		time.AfterFunc(lateness(), func() { worker.Direct(orders) })
 		panic(http.ErrAbortHandler)
 	}
+	if !delay(request.Context(), faults.SlowCommands) {
+		panic(http.ErrAbortHandler)
+	}
 	heartbeat, executed := worker.Direct(orders)
 	raw, err := json.Marshal(heartbeat)
 	if err != nil || !worker.reachable(request.Context(), fromZone, toWorker) {
--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -50,10 +50,24 @@
 	// onStart and onEnd are WorkerOptions.Starts and Ends.
 	onStart func(task string, term uint64, at time.Time)
 	onEnd   func(task string, done bool)
-	// failure is WorkerOptions.Fails.
+	// failure and crossed are WorkerOptions.Fails and Crossed.
 	failure func(task string) (cause string)
+	crossed func(kind CrossedStart)
+	// noticeAt is when the machine will be taken; zero without a notice.
+	noticeAt time.Time
 }
 
+// CrossedStart is a kind of start that changed nothing, since it had crossed with another message.
+type CrossedStart int
+
+// A RepeatedStart is of an attempt that has not ended, a LateStart of one that has, and a BusyStart of one beside another
+// attempt of its task that has not ended.
+const (
+	RepeatedStart CrossedStart = iota
+	LateStart
+	BusyStart
+)
+
 // attemptKey names one attempt of a task. A worker may have several attempts of a task, of which one has not exited.
 type attemptKey struct {
 	task    string
@@ -91,11 +105,13 @@
 	Fetch func(task string) (image string, d time.Duration)
 	// Fails, if not nil, is why a task that is started ends at once, one of the causes of exits; empty if it runs.
 	Fails func(task string) (cause string)
+	// Crossed, if not nil, is called with the lock for each start that changes nothing.
+	Crossed func(kind CrossedStart)
 }
 
 // NewWorker makes a worker without tasks, whose lease begins now.
 func NewWorker(options WorkerOptions) *Worker {
-	return &Worker{Host: options.Host, clock: options.Clock, controllers: options.Nodes, post: options.Post, interval: options.Every, lease: options.Lease, runTime: options.Runs, onStart: options.Starts, onEnd: options.Ends, imagePull: options.Fetch, failure: options.Fails, cachedImages: map[string]time.Time{},
+	return &Worker{Host: options.Host, clock: options.Clock, controllers: options.Nodes, post: options.Post, interval: options.Every, lease: options.Lease, runTime: options.Runs, onStart: options.Starts, onEnd: options.Ends, imagePull: options.Fetch, failure: options.Fails, crossed: options.Crossed, cachedImages: map[string]time.Time{},
 		incarnation: 1, renewedAt: options.Clock.Now(), tasks: map[attemptKey]*workerTask{}, changes: make(chan struct{}, 1)}
 }
 
@@ -271,6 +287,10 @@
 func (worker *Worker) heartbeat() *api.Heartbeat {
 	worker.sequence++
 	heartbeat := &api.Heartbeat{Machine: worker.Name, Address: worker.Address, Type: worker.Type, Zone: worker.Zone, Spot: worker.Spot, Incarnation: worker.incarnation, Seq: worker.sequence, Term: worker.term, Tasks: []api.TaskReport{}}
+	if !worker.noticeAt.IsZero() {
+		left := max(0, worker.noticeAt.Sub(worker.clock.Now()).Seconds())
+		heartbeat.PreemptionNoticeS = &left
+	}
 	for _, current := range worker.tasks {
 		heartbeat.Tasks = append(heartbeat.Tasks, current.TaskReport)
 	}
@@ -370,6 +390,10 @@
 		switch {
 		case command.Verb == api.CommandRun && current == nil:
 			worker.runAttempt(key, response.Term)
+		case command.Verb == api.CommandRun && current.State == api.TaskExited:
+			worker.noteCrossed(LateStart)
+		case command.Verb == api.CommandRun:
+			worker.noteCrossed(RepeatedStart)
 		case current == nil:
 		case command.Verb == api.CommandKill && current.State != api.TaskExited:
 			ran := current.State == api.TaskRunning
@@ -391,6 +415,7 @@
 	busy := worker.hasUnfinishedAttempt(key.task)
 	worker.tasks[key] = current
 	if busy {
+		worker.noteCrossed(BusyStart)
 		current.State, current.Cause = api.TaskExited, api.CauseBusy
 		worker.notifyChange()
 		return
@@ -412,6 +437,21 @@
 	}
 }
 
+// noteCrossed passes on that a start changed nothing; mu is held.
+func (worker *Worker) noteCrossed(kind CrossedStart) {
+	if worker.crossed != nil {
+		worker.crossed(kind)
+	}
+}
+
+// Notice announces that the machine will be taken after some time.
+func (worker *Worker) Notice(after time.Duration) {
+	worker.mu.Lock()
+	defer worker.mu.Unlock()
+	worker.noticeAt = worker.clock.Now().Add(after)
+	worker.notifyChange()
+}
+
 // hasUnfinishedAttempt reports whether an attempt of a task is on the machine that has not exited; mu is held.
 func (worker *Worker) hasUnfinishedAttempt(task string) bool {
 	for key, current := range worker.tasks {
