Audit: a job is not orphaned by the answer that accepts it

Traced: its submission was repeated for over 20 s through refusals and changes of leader; its record was first stored at revision 1064, in the term that began at 889, and the next leader, which loaded it at 1282, cancelled it at once. What was judged was the answer that accepted it: the audit noted the acceptance after it had judged that answer, and so took the job for one that should have been cancelled long ago.

Change: the acceptance is noted first. A job that is pending for longer than that after its acceptance is reported as before.

Measured result: a case of the audit's test that failed before, and one beside it that stays a violation.

--- a/internal/cluster/audit_test.go
+++ b/internal/cluster/audit_test.go
@@ -90,6 +90,17 @@
 			h.ask(AskCancel, id, 2, 3, 200, api.Cancelled)
 			h.ask(AskStatus, "run-000004", 4, 5, 200, api.Pending)
 		}, map[string]int{Orphaned: 1}},
+		{"accepted long after a job that it awaits was cancelled", func(h *history) {
+			h.CancelRequested(id)
+			h.ask(AskCancel, id, 2, 3, 200, api.Cancelled)
+			h.ask(AskSubmit, "run-000004", 4, 5, http.StatusCreated, api.Pending)
+		}, nil},
+		{"still pending long after that", func(h *history) {
+			h.CancelRequested(id)
+			h.ask(AskCancel, id, 2, 3, 200, api.Cancelled)
+			h.ask(AskSubmit, "run-000004", 4, 5, http.StatusCreated, api.Pending)
+			h.ask(AskStatus, "run-000004", 6, 7, 200, api.Pending)
+		}, map[string]int{Orphaned: 1}},
 		{"done before its tasks", func(h *history) {
 			h.ask(AskStatus, id, 2, 3, 200, api.Done)
 		}, map[string]int{NotDone: 1}},
--- a/internal/cluster/questions.go
+++ b/internal/cluster/questions.go
@@ -63,10 +63,10 @@
 		audit.judgeRefusal(job, question)
 		return false
 	}
-	audit.judgeState(job, question)
 	if question.Kind == AskSubmit && job.Accepted.IsZero() {
 		job.Accepted = question.AnsweredAt
 	}
+	audit.judgeState(job, question)
 	return isOver(question.State)
 }
 
