--- a/cli/experiment_soak.go
+++ b/cli/experiment_soak.go
@@ -24,7 +24,7 @@
 		Long: "Three processes of this program serve in each run, with the project's stand-ins of workers, state service and cloud over loopback. Users\n" +
 			"submit, ask, repeat and cancel at all controllers all the time. Two or three faults overlap. The rules are checked by what users are answered\n" +
 			"and what workers do. A seed draws the whole schedule, but real processes do not repeat exactly: the logs of a run that broke a rule are kept.\n" +
-			"A run in which few questions were answered or no leader changed is called vacuous: it shows nothing.\n" +
+			"A run in which few questions were answered, no leader changed or no start crossed with anything is called vacuous: it shows nothing.\n" +
 			"Exit code 1: a rule was broken; 2: an option is wrong. Faults: " + strings.Join(kinds, ", ") + ".",
 		Example: "  switchferry experiment soak --seeds 50 --at-once 3\n  switchferry experiment soak --first 7 --seeds 1 --workers 300 --log-level debug --log-dir logs",
 	}, experimentSpec[*soak.Result]{
