What may still arrive is asked in one place; the soak's one-way cuts add up, its logs are read once

Cause: whether a start is under way apart from a relay's stood in the wait for a cancellation, and by a trick with the relay's path in the check of a dropped exit. The soak's cut of replies set the links beside the sum of faults, so that a fault that began or ended with it undid it, or was undone. Each run's logs were read twice, and the choice of workers stood twice.

Change: pendingStarts.noneButRelayed; the cut of replies is a phase that adds up like all faults; readLogs and pickWorkers. The type of proofs has a name of its own. What the scheduler decides is the same.

The long soaks were not repeated.

--- a/experiment/soak/faults.go
+++ b/experiment/soak/faults.go
@@ -140,11 +140,16 @@
 	}
 }
 
-// meetWorkers has some workers lose messages, begin anew or hang.
-func (in *injector) meetWorkers(ctx context.Context, fault *Fault) {
+// pickWorkers picks one worker in so many, at least one.
+func (in *injector) pickWorkers(oneIn int) []*cluster.Worker {
 	workers := in.cluster.Workers()
 	rand.Shuffle(len(workers), func(i, j int) { workers[i], workers[j] = workers[j], workers[i] })
-	met := workers[:1+len(workers)/workersMet]
+	return workers[:1+len(workers)/oneIn]
+}
+
+// meetWorkers has some workers lose messages, begin anew or hang.
+func (in *injector) meetWorkers(ctx context.Context, fault *Fault) {
+	met := in.pickWorkers(workersMet)
 	for _, worker := range met {
 		switch fault.Kind {
 		case RestartedWorkers:
@@ -164,9 +169,7 @@
 
 // endWorkers ends some workers for good, with a notice or without.
 func (in *injector) endWorkers(ctx context.Context, fault *Fault) {
-	workers := in.cluster.Workers()
-	rand.Shuffle(len(workers), func(i, j int) { workers[i], workers[j] = workers[j], workers[i] })
-	ended := workers[:1+len(workers)/workersEnded]
+	ended := in.pickWorkers(workersEnded)
 	if fault.Kind == NoticedWorkers {
 		for _, worker := range ended {
 			worker.Notice(fault.For)
@@ -180,23 +183,10 @@
 
 // flap cuts a controller off from its peers again and again, in both directions and then in that of its replies.
 func (in *injector) flap(ctx context.Context, fault *Fault, target int) {
-	member := in.cluster.Controllers[target].Settings.Member
 	for end := time.Now().Add(fault.For); time.Now().Before(end) && ctx.Err() == nil; {
-		cut := Fault{Kind: CutFromPeers, For: flapCut}
-		in.hold(ctx, &cut, target)
-		sleep.Real(ctx, flapOpen)
-		in.cutReplies(member, true)
-		sleep.Real(ctx, flapReplies)
-		in.cutReplies(member, false)
-		sleep.Real(ctx, flapOpen)
-	}
-}
-
-// cutReplies holds up what a controller sends to its peers, or ends that.
-func (in *injector) cutReplies(member string, cut bool) {
-	for _, controller := range in.cluster.Controllers {
-		if other := controller.Settings.Member; other != member {
-			in.cluster.CutPeerOneWay(member, other, cut)
+		for _, phase := range []Fault{{Kind: CutFromPeers, For: flapCut}, {Kind: cutReplies, For: flapReplies}} {
+			in.hold(ctx, &phase, target)
+			sleep.Real(ctx, flapOpen)
 		}
 	}
 }
@@ -219,7 +209,7 @@
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	state := make([]cluster.StateFaults, len(in.cluster.Controllers))
-	alone := make([]bool, len(in.cluster.Controllers))
+	alone, unheard := make([]bool, len(in.cluster.Controllers)), make([]bool, len(in.cluster.Controllers))
 	var messages cluster.MessageFaults
 	outage := false
 	peerDelay := time.Duration(0)
@@ -229,6 +219,8 @@
 			state[target].Silent = true
 		case CutFromPeers:
 			alone[target] = true
+		case cutReplies:
+			unheard[target] = true
 		case CutFromBoth:
 			state[target].Silent, alone[target] = true, true
 		case Refused:
@@ -260,8 +252,8 @@
 	in.cluster.SlowPeers(peerDelay)
 	for number, controller := range in.cluster.Controllers {
 		in.cluster.SetStateFaults(controller.Settings.Member, state[number])
-		for other := range number {
-			in.cluster.CutPeers(controller.Settings.Member, in.cluster.Controllers[other].Settings.Member, alone[number] || alone[other])
+		for other, peer := range in.cluster.Controllers {
+			in.cluster.CutPeer(controller.Settings.Member, peer.Settings.Member, alone[number] || alone[other] || unheard[number])
 		}
 	}
 }
--- a/experiment/soak/schedule.go
+++ b/experiment/soak/schedule.go
@@ -55,10 +55,12 @@
 	SlowCommands   Kind = "slow-commands"
 	// FailingStarts has a share of all starts fail or be refused at once.
 	FailingStarts Kind = "failing-starts"
-	// SlowPeers delays what controllers send each other. FlappingPeers cuts the leader off from its peers again and again, at
+	// SlowPeers delays what controllers send each other. FlappingPeers cuts a controller off from its peers again and again, at
 	// first in both directions and then in that of its replies alone.
 	SlowPeers     Kind = "slow-peers"
 	FlappingPeers Kind = "flapping-peers"
+	// cutReplies, a phase of FlappingPeers, holds up what a controller sends to its peers. It is not played by itself.
+	cutReplies Kind = "cut-replies"
 	// CancelWave has the users of many jobs cancel them at once.
 	CancelWave Kind = "cancel-wave"
 )
--- a/experiment/soak/soak.go
+++ b/experiment/soak/soak.go
@@ -336,8 +336,8 @@
 	counts := audit.Counts()
 	run.Questions, run.Answers, run.Crossed, run.Told, run.Starts = counts.Questions, counts.Answers, counts.Crossed, counts.Told, audit.Starts()
 	run.Broken, run.Why = audit.Broken()
-	run.Contradictions = countContradictions(logs)
-	run.Crossings, run.Releases = audit.Crossings(), countReleases(logs)
+	texts := readLogs(logs)
+	run.Contradictions, run.Releases, run.Crossings = countContradictions(texts), countReleases(texts), audit.Crossings()
 	switch {
 	case float64(run.Answers) < leastAnswersPerS*o.ForS:
 		run.Vacuous = "too few questions were answered"
@@ -361,25 +361,31 @@
 // releasesLine is what a term logs of the allocations that it has released.
 const releasesLine = `msg="attempts released"`
 
-// countReleases sums up what the terms in all logs have counted last.
-func countReleases(logs string) map[string]int {
-	counts := map[string]int{}
-	files, _ := filepath.Glob(filepath.Join(logs, "*.log")) // The pattern is well-formed.
+// readLogs returns the texts of all logs in a directory. One that cannot be read is left out.
+func readLogs(directory string) (texts []string) {
+	files, _ := filepath.Glob(filepath.Join(directory, "*.log")) // The pattern is well-formed.
 	for _, file := range files {
-		raw, err := os.ReadFile(file)
-		if err != nil {
-			continue
+		if raw, err := os.ReadFile(file); err == nil {
+			texts = append(texts, string(raw))
 		}
-		newest := map[string]string{}
-		for line := range strings.Lines(string(raw)) {
+	}
+	return texts
+}
+
+// countReleases sums up what the terms in all logs have counted last.
+func countReleases(logs []string) map[string]int {
+	newest := map[string]string{}
+	for _, text := range logs {
+		for line := range strings.Lines(text) {
 			if _, attributes, ok := strings.Cut(line, releasesLine); ok {
 				term, rest, _ := strings.Cut(strings.TrimSpace(attributes), " ")
 				newest[term] = rest
 			}
 		}
-		for _, attributes := range newest {
-			addCounts(counts, attributes)
-		}
+	}
+	counts := map[string]int{}
+	for _, attributes := range newest {
+		addCounts(counts, attributes)
 	}
 	return counts
 }
@@ -397,13 +403,9 @@
 }
 
 // countContradictions counts the contradictions that controllers have logged.
-func countContradictions(logs string) (count int) {
-	files, _ := filepath.Glob(filepath.Join(logs, "*.log")) // The pattern is well-formed.
-	for _, file := range files {
-		raw, err := os.ReadFile(file)
-		if err == nil {
-			count += strings.Count(string(raw), "invariant violated")
-		}
+func countContradictions(logs []string) (count int) {
+	for _, text := range logs {
+		count += strings.Count(text, "invariant violated")
 	}
 	return count
 }
--- a/experiment/soak/soak_test.go
+++ b/experiment/soak/soak_test.go
@@ -94,7 +94,7 @@
 		}
 	}
 	want := map[string]int{"exit reported": 17, "exits_crossed": 3}
-	if got := countReleases(directory); !maps.Equal(got, want) {
+	if got := countReleases(readLogs(directory)); !maps.Equal(got, want) {
 		t.Errorf("%v, want %v", got, want)
 	}
 }
@@ -106,7 +106,7 @@
 			t.Fatal(err)
 		}
 	}
-	if got := countContradictions(directory); got != 3 {
+	if got := countContradictions(readLogs(directory)); got != 3 {
 		t.Errorf("%d contradictions, want 3", got)
 	}
 }
--- a/internal/cluster/network.go
+++ b/internal/cluster/network.go
@@ -42,18 +42,8 @@
 	cluster.network.notifyChange()
 }
 
-// CutPeers cuts two controllers off from each other, or ends that. Nothing else is cut.
-func (cluster *Cluster) CutPeers(member, other string, cut bool) {
-	cluster.network.mu.Lock()
-	defer cluster.network.mu.Unlock()
-	for _, pair := range [][2]string{{member, other}, {other, member}} {
-		cluster.network.cutMembers[pair] = cut
-	}
-	cluster.network.notifyChange()
-}
-
-// CutPeerOneWay holds up what one controller sends to another one, or ends that.
-func (cluster *Cluster) CutPeerOneWay(from, to string, cut bool) {
+// CutPeer holds up what one controller sends to another one, or ends that. Nothing else is cut.
+func (cluster *Cluster) CutPeer(from, to string, cut bool) {
 	cluster.network.mu.Lock()
 	defer cluster.network.mu.Unlock()
 	cluster.network.cutMembers[[2]string{from, to}] = cut
--- a/scheduler/allocation.go
+++ b/scheduler/allocation.go
@@ -37,6 +37,9 @@
 	victims []*allocation
 }
 
+// attemptOf returns the identity of an allocation's attempt.
+func (a *allocation) attemptOf() fleet.Attempt { return fleet.Attempt{Task: a.key, Number: a.attempt} }
+
 // nextAttempt returns an attempt number that was never used before: the term followed by a counter.
 // s.mu must be held.
 func (s *Scheduler) nextAttempt() uint64 {
@@ -76,7 +79,7 @@
 
 // releaseAllocation ends an allocation whose machine is proved to be done with it. The proof is logged and counted.
 // s.mu must be held.
-func (s *Scheduler) releaseAllocation(alloc *allocation, proof proof) {
+func (s *Scheduler) releaseAllocation(alloc *allocation, proof releaseProof) {
 	if alloc.job.allocations[alloc.task] != alloc {
 		return
 	}
@@ -114,7 +117,7 @@
 }
 
 // loseTask releases an allocation whose task has to run again. The proof is logged. s.mu must be held.
-func (s *Scheduler) loseTask(alloc *allocation, proof proof) {
+func (s *Scheduler) loseTask(alloc *allocation, proof releaseProof) {
 	slog.Info("task lost", "task", alloc.key, "machine", alloc.machine.Name, "attempt", alloc.attempt, "why", proof)
 	s.releaseAllocation(alloc, proof)
 	s.requeue(alloc.job, alloc.task)
--- a/scheduler/attempt_evidence.go
+++ b/scheduler/attempt_evidence.go
@@ -9,7 +9,7 @@
 // attemptEvidence counts, in one term, the proofs on which allocations were released, and how often messages about an
 // attempt crossed on the way. Scheduler.mu guards it.
 type attemptEvidence struct {
-	proofs map[proof]int
+	proofs map[releaseProof]int
 	// exitsCrossed counts attempts that ended, and stopsCrossed attempts that were stopped, while a start of them could
 	// still arrive.
 	exitsCrossed, stopsCrossed int
--- a/scheduler/pending_starts.go
+++ b/scheduler/pending_starts.go
@@ -1,7 +1,5 @@
 package scheduler
 
-import "switchferry/fleet"
-
 // pendingStarts are the run commands for one attempt that this leader has sent and that may still start it (rule 4 of
 // docs/design.md). They belong to the attempt from its first start until its machine has cleared it: an allocation holds
 // them, and after the attempt's exit its exitedTask. The zero value is none. Scheduler.mu guards them.
@@ -51,9 +49,12 @@
 // noneBehind reports whether no start can arrive after a command that is sent on a path now. A relay delivers commands in
 // the order in which they were derived, so that its own earlier starts come before.
 func (p *pendingStarts) noneBehind(path deliveryPath) bool {
-	return p.direct == 0 && p.responseSeq == 0 && (!p.relayed || path == byRelay)
+	return p.noneButRelayed() && (!p.relayed || path == byRelay)
 }
 
+// noneButRelayed reports whether no start can arrive any more on a way that leads from this leader to the worker itself.
+func (p *pendingStarts) noneButRelayed() bool { return p.direct == 0 && p.responseSeq == 0 }
+
 // attemptState is what this leader knows of an attempt that has not exited. Scheduler.mu guards it.
 type attemptState struct {
 	// runSent is set once a run command was sent, by this leader or perhaps by an earlier one.
@@ -68,18 +69,18 @@
 	stopping bool
 }
 
-// proof is what shows that an attempt is not on its machine and will not be (rule 3 of docs/design.md).
-type proof string
+// releaseProof is what shows that an attempt is not on its machine and will not be (rule 3 of docs/design.md).
+type releaseProof string
 
 // The proofs. No other reason releases an allocation.
 const (
-	proofNotSent        proof = "no start was sent"
-	proofExited         proof = "exit reported"
-	proofNewIncarnation proof = "the worker began a new session"
-	proofForgotten      proof = "the worker no longer has it"
-	proofNeverArrived   proof = "an earlier leader's start never arrived"
-	proofStopped        proof = "stopped before it started"
-	proofReleased       proof = "its machine is gone"
+	proofNotSent        releaseProof = "no start was sent"
+	proofExited         releaseProof = "exit reported"
+	proofNewIncarnation releaseProof = "the worker began a new session"
+	proofForgotten      releaseProof = "the worker no longer has it"
+	proofNeverArrived   releaseProof = "an earlier leader's start never arrived"
+	proofStopped        releaseProof = "stopped before it started"
+	proofReleased       releaseProof = "its machine is gone"
 )
 
 // absence is what follows from a heartbeat that lacks an attempt.
@@ -102,7 +103,7 @@
 
 // absentFrom decides what a heartbeat shows that lacks the attempt. The heartbeat is newer than all before, and
 // pendingStarts.observe has noted it.
-func (a *attemptState) absentFrom(worker observedWorker) (absence, proof) {
+func (a *attemptState) absentFrom(worker observedWorker) (absence, releaseProof) {
 	switch {
 	case !a.runSent:
 		return absenceOpen, ""
@@ -139,6 +140,3 @@
 func (e *exitedTask) mayClear(path deliveryPath) bool {
 	return e.stored && e.starts.noneBehind(path)
 }
-
-// attemptOf returns the identity of an allocation's attempt.
-func (a *allocation) attemptOf() fleet.Attempt { return fleet.Attempt{Task: a.key, Number: a.attempt} }
--- a/scheduler/pending_starts_test.go
+++ b/scheduler/pending_starts_test.go
@@ -50,7 +50,7 @@
 		attempt attemptState
 		worker  observedWorker
 		want    absence
-		proof   proof
+		proof   releaseProof
 	}{
 		{"never sent", attemptState{}, current, absenceOpen, ""},
 		{"of an earlier leader, the token not seen", attemptState{runSent: true}, observedWorker{incarnation: 3}, absenceOpen, ""},
--- a/scheduler/reconcile.go
+++ b/scheduler/reconcile.go
@@ -110,6 +110,7 @@
 // reconcileAttempts compares the attempts that a machine's newest heartbeat lists with the allocations and exits that
 // are known there. s.mu must be held.
 func (s *Scheduler) reconcileAttempts(machine *machineState, path deliveryPath) {
+	// All are settled before any is judged, since that may send the machine its commands.
 	for _, alloc := range machine.allocations {
 		alloc.starts.observe(path, machine.Seq)
 	}
@@ -138,7 +139,8 @@
 // forgetExit drops the exit of an attempt that the machine's newest heartbeat lacks: it was cleared, or a new incarnation
 // began. s.mu must be held.
 func (s *Scheduler) forgetExit(machine *machineState, attempt fleet.Attempt, exit *exitedTask) {
-	if machine.Incarnation == exit.incarnation && !exit.starts.noneBehind(byRelay) {
+	// Starts that a relay has are no contradiction: they come before its clear.
+	if machine.Incarnation == exit.incarnation && !exit.starts.noneButRelayed() {
 		invariant.Violated("an attempt is cleared only when no start of it can arrive", "task", attempt.Task, "attempt", attempt.Number,
 			"machine", machine.Name, "incarnation", machine.Incarnation, "seq", machine.Seq, "direct", exit.starts.direct, "response_to", exit.starts.responseSeq)
 	}
--- a/scheduler/requests.go
+++ b/scheduler/requests.go
@@ -151,7 +151,7 @@
 // has shown yet. Scheduler.mu must be held.
 func (j *jobState) hasUnsettledStarts() bool {
 	for _, alloc := range j.allocations {
-		if !alloc.reported && (alloc.starts.direct > 0 || alloc.starts.responseSeq > 0) {
+		if !alloc.reported && !alloc.starts.noneButRelayed() {
 			return true
 		}
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -171,7 +171,7 @@
 		machines:          map[string]*machineState{},
 		releasedAt:        map[string]time.Time{},
 		commandsReady:     map[*machineState]bool{},
-		evidence:          attemptEvidence{proofs: map[proof]int{}},
+		evidence:          attemptEvidence{proofs: map[releaseProof]int{}},
 		usage:             map[string]fleet.Resources{},
 		stoppingUsage:     map[string]fleet.Resources{},
 		imageHints:        map[string][]fleet.Image{},
