One record of where tasks run, for the simulation's checker, the soak's audit and two tests

Cause: the audit had been given a set of machines for each task, since a second start hid the first. Its twin, the simulation's checker, still kept one machine a task, and two tests kept records of their own.

Change: fake.Placements serves all four. The simulation now also reports a third start that meets the first machine alone, and counts each machine of a task for limits, zones and late ends.

--- a/controller/relayed_start_test.go
+++ b/controller/relayed_start_test.go
@@ -36,16 +36,16 @@
 	// silent has the leader handle forwarded heartbeats without a reply in time; handled receives for each.
 	silent  bool
 	handled chan struct{}
-	// running are the machines that run a task, twice those that started one while it ran elsewhere.
-	running map[string]bool
-	twice   []string
+	running fake.Placements[string]
+	// twice are tasks that started on one machine while they ran on another.
+	twice []string
 }
 
 // newRelayedWorkers returns a leader x and a follower y, which knows the leader and is not connected with it yet.
 func newRelayedWorkers(t *testing.T, names ...string) *relayedWorkers {
 	t.Helper()
 	leader := newLeader(t)
-	played := &relayedWorkers{T: t, leader: leader, workers: map[string]*fake.Worker{}, failing: map[string]bool{}, handled: make(chan struct{}, 1), running: map[string]bool{}, carried: leader.Term()}
+	played := &relayedWorkers{T: t, leader: leader, workers: map[string]*fake.Worker{}, failing: map[string]bool{}, handled: make(chan struct{}, 1), running: fake.Placements[string]{}, carried: leader.Term()}
 	listener, err := new(net.ListenConfig).Listen(t.Context(), "tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -64,21 +64,19 @@
 		played.workers[name] = fake.NewWorker(fake.WorkerOptions{
 			Host: fake.Host{Name: name, Address: name + ":1", Type: "m8", Zone: "a"}, Clock: leader.clock, Every: time.Second, Lease: 10 * time.Second,
 			Runs:   func(string) time.Duration { return time.Hour },
-			Starts: func(string, uint64, time.Time) { played.started(name) },
-			Ends:   func(string, bool) { delete(played.running, name) },
+			Starts: func(task string, _ uint64, _ time.Time) { played.started(task, name) },
+			Ends:   func(task string, _ bool) { played.running.End(task, name) },
 			Fails:  played.failure(name),
 		})
 	}
 	return played
 }
 
-func (r *relayedWorkers) started(name string) {
-	for other := range r.running {
-		if other != name {
-			r.twice = append(r.twice, other+" and "+name)
-		}
+func (r *relayedWorkers) started(task, name string) {
+	elsewhere, _ := r.running.Start(task, name)
+	for _, other := range elsewhere {
+		r.twice = append(r.twice, task+" on "+other+" and "+name)
 	}
-	r.running[name] = true
 }
 
 func (r *relayedWorkers) failure(name string) func(string) string {
@@ -211,7 +209,7 @@
 	played.leader.Place()
 	played.leader.commit()
 	played.deliverCommands()
-	if !played.running["a2"] {
+	if !played.running[task]["a2"] {
 		t.Fatal("the task does not run on the second machine")
 	}
 	for waiting := true; waiting; {
@@ -225,6 +223,6 @@
 		}
 	}
 	if len(played.twice) > 0 {
-		t.Errorf("%s ran twice: %v", task, played.twice)
+		t.Errorf("ran twice: %v", played.twice)
 	}
 }
--- a/internal/cluster/audit.go
+++ b/internal/cluster/audit.go
@@ -31,12 +31,11 @@
 type Audit struct {
 	cancelWithin time.Duration
 
-	mu     sync.Mutex
-	limits map[string]float64
-	usage  map[string]float64
-	jobs   map[string]*AuditedJob
-	// machinesByTask are the machines on which each task runs; more than one break a rule.
-	machinesByTask map[string]map[string]bool
+	mu         sync.Mutex
+	limits     map[string]float64
+	usage      map[string]float64
+	jobs       map[string]*AuditedJob
+	placements fake.Placements[string]
 	// startedAt is when each task last started; terms when a leader's first start came, by its term.
 	startedAt   map[string]time.Time
 	firstStarts map[uint64]time.Time
@@ -73,7 +72,7 @@
 
 // NewAudit makes an audit of a deployment that knows no jobs yet. A team without a limit is not bounded.
 func NewAudit(teams []settings.Team, workers settings.Workers) *Audit {
-	audit := &Audit{cancelWithin: seconds(workers.CancelS), limits: map[string]float64{}, usage: map[string]float64{}, jobs: map[string]*AuditedJob{}, machinesByTask: map[string]map[string]bool{}, startedAt: map[string]time.Time{}, firstStarts: map[uint64]time.Time{}, violations: map[string]int{}}
+	audit := &Audit{cancelWithin: seconds(workers.CancelS), limits: map[string]float64{}, usage: map[string]float64{}, jobs: map[string]*AuditedJob{}, placements: fake.Placements[string]{}, startedAt: map[string]time.Time{}, firstStarts: map[uint64]time.Time{}, violations: map[string]int{}}
 	for _, team := range teams {
 		if team.CPUsMax > 0 {
 			audit.limits[team.Name] = team.CPUsMax
@@ -108,7 +107,10 @@
 	if audit.firstStarts[term].IsZero() {
 		audit.firstStarts[term] = now
 	}
-	again := audit.place(task, machine)
+	elsewhere, again := audit.placements.Start(task, machine)
+	for _, other := range elsewhere {
+		audit.recordViolation(RanTwice, "%s on %s and %s", task, other, machine)
+	}
 	job := audit.jobOf(task)
 	if job == nil {
 		return
@@ -130,37 +132,6 @@
 	}
 }
 
-// place records that a task runs on a machine, and checks that it runs nowhere else. It reports whether the task was there
-// already; mu is held.
-func (audit *Audit) place(task, machine string) (again bool) {
-	machines := audit.machinesByTask[task]
-	if machines == nil {
-		machines = map[string]bool{}
-		audit.machinesByTask[task] = machines
-	}
-	again = machines[machine]
-	for other := range machines {
-		if other != machine {
-			audit.recordViolation(RanTwice, "%s on %s and %s", task, other, machine)
-		}
-	}
-	machines[machine] = true
-	return again
-}
-
-// remove records that a task does not run on a machine any more, and reports whether it did; mu is held.
-func (audit *Audit) remove(task, machine string) bool {
-	machines := audit.machinesByTask[task]
-	if !machines[machine] {
-		return false
-	}
-	delete(machines, machine)
-	if len(machines) == 0 {
-		delete(audit.machinesByTask, task)
-	}
-	return true
-}
-
 // CrossedStarts counts starts that reached a worker when it had the attempt already or another one of the task: starts
 // and exits, or starts and stops, had crossed on the way.
 type CrossedStarts struct {
@@ -197,7 +168,7 @@
 	audit.mu.Lock()
 	defer audit.mu.Unlock()
 	job := audit.jobOf(task)
-	if audit.remove(task, machine) && job != nil {
+	if audit.placements.End(task, machine) && job != nil {
 		audit.usage[job.Team] -= job.CPUs
 	}
 	if job == nil || !done || job.doneTasks[task] {
@@ -213,10 +184,9 @@
 func (audit *Audit) Sweep() {
 	audit.mu.Lock()
 	defer audit.mu.Unlock()
-	for task, machines := range audit.machinesByTask {
+	for task, machine := range audit.placements.All() {
 		if job := audit.jobOf(task); job != nil && job.Told == api.Cancelled && time.Since(job.ToldAt) > audit.cancelWithin {
-			on := slices.Sorted(maps.Keys(machines))
-			audit.recordViolation(RanCancelled, "%s is on %v %v after its cancellation was told", task, on, time.Since(job.ToldAt).Round(time.Millisecond))
+			audit.recordViolation(RanCancelled, "%s is on %s %v after its cancellation was told", task, machine, time.Since(job.ToldAt).Round(time.Millisecond))
 		}
 	}
 }
@@ -241,11 +211,9 @@
 func (audit *Audit) RunningOn(machines map[string]bool) (tasks []string) {
 	audit.mu.Lock()
 	defer audit.mu.Unlock()
-	for task, on := range audit.machinesByTask {
-		for machine := range on {
-			if machines[machine] {
-				tasks = append(tasks, task)
-			}
+	for task, machine := range audit.placements.All() {
+		if machines[machine] {
+			tasks = append(tasks, task)
 		}
 	}
 	return tasks
--- /dev/null
+++ b/internal/fake/placements.go
@@ -0,0 +1,46 @@
+package fake
+
+import "iter"
+
+// Placements records on which machines each task runs, so that a second machine never hides the first. M identifies a
+// machine. It is made like a map and is not safe for concurrent use.
+type Placements[M comparable] map[string]map[M]bool
+
+// Start records that a machine starts a task. It returns the other machines that run the task, which no protocol allows,
+// and whether this one ran it already.
+func (p Placements[M]) Start(task string, machine M) (elsewhere []M, again bool) {
+	if p[task] == nil {
+		p[task] = map[M]bool{}
+	}
+	for other := range p[task] {
+		if other != machine {
+			elsewhere = append(elsewhere, other)
+		}
+	}
+	again = p[task][machine]
+	p[task][machine] = true
+	return elsewhere, again
+}
+
+// End records that a task is no longer on a machine, and reports whether it was.
+func (p Placements[M]) End(task string, machine M) bool {
+	ran := p[task][machine]
+	delete(p[task], machine)
+	if len(p[task]) == 0 {
+		delete(p, task)
+	}
+	return ran
+}
+
+// All yields each task with each machine that runs it, in no order.
+func (p Placements[M]) All() iter.Seq2[string, M] {
+	return func(yield func(string, M) bool) {
+		for task, machines := range p {
+			for machine := range machines {
+				if !yield(task, machine) {
+					return
+				}
+			}
+		}
+	}
+}
--- a/internal/simulation/invariants.go
+++ b/internal/simulation/invariants.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"switchferry/api"
+	"switchferry/internal/fake"
 )
 
 // invariantChecker knows what users were told and what each machine really runs, and compares the two with the
@@ -22,8 +23,7 @@
 	jobs map[string]*trackedJob
 	// jobsInOrder are the same jobs in the order of their submission.
 	jobsInOrder []*trackedJob
-	// machineByTask says where each running task runs.
-	machineByTask map[string]*simulatedMachine
+	placements  fake.Placements[*simulatedMachine]
 	// startedTasks are the tasks that started at least once.
 	startedTasks map[string]bool
 	// overdueTasks are tasks of cancelled jobs whose late presence on a machine was recorded.
@@ -64,13 +64,13 @@
 
 func newInvariantChecker(sim *simulation) *invariantChecker {
 	return &invariantChecker{
-		sim:           sim,
-		jobs:          map[string]*trackedJob{},
-		machineByTask: map[string]*simulatedMachine{},
-		wastedStarts:  map[string]bool{},
-		overdueTasks:  map[string]bool{},
-		startedTasks:  map[string]bool{},
-		result:        Result{Rules: map[string]int{}},
+		sim:          sim,
+		jobs:         map[string]*trackedJob{},
+		placements:   fake.Placements[*simulatedMachine]{},
+		wastedStarts: map[string]bool{},
+		overdueTasks: map[string]bool{},
+		startedTasks: map[string]bool{},
+		result:       Result{Rules: map[string]int{}},
 	}
 }
 
@@ -116,10 +116,10 @@
 		checker.result.TasksRestarted++
 	}
 	checker.startedTasks[task] = true
-	if other := checker.machineByTask[task]; other != nil && other != machine {
+	elsewhere, _ := checker.placements.Start(task, machine)
+	for _, other := range elsewhere {
 		checker.recordViolation("ran_twice", "%s on %s and %s", task, other.Name, machine.Name)
 	}
-	checker.machineByTask[task] = machine
 	job := checker.jobOf(task)
 	if job == nil {
 		checker.recordViolation("invented", "%s was started", task)
@@ -165,7 +165,7 @@
 // the configuration in force; checker.mu is held.
 func (checker *invariantChecker) checkTeamLimit(job *trackedJob, task string) {
 	usage := 0.0
-	for running := range checker.machineByTask {
+	for running := range checker.placements.All() {
 		if other := checker.jobOf(running); other != nil && other.Team == job.Team {
 			usage += other.CPUs
 		}
@@ -190,7 +190,7 @@
 		return
 	}
 	inZone := 0
-	for running, host := range checker.machineByTask {
+	for running, host := range checker.placements.All() {
 		if checker.jobOf(running) == job && host.Zone == machine.Zone {
 			inZone++
 		}
@@ -207,9 +207,7 @@
 	_, number, _ := strings.Cut(task, "/")
 	checker.mu.Lock()
 	defer checker.mu.Unlock()
-	if checker.machineByTask[task] == machine {
-		delete(checker.machineByTask, task)
-	}
+	checker.placements.End(task, machine)
 	job := checker.jobOf(task)
 	if job == nil {
 		return
@@ -250,7 +248,7 @@
 func (checker *invariantChecker) machineOf(jobID string) (found *simulatedMachine) {
 	checker.mu.Lock()
 	defer checker.mu.Unlock()
-	for task, machine := range checker.machineByTask {
+	for task, machine := range checker.placements.All() {
 		if id, _, _ := strings.Cut(task, "/"); id == jobID && (found == nil || machine.Name < found.Name) {
 			found = machine
 		}
@@ -273,7 +271,7 @@
 func (checker *invariantChecker) checkOverdueTasks() {
 	checker.mu.Lock()
 	defer checker.mu.Unlock()
-	for task, machine := range checker.machineByTask {
+	for task, machine := range checker.placements.All() {
 		job := checker.jobOf(task)
 		if job == nil || job.cancelledAt.IsZero() || machine.dead {
 			continue
--- a/internal/simulation/starvation.go
+++ b/internal/simulation/starvation.go
@@ -57,7 +57,7 @@
 // usageByTeam counts the processors in use by each team, and each job's running tasks; checker.mu is held.
 func (checker *invariantChecker) usageByTeam() (usage map[string]float64, running map[string]int) {
 	usage, running = map[string]float64{}, map[string]int{}
-	for task := range checker.machineByTask {
+	for task := range checker.placements.All() {
 		job := checker.jobOf(task)
 		usage[job.Team] += job.CPUs
 		running[job.ID]++
--- a/scheduler/start_under_way_test.go
+++ b/scheduler/start_under_way_test.go
@@ -22,15 +22,14 @@
 	failures map[string]string
 
 	// mu guards the fields below, as workers complete tasks on goroutines of their own.
-	mu sync.Mutex
-	// running are the machines that run each task.
-	running map[string]map[string]bool
+	mu      sync.Mutex
+	running fake.Placements[string]
 	// twice are tasks that started on one machine while they ran on another.
 	twice []string
 }
 
 func newPlayedWorkers(t *testing.T, h *harness, names ...string) *playedWorkers {
-	played := &playedWorkers{T: t, harness: h, workers: map[string]*fake.Worker{}, runTime: time.Hour, failures: map[string]string{}, running: map[string]map[string]bool{}}
+	played := &playedWorkers{T: t, harness: h, workers: map[string]*fake.Worker{}, runTime: time.Hour, failures: map[string]string{}, running: fake.Placements[string]{}}
 	for _, name := range names {
 		played.workers[name] = fake.NewWorker(fake.WorkerOptions{
 			Host: fake.Host{Name: name, Address: name + ":1", Type: "m8", Zone: zoneOf(name)}, Clock: h.clock,
@@ -47,21 +46,16 @@
 func (p *playedWorkers) ended(task, machine string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	delete(p.running[task], machine)
+	p.running.End(task, machine)
 }
 
 func (p *playedWorkers) started(task, machine string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.running[task] == nil {
-		p.running[task] = map[string]bool{}
+	elsewhere, _ := p.running.Start(task, machine)
+	for _, other := range elsewhere {
+		p.twice = append(p.twice, task+" on "+other+" and "+machine)
 	}
-	for other := range p.running[task] {
-		if other != machine {
-			p.twice = append(p.twice, task+" on "+other+" and "+machine)
-		}
-	}
-	p.running[task][machine] = true
 }
 
 // startedTwice are the tasks that started on one machine while they ran on another.
