Tests: one loop over seeds, one carrier of packets

Four tests of the simulation counted seeds by flags and race detector each, and three of the scheduler carried packets between a proxy and the leader each. Assertions, seeds and counts are the same.

--- a/internal/simulation/simulation_test.go
+++ b/internal/simulation/simulation_test.go
@@ -109,14 +109,23 @@
 
 // In random scenarios no rule is broken, and no job is forgotten or waits forever.
 func TestRandomScenariosBreakNoRule(t *testing.T) {
-	n := *seedCount
-	if n == 0 {
-		n = map[bool]int{false: 200, true: 12}[raceDetector]
+	forEachSeed(t, 200, 12, func(t *testing.T, seed uint64) { playScenario(t, randomScenario(seed)) })
+}
+
+// forEachSeed runs a test for each of so many seeds, fewer with the race detector, or for those that the flags say.
+func forEachSeed(t *testing.T, seeds, withRaceDetector int, play func(t *testing.T, seed uint64)) {
+	t.Helper()
+	if raceDetector {
+		seeds = withRaceDetector
+	}
+	if *seedCount > 0 {
+		seeds = *seedCount
 	}
-	for i := range n {
-		t.Run(fmt.Sprint(*firstSeed+uint64(i)), func(t *testing.T) {
+	for i := range seeds {
+		seed := *firstSeed + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			playScenario(t, randomScenario(*firstSeed+uint64(i)))
+			play(t, seed)
 		})
 	}
 }
@@ -189,38 +198,30 @@
 
 // The same with cancellation waves, outages and further faults at random moments around the refusal.
 func TestCancelledTasksStopAroundRandomOutages(t *testing.T) {
-	n := *seedCount
-	if n == 0 {
-		n = map[bool]int{false: 40, true: 4}[raceDetector]
-	}
-	for i := range n {
-		seed := *firstSeed + uint64(i)
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			t.Parallel()
-			rng := rand.New(rand.NewPCG(seed, 2))
-			within := func(from, to time.Duration) time.Duration { return from + time.Duration(rng.Int64N(int64(to-from))) }
-			scenario := NewScenario(seed, 12)
-			scenario.Workers, scenario.CancelShare, scenario.TaskRunS, scenario.JobsPerSecond = workerPaces[rng.IntN(2)], 0.3, 110, 1.5
-			scenario.SubmitFor, scenario.WaitAfter = 40*time.Second, 130*time.Second
-			at := 30 * time.Second
-			out := at + within(300*time.Millisecond, 6*time.Second)
-			scenario.Faults = []Fault{{At: at, For: within(2*time.Second, 60*time.Second), Kind: StateRefused, Unanswered: rng.IntN(3) == 0},
-				{At: out, For: within(20*time.Second, 100*time.Second), Kind: StateOutage},
-				{At: out - within(50*time.Millisecond, 500*time.Millisecond), For: 250 * time.Millisecond, Kind: CancellationWave, Count: 8},
-				{At: out - within(0, 5*time.Second), For: 250 * time.Millisecond, Kind: CancellationWave, Count: 4}}
-			more := []string{ControllerCrash, ControllerCrash, ControllerCrash, RollingRestart, ControllerPairPartition, ControllerPartition, ControllerIsolated, OutboundLost, ZonePartition, LateWrites, DelayedCommands, DuplicateHeartbeats, WorkerRestart, StateRefused}
-			for range 1 + rng.IntN(4) {
-				fault := Fault{At: out + within(-3*time.Second, 3*time.Second), For: within(time.Second, 50*time.Second), Kind: more[rng.IntN(len(more))],
-					Count: 1 + rng.IntN(3), Follower: rng.IntN(2) == 0, Unanswered: rng.IntN(2) == 0}
-				if fault.Kind == ControllerCrash || fault.Kind == RollingRestart {
-					fault.At = out + within(-600*time.Millisecond, 200*time.Millisecond)
-					fault.For = within(50*time.Millisecond, 3*time.Second)
-				}
-				scenario.Faults = append(scenario.Faults, fault)
+	forEachSeed(t, 40, 4, func(t *testing.T, seed uint64) {
+		rng := rand.New(rand.NewPCG(seed, 2))
+		within := func(from, to time.Duration) time.Duration { return from + time.Duration(rng.Int64N(int64(to-from))) }
+		scenario := NewScenario(seed, 12)
+		scenario.Workers, scenario.CancelShare, scenario.TaskRunS, scenario.JobsPerSecond = workerPaces[rng.IntN(2)], 0.3, 110, 1.5
+		scenario.SubmitFor, scenario.WaitAfter = 40*time.Second, 130*time.Second
+		at := 30 * time.Second
+		out := at + within(300*time.Millisecond, 6*time.Second)
+		scenario.Faults = []Fault{{At: at, For: within(2*time.Second, 60*time.Second), Kind: StateRefused, Unanswered: rng.IntN(3) == 0},
+			{At: out, For: within(20*time.Second, 100*time.Second), Kind: StateOutage},
+			{At: out - within(50*time.Millisecond, 500*time.Millisecond), For: 250 * time.Millisecond, Kind: CancellationWave, Count: 8},
+			{At: out - within(0, 5*time.Second), For: 250 * time.Millisecond, Kind: CancellationWave, Count: 4}}
+		more := []string{ControllerCrash, ControllerCrash, ControllerCrash, RollingRestart, ControllerPairPartition, ControllerPartition, ControllerIsolated, OutboundLost, ZonePartition, LateWrites, DelayedCommands, DuplicateHeartbeats, WorkerRestart, StateRefused}
+		for range 1 + rng.IntN(4) {
+			fault := Fault{At: out + within(-3*time.Second, 3*time.Second), For: within(time.Second, 50*time.Second), Kind: more[rng.IntN(len(more))],
+				Count: 1 + rng.IntN(3), Follower: rng.IntN(2) == 0, Unanswered: rng.IntN(2) == 0}
+			if fault.Kind == ControllerCrash || fault.Kind == RollingRestart {
+				fault.At = out + within(-600*time.Millisecond, 200*time.Millisecond)
+				fault.For = within(50*time.Millisecond, 3*time.Second)
 			}
-			playScenario(t, scenario)
-		})
-	}
+			scenario.Faults = append(scenario.Faults, fault)
+		}
+		playScenario(t, scenario)
+	})
 }
 
 // playWithAndWithoutCrash runs faults with both settings of workers, alone and with a crash of the leader in the middle,
--- a/internal/simulation/start_under_way_test.go
+++ b/internal/simulation/start_under_way_test.go
@@ -1,7 +1,6 @@
 package simulation
 
 import (
-	"fmt"
 	"testing"
 	"time"
 )
@@ -11,45 +10,29 @@
 // direct command and in the response to a heartbeat; the task ends, is cleared and starts elsewhere, and then the
 // response arrives and starts it on the first machine again. Six of 24 seeds ran a task twice, without a change of leader.
 func TestStartsUnderWayRunNoTaskTwice(t *testing.T) {
-	n := *seedCount
-	if n == 0 {
-		n = map[bool]int{false: 16, true: 2}[raceDetector]
-	}
-	for i := range n {
-		seed := *firstSeed + uint64(i)
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			t.Parallel()
-			scenario := NewScenario(seed, 12)
-			scenario.Workers, scenario.CancelShare, scenario.TaskRunS, scenario.JobsPerSecond = workerPaces[seed%2], 0.1, 20, 1.5
-			scenario.SubmitFor = 100 * time.Second
-			scenario.Faults = []Fault{
-				{At: seconds(15), For: seconds(80), Kind: SlowHeartbeats},
-				{At: seconds(15), For: seconds(80), Kind: FailingMachines, Count: 6},
-			}
-			playScenario(t, scenario)
-		})
-	}
+	forEachSeed(t, 16, 2, func(t *testing.T, seed uint64) {
+		scenario := NewScenario(seed, 12)
+		scenario.Workers, scenario.CancelShare, scenario.TaskRunS, scenario.JobsPerSecond = workerPaces[seed%2], 0.1, 20, 1.5
+		scenario.SubmitFor = 100 * time.Second
+		scenario.Faults = []Fault{
+			{At: seconds(15), For: seconds(80), Kind: SlowHeartbeats},
+			{At: seconds(15), For: seconds(80), Kind: FailingMachines, Count: 6},
+		}
+		playScenario(t, scenario)
+	})
 }
 
 // The leader's links to the other controllers come and go, so that workers' heartbeats are forwarded and relayed by turns,
 // and machines fail tasks.
 func TestAlternatingRelayRunsNoTaskTwice(t *testing.T) {
-	n := *seedCount
-	if n == 0 {
-		n = map[bool]int{false: 6, true: 1}[raceDetector]
-	}
-	for i := range n {
-		seed := *firstSeed + uint64(i)
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			t.Parallel()
-			scenario := NewScenario(seed, 12)
-			scenario.Workers, scenario.CancelShare, scenario.TaskRunS, scenario.JobsPerSecond = workerPaces[0], 0.1, 20, 2
-			scenario.SubmitFor = 100 * time.Second
-			scenario.Faults = []Fault{
-				{At: seconds(15), For: seconds(80), Kind: LeaderLinkFlapping},
-				{At: seconds(15), For: seconds(80), Kind: FailingMachines, Count: 6},
-			}
-			playScenario(t, scenario)
-		})
-	}
+	forEachSeed(t, 6, 1, func(t *testing.T, seed uint64) {
+		scenario := NewScenario(seed, 12)
+		scenario.Workers, scenario.CancelShare, scenario.TaskRunS, scenario.JobsPerSecond = workerPaces[0], 0.1, 20, 2
+		scenario.SubmitFor = 100 * time.Second
+		scenario.Faults = []Fault{
+			{At: seconds(15), For: seconds(80), Kind: LeaderLinkFlapping},
+			{At: seconds(15), For: seconds(80), Kind: FailingMachines, Count: 6},
+		}
+		playScenario(t, scenario)
+	})
 }
--- a/scheduler/command_relay_test.go
+++ b/scheduler/command_relay_test.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"testing"
@@ -57,8 +56,7 @@
 		h := newHarness(t)
 		h.state.Limit(fake.Limits{RPS: 800, WriteRPS: 250, ValueKB: 16, TxnOps: 12})
 		limits := settings.State{RPS: 800, WriteRPS: 250, ValueKB: 16, TxnOps: 12}
-		client := store.NewClient("state:1", h.state)
-		y := proxy.NewWorkers(proxy.Options{Member: "y", Client: client, Clock: h.clock, WriteLimit: exchange.WriteRate(limits), State: limits})
+		y := proxy.NewWorkers(proxy.Options{Member: "y", Client: h.client(), Clock: h.clock, WriteLimit: exchange.WriteRate(limits), State: limits})
 		name := func(i int) string { return fmt.Sprintf("b%04d", i) }
 		told := map[string]string{}
 		seq := uint64(0)
@@ -71,23 +69,13 @@
 				}
 			}
 		}
-		var joiner relay.Reassembler
-		after := h.term
+		packets := newWorkerPackets(h, y.Exchange)
 		carry := func() {
 			h.clock.Advance(tuning.RelayEvery)
-			for y.Exchange.Write(context.Background()) {
-			}
-			log, epoch, err := client.Watch(context.Background(), store.RelayPrefix, after, 0)
-			if err != nil {
-				t.Fatal(err)
-			}
-			after = max(after, epoch)
-			exchange.UnpackEvents(log, store.RelayPrefix, h.term, &joiner, h.AcceptWorkerMessage)
+			packets.toLeader(h.AcceptWorkerMessage)
 			h.Place()
 			h.commit()
-			if _, err := y.Exchange.Fetch(context.Background(), 0); err != nil {
-				t.Fatal(err)
-			}
+			packets.toFollower()
 		}
 		say()
 		for range 2 + many/500 {
--- a/scheduler/stage_relay_test.go
+++ b/scheduler/stage_relay_test.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"slices"
@@ -13,7 +12,6 @@
 	"switchferry/dataset"
 	"switchferry/features"
 	"switchferry/internal/fake"
-	"switchferry/relay"
 	"switchferry/relay/exchange"
 	"switchferry/relay/proxy"
 	"switchferry/settings"
@@ -25,24 +23,22 @@
 // all goes through the state service, whose limits are kept.
 type partitionHarness struct {
 	*dataHarness
-	client  *store.Client
 	proxy   *proxy.Agents
-	packets relay.Reassembler
-	after   uint64
+	packets *packetCarrier
 }
 
 func newPartitionHarness(t *testing.T) *partitionHarness {
 	h := &partitionHarness{dataHarness: newDataHarness(t, features.Staged)}
 	h.state.Limit(fake.Limits{RPS: 800, WriteRPS: 250, ValueKB: 16, TxnOps: 12})
 	limits := settings.State{RPS: 800, WriteRPS: 250, ValueKB: 16, TxnOps: 12}
-	h.client = store.NewClient("state:1", h.state)
-	h.proxy = proxy.NewAgents(proxy.Options{Member: "y", Client: h.client, Clock: h.clock, WriteLimit: exchange.WriteRate(limits), State: limits})
+	h.proxy = proxy.NewAgents(proxy.Options{Member: "y", Client: h.client(), Clock: h.clock, WriteLimit: exchange.WriteRate(limits), State: limits})
+	h.packets = &packetCarrier{harness: h.harness, exchange: h.proxy.Exchange, prefix: store.AgentRelayPrefix}
 	h.follow()
 	return h
 }
 
 // follow has the relayed packets read from the beginning of the present term.
-func (h *partitionHarness) follow() { h.after = h.term }
+func (h *partitionHarness) follow() { h.packets.after = h.term }
 
 // agentHeartbeatThroughPeer lets an agent report to y and take the answer.
 func (h *partitionHarness) agentHeartbeatThroughPeer(agent *fakeAgent) api.StageOrder {
@@ -60,21 +56,11 @@
 // exchangePackets takes letters both ways once.
 func (h *partitionHarness) exchangePackets() {
 	h.Helper()
-	ctx := context.Background()
 	h.clock.Advance(tuning.RelayEvery)
-	for h.proxy.Exchange.Write(ctx) {
-	}
-	log, epoch, err := h.client.Watch(ctx, store.AgentRelayPrefix, h.after, 0)
-	if err != nil {
-		h.Fatal(err)
-	}
-	h.after = max(h.after, epoch)
-	exchange.UnpackEvents(log, store.AgentRelayPrefix, h.term, &h.packets, h.AcceptAgentMessage)
+	h.packets.toLeader(h.AcceptAgentMessage)
 	h.Place()
 	h.commit()
-	if _, err = h.proxy.Exchange.Fetch(ctx, 0); err != nil {
-		h.Fatal(err)
-	}
+	h.packets.toFollower()
 }
 
 // Behind a cut a job's inputs are copied and its tasks start: the agent's reports go to
--- a/scheduler/starts_random_test.go
+++ b/scheduler/starts_random_test.go
@@ -45,20 +45,20 @@
 	// commands are direct commands that a worker may still receive. The leader has given up those in lost.
 	commands, lost []sentCommands
 	// relayed are the machines whose heartbeats a follower answers from the leader's packets.
-	relayed     map[string]bool
-	relay       *proxy.Workers
-	carried     uint64
-	reassembler relay.Reassembler
-	jobs        int
+	relayed map[string]bool
+	relay   *proxy.Workers
+	packets *packetCarrier
+	jobs    int
 }
 
 func newRandomStarts(t *testing.T, seed uint64) *randomStarts {
 	h := newHarness(t)
 	names := []string{"a1", "a2", "b1"}
-	random := &randomStarts{playedWorkers: newPlayedWorkers(t, h, names...), rng: rand.New(rand.NewPCG(seed, 0)), names: names, waiting: map[string]*exchangedHeartbeat{}, relayed: map[string]bool{}, carried: h.term}
+	random := &randomStarts{playedWorkers: newPlayedWorkers(t, h, names...), rng: rand.New(rand.NewPCG(seed, 0)), names: names, waiting: map[string]*exchangedHeartbeat{}, relayed: map[string]bool{}}
 	random.runTime = 5 * time.Second
 	limits := settings.State{RPS: 800, WriteRPS: 5000, ValueKB: 16, TxnOps: 12}
 	random.relay = proxy.NewWorkers(proxy.Options{Member: "y", Client: h.client(), Clock: h.clock, WriteLimit: exchange.WriteRate(limits), State: limits})
+	random.packets = newWorkerPackets(h, random.relay.Exchange)
 	return random
 }
 
@@ -193,22 +193,12 @@
 
 // carry carries packets between the follower and the leader, in one direction or both.
 func (r *randomStarts) carry() {
-	h := r.harness
 	if r.rng.IntN(3) > 0 {
-		for r.relay.Exchange.Write(r.Context()) {
-		}
-		events, revision, err := h.client().Watch(r.Context(), store.RelayPrefix, r.carried, 0)
-		if err != nil {
-			r.Fatal(err)
-		}
-		r.carried = max(r.carried, revision)
-		exchange.UnpackEvents(events, store.RelayPrefix, h.term, &r.reassembler, h.AcceptWorkerMessage)
-		h.commit()
+		r.packets.toLeader(r.harness.AcceptWorkerMessage)
+		r.harness.commit()
 	}
 	if r.rng.IntN(3) > 0 {
-		if _, err := r.relay.Exchange.Fetch(r.Context(), 0); err != nil {
-			r.Fatal(err)
-		}
+		r.packets.toFollower()
 	}
 }
 
@@ -250,7 +240,7 @@
 	r.lost = append(r.lost, r.commands...)
 	r.commands = nil
 	h.elect()
-	r.reassembler = relay.Reassembler{}
+	r.packets.reassembler = relay.Reassembler{}
 }
 
 // settle lets everything arrive until all jobs are done, and reports whether they are.
