connlimit: a worker's connection that becomes idle above the limit is closed then

Seen: a run of all checks failed; the tests of connlimit waited 600 s in TestIdleWorkerConnectionsAreClosedNearLimit for the server to close a worker's connection.

Cause: idle connections were closed only when another connection was opened. The HTTP server counts a connection as idle after it has written the response, so a new connection that comes in between finds none to close, and nothing looks again until the next one. Above the limit the worker's connection stayed open.

TestWorkerConnectionIsClosedOnceIdle fixes the order: without the change it fails with two connections open at a limit of two.

Now the limiter looks again as a connection becomes idle. Waiting for a close has a deadline, and running into it is a failure: before, any error of the read counted as closed.

--- a/connlimit/conn.go
+++ b/connlimit/conn.go
@@ -83,13 +83,22 @@
 	if !ok {
 		return
 	}
+	if l.setState(tracked, state) {
+		// Connections that were opened before this one was idle found none to close.
+		l.closeIdle()
+	}
+}
+
+// setState tracks whether a connection is idle, and reports whether it may now be closed for new ones.
+func (l *Limiter) setState(tracked *conn, state http.ConnState) (closable bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if state == http.StateIdle && tracked.class == Worker {
 		l.idleWorkers.Add(tracked, struct{}{})
-	} else {
-		l.idleWorkers.Remove(tracked)
+		return true
 	}
+	l.idleWorkers.Remove(tracked)
+	return false
 }
 
 // Dial returns a function that opens connections and counts them as the class that classOf returns for their address. Near
--- a/connlimit/limiter.go
+++ b/connlimit/limiter.go
@@ -57,7 +57,7 @@
 	openByClass [classCount]int
 	// idleWorkers are the connections of workers on which no request is being handled, the longest idle first.
 	idleWorkers *simplelru.LRU[*conn, struct{}]
-	// idleClosed counts those that were closed for new ones, and refused the commands that were not sent.
+	// idleClosed counts those that were closed near the limit, and refused the commands that were not sent.
 	idleClosed, refused int
 }
 
@@ -82,7 +82,7 @@
 	Open, Limit int
 	// ByClass is how many are open by the name of their class, without classes that have none.
 	ByClass map[string]int
-	// IdleClosed is how many idle connections of workers have been closed for new ones, and Refused how many commands
+	// IdleClosed is how many idle connections of workers have been closed near the limit, and Refused how many commands
 	// have not been sent.
 	IdleClosed, Refused int
 }
--- a/connlimit/limiter_test.go
+++ b/connlimit/limiter_test.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"testing"
+	"time"
 
 	"switchferry/connlimit"
 )
@@ -16,11 +18,7 @@
 func serve(t *testing.T, limit int) (*connlimit.Limiter, string) {
 	t.Helper()
 	limiter := connlimit.NewLimiter(limit)
-	var config net.ListenConfig
-	listener, err := config.Listen(t.Context(), "tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	listener := listen(t)
 	handle := func(w http.ResponseWriter, r *http.Request) {
 		class := connlimit.User
 		if r.URL.Path == "/v1/report" {
@@ -37,16 +35,35 @@
 	return limiter, listener.Addr().String()
 }
 
-// request opens a connection, sends one request and leaves the connection open. It returns whether the server says that
-// it will close it.
-func request(t *testing.T, addr, path string) (conn net.Conn, closed bool, err error) {
+// listen returns a listener on loopback.
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	var config net.ListenConfig
+	listener, err := config.Listen(t.Context(), "tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	return listener
+}
+
+// dial opens a connection that is closed at the end of the test.
+func dial(t *testing.T, addr string) net.Conn {
 	t.Helper()
 	var dialer net.Dialer
-	conn, err = dialer.DialContext(t.Context(), "tcp4", addr)
+	conn, err := dialer.DialContext(t.Context(), "tcp4", addr)
 	if err != nil {
-		return nil, false, err
+		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
+// request opens a connection, sends one request and leaves the connection open. It returns whether the server says that
+// it will close it.
+func request(t *testing.T, addr, path string) (conn net.Conn, closed bool, err error) {
+	t.Helper()
+	conn = dial(t, addr)
 	closed, err = requestOn(conn, path)
 	return conn, closed, err
 }
@@ -91,6 +108,21 @@
 	}
 }
 
+// closeTimeout is how long a connection may take to be closed.
+const closeTimeout = 10 * time.Second
+
+// expectClosed fails the test if the other side does not close the connection.
+func expectClosed(t *testing.T, conn net.Conn) {
+	t.Helper()
+	if err := conn.SetReadDeadline(time.Now().Add(closeTimeout)); err != nil {
+		t.Fatal(err)
+	}
+	_, err := conn.Read(make([]byte, 1))
+	if err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("a worker keeps its idle connection: %v", err)
+	}
+}
+
 // Near the limit the connections of workers that are idle for longest are closed for new ones, and no others.
 func TestIdleWorkerConnectionsAreClosedNearLimit(t *testing.T) {
 	limiter, addr := serve(t, 1000)
@@ -106,9 +138,7 @@
 	if _, _, err := request(t, addr, "/submissions/run-000002"); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := worker.Read(make([]byte, 1)); err == nil {
-		t.Error("an idle worker keeps its connection")
-	}
+	expectClosed(t, worker)
 	closed, err := requestOn(user, "/submissions/x")
 	if err != nil {
 		t.Errorf("a user's connection was closed: %v", err)
@@ -121,6 +151,33 @@
 	}
 }
 
+// Seen: beside load, the test above waited for ever. A server counts a connection as idle only after it has written the
+// response. A new connection that came in between found none idle to close, and the worker's stayed open above the limit
+// until the next new connection. Here the order of the two is fixed.
+func TestWorkerConnectionIsClosedOnceIdle(t *testing.T) {
+	limiter := connlimit.NewLimiter(2)
+	listener := listen(t)
+	counted := limiter.Listen(listener, connlimit.Unclassified)
+	connect := func() (client, accepted net.Conn) {
+		client = dial(t, listener.Addr().String())
+		accepted, err := counted.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = accepted.Close() })
+		return client, accepted
+	}
+	worker, accepted := connect()
+	limiter.Classify(accepted, connlimit.Worker)
+	limiter.State(accepted, http.StateActive)
+	connect()
+	limiter.State(accepted, http.StateIdle)
+	expectClosed(t, worker)
+	if counts := limiter.Counts(); counts.IdleClosed != 1 || counts.Open != 1 {
+		t.Errorf("%+v, want the worker's connection closed, the other one open", counts)
+	}
+}
+
 // Commands leave the last connections to the state service; a command that is refused was never sent.
 func TestCommandsAreRefusedNearLimit(t *testing.T) {
 	_, addr := serve(t, 0)
