Test that fails: a start goes out beside an attempt that was seen running

The test plays it with stand-in workers and a slow response to the report: the machine is sent a kill, the start goes out when the record is stored, and the task runs on both.

--- a/scheduler/start_under_way_test.go
+++ b/scheduler/start_under_way_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"switchferry/api"
+	"switchferry/fleet"
 	"switchferry/internal/fake"
 )
 
@@ -194,3 +195,49 @@
 		t.Errorf("ran twice: %v", twice)
 	}
 }
+
+// A task was placed, and while its record was being stored another machine reported that it runs there, by an attempt of
+// which no record told. Its machine was sent a kill, and the start went out at the same time: the task ran on two machines
+// until the kill arrived. An allocation whose start was never sent gives way to the attempt that runs.
+func TestUnsentStartGivesWayToAnAttemptThatRuns(t *testing.T) {
+	const task, unrecorded = "run-000001/0", 7
+	for _, shape := range []string{api.JobArray, api.Service} {
+		t.Run(shape, func(t *testing.T) {
+			h := newHarness(t)
+			played := newPlayedWorkers(t, h, "a1", "b1")
+			played.join("a1")
+			h.submit("run-000001", 1, func(job *api.Submission) { job.Shape = shape })
+			h.Place()
+			if placed := h.jobs["run-000001"].allocations[0]; placed == nil || placed.committed {
+				t.Fatalf("no allocation that waits for its record: %+v", placed)
+			}
+			played.workers["b1"].Direct(api.HeartbeatResponse{Term: h.term, Incarnation: played.workers["b1"].Report().Incarnation,
+				Commands: []api.Command{{Verb: api.CommandRun, Task: task, Attempt: unrecorded}}})
+			if !played.running[task]["b1"] {
+				t.Fatal("the unrecorded attempt does not run")
+			}
+			for range 3 {
+				report := played.workers["b1"].Report()
+				slow, _, _ := h.HandleHeartbeat(report, "")
+				h.commit()
+				played.answerCommands()
+				played.heartbeat("a1")
+				h.clock.Advance(time.Second)
+				played.workers["b1"].Answer(report, h.clock.Now(), slow)
+				played.place()
+			}
+			if twice := played.startedTwice(); len(twice) > 0 {
+				t.Errorf("ran twice: %v", twice)
+			}
+			if alloc := h.jobs["run-000001"].allocations[0]; !played.running[task]["b1"] || alloc == nil || alloc.machine.Name != "b1" || alloc.attempt != unrecorded {
+				t.Errorf("the attempt that runs is not the task's: %+v", alloc)
+			}
+			if machine := h.machines["a1"]; len(machine.allocations) != 0 || machine.used != (fleet.Resources{}) {
+				t.Errorf("the first machine keeps %v of it", machine.used)
+			}
+			if alloc := h.elect().jobs["run-000001"].allocations[0]; alloc == nil || alloc.machine.Name != "b1" || alloc.attempt != unrecorded {
+				t.Errorf("the next leader does not know the attempt: %+v", alloc)
+			}
+		})
+	}
+}
