An allocation whose start was never sent gives way to an attempt that runs

Seen, message by message: a task was placed, and while its record was being stored another machine reported a running attempt of it that no record knows. That machine was sent a kill, and the start went out as soon as it was stored: the task ran on two machines until the kill arrived.

A report of an unknown running attempt was taken into account only if its task had no allocation at all; an allocation that nobody had acted on counted as much as one that may run.

Now such an allocation is released, with the proof that no start of it was sent, and the attempt that runs is adopted and recorded. What was sent already stays and is reported as a contradiction, as before.

--- a/scheduler/reconcile.go
+++ b/scheduler/reconcile.go
@@ -271,21 +271,32 @@
 			s.removeQueuedTask(job, task)
 			s.markCompleted(job, task, s.allowClear(machine, exit))
 		}
-	case known && job.allocations[task] == nil && machine.allocations[attempt.Task] == nil:
-		s.adoptTask(machine, job, task, report)
-	case known && machine.Term == s.term:
-		s.reportSecondAttempt(machine, attempt, job.allocations[task])
+	case known:
+		s.reconcileUnknownRunning(machine, job, task, report)
 	}
 	// Whatever else runs is killed by the next commands.
 }
 
-// reportSecondAttempt reports an attempt that is on a machine although its task has an allocation elsewhere that may have
-// started. s.mu must be held.
-func (s *Scheduler) reportSecondAttempt(machine *machineState, attempt fleet.Attempt, alloc *allocation) {
-	if alloc == nil || !alloc.runSent {
-		return
+// reconcileUnknownRunning judges an attempt of a known job's task that is on a machine without being its allocation.
+// s.mu must be held.
+func (s *Scheduler) reconcileUnknownRunning(machine *machineState, job *jobState, task int, report api.TaskReport) {
+	if alloc := job.allocations[task]; alloc != nil && !alloc.runSent {
+		// Started beside an attempt that runs, the task would be on two machines.
+		s.releaseAllocation(alloc, proofNotSent)
 	}
-	invariant.Violated("a task is on one machine", "task", attempt.Task, "attempt", attempt.Number, "machine", machine.Name,
+	alloc := job.allocations[task]
+	switch {
+	case alloc == nil && machine.allocations[report.Task] == nil:
+		s.adoptTask(machine, job, task, report)
+	case alloc != nil && machine.Term == s.term:
+		s.reportSecondAttempt(machine, report, alloc)
+	}
+}
+
+// reportSecondAttempt reports an attempt that is on a machine although its task has an allocation that may have started.
+// s.mu must be held.
+func (s *Scheduler) reportSecondAttempt(machine *machineState, second api.TaskReport, alloc *allocation) {
+	invariant.Violated("a task is on one machine", "task", second.Task, "attempt", second.Attempt, "machine", machine.Name,
 		"incarnation", machine.Incarnation, "seq", machine.Seq, "term", s.term, "allocated_to", alloc.machine.Name, "allocated_attempt", alloc.attempt,
 		"reported", alloc.reported, "state", alloc.state)
 }
