--- a/experiment/scale.go
+++ b/experiment/scale.go
@@ -108,9 +108,13 @@
 	Submissions Latency            `json:"submissions"`
 	Dones       Latency            `json:"time_to_done"`
 	Refused     int                `json:"submissions_refused"`
-	Polls       int                `json:"polls"`
-	PollsFailed int                `json:"polls_unanswered"`
-	Changes     Changes            `json:"configuration_changes"`
+	// Heartbeats are the workers' heartbeats up to the response, Overtaken how long after a direct command the response to
+	// a heartbeat came that was under way.
+	Heartbeats  Latency `json:"heartbeat_responses"`
+	Overtaken   Latency `json:"responses_after_direct_commands"`
+	Polls       int     `json:"polls"`
+	PollsFailed int     `json:"polls_unanswered"`
+	Changes     Changes `json:"configuration_changes"`
 }
 
 // Flow is what went by in a second on average.
@@ -119,7 +123,7 @@
 	Bytes    float64 `json:"bytes_per_s"`
 }
 
-// Latency is of users' requests, in ms.
+// Latency is of requests, in ms.
 type Latency struct {
 	Count int64 `json:"count"`
 	P50   int64 `json:"p50_ms"`
@@ -418,8 +422,9 @@
 	if err != nil {
 		return err
 	}
-	run.Progress("%d workers, %s: %d tasks, %.0f starts/s; leader %.3f of a core (p99 %.2f), %.0f MB, %d descriptors; follower %.3f, %.0f MB",
-		workers, name, step.Tasks, step.Starts, step.Leader.CPUMean, step.Leader.CPUP99, step.Leader.MemoryMB, step.Leader.Descriptors, step.Follower.CPUMean, step.Follower.MemoryMB)
+	run.Progress("%d workers, %s: %d tasks, %.0f starts/s; leader %.3f of a core (p99 %.2f), %.0f MB, %d descriptors; follower %.3f, %.0f MB; responses p99 %d ms, %d overtaken by commands, p99 %d ms",
+		workers, name, step.Tasks, step.Starts, step.Leader.CPUMean, step.Leader.CPUP99, step.Leader.MemoryMB, step.Leader.Descriptors, step.Follower.CPUMean, step.Follower.MemoryMB,
+		step.Heartbeats.P99, step.Overtaken.Count, step.Overtaken.P99)
 	res.Steps = append(res.Steps, *step)
 	return nil
 }
--- a/experiment/scale_measure.go
+++ b/experiment/scale_measure.go
@@ -57,6 +57,7 @@
 		controllers: make([]usages, len(run.cluster.Controllers)), pids: make([]int, len(run.cluster.Controllers)), former: make([]float64, len(run.cluster.Controllers)), agents: make([]usages, len(run.agents))}
 	run.users.reset()
 	run.changer.reset()
+	run.cluster.TakeDelays()
 	go r.loop()
 	return r
 }
@@ -146,6 +147,8 @@
 		}
 	}
 	step.Changes = r.run.changer.figures()
+	delays := r.run.cluster.TakeDelays()
+	step.Heartbeats, step.Overtaken = latencyOf(delays.Heartbeats), latencyOf(delays.Overtaken)
 	users := r.run.users
 	step.Waits = users.waits(r.began, time.Now().Add(-waitsFor))
 	users.note(func() {
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -71,6 +71,7 @@
 	Cloud       *fake.Cloud
 	Controllers []*Controller
 	Traffic     *Traffic
+	delays      delayRecorder
 	network     *zoneNetwork
 	messages    messageFaults
 	// stateLinks are the controllers' ways to the state service, by member.
@@ -106,7 +107,7 @@
 	ctx, stop := context.WithCancel(ctx)
 	facts := options.Facts
 	cluster := &Cluster{options: options, dir: dir, clock: clock, ctx: ctx, stop: stop, State: fake.NewState(clock),
-		Cloud: fake.NewCloud(clock, []api.MachineType{options.Type}, facts.Cloud.RPS), Traffic: newTraffic(), network: newNetwork(),
+		Cloud: fake.NewCloud(clock, []api.MachineType{options.Type}, facts.Cloud.RPS), Traffic: newTraffic(), delays: delayRecorder{delays: newDelays()}, network: newNetwork(),
 		http: &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64}}, workers: map[string]*Worker{}, stateLinks: map[string]*stateLink{}, zonesByTerm: map[uint64]string{},
 		Returned: func(*Worker, int) {}}
 	cluster.cleanup = append(cluster.cleanup, func() { _ = os.RemoveAll(dir) })
--- a/internal/cluster/worker.go
+++ b/internal/cluster/worker.go
@@ -27,6 +27,8 @@
 	mu               sync.Mutex
 	mute, deaf, dead bool
 	changed          chan struct{}
+	// commandAt is when the first direct command arrived since the last heartbeat was sent; zero: none did.
+	commandAt time.Time
 }
 
 // AddWorkers starts n machines, spread evenly over the zones.
@@ -208,6 +210,8 @@
 	if err != nil {
 		return 0, nil
 	}
+	worker.beginExchange()
+	sent := time.Now()
 	response, err := worker.client.Do(request)
 	if err != nil {
 		return 0, nil
@@ -217,10 +221,34 @@
 	if err != nil || !worker.reachable(ctx, recipient.Settings.Zone, toWorker) || !delay(ctx, faults.SlowHeartbeats) {
 		return 0, nil
 	}
+	worker.cluster.delays.responded(sent, worker.firstCommand(), time.Now())
 	worker.cluster.Traffic.Add("reports to "+member, len(raw)+len(answer))
 	return response.StatusCode, decodeAnswer(response.StatusCode, answer)
 }
 
+// beginExchange notes that a heartbeat is sent.
+func (worker *Worker) beginExchange() {
+	worker.mu.Lock()
+	defer worker.mu.Unlock()
+	worker.commandAt = time.Time{}
+}
+
+// noteCommand notes that a direct command has arrived.
+func (worker *Worker) noteCommand() {
+	worker.mu.Lock()
+	defer worker.mu.Unlock()
+	if worker.commandAt.IsZero() {
+		worker.commandAt = time.Now()
+	}
+}
+
+// firstCommand is when the first direct command arrived since the last heartbeat was sent; zero: none did.
+func (worker *Worker) firstCommand() time.Time {
+	worker.mu.Lock()
+	defer worker.mu.Unlock()
+	return worker.commandAt
+}
+
 // repeatHeartbeat sends a copy of an earlier heartbeat to any controller; nobody gets the answer.
 func (worker *Worker) repeatHeartbeat(ctx context.Context, raw []byte) {
 	ctx, stop := context.WithTimeout(ctx, time.Second)
@@ -263,6 +291,7 @@
 	if !delay(request.Context(), faults.SlowCommands) {
 		panic(http.ErrAbortHandler)
 	}
+	worker.noteCommand()
 	heartbeat, executed := worker.Direct(orders)
 	raw, err := json.Marshal(heartbeat)
 	if err != nil || !worker.reachable(request.Context(), fromZone, toWorker) {
