--- a/scheduler/packets_helper_test.go
+++ b/scheduler/packets_helper_test.go
@@ -5,6 +5,8 @@
 
 	"switchferry/relay"
 	"switchferry/relay/exchange"
+	"switchferry/relay/proxy"
+	"switchferry/settings"
 	"switchferry/store"
 )
 
@@ -45,3 +47,9 @@
 func newWorkerPackets(h *harness, relayed *exchange.Exchange) *packetCarrier {
 	return &packetCarrier{harness: h, exchange: relayed, prefix: store.RelayPrefix, after: h.term}
 }
+
+// newFollowerRelay returns the relay of a follower y of a harness's leader.
+func newFollowerRelay(h *harness) *proxy.Workers {
+	limits := settings.State{RPS: 800, WriteRPS: 5000, ValueKB: 16, TxnOps: 12}
+	return proxy.NewWorkers(proxy.Options{Member: "y", Client: h.client(), Clock: h.clock, WriteLimit: exchange.WriteRate(limits), State: limits})
+}
--- a/scheduler/starts_random_test.go
+++ b/scheduler/starts_random_test.go
@@ -12,9 +12,7 @@
 	"switchferry/api"
 	"switchferry/invariant"
 	"switchferry/relay"
-	"switchferry/relay/exchange"
 	"switchferry/relay/proxy"
-	"switchferry/settings"
 	"switchferry/store"
 	"switchferry/tuning"
 )
@@ -56,8 +54,7 @@
 	names := []string{"a1", "a2", "b1"}
 	random := &randomStarts{playedWorkers: newPlayedWorkers(t, h, names...), rng: rand.New(rand.NewPCG(seed, 0)), names: names, waiting: map[string]*exchangedHeartbeat{}, relayed: map[string]bool{}}
 	random.runTime = 5 * time.Second
-	limits := settings.State{RPS: 800, WriteRPS: 5000, ValueKB: 16, TxnOps: 12}
-	random.relay = proxy.NewWorkers(proxy.Options{Member: "y", Client: h.client(), Clock: h.clock, WriteLimit: exchange.WriteRate(limits), State: limits})
+	random.relay = newFollowerRelay(h)
 	random.packets = newWorkerPackets(h, random.relay.Exchange)
 	return random
 }
