A relayed start is settled by the number of a later heartbeat, not by the way it came

The leader counted a relayed start as settled once a heartbeat came to it by another way than the relay, since the relay sees a gap then and starts afresh. A copy of a heartbeat that the relay has seen leaves no gap; nor does a copy, at the relay, of one that went to the leader.

Now a relay delivers commands only for the tuning.RelayedCommandsSpan (8) heartbeats after the one that they were derived from, and the leader counts a start among them as settled when it has seen a later one, whichever way it or a copy of it came: a worker has executed or dropped the response to a heartbeat when it sends the next. No proof rests on time or on the way. Commands too old to be delivered have the relay send the heartbeat to the leader at once, which derives them anew, so that a slow relay waits and does not stop. An exit that a relay could still undo is cleared on no path, through the same relay neither; the exception for that is gone.

TestRelayedHeartbeatDoesNotDisproveRelayedStart and the table of TestStartsAreSettledByWhatProvesThemSettled said that a direct heartbeat settles a relayed start. The trace shows that this is wrong; they now ask for more: nothing up to the last heartbeat of the span, settled by the first one after it.

Tests of scheduler, relay, controller and simulation pass.

--- a/relay/proxy/workers.go
+++ b/relay/proxy/workers.go
@@ -70,8 +70,7 @@
 }
 
 // HandleOfferedHeartbeat is HandleHeartbeat for a heartbeat that was forwarded to the leader without a reply in time. The
-// leader may have handled it, and then takes it for proof that no start relayed before is delivered any more (rule 4 of
-// docs/design.md).
+// leader may have handled it, and sent other commands since.
 func (w *Workers) HandleOfferedHeartbeat(heartbeat *api.Heartbeat, term uint64) api.HeartbeatResponse {
 	return w.handleHeartbeat(heartbeat, term, true)
 }
@@ -96,7 +95,7 @@
 	}
 	changed := begins || !sameStatus(heartbeat, &worker.heartbeat)
 	if begins || offered {
-		// Commands derived from earlier heartbeats are not delivered any more: the task may run elsewhere by now.
+		// Commands derived from earlier heartbeats are not delivered any more: newer ones may have gone another way.
 		worker = &workerState{firstSeq: heartbeat.Seq}
 		w.workers[heartbeat.Machine] = worker
 	}
@@ -106,8 +105,10 @@
 		slog.Error("a report cannot be passed on", "machine", heartbeat.Machine, "err", err)
 		return response
 	}
-	w.outbox.Put(heartbeat.Machine, body, changed, w.clock.Now())
-	response.Commands = w.deliver(worker, term)
+	commands, outdated := w.deliver(worker, term)
+	// The leader derives outdated commands anew from this heartbeat.
+	w.outbox.Put(heartbeat.Machine, body, changed || outdated, w.clock.Now())
+	response.Commands = commands
 	return response
 }
 
@@ -116,23 +117,27 @@
 	return a.Term == b.Term && (a.PreemptionNoticeS == nil) == (b.PreemptionNoticeS == nil) && slices.Equal(a.Tasks, b.Tasks)
 }
 
-// deliver returns the commands that the leader of a term has sent for a worker, and notes that they are delivered. w.mu
-// must be held.
-func (w *Workers) deliver(worker *workerState, term uint64) []api.Command {
+// deliver returns the commands that the leader of a term has sent for a worker, and notes that they are delivered. Outdated
+// is set if there are some that were derived from too old a heartbeat to be delivered: the leader counts a start among them
+// as settled once it has seen a later heartbeat (rule 4 of docs/design.md). w.mu must be held.
+func (w *Workers) deliver(worker *workerState, term uint64) (commands []api.Command, outdated bool) {
 	none := []api.Command{}
 	machine := worker.heartbeat.Machine
 	raw := w.inbox.MessageFor(term, machine)
 	if raw == nil {
-		return none
+		return none, false
 	}
 	var message store.RelayedCommands
 	if err := json.Unmarshal(raw, &message); err != nil {
 		slog.Error("corrupt relayed message", "machine", machine, "err", err)
-		return none
+		return none, false
 	}
 	if message.Incarnation != worker.heartbeat.Incarnation || message.Seq < max(worker.firstSeq, worker.deliveredSeq) {
-		return none
+		return none, false
+	}
+	if worker.heartbeat.Seq > message.Seq+tuning.RelayedCommandsSpan {
+		return none, true
 	}
 	worker.deliveredSeq = message.Seq
-	return message.Commands
+	return message.Commands, false
 }
--- a/relay/proxy/workers_test.go
+++ b/relay/proxy/workers_test.go
@@ -12,6 +12,7 @@
 	"switchferry/relay/exchange"
 	"switchferry/settings"
 	"switchferry/store"
+	"switchferry/tuning"
 )
 
 // newWorkers returns the proxy of a controller y.
@@ -85,26 +86,67 @@
 	}
 }
 
-// Commands derived from an earlier heartbeat are not delivered in answer to one that was offered to the leader, nor after
-// it: the leader may have handled it, and started the task elsewhere.
-func TestOfferedHeartbeatGetsNoEarlierCommands(t *testing.T) {
+// relayStart has a proxy read a packet in which the leader of term 7 starts a task of b1, derived from the heartbeat seq.
+func relayStart(t *testing.T, workers *Workers, revision, seq uint64) {
+	t.Helper()
+	mailbox := relay.NewMailbox(exchange.PacketLimits(settings.State{RPS: 120, WriteRPS: 30, ValueKB: 16, TxnOps: 24}))
+	mailbox.AssignPacket("b1")
+	raw, _ := json.Marshal(store.RelayedCommands{Incarnation: 1, Seq: seq, Commands: []api.Command{{Verb: api.CommandRun, Task: "run-1/0", Attempt: 3}}})
+	packet, _, _, err := mailbox.BuildPacket(7, 0, func(string) json.RawMessage { return raw })
+	if err == nil {
+		err = workers.inbox.Apply(store.RelayResponseKey("y", 0), revision, &packet)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Commands are delivered for a span of heartbeats after the one that they were derived from. Later the leader counts a
+// start among them as settled; it gets the heartbeat at once, so that it derives them anew, although nothing else changed.
+func TestOutdatedCommandsAreNotDeliveredButDerivedAnew(t *testing.T) {
 	workers := newWorkers()
-	heartbeat := func(seq uint64) *api.Heartbeat {
-		return &api.Heartbeat{Machine: "b1", Incarnation: 1, Seq: seq, Term: 7}
+	say := func(seq uint64) api.HeartbeatResponse {
+		return workers.HandleHeartbeat(&api.Heartbeat{Machine: "b1", Incarnation: 1, Seq: seq, Term: 7}, 7)
 	}
-	relayStart := func(revision, seq uint64) {
-		t.Helper()
-		mailbox := relay.NewMailbox(exchange.PacketLimits(settings.State{RPS: 120, WriteRPS: 30, ValueKB: 16, TxnOps: 24}))
-		mailbox.AssignPacket("b1")
-		raw, _ := json.Marshal(store.RelayedCommands{Incarnation: 1, Seq: seq, Commands: []api.Command{{Verb: api.CommandRun, Task: "run-1/0", Attempt: 3}}})
-		packet, _, _, err := mailbox.BuildPacket(7, 0, func(string) json.RawMessage { return raw })
-		if err == nil {
-			err = workers.inbox.Apply(store.RelayResponseKey("y", 0), revision, &packet)
+	const derivedFrom = 10
+	say(derivedFrom)
+	relayStart(t, workers, 50, derivedFrom)
+	for seq := uint64(derivedFrom + 1); seq <= derivedFrom+tuning.RelayedCommandsSpan; seq++ {
+		if response := say(seq); len(response.Commands) != 1 {
+			t.Fatalf("not delivered for heartbeat %d: %+v", seq, response)
 		}
+	}
+	packetsDue := func() int {
+		batch, err := workers.outbox.Next(workers.clock.Now(), tuning.RelayRefresh, 1)
 		if err != nil {
 			t.Fatal(err)
 		}
+		return len(batch.Packets)
+	}
+	if packetsDue() != 1 || packetsDue() != 0 {
+		t.Fatal("more than the first heartbeat is due")
+	}
+	const outdated = derivedFrom + tuning.RelayedCommandsSpan + 1
+	if response := say(outdated); len(response.Commands) != 0 {
+		t.Errorf("outdated commands are delivered: %+v", response)
+	}
+	if packetsDue() != 1 {
+		t.Error("the leader does not get the heartbeat at once")
+	}
+	relayStart(t, workers, 51, outdated)
+	if response := say(outdated + 1); len(response.Commands) != 1 {
+		t.Errorf("commands derived anew are not delivered: %+v", response)
+	}
+}
+
+// Commands derived from an earlier heartbeat are not delivered in answer to one that was offered to the leader, nor after
+// it: the leader may have handled it, and started the task elsewhere.
+func TestOfferedHeartbeatGetsNoEarlierCommands(t *testing.T) {
+	workers := newWorkers()
+	heartbeat := func(seq uint64) *api.Heartbeat {
+		return &api.Heartbeat{Machine: "b1", Incarnation: 1, Seq: seq, Term: 7}
 	}
+	relayStart := func(revision, seq uint64) { relayStart(t, workers, revision, seq) }
 	workers.HandleHeartbeat(heartbeat(10), 7)
 	relayStart(50, 10)
 	if response := workers.HandleOfferedHeartbeat(heartbeat(11), 7); len(response.Commands) > 0 || response.Term != 7 {
--- a/scheduler/command_relay_test.go
+++ b/scheduler/command_relay_test.go
@@ -15,8 +15,8 @@
 	"switchferry/tuning"
 )
 
-// A start that went into a relay's mail may be delivered after any report that
-// the relay passes on; only a report that comes directly proves its absence.
+// A relayed start may be delivered in the response to any of the next heartbeats, whichever way they or copies of them
+// reach the leader; only a later one that lacks the task proves its absence.
 func TestRelayedHeartbeatDoesNotDisproveRelayedStart(t *testing.T) {
 	h := newHarness(t)
 	h.heartbeat("b1", 1)
@@ -35,9 +35,20 @@
 		t.Fatal("a relayed report was taken for a proof")
 	}
 	h.heartbeat("b1", 1)
+	if m := h.relayedCommandsFor("sib", "b1"); len(m.Commands) != 0 {
+		t.Errorf("still in the mail after a direct heartbeat: %+v", m)
+	}
+	for h.seq["b1"] < m.Seq+tuning.RelayedCommandsSpan {
+		h.heartbeat("b1", 1)
+	}
+	h.commit()
+	if h.jobs["run-000001"] == nil || len(h.jobs["run-000001"].allocations) != 1 {
+		t.Fatal("a heartbeat whose response may hold the relayed start was taken for a proof")
+	}
+	h.heartbeat("b1", 1)
 	h.commit()
 	if h.jobs["run-000001"] != nil {
-		t.Error("a direct report was not taken for a proof")
+		t.Error("a heartbeat after the last one that the relayed start may answer was not taken for a proof")
 	}
 	if m := h.relayedCommandsFor("sib", "b1"); len(m.Commands) != 0 {
 		t.Errorf("still in the mail: %+v", m)
--- a/scheduler/commands.go
+++ b/scheduler/commands.go
@@ -52,7 +52,7 @@
 		if exit := machine.exited[attempt]; exit != nil {
 			// Only the worker remembers an exit that is not stored (rule 2), and a run of the attempt that is still under
 			// way would start it again after a clear (rule 4).
-			if exit.mayClear(path) {
+			if exit.mayClear() {
 				s.logCommand(api.CommandClear, machine, attempt, path, "its end is on record, no start under way")
 				commands = append(commands, api.Command{Verb: api.CommandClear, Task: attempt.Task, Attempt: attempt.Number})
 			}
--- a/scheduler/pending_starts.go
+++ b/scheduler/pending_starts.go
@@ -1,5 +1,7 @@
 package scheduler
 
+import "switchferry/tuning"
+
 // pendingStarts are the run commands for one attempt that this leader has sent and that may still start it (rule 4 of
 // docs/design.md). They belong to the attempt from its first start until its machine has cleared it: an allocation holds
 // them, and after the attempt's exit its exitedTask. The zero value is none. Scheduler.mu guards them.
@@ -8,8 +10,8 @@
 	direct int
 	// responseSeq is the sequence number of the newest heartbeat whose response carried a start, or 0.
 	responseSeq uint64
-	// relayed is set while a relay may deliver a start.
-	relayed bool
+	// relayedSeq is that of the newest heartbeat in whose response a relay may deliver a start, or 0.
+	relayedSeq uint64
 }
 
 // add notes that a start is sent on a path. Seq is the sequence number of the machine's newest heartbeat.
@@ -20,7 +22,7 @@
 	case byCommandResponse:
 		p.direct++
 	case byRelay:
-		p.relayed = true
+		p.relayedSeq = seq + tuning.RelayedCommandsSpan
 	}
 }
 
@@ -32,26 +34,23 @@
 }
 
 // observe notes a heartbeat, newer than all before it in the same incarnation. A worker has executed the response to a
-// heartbeat, or dropped it, when it sends the next one; its answers to direct commands come in between and show nothing.
-// A relay starts afresh with a worker whose heartbeat it has offered to the leader, so that it delivers no earlier start.
+// heartbeat, or dropped it, when it sends the next one, whichever way that or a copy of it takes. Its answers to direct
+// commands come in between and show nothing.
 func (p *pendingStarts) observe(path deliveryPath, seq uint64) {
-	if path != byCommandResponse && seq > p.responseSeq {
+	if path == byCommandResponse {
+		return
+	}
+	if seq > p.responseSeq {
 		p.responseSeq = 0
 	}
-	if path == byHeartbeat {
-		p.relayed = false
+	if seq > p.relayedSeq {
+		p.relayedSeq = 0
 	}
 }
 
 // none reports whether no start can arrive any more.
 func (p *pendingStarts) none() bool { return *p == pendingStarts{} }
 
-// noneBehind reports whether no start can arrive after a command that is sent on a path now. A relay delivers commands in
-// the order in which they were derived, so that its own earlier starts come before.
-func (p *pendingStarts) noneBehind(path deliveryPath) bool {
-	return p.noneButRelayed() && (!p.relayed || path == byRelay)
-}
-
 // noneButRelayed reports whether no start can arrive any more on a way that leads from this leader to the worker itself.
 func (p *pendingStarts) noneButRelayed() bool { return p.direct == 0 && p.responseSeq == 0 }
 
@@ -135,8 +134,8 @@
 	stored bool
 }
 
-// mayClear reports whether the worker may be told on a path to forget the attempt. Clearing one whose start was under way
-// made a task run on two machines (docs/incidents/task-ran-twice.md).
-func (e *exitedTask) mayClear(path deliveryPath) bool {
-	return e.stored && e.starts.noneBehind(path)
+// mayClear reports whether the worker may be told to forget the attempt. Clearing one whose start was under way made a
+// task run on two machines (docs/incidents/task-ran-twice.md).
+func (e *exitedTask) mayClear() bool {
+	return e.stored && e.starts.none()
 }
--- a/scheduler/pending_starts_test.go
+++ b/scheduler/pending_starts_test.go
@@ -1,9 +1,14 @@
 package scheduler
 
-import "testing"
+import (
+	"testing"
+
+	"switchferry/tuning"
+)
 
 func TestStartsAreSettledByWhatProvesThemSettled(t *testing.T) {
 	const sentAfter = 10
+	const lastRelayed = sentAfter + tuning.RelayedCommandsSpan
 	cases := []struct {
 		name string
 		sent deliveryPath
@@ -11,18 +16,21 @@
 		heardOn  deliveryPath
 		heardSeq uint64
 		answered bool
-		// none, behindHeartbeat and behindRelay are whether no start is left, and none behind a command on these paths.
-		none, behindHeartbeat, behindRelay bool
+		// none is whether no start is left.
+		none bool
 	}{
-		{"a direct start, and a heartbeat", byCommandResponse, byHeartbeat, 11, false, false, false, false},
-		{"a direct start, and a relayed heartbeat", byCommandResponse, byRelay, 11, false, false, false, false},
-		{"a direct start, answered", byCommandResponse, byCommandResponse, 11, true, true, true, true},
-		{"a start in a response, and the next heartbeat", byHeartbeat, byHeartbeat, 11, false, true, true, true},
-		{"a start in a response, and the next heartbeat through a relay", byHeartbeat, byRelay, 11, false, true, true, true},
-		{"a start in a response, and an answer to a command", byHeartbeat, byCommandResponse, 11, true, false, false, false},
-		{"a relayed start, and a relayed heartbeat", byRelay, byRelay, 11, false, false, false, true},
-		{"a relayed start, and an answer to a command", byRelay, byCommandResponse, 11, true, false, false, true},
-		{"a relayed start, and a heartbeat", byRelay, byHeartbeat, 11, false, true, true, true},
+		{"a direct start, and a heartbeat", byCommandResponse, byHeartbeat, lastRelayed + 1, false, false},
+		{"a direct start, and a relayed heartbeat", byCommandResponse, byRelay, lastRelayed + 1, false, false},
+		{"a direct start, answered", byCommandResponse, byCommandResponse, 11, true, true},
+		{"a start in a response, and the next heartbeat", byHeartbeat, byHeartbeat, 11, false, true},
+		{"a start in a response, and the next heartbeat through a relay", byHeartbeat, byRelay, 11, false, true},
+		{"a start in a response, and an answer to a command", byHeartbeat, byCommandResponse, 11, true, false},
+		{"a relayed start, and the next relayed heartbeat", byRelay, byRelay, 11, false, false},
+		{"a relayed start, and the next heartbeat, or a copy of it", byRelay, byHeartbeat, 11, false, false},
+		{"a relayed start, and the last heartbeat that it may answer", byRelay, byHeartbeat, lastRelayed, false, false},
+		{"a relayed start, and the first heartbeat after that", byRelay, byHeartbeat, lastRelayed + 1, false, true},
+		{"a relayed start, and the first one after that through a relay", byRelay, byRelay, lastRelayed + 1, false, true},
+		{"a relayed start, and an answer to a command", byRelay, byCommandResponse, lastRelayed + 1, true, false},
 	}
 	for _, tc := range cases {
 		var starts pendingStarts
@@ -30,14 +38,14 @@
 			t.Fatal("the zero value has starts")
 		}
 		starts.add(tc.sent, sentAfter)
-		if starts.none() || starts.noneBehind(byHeartbeat) {
+		if starts.none() {
 			t.Errorf("%s: settled once it is sent", tc.name)
 		}
 		if tc.answered {
 			starts.settleDirect()
 		}
 		starts.observe(tc.heardOn, tc.heardSeq)
-		if starts.none() != tc.none || starts.noneBehind(byHeartbeat) != tc.behindHeartbeat || starts.noneBehind(byRelay) != tc.behindRelay {
+		if starts.none() != tc.none {
 			t.Errorf("%s: %+v", tc.name, starts)
 		}
 	}
@@ -55,11 +63,11 @@
 		{"never sent", attemptState{}, current, absenceOpen, ""},
 		{"of an earlier leader, the token not seen", attemptState{runSent: true}, observedWorker{incarnation: 3}, absenceOpen, ""},
 		{"of an earlier leader", attemptState{runSent: true}, current, absenceProved, proofNeverArrived},
-		{"a new incarnation", attemptState{runSent: true, incarnation: 2, starts: pendingStarts{direct: 1, relayed: true}}, later, absenceProved, proofNewIncarnation},
+		{"a new incarnation", attemptState{runSent: true, incarnation: 2, starts: pendingStarts{direct: 1, relayedSeq: 9}}, later, absenceProved, proofNewIncarnation},
 		{"a direct start open", attemptState{runSent: true, incarnation: 2, starts: pendingStarts{direct: 1}, stopping: true}, current, absenceOpen, ""},
 		{"a start in a response open", attemptState{runSent: true, incarnation: 2, starts: pendingStarts{responseSeq: 9}, stopping: true}, current, absenceOpen, ""},
-		{"a relayed start open", attemptState{runSent: true, incarnation: 2, starts: pendingStarts{relayed: true}, stopping: true}, current, absenceOpen, ""},
-		{"reported, and a start open", attemptState{runSent: true, incarnation: 2, starts: pendingStarts{relayed: true}, reported: true}, current, absenceOpen, ""},
+		{"a relayed start open", attemptState{runSent: true, incarnation: 2, starts: pendingStarts{relayedSeq: 9}, stopping: true}, current, absenceOpen, ""},
+		{"reported, and a start open", attemptState{runSent: true, incarnation: 2, starts: pendingStarts{relayedSeq: 9}, reported: true}, current, absenceOpen, ""},
 		{"reported before", attemptState{runSent: true, incarnation: 2, reported: true}, current, absenceProved, proofForgotten},
 		{"stopped before it started", attemptState{runSent: true, incarnation: 2, stopping: true}, current, absenceProved, proofStopped},
 		{"lost on the way", attemptState{runSent: true, incarnation: 2}, current, absenceLost, ""},
@@ -73,18 +81,18 @@
 
 func TestExitIsClearedOnceStoredAndNoStartCanArrive(t *testing.T) {
 	cases := []struct {
-		name                  string
-		exit                  exitedTask
-		byHeartbeat, inPacket bool
+		name     string
+		exit     exitedTask
+		mayClear bool
 	}{
-		{"stored", exitedTask{stored: true}, true, true},
-		{"not stored", exitedTask{}, false, false},
-		{"a direct start open", exitedTask{stored: true, starts: pendingStarts{direct: 1}}, false, false},
-		{"a start in a response open", exitedTask{stored: true, starts: pendingStarts{responseSeq: 4}}, false, false},
-		{"a relayed start open", exitedTask{stored: true, starts: pendingStarts{relayed: true}}, false, true},
+		{"stored", exitedTask{stored: true}, true},
+		{"not stored", exitedTask{}, false},
+		{"a direct start open", exitedTask{stored: true, starts: pendingStarts{direct: 1}}, false},
+		{"a start in a response open", exitedTask{stored: true, starts: pendingStarts{responseSeq: 4}}, false},
+		{"a relayed start open", exitedTask{stored: true, starts: pendingStarts{relayedSeq: 9}}, false},
 	}
 	for _, tc := range cases {
-		if tc.exit.mayClear(byHeartbeat) != tc.byHeartbeat || tc.exit.mayClear(byCommandResponse) != tc.byHeartbeat || tc.exit.mayClear(byRelay) != tc.inPacket {
+		if tc.exit.mayClear() != tc.mayClear {
 			t.Errorf("%s: %+v", tc.name, tc.exit)
 		}
 	}
--- a/scheduler/reconcile.go
+++ b/scheduler/reconcile.go
@@ -139,10 +139,10 @@
 // forgetExit drops the exit of an attempt that the machine's newest heartbeat lacks: it was cleared, or a new incarnation
 // began. s.mu must be held.
 func (s *Scheduler) forgetExit(machine *machineState, attempt fleet.Attempt, exit *exitedTask) {
-	// Starts that a relay has are no contradiction: they come before its clear.
-	if machine.Incarnation == exit.incarnation && !exit.starts.noneButRelayed() {
+	if machine.Incarnation == exit.incarnation && !exit.starts.none() {
 		invariant.Violated("an attempt is cleared only when no start of it can arrive", "task", attempt.Task, "attempt", attempt.Number,
-			"machine", machine.Name, "incarnation", machine.Incarnation, "seq", machine.Seq, "direct", exit.starts.direct, "response_to", exit.starts.responseSeq)
+			"machine", machine.Name, "incarnation", machine.Incarnation, "seq", machine.Seq, "direct", exit.starts.direct, "response_to", exit.starts.responseSeq,
+			"relayed_up_to", exit.starts.relayedSeq)
 	}
 	delete(machine.exited, attempt)
 }
@@ -201,7 +201,7 @@
 		s.evidence.exitsCrossed++
 	}
 	slog.Debug("task ended", "task", alloc.key, "attempt", alloc.attempt, "machine", machine.Name, "cause", cause,
-		"unanswered_starts", alloc.starts.direct, "start_in_response_to", alloc.starts.responseSeq, "start_relayed", alloc.starts.relayed)
+		"unanswered_starts", alloc.starts.direct, "start_in_response_to", alloc.starts.responseSeq, "start_relayed_up_to", alloc.starts.relayedSeq)
 	if cause == api.CauseDone {
 		s.reconcileCompleted(machine, alloc, exit)
 		return
--- a/tuning/tuning.go
+++ b/tuning/tuning.go
@@ -361,6 +361,9 @@
 	RelayEvery = 700 * time.Millisecond
 	// RelayRefresh is after how long an unchanged heartbeat is written again.
 	RelayRefresh = 3 * time.Second
+	// RelayedCommandsSpan is for how many heartbeats after the one that they were derived from a peer delivers relayed
+	// commands. Until then no start among them is settled. It is a few times what a packet takes there and back.
+	RelayedCommandsSpan = 8
 	// RelayStageRefresh is RelayRefresh for data agents. It is below their usual interval, so that each of their heartbeats
 	// is relayed and none counts as silent.
 	RelayStageRefresh = 1500 * time.Millisecond
