Random messages: copies at leader and follower, and a machine in place of faulty ones

Copies of heartbeats arrive at the leader or at the follower's relay wherever the heartbeat went, and a copy of a relayed one may reach the leader before the worker has its response.

--- a/scheduler/start_under_way_test.go
+++ b/scheduler/start_under_way_test.go
@@ -32,18 +32,23 @@
 func newPlayedWorkers(t *testing.T, h *harness, names ...string) *playedWorkers {
 	played := &playedWorkers{T: t, harness: h, workers: map[string]*fake.Worker{}, runTime: time.Hour, failures: map[string]string{}, running: fake.Placements[string]{}}
 	for _, name := range names {
-		played.workers[name] = fake.NewWorker(fake.WorkerOptions{
-			Host: fake.Host{Name: name, Address: name + ":1", Type: "m8", Zone: zoneOf(name)}, Clock: h.clock,
-			Every: time.Second, Lease: 10 * time.Second,
-			Runs:   func(string) time.Duration { return played.runTime },
-			Starts: func(task string, _ uint64, _ time.Time) { played.started(task, name) },
-			Ends:   func(task string, _ bool) { played.ended(task, name) },
-			Fails:  func(string) string { return played.failures[name] },
-		})
+		played.add(name)
 	}
 	return played
 }
 
+// add adds a worker that has not reported yet.
+func (p *playedWorkers) add(name string) {
+	p.workers[name] = fake.NewWorker(fake.WorkerOptions{
+		Host: fake.Host{Name: name, Address: name + ":1", Type: "m8", Zone: zoneOf(name)}, Clock: p.harness.clock,
+		Every: time.Second, Lease: 10 * time.Second,
+		Runs:   func(string) time.Duration { return p.runTime },
+		Starts: func(task string, _ uint64, _ time.Time) { p.started(task, name) },
+		Ends:   func(task string, _ bool) { p.ended(task, name) },
+		Fails:  func(string) string { return p.failures[name] },
+	})
+}
+
 func (p *playedWorkers) ended(task, machine string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/scheduler/starts_random_test.go
+++ b/scheduler/starts_random_test.go
@@ -78,7 +78,7 @@
 		r.carry()
 	case 22:
 		if len(r.copies) > 0 {
-			h.HandleHeartbeat(r.copies[r.rng.IntN(len(r.copies))], "")
+			r.repeat(r.copies[r.rng.IntN(len(r.copies))])
 		}
 	case 23:
 		r.disturb(name)
@@ -116,10 +116,23 @@
 		response = r.relay.HandleOfferedHeartbeat(sent.report, h.term)
 	default:
 		response = r.relay.HandleHeartbeat(sent.report, h.term)
+		if r.rng.IntN(4) == 0 {
+			// A copy reaches the leader before the worker has the response.
+			h.HandleHeartbeat(sent.report, "")
+		}
 	}
 	sent.response = &response
 }
 
+// repeat has a copy of a heartbeat arrive at the leader or the follower, wherever the heartbeat itself went.
+func (r *randomStarts) repeat(heartbeat *api.Heartbeat) {
+	if r.rng.IntN(2) == 0 {
+		r.harness.HandleHeartbeat(heartbeat, "")
+		return
+	}
+	r.relay.HandleHeartbeat(heartbeat, r.harness.term)
+}
+
 // respond has a worker execute the response to its heartbeat, or drop it because it comes too late.
 func (r *randomStarts) respond(name string) {
 	sent := r.waiting[name]
@@ -244,6 +257,7 @@
 func (r *randomStarts) settle() bool {
 	clear(r.failures)
 	clear(r.relayed)
+	r.replaceFaulty()
 	for end := r.harness.clock.Now().Add(settledWithin); r.harness.clock.Now().Before(end); {
 		for _, name := range r.names {
 			r.respond(name)
@@ -271,6 +285,24 @@
 	return false
 }
 
+// replaceFaulty adds a machine, as the cloud does for a leader that has none to use: machines on which tasks of several jobs
+// failed get no more work in a term.
+func (r *randomStarts) replaceFaulty() {
+	r.harness.mu.Lock()
+	usable := false
+	for _, machine := range r.harness.machines {
+		usable = usable || !r.harness.faulty(machine)
+	}
+	r.harness.mu.Unlock()
+	if usable {
+		return
+	}
+	const replacement = "a3"
+	r.add(replacement)
+	r.names = append(r.names, replacement)
+	r.join(replacement)
+}
+
 // openWork describes the jobs that are not over, and the machines.
 func (r *randomStarts) openWork() string {
 	var text strings.Builder
