--- a/relay/proxy/workers_test.go
+++ b/relay/proxy/workers_test.go
@@ -23,49 +23,66 @@
 	return NewWorkers(Options{Member: "y", Client: client, Clock: clock, WriteLimit: exchange.WriteRate(limits), State: limits})
 }
 
-// Mail is delivered only while the worker speaks to this relay alone: in a gap
-// another node may have cleared the attempt that the mail would start.
-func TestStaleMailIsNotDelivered(t *testing.T) {
+// relayedCommand is a command for a task of b1, derived from the heartbeat seq, in one of the packets of the leader of term 7.
+type relayedCommand struct {
+	packet        int
+	revision, seq uint64
+	verb          string
+}
+
+// relayCommand has a proxy read the packet with a command.
+func relayCommand(t *testing.T, workers *Workers, command relayedCommand) {
+	t.Helper()
+	mailbox := relay.NewMailbox(exchange.PacketLimits(settings.State{RPS: 120, WriteRPS: 30, ValueKB: 16, TxnOps: 24}))
+	mailbox.AssignPacket("b1")
+	raw, err := json.Marshal(store.RelayedCommands{Incarnation: 1, Seq: command.seq, Commands: []api.Command{{Verb: command.verb, Task: "run-1/0", Attempt: 3}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	packet, _, _, err := mailbox.BuildPacket(7, 0, func(string) json.RawMessage { return raw })
+	if err == nil {
+		err = workers.inbox.Apply(store.RelayResponseKey("y", command.packet), command.revision, &packet)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// relayStart is relayCommand for a start in the first packet.
+func relayStart(t *testing.T, workers *Workers, revision, seq uint64) {
+	t.Helper()
+	relayCommand(t, workers, relayedCommand{revision: revision, seq: seq, verb: api.CommandRun})
+}
+
+// Commands are delivered only while the worker reports to this relay alone: in a gap another controller may have cleared the
+// attempt that they would start.
+func TestOvertakenCommandsAreNotDelivered(t *testing.T) {
 	workers := newWorkers()
-	limits := settings.State{RPS: 120, WriteRPS: 30, ValueKB: 16, TxnOps: 24}
-	say := func(seq uint64) api.HeartbeatResponse {
+	send := func(seq uint64) api.HeartbeatResponse {
 		return workers.HandleHeartbeat(&api.Heartbeat{Machine: "b1", Incarnation: 1, Seq: seq, Term: 7}, 7)
 	}
-	say(10)
-	mail := func(part int, stamp, seq uint64, verb string) {
-		t.Helper()
-		s := relay.NewMailbox(exchange.PacketLimits(limits))
-		s.AssignPacket("b1")
-		raw, _ := json.Marshal(store.RelayedCommands{Incarnation: 1, Seq: seq, Commands: []api.Command{{Verb: verb, Task: "run-1/0", Attempt: 3}}})
-		l, _, _, err := s.BuildPacket(7, 0, func(string) json.RawMessage { return raw })
-		if err == nil {
-			err = workers.inbox.Apply(store.RelayResponseKey("y", part), stamp, &l)
-		}
-		if err != nil {
-			t.Fatal(err)
-		}
-	}
-	mail(0, 50, 10, api.CommandRun)
-	if o := say(11); len(o.Commands) != 1 || o.Term != 7 {
-		t.Fatalf("mail not delivered: %+v", o)
+	send(10)
+	relayCommand(t, workers, relayedCommand{packet: 0, revision: 50, seq: 10, verb: api.CommandRun})
+	if response := send(11); len(response.Commands) != 1 || response.Term != 7 {
+		t.Fatalf("commands not delivered: %+v", response)
 	}
 	for _, seq := range []uint64{13, 14} {
-		if o := say(seq); len(o.Commands) != 0 {
-			t.Errorf("stale mail delivered at %d", seq)
+		if response := send(seq); len(response.Commands) != 0 {
+			t.Errorf("commands from before a gap delivered for heartbeat %d", seq)
 		}
 	}
-	// What was told last is not followed by what was derived from an earlier report, in
-	// whichever letter it is found: after a clear, a start would begin the task again.
-	mail(1, 60, 14, api.CommandClear)
-	if o := say(15); len(o.Commands) != 1 || o.Commands[0].Verb != api.CommandClear {
-		t.Fatalf("the newer mail: %+v", o)
+	// What was delivered last is not followed by what was derived from an earlier heartbeat, in whichever packet it is
+	// found: after a clear, a start would begin the task again.
+	relayCommand(t, workers, relayedCommand{packet: 1, revision: 60, seq: 14, verb: api.CommandClear})
+	if response := send(15); len(response.Commands) != 1 || response.Commands[0].Verb != api.CommandClear {
+		t.Fatalf("the newer commands: %+v", response)
 	}
-	mail(0, 70, 13, api.CommandRun)
-	if o := say(16); len(o.Commands) != 0 {
-		t.Errorf("mail from before the one that was told: %+v", o)
+	relayCommand(t, workers, relayedCommand{packet: 0, revision: 70, seq: 13, verb: api.CommandRun})
+	if response := send(16); len(response.Commands) != 0 {
+		t.Errorf("commands derived before those that were delivered: %+v", response)
 	}
-	if o := workers.HandleHeartbeat(&api.Heartbeat{Machine: "b1", Incarnation: 1, Seq: 17, Term: 7}, 9); len(o.Commands) != 0 || o.Term != 9 {
-		t.Errorf("mail of another term: %+v", o)
+	if response := workers.HandleHeartbeat(&api.Heartbeat{Machine: "b1", Incarnation: 1, Seq: 17, Term: 7}, 9); len(response.Commands) != 0 || response.Term != 9 {
+		t.Errorf("commands of another term: %+v", response)
 	}
 }
 
@@ -86,21 +103,6 @@
 	}
 }
 
-// relayStart has a proxy read a packet in which the leader of term 7 starts a task of b1, derived from the heartbeat seq.
-func relayStart(t *testing.T, workers *Workers, revision, seq uint64) {
-	t.Helper()
-	mailbox := relay.NewMailbox(exchange.PacketLimits(settings.State{RPS: 120, WriteRPS: 30, ValueKB: 16, TxnOps: 24}))
-	mailbox.AssignPacket("b1")
-	raw, _ := json.Marshal(store.RelayedCommands{Incarnation: 1, Seq: seq, Commands: []api.Command{{Verb: api.CommandRun, Task: "run-1/0", Attempt: 3}}})
-	packet, _, _, err := mailbox.BuildPacket(7, 0, func(string) json.RawMessage { return raw })
-	if err == nil {
-		err = workers.inbox.Apply(store.RelayResponseKey("y", 0), revision, &packet)
-	}
-	if err != nil {
-		t.Fatal(err)
-	}
-}
-
 // Commands are delivered for a span of heartbeats after the one that they were derived from. Later the leader counts a
 // start among them as settled; it gets the heartbeat at once, so that it derives them anew, although nothing else changed.
 func TestOutdatedCommandsAreNotDeliveredButDerivedAnew(t *testing.T) {
@@ -146,16 +148,15 @@
 	heartbeat := func(seq uint64) *api.Heartbeat {
 		return &api.Heartbeat{Machine: "b1", Incarnation: 1, Seq: seq, Term: 7}
 	}
-	relayStart := func(revision, seq uint64) { relayStart(t, workers, revision, seq) }
 	workers.HandleHeartbeat(heartbeat(10), 7)
-	relayStart(50, 10)
+	relayStart(t, workers, 50, 10)
 	if response := workers.HandleOfferedHeartbeat(heartbeat(11), 7); len(response.Commands) > 0 || response.Term != 7 {
 		t.Errorf("answer to an offered heartbeat: %+v", response)
 	}
 	if response := workers.HandleHeartbeat(heartbeat(12), 7); len(response.Commands) > 0 {
 		t.Errorf("answer after an offered heartbeat: %+v", response)
 	}
-	relayStart(51, 12)
+	relayStart(t, workers, 51, 12)
 	if response := workers.HandleHeartbeat(heartbeat(13), 7); len(response.Commands) != 1 {
 		t.Errorf("commands derived from a later heartbeat are not delivered: %+v", response)
 	}
