--- a/review/testdata/world/world.go
+++ b/review/testdata/world/world.go
@@ -57,7 +57,8 @@
 	machines    []*machine
 
 	mu sync.Mutex
-	// running holds the machine of each task that is on one; starts and ends count the starts and the ends per job.
+	// running holds the machine of each task that is on one; starts and done count the starts and the
+	// completed tasks per job.
 	running      map[string]string
 	starts, done map[string]int
 	lastStartAt  time.Time
