--- a/store/committer_test.go
+++ b/store/committer_test.go
@@ -18,20 +18,29 @@
 
 // fakeSource is a RecordSource whose records the test sets.
 type fakeSource struct {
-	values    map[string]any
-	leader    Condition
-	deposed   bool
-	conflicts []string
+	values map[string]any
+	// conditions has the extra conditions of each key.
+	conditions map[string][]Condition
+	leader     Condition
+	deposed    bool
+	conflicts  []string
+	// onConflict is called with the key of each conflict, unless it is nil.
+	onConflict func(key string)
 }
 
 func (s *fakeSource) Record(key string) (any, bool, []Condition) {
 	v, ok := s.values[key]
-	return v, ok, nil
+	return v, ok, s.conditions[key]
 }
 func (s *fakeSource) Condition() (Condition, bool) { return s.leader, true }
-func (s *fakeSource) Conflict(key string, _ *Item) { s.conflicts = append(s.conflicts, key) }
-func (s *fakeSource) Committed()                   {}
-func (s *fakeSource) Deposed()                     { s.deposed = true }
+func (s *fakeSource) Conflict(key string, _ *Item) {
+	s.conflicts = append(s.conflicts, key)
+	if s.onConflict != nil {
+		s.onConflict(key)
+	}
+}
+func (s *fakeSource) Committed() {}
+func (s *fakeSource) Deposed()   { s.deposed = true }
 
 // newTestCommitter returns a fake state service, a source of records, and a committer of the leader that uses both.
 func newTestCommitter() (*fake.State, *fakeSource, *Committer) {
--- a/store/transaction.go
+++ b/store/transaction.go
@@ -140,8 +140,8 @@
 // committed false and the time to wait before the next transaction.
 func (c *Committer) commit(ctx context.Context, transaction *pendingTransaction) (pause time.Duration, committed bool) {
 	c.writeLimiter.AllowN(c.clock.Now(), len(transaction.operations))
-	c.countWrites(transaction.operations)
 	revision, failedKeys, err := c.hedged.Transact(ctx, transaction.conditions, transaction.operations)
+	c.countTransaction(transaction.operations, failedKeys, err)
 	switch {
 	case errors.Is(err, ErrInvalidRequest):
 		c.isolateRecords(transaction.records, err)
