--- a/store/commit_failure.go
+++ b/store/commit_failure.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -33,17 +34,11 @@
 			c.source.Deposed()
 			return tuning.PlacementInterval
 		}
-		c.refreshRevisions(ctx, failedKeys, true)
+		c.resolveConflict(ctx, transaction, failedKeys)
 		return 0
 	case errors.Is(err, ErrOutcomeUnknown):
-		// The transaction may have been executed, or may still be executed later, so the revisions of its keys
-		// are read. If it is executed after that, the next attempt fails with a conflict.
 		slog.Info("commit outcome unknown, reading keys back", "err", err)
-		keys := make([]string, len(transaction.operations))
-		for i, operation := range transaction.operations {
-			keys[i] = operation.key()
-		}
-		c.refreshRevisions(ctx, keys, false)
+		c.resolveUnknownOutcome(ctx, transaction)
 		return retryDelay
 	}
 	slog.Error("commit failed", "err", err)
@@ -86,9 +81,38 @@
 	c.requeue(batch)
 }
 
-// refreshRevisions reads the revisions of keys. The reads are concurrent because urgent records wait for them.
-// conflict is true if the revisions of the keys are known to differ from the expected ones.
-func (c *Committer) refreshRevisions(ctx context.Context, keys []string, conflict bool) {
+// resolveConflict reads the keys whose conditions did not hold, and passes to the source each value that a condition did
+// not expect. The conditions of the transaction decide, not the revisions that the committer knows: another goroutine, or
+// an earlier conflict, may have made a revision known without the record that depends on it having changed.
+func (c *Committer) resolveConflict(ctx context.Context, transaction *pendingTransaction, failedKeys []string) {
+	items, errs := c.readKeys(ctx, failedKeys)
+	for i, key := range failedKeys {
+		c.recordRead(transaction, key, items[i], errs[i])
+		if errs[i] == nil && transaction.expectsOtherThan(key, items[i].Revision) {
+			c.source.Conflict(key, &items[i])
+		}
+	}
+}
+
+// resolveUnknownOutcome reads the keys that a transaction writes, since it may have been executed. If it is executed
+// later, the next attempt fails with a conflict. A key that was expected not to exist, and exists, was written by another
+// process or by this transaction; it is passed to the source, which distinguishes the two cases.
+func (c *Committer) resolveUnknownOutcome(ctx context.Context, transaction *pendingTransaction) {
+	keys := make([]string, len(transaction.operations))
+	for i, operation := range transaction.operations {
+		keys[i] = operation.key()
+	}
+	items, errs := c.readKeys(ctx, keys)
+	for i, key := range keys {
+		c.recordRead(transaction, key, items[i], errs[i])
+		if errs[i] == nil && slices.Contains(transaction.conditions, Condition{Key: key, Revision: 0}) {
+			c.source.Conflict(key, &items[i])
+		}
+	}
+}
+
+// readKeys reads keys. The reads are concurrent because urgent records wait for them.
+func (c *Committer) readKeys(ctx context.Context, keys []string) ([]Item, []error) {
 	items := make([]Item, len(keys))
 	errs := make([]error, len(keys))
 	var reads sync.WaitGroup
@@ -96,29 +120,20 @@
 		reads.Go(func() { items[i], errs[i] = c.hedged.Get(ctx, key) })
 	}
 	reads.Wait()
-	for i, key := range keys {
-		c.applyRead(key, items[i], errs[i], conflict)
-	}
+	return items, errs
 }
 
-// applyRead records the revision of a key that was read. It reports the value to the source if this committer is
-// not known to have written it.
-func (c *Committer) applyRead(key string, item Item, err error, conflict bool) {
-	var found *Item
+// recordRead records the revision of a key that was read after a transaction failed. The revision of a final record is
+// recorded only if the transaction writes it: the number of jobs that are over is not bounded.
+func (c *Committer) recordRead(transaction *pendingTransaction, key string, item Item, err error) {
 	c.mu.Lock()
-	knownRevision, known := c.revisions[key]
+	defer c.mu.Unlock()
 	switch {
-	case err == nil:
-		found = &item
-		c.revisions[key] = item.Revision
 	case errors.Is(err, ErrNotFound):
 		delete(c.revisions, key)
-	}
-	c.mu.Unlock()
-	// A key that was unknown and exists was written by another process, or by a transaction of this committer
-	// whose response was lost. The source distinguishes the two cases.
-	changed := !known || knownRevision != item.Revision
-	if found != nil && changed && (conflict || !known) {
-		c.source.Conflict(key, found)
+	case err != nil:
+	case strings.HasPrefix(key, FinalPrefix) && !transaction.writes(key):
+	default:
+		c.revisions[key] = item.Revision
 	}
 }
--- a/store/transaction.go
+++ b/store/transaction.go
@@ -88,6 +88,18 @@
 	return true
 }
 
+// expectsOtherThan reports whether a condition of the transaction does not hold if a key has the given revision.
+func (t *pendingTransaction) expectsOtherThan(key string, revision uint64) bool {
+	return slices.ContainsFunc(t.conditions, func(condition Condition) bool {
+		return condition.Key == key && condition.Revision != revision
+	})
+}
+
+// writes reports whether the transaction sets or deletes a key.
+func (t *pendingTransaction) writes(key string) bool {
+	return slices.ContainsFunc(t.operations, func(operation Operation) bool { return operation.key() == key })
+}
+
 // buildTransaction builds a transaction from the records of a batch, as many as fit, and requeues the rest. It
 // quarantines records that cannot be encoded or are too large.
 func (c *Committer) buildTransaction(leader Condition, batch []*pendingRecord) *pendingTransaction {
@@ -163,8 +175,9 @@
 		case operation.Delete != "":
 			delete(c.revisions, operation.Delete)
 		case strings.HasPrefix(operation.Set, FinalPrefix):
-			// Final records are written only once. If their revisions were kept, the memory for them would
-			// grow without bound.
+			// A final record is not written again. If its revision were kept, the memory for them would grow
+			// without bound.
+			delete(c.revisions, operation.Set)
 		default:
 			c.revisions[operation.Set] = revision
 		}
