--- a/scheduler/records_test.go
+++ b/scheduler/records_test.go
@@ -97,6 +97,31 @@
 	}
 }
 
+// A damaged final record costs its own job alone, whose submission is answered with 503. Before, the repeated submission of
+// one such job stopped all writes of the leader (docs/incidents/leader-stopped-storing.md).
+func TestDamagedFinalRecordAffectsOnlyItsJob(t *testing.T) {
+	h := newHarness(t)
+	h.state.Put(store.FinalKey("run-000001"), "damaged")
+	damaged := api.Submission{ID: "run-000001", Team: "t", Shape: api.JobArray, Rank: "normal", Tasks: 1, CPUs: 1}
+	if response, ok := h.Submit(cancelledContext(), &damaged, h.clock.Now()); !ok || response.Status != 503 {
+		t.Errorf("status %d, want 503", response.Status)
+	}
+	h.commit()
+	h.submit("run-000002", 1, smallJob)
+	if _, ok := h.JobStatus("run-000002"); !ok {
+		t.Error("another job was not accepted")
+	}
+	h.heartbeat("a1", 1)
+	h.Place()
+	h.commit()
+	if len(h.jobs["run-000002"].allocations) != 1 || h.state.Get(store.ShardOf("run-000002", 0, h.tasksPerShard).Key()) == nil {
+		t.Error("the task of another job was not placed and stored")
+	}
+	if h.state.Get(store.JobKey("run-000001")) != nil || string(h.state.Get(store.FinalKey("run-000001"))) != `"damaged"` {
+		t.Error("a record of the damaged job was written")
+	}
+}
+
 // Shard records of the first version that are larger than the current value limit are read and rewritten in a size that
 // fits. A delayed transaction of the old leader changes nothing.
 func TestLargeShardRecordsAreRewrittenInSmallerShards(t *testing.T) {
--- a/store/commit_failure.go
+++ b/store/commit_failure.go
@@ -20,22 +20,15 @@
 	unexpectedRetryDelay = time.Second
 )
 
-// handleFailure prepares the next attempt after a transaction failed with err, and returns the delay before it.
-// failedKeys has the keys whose conditions did not hold.
-func (c *Committer) handleFailure(ctx context.Context, transaction *pendingTransaction, failedKeys []string, err error) time.Duration {
+// handleFailure prepares the next attempt after a transaction failed with an err other than ErrConflict and
+// ErrInvalidRequest, and returns the delay before it.
+func (c *Committer) handleFailure(ctx context.Context, transaction *pendingTransaction, err error) time.Duration {
 	switch {
 	case errors.Is(err, ErrRateLimited):
 		c.lowerRate()
 		return retryDelay
 	case errors.Is(err, ErrBusy):
 		return retryDelay
-	case errors.Is(err, ErrConflict):
-		if slices.Contains(failedKeys, transaction.leaderCondition.Key) {
-			c.source.Deposed()
-			return tuning.PlacementInterval
-		}
-		c.resolveConflict(ctx, transaction, failedKeys)
-		return 0
 	case errors.Is(err, ErrOutcomeUnknown):
 		slog.Info("commit outcome unknown, reading keys back", "err", err)
 		c.resolveUnknownOutcome(ctx, transaction)
@@ -81,19 +74,6 @@
 	c.requeue(batch)
 }
 
-// resolveConflict reads the keys whose conditions did not hold, and passes to the source each value that a condition did
-// not expect. The conditions of the transaction decide, not the revisions that the committer knows: another goroutine, or
-// an earlier conflict, may have made a revision known without the record that depends on it having changed.
-func (c *Committer) resolveConflict(ctx context.Context, transaction *pendingTransaction, failedKeys []string) {
-	items, errs := c.readKeys(ctx, failedKeys)
-	for i, key := range failedKeys {
-		c.recordRead(transaction, key, items[i], errs[i])
-		if errs[i] == nil && transaction.expectsOtherThan(key, items[i].Revision) {
-			c.source.Conflict(key, &items[i])
-		}
-	}
-}
-
 // resolveUnknownOutcome reads the keys that a transaction writes, since it may have been executed. If it is executed
 // later, the next attempt fails with a conflict. A key that was expected not to exist, and exists, was written by another
 // process or by this transaction; it is passed to the source, which distinguishes the two cases.
--- a/store/committer.go
+++ b/store/committer.go
@@ -158,7 +158,7 @@
 // Delay estimates how long an additional urgent record would wait because of the write limit.
 func (c *Committer) Delay() time.Duration {
 	c.mu.Lock()
-	needed := float64(c.queue.urgentCount() + 1)
+	needed := float64(c.queue.urgentCount(c.clock.Now()) + 1)
 	c.mu.Unlock()
 	missing := needed - math.Max(0, c.writeLimiter.TokensAt(c.clock.Now()))
 	return time.Duration(math.Max(0, missing) / float64(c.writeLimiter.Limit()) * float64(time.Second))
--- a/store/conflict_test.go
+++ b/store/conflict_test.go
@@ -1,14 +1,20 @@
 package store
 
 import (
+	"bytes"
+	"encoding/json"
 	"fmt"
+	"io"
+	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 
 	"switchferry/internal/fake"
 	"switchferry/settings"
+	"switchferry/tuning"
 )
 
 // newConflictingSource returns a committer and its source. Whenever the source learns that a job has a final record, it
@@ -91,3 +97,113 @@
 		t.Errorf("%d revisions are kept, want none: %v", len(committer.revisions), committer.revisions)
 	}
 }
+
+// conflictingState is a state service that answers each transaction that writes key with a conflict on failed, whatever
+// its conditions.
+type conflictingState struct {
+	*fake.State
+	key    string
+	failed []string
+	// conflicts counts these answers; onConflict is called before each of them.
+	conflicts  int
+	onConflict func()
+}
+
+func (s *conflictingState) RoundTrip(request *http.Request) (*http.Response, error) {
+	if s.key == "" || request.URL.Path != "/multi" {
+		return s.State.RoundTrip(request)
+	}
+	body, err := io.ReadAll(request.Body)
+	if err != nil {
+		return nil, err
+	}
+	request.Body = io.NopCloser(bytes.NewReader(body))
+	if !bytes.Contains(body, []byte(`"set":"`+s.key+`"`)) {
+		return s.State.RoundTrip(request)
+	}
+	s.conflicts++
+	s.onConflict()
+	answer, err := json.Marshal(map[string]any{"failed": s.failed, "epoch": 1})
+	if err != nil {
+		return nil, err
+	}
+	return &http.Response{StatusCode: http.StatusConflict, Header: http.Header{}, Body: io.NopCloser(bytes.NewReader(answer))}, nil
+}
+
+// Guards against one record whose condition never holds and that blocked all others, retried without a pause for the rest
+// of the term (docs/incidents/leader-stopped-storing.md). The other records of its transactions are stored at once, it is
+// retried ever more rarely, although it is marked as dirty again during each attempt, and it is stored soon after the
+// cause is gone. The same holds if the state service does not say which condition failed.
+func TestRecordWithLastingConflictDoesNotBlockOthers(t *testing.T) {
+	const blocked, others = "run-000000", 30
+	// In the first minute the record is tried a few times in quick succession, and then at most every 10 s.
+	const maxConflicts = 20
+	for name, failed := range map[string][]string{"failed condition named": {FinalKey(blocked)}, "failed condition not named": {}} {
+		t.Run(name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			limits := settings.StateLimits{WriteRPS: 100, TxnOps: 12, ValueKB: 16}
+			state, source, _ := newTestCommitterWithin(clock, limits)
+			conflicting := &conflictingState{State: state, key: JobKey(blocked), failed: failed}
+			committer := NewCommitter(NewClient("state:1", conflicting), source, clock, limits, map[string]uint64{})
+			source.conditions = map[string][]Condition{JobKey(blocked): {{Key: FinalKey(blocked)}}}
+			conflicting.onConflict = func() { committer.MarkDirty(JobKey(blocked), Urgent, nil) }
+			storedAfter, start := map[string]time.Duration{}, clock.Now()
+			markDirty := func(key string) {
+				source.values[key] = "job"
+				committer.MarkDirty(key, Urgent, func() { storedAfter[key] = clock.Since(start) })
+			}
+			runFor := func(d time.Duration) {
+				for end := clock.Now().Add(d); clock.Now().Before(end); {
+					clock.Advance(max(time.Millisecond, committer.Step(t.Context())))
+				}
+			}
+			markDirty(JobKey(blocked))
+			for number := range others {
+				markDirty(JobKey(fmt.Sprintf("run-%06d", 100+number)))
+			}
+			runFor(time.Minute)
+			for number := range others {
+				if at, stored := storedAfter[JobKey(fmt.Sprintf("run-%06d", 100+number))]; !stored || at > time.Second {
+					t.Fatalf("record %d of the others was stored %v, after %v; want within 1 s", number, stored, at)
+				}
+			}
+			if conflicting.conflicts > maxConflicts || committer.Pending() != 1 {
+				t.Errorf("the record was tried %d times in a minute, want at most %d; %d records pending, want 1", conflicting.conflicts, maxConflicts, committer.Pending())
+			}
+			conflicting.key = ""
+			runFor(tuning.QuarantineTime + time.Second)
+			if _, stored := storedAfter[JobKey(blocked)]; !stored {
+				t.Error("the record was not stored after its condition held")
+			}
+		})
+	}
+}
+
+// Records that wait after repeated conflicts do not count for the delay of a new job. Otherwise, enough of them would have
+// the leader refuse all submissions.
+func TestDeferredRecordsDoNotDelayNewJobs(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	limits := settings.StateLimits{WriteRPS: 100, TxnOps: 12, ValueKB: 16}
+	state, source, committer := newTestCommitterWithin(clock, limits)
+	source.conditions = map[string][]Condition{}
+	for number := range 200 {
+		id := fmt.Sprintf("run-%06d", number)
+		state.Put(FinalKey(id), "damaged")
+		addEndedJob(source, committer, id)
+	}
+	for end := clock.Now().Add(time.Minute); clock.Now().Before(end); {
+		clock.Advance(max(time.Millisecond, committer.Step(t.Context())))
+	}
+	if delay := committer.Delay(); delay > time.Second {
+		t.Errorf("a new job would wait %v behind %d records that wait after conflicts", delay, committer.Pending())
+	}
+	source.values[JobKey("run-900000")] = "job"
+	stored := false
+	committer.MarkDirty(JobKey("run-900000"), Urgent, func() { stored = true })
+	for end := clock.Now().Add(time.Second); clock.Now().Before(end); {
+		clock.Advance(max(time.Millisecond, committer.Step(t.Context())))
+	}
+	if !stored {
+		t.Error("a new job was not stored within 1 s")
+	}
+}
--- a/store/record_queue.go
+++ b/store/record_queue.go
@@ -23,10 +23,15 @@
 	requestedAt time.Time
 	// notBefore is the earliest time of the write. Until then the record waits for more changes of its key.
 	notBefore time.Time
-	// quarantinedUntil is the time until which the record is deferred because the state service rejected it.
+	// quarantinedUntil is the time until which the record is deferred because the state service rejected it, or because
+	// its conditions failed repeatedly.
 	quarantinedUntil time.Time
 	// isolated is true if the record must be written in a transaction of its own.
 	isolated bool
+	// conditions are those that the record needs in the transaction that it was last taken for.
+	conditions []Condition
+	// conflicts counts the transactions that failed because one of conditions did not hold.
+	conflicts int
 }
 
 // urgency returns the lowest urgency value, that is the most urgent one, that was requested.
@@ -62,11 +67,11 @@
 
 func (q *recordQueue) length() int { return len(q.records) }
 
-// urgentCount returns the number of Urgent records.
-func (q *recordQueue) urgentCount() int {
+// urgentCount returns the number of Urgent records that are not deferred.
+func (q *recordQueue) urgentCount(now time.Time) int {
 	count := 0
 	for _, record := range q.records {
-		if record.urgency() == Urgent {
+		if record.urgency() == Urgent && !record.quarantinedUntil.After(now) {
 			count++
 		}
 	}
@@ -108,7 +113,7 @@
 	if record.requestedAt.Before(newer.requestedAt) {
 		newer.requestedAt = record.requestedAt
 	}
-	newer.quarantinedUntil, newer.isolated = record.quarantinedUntil, record.isolated
+	newer.quarantinedUntil, newer.isolated, newer.conflicts = record.quarantinedUntil, record.isolated, record.conflicts
 	newer.notBefore = time.Time{}
 }
 
--- a/store/transaction.go
+++ b/store/transaction.go
@@ -107,6 +107,7 @@
 	for index, record := range batch {
 		value, exists, extraConditions := c.source.Record(record.key)
 		revision := c.revision(record.key)
+		record.conditions = nil
 		if !exists && revision == 0 {
 			transaction.records = append(transaction.records, record)
 			continue
@@ -126,8 +127,8 @@
 			}
 			operation = Operation{Set: record.key, Value: encoded}
 		}
-		conditions := append([]Condition{{Key: record.key, Revision: revision}}, extraConditions...)
-		if !transaction.add(operation, conditions, c.maxConditions) {
+		record.conditions = append([]Condition{{Key: record.key, Revision: revision}}, extraConditions...)
+		if !transaction.add(operation, record.conditions, c.maxConditions) {
 			c.requeue(batch[index:])
 			break
 		}
@@ -158,9 +159,11 @@
 	case errors.Is(err, ErrInvalidRequest):
 		c.isolateRecords(transaction.records, err)
 		return 0, false
+	case errors.Is(err, ErrConflict):
+		return c.handleConflict(ctx, transaction, failedKeys), false
 	case err != nil:
 		c.requeue(transaction.records)
-		return c.handleFailure(ctx, transaction, failedKeys, err), false
+		return c.handleFailure(ctx, transaction, err), false
 	}
 	c.recordRevisions(transaction.operations, revision)
 	return 0, true
--- a/tuning/tuning.go
+++ b/tuning/tuning.go
@@ -218,6 +218,9 @@
 	OverdueShare = 0.25
 	// QuarantineTime is the time after which a record that the state service refused is written again.
 	QuarantineTime = 10 * time.Second
+	// MaxConflictRetries is the number of times that a record is written again at once after a condition of it failed. The
+	// first retry follows a write of another controller, the second one a transaction of this leader that was executed late.
+	MaxConflictRetries = 2
 	// DomainReservationTTL is how long the reservation of a failure domain lasts unless it is renewed: several
 	// placement rounds.
 	DomainReservationTTL = 3 * time.Second
