--- a/controller/term.go
+++ b/controller/term.go
@@ -112,6 +112,9 @@
 	if t.scheduler.Leading() && t.scheduler.OutboundLost(t.controller.peers.LivePeers()) {
 		return "reaches no worker, a peer does"
 	}
+	if t.committer.Stalled() {
+		return "stores nothing although the state service answers"
+	}
 	if !t.controller.peers.Isolated() {
 		return ""
 	}
--- a/store/committer.go
+++ b/store/committer.go
@@ -75,6 +75,7 @@
 	// revisions has the revision of each key as last read or written. A key that does not exist has no entry.
 	revisions     map[string]uint64
 	maxValueBytes int
+	stall         stallDetector
 }
 
 // NewCommitter returns a committer for one term that writes through client and stays within limits. The map
--- a/store/transaction.go
+++ b/store/transaction.go
@@ -155,6 +155,7 @@
 	c.writeLimiter.AllowN(c.clock.Now(), len(transaction.operations))
 	revision, failedKeys, err := c.hedged.Transact(ctx, transaction.conditions, transaction.operations)
 	c.countTransaction(transaction.operations, failedKeys, err)
+	c.observeResult(resultOf(err), transaction.records)
 	switch {
 	case errors.Is(err, ErrInvalidRequest):
 		c.isolateRecords(transaction.records, err)
--- a/tuning/tuning.go
+++ b/tuning/tuning.go
@@ -221,6 +221,12 @@
 	// MaxConflictRetries is the number of times that a record is written again at once after a condition of it failed. The
 	// first retry follows a write of another controller, the second one a transaction of this leader that was executed late.
 	MaxConflictRetries = 2
+	// CommitStallTimeout is the time after which a leader resigns if the state service answers and refuses all of its
+	// transactions. It leaves the users who retry most of RetryPeriod for the next leader.
+	CommitStallTimeout = RetryPeriod / 4
+	// MinStalledRecords is the number of different records that must have been refused for that: a single one may be the
+	// only one with a fault.
+	MinStalledRecords = 2
 	// DomainReservationTTL is how long the reservation of a failure domain lasts unless it is renewed: several
 	// placement rounds.
 	DomainReservationTTL = 3 * time.Second
