--- a/store/committer_test.go
+++ b/store/committer_test.go
@@ -26,9 +26,14 @@
 	conflicts  []string
 	// onConflict is called with the key of each conflict, unless it is nil.
 	onConflict func(key string)
+	// onRecord is called with the key of each record that is built for a transaction, unless it is nil.
+	onRecord func(key string)
 }
 
 func (s *fakeSource) Record(key string) (any, bool, []Condition) {
+	if s.onRecord != nil {
+		s.onRecord(key)
+	}
 	v, ok := s.values[key]
 	return v, ok, s.conditions[key]
 }
--- a/store/conflict.go
+++ b/store/conflict.go
@@ -11,16 +11,20 @@
 )
 
 // handleConflict prepares the next attempt after conditions of a transaction did not hold, and returns the delay before
-// it. The records whose conditions failed are retried at once for a few times, since what is read after the conflict
-// usually resolves it, and are then deferred. All other records of the transaction are retried at once, without those
-// that are deferred.
+// it. The other records of the transaction are retried first, without any that were not tried yet: in a stream of records
+// with a fresh conflict each, they would otherwise fail again and again. The records whose conditions failed are retried at
+// once for a few times, since what is read after the conflict usually resolves it, and are then deferred.
 func (c *Committer) handleConflict(ctx context.Context, transaction *pendingTransaction, failedKeys []string) time.Duration {
 	if slices.Contains(failedKeys, transaction.leaderCondition.Key) {
 		c.requeue(transaction.records)
 		c.source.Deposed()
 		return tuning.PlacementInterval
 	}
+	for _, record := range transaction.records {
+		record.retryFirst = true
+	}
 	for _, record := range transaction.recordsWithCondition(failedKeys) {
+		record.retryFirst = false
 		c.countConflict(record, failedKeys)
 	}
 	c.requeue(transaction.records)
--- a/store/conflict_test.go
+++ b/store/conflict_test.go
@@ -179,6 +179,50 @@
 	}
 }
 
+// Guards against a stream of repeated submissions of ended jobs that stops all writes while it lasts: with a fresh conflict
+// in each transaction, no transaction was committed, although each conflict was resolved. A record that a transaction
+// failed without a fault of its own is written before records that were not tried yet, also if it changes meanwhile.
+func TestStreamOfFreshConflictsDoesNotBlockOthers(t *testing.T) {
+	const conflicts, interval, otherEvery = 4000, 5 * time.Millisecond, 100
+	for name, others := range map[string]int{"with other records": conflicts / otherEvery, "without other records": 0} {
+		t.Run(name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			limits := settings.StateLimits{WriteRPS: 1000, TxnOps: 12, ValueKB: 16}
+			state, source, committer := newTestCommitterWithin(clock, limits)
+			source.conditions = map[string][]Condition{}
+			source.onConflict = func(key string) { delete(source.values, JobKey(strings.TrimPrefix(key, FinalPrefix))) }
+			source.onRecord = func(key string) {
+				if strings.HasPrefix(key, ShardPrefix) {
+					committer.MarkDirty(key, Lazy, nil)
+				}
+			}
+			settled, stored := 0, 0
+			for number := range conflicts {
+				id := fmt.Sprintf("run-%06d", number)
+				state.Put(FinalKey(id), FinalRecord{State: "done"})
+				source.values[JobKey(id)] = "job"
+				source.conditions[JobKey(id)] = []Condition{{Key: FinalKey(id)}}
+				committer.MarkDirty(JobKey(id), Urgent, func() { settled++ })
+				if others > 0 && number%otherEvery == 0 {
+					key, markedAt := Shard{"run-900000", number, 400}.Key(), clock.Now()
+					source.values[key] = "tasks"
+					committer.MarkDirty(key, Lazy, func() {
+						stored++
+						if waited := clock.Since(markedAt); waited > time.Second {
+							t.Errorf("%s was stored after %v, want within 1 s", key, waited)
+						}
+					})
+				}
+				committer.Step(t.Context())
+				clock.Advance(interval)
+			}
+			if inFlight := 12; settled < conflicts-inFlight || stored < others-1 {
+				t.Errorf("%d of %d conflicts were settled and %d of %d other records stored", settled, conflicts, stored, others)
+			}
+		})
+	}
+}
+
 // Records that wait after repeated conflicts do not count for the delay of a new job. Otherwise, enough of them would have
 // the leader refuse all submissions.
 func TestDeferredRecordsDoNotDelayNewJobs(t *testing.T) {
--- a/store/record_queue.go
+++ b/store/record_queue.go
@@ -32,6 +32,9 @@
 	conditions []Condition
 	// conflicts counts the transactions that failed because one of conditions did not hold.
 	conflicts int
+	// retryFirst is true if the record's last transaction failed because of other records alone. It is then written before
+	// records that were not tried yet, any of which may fail the next transaction as well.
+	retryFirst bool
 }
 
 // urgency returns the lowest urgency value, that is the most urgent one, that was requested.
@@ -113,7 +116,8 @@
 	if record.requestedAt.Before(newer.requestedAt) {
 		newer.requestedAt = record.requestedAt
 	}
-	newer.quarantinedUntil, newer.isolated, newer.conflicts = record.quarantinedUntil, record.isolated, record.conflicts
+	newer.quarantinedUntil, newer.isolated = record.quarantinedUntil, record.isolated
+	newer.conflicts, newer.retryFirst = record.conflicts, record.retryFirst
 	newer.notBefore = time.Time{}
 }
 
@@ -122,15 +126,15 @@
 // nextReady is the time until the next record is ready, 0 if none is pending.
 func (q *recordQueue) take(now time.Time, limit batchLimit) (batch []*pendingRecord, nextReady time.Duration, reserved bool) {
 	ready, nextReady := q.ready(now)
-	highPriority := 0
-	for highPriority < len(ready) && ready[highPriority].urgency() <= Ordinary {
-		highPriority++
-	}
-	allowed := min(len(ready), max(highPriority, limit.unreserved))
+	allowed := allowedCount(ready, limit)
 	if allowed == 0 && len(ready) > 0 {
 		return nil, 0, true
 	}
-	batch = q.admitOverdue(ready, min(allowed, limit.records), now)
+	batch = retriedFirst(ready)
+	batch = batch[:allowedCount(batch, limit)]
+	if len(batch) == 0 {
+		batch = q.admitOverdue(ready, allowed, now)
+	}
 	// An isolated record is taken alone. If other records come before it, the batch ends with them.
 	if i := slices.IndexFunc(batch, func(r *pendingRecord) bool { return r.isolated }); i >= 0 {
 		batch = batch[:max(i, 1)]
@@ -141,6 +145,26 @@
 	return batch, nextReady, false
 }
 
+// retriedFirst returns the records that are to be written before all others, in their order.
+func retriedFirst(ready []*pendingRecord) []*pendingRecord {
+	var first []*pendingRecord
+	for _, record := range ready {
+		if record.retryFirst {
+			first = append(first, record)
+		}
+	}
+	return first
+}
+
+// allowedCount returns how many of the first of the given records, which are sorted by priority, the limit allows.
+func allowedCount(records []*pendingRecord, limit batchLimit) int {
+	highPriority := 0
+	for highPriority < len(records) && records[highPriority].urgency() <= Ordinary {
+		highPriority++
+	}
+	return min(len(records), max(highPriority, limit.unreserved), limit.records)
+}
+
 // ready returns the records that may be written now, sorted by priority, and the time until the next of the other
 // records may be written, 0 if there are no others.
 func (q *recordQueue) ready(now time.Time) (ready []*pendingRecord, nextReady time.Duration) {
