--- a/store/conflict_test.go
+++ b/store/conflict_test.go
@@ -181,7 +181,8 @@
 
 // Guards against a stream of repeated submissions of ended jobs that stops all writes while it lasts: with a fresh conflict
 // in each transaction, no transaction was committed, although each conflict was resolved. A record that a transaction
-// failed without a fault of its own is written before records that were not tried yet, also if it changes meanwhile.
+// failed without a fault of its own is written before records that were not tried yet, also if it changes meanwhile. Nor
+// is such a stream a stall, with other records or without.
 func TestStreamOfFreshConflictsDoesNotBlockOthers(t *testing.T) {
 	const conflicts, interval, otherEvery = 4000, 5 * time.Millisecond, 100
 	for name, others := range map[string]int{"with other records": conflicts / otherEvery, "without other records": 0} {
@@ -215,6 +216,9 @@
 				}
 				committer.Step(t.Context())
 				clock.Advance(interval)
+				if committer.Stalled() {
+					t.Fatalf("stalled after %d conflicts, each of which was resolved", number)
+				}
 			}
 			if inFlight := 12; settled < conflicts-inFlight || stored < others-1 {
 				t.Errorf("%d of %d conflicts were settled and %d of %d other records stored", settled, conflicts, stored, others)
--- a/store/stall.go
+++ b/store/stall.go
@@ -8,7 +8,7 @@
 	"switchferry/tuning"
 )
 
-// stallDetector detects that a committer stores nothing although the state service answers its transactions. Whether the
+// stallDetector detects that a committer settles nothing although the state service answers its transactions. Whether the
 // leader's lease is renewed does not show this: a leader whose transactions were all refused for their contents kept its
 // lease for as long as its process lived (docs/incidents/leader-stopped-storing.md). The zero value is ready to use. The
 // committer's lock guards it.
@@ -66,6 +66,17 @@
 	return c.stall.stalled()
 }
 
+// observeSettled clears the stall if any of the given records, which need no write, was refused before: the conflict was
+// resolved without one.
+func (c *Committer) observeSettled(records []*pendingRecord) {
+	if !slices.ContainsFunc(records, func(record *pendingRecord) bool { return record.conflicts > 0 || record.isolated }) {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stall = stallDetector{}
+}
+
 // observeResult passes the result of a transaction to the stall detector, and logs when a stall begins.
 func (c *Committer) observeResult(result commitResult, records []*pendingRecord) {
 	c.mu.Lock()
--- a/store/transaction.go
+++ b/store/transaction.go
@@ -46,6 +46,8 @@
 		if pause, committed := c.commit(ctx, transaction); !committed {
 			return pause
 		}
+	} else {
+		c.observeSettled(transaction.records)
 	}
 	for _, record := range transaction.records {
 		record.runCallbacks()
