--- a/controller/term.go
+++ b/controller/term.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 
 	"switchferry/configuration/revisions"
 	"switchferry/controller/inbox"
 	"switchferry/internal/sleep"
+	"switchferry/peer"
 	"switchferry/scheduler"
 	"switchferry/settings"
 	"switchferry/store"
@@ -101,24 +103,19 @@
 
 // resignReason returns the reason why this controller should resign, or an empty string if it should not.
 func (t *leaderTerm) resignReason() string {
-	for _, hello := range t.controller.peers.LivePeers() {
-		if hello.Term > t.scheduler.Term() {
-			return "a peer has a higher term"
-		}
-	}
-	if t.scheduler.Leading() && t.controller.leadershipTransfer.Due(t.controller.clock.Now(), t.scheduler.TermStarted(), t.controller.cpuMonitor.ComparisonUS(), t.controller.peers.LivePeers()) {
+	peers := t.controller.peers.LivePeers()
+	hasHigherTerm := func(hello peer.Hello) bool { return hello.Term > t.scheduler.Term() }
+	switch {
+	case slices.ContainsFunc(peers, hasHigherTerm):
+		return "a peer has a higher term"
+	case t.scheduler.Leading() && t.computesSlowerThan(peers):
 		return "computes slower than a peer"
-	}
-	if t.scheduler.Leading() && t.scheduler.OutboundLost(t.controller.peers.LivePeers()) {
+	case t.scheduler.Leading() && t.scheduler.OutboundLost(peers):
 		return "reaches no worker, a peer does"
-	}
-	if t.committer.Stalled() {
+	case t.committer.Stalled():
 		return "stores nothing although the state service answers"
-	}
-	if !t.controller.peers.Isolated() {
+	case !t.controller.peers.Isolated():
 		return ""
-	}
-	switch {
 	case t.isolatedFromWorkers():
 		return "receives from neither workers nor peers"
 	case t.controller.elector.ExpiredFor() > tuning.IsolationTimeout:
@@ -129,9 +126,16 @@
 	return ""
 }
 
+// computesSlowerThan reports whether the leadership should be transferred to one of the peers because it computes faster.
+func (t *leaderTerm) computesSlowerThan(peers []peer.Hello) bool {
+	now, started := t.controller.clock.Now(), t.scheduler.TermStarted()
+	return t.controller.leadershipTransfer.Due(now, started, t.controller.cpuMonitor.ComparisonUS(), peers)
+}
+
 // isolatedFromWorkers reports whether no heartbeat has been received for tuning.IsolationTimeout, and the term has
 // lasted for longer than a lease. Workers of unresponsive peers try unreachable controllers in turn. If a new leader
 // resigned before they reached it, they would find no controller at all.
 func (t *leaderTerm) isolatedFromWorkers() bool {
-	return t.controller.clock.Since(t.scheduler.TermStarted()) > settings.Seconds(t.controller.settings.Facts.Workers.LeaseS) && t.controller.clock.Since(t.scheduler.LastContact()) > tuning.IsolationTimeout
+	clock, lease := t.controller.clock, settings.Seconds(t.controller.settings.Facts.Workers.LeaseS)
+	return clock.Since(t.scheduler.TermStarted()) > lease && clock.Since(t.scheduler.LastContact()) > tuning.IsolationTimeout
 }
