--- a/experiment/order.go
+++ b/experiment/order.go
@@ -124,6 +124,22 @@
 	if err != nil {
 		return nil, err
 	}
+	res := &OrderResult{Class: o.Class, Aim: fmt.Sprintf("within %g s", o.WithinS)}
+	if o.WithinS == 0 {
+		res.Aim = fmt.Sprintf("within %g times the deadline", o.DeadlineFactor)
+	}
+	jobs := o.countJobs(day, res)
+	if res.Jobs == 0 {
+		return nil, fmt.Errorf("these logs hold no job of class %q that was submitted and completed in the given period; were they written with LOG_LEVEL=debug?", o.Class)
+	}
+	b := upperbound.Compute(jobs, o.freeCapacity(day), o.Rounds)
+	res.ImpossibleAlone, res.UpperBound = b.InfeasibleAlone, b.Bound
+	return res, nil
+}
+
+// freeCapacity returns the fleet's CPUs in each time slot of a day, less those used by jobs of other classes whose rank is
+// not below that of the class.
+func (o *Order) freeCapacity(day *dayLog) upperbound.FreeCapacity {
 	free := upperbound.FreeCapacity{SlotS: o.SlotS, CPUs: make([]float64, int(day.lastAt/o.SlotS)+1)}
 	sample := 0
 	for i := range free.CPUs {
@@ -150,19 +166,15 @@
 			free.CPUs[i] -= j.cpus * (math.Min(x.to, float64(i+1)*o.SlotS) - math.Max(x.from, float64(i)*o.SlotS)) / o.SlotS
 		}
 	}
-	res := &OrderResult{Class: o.Class, Aim: fmt.Sprintf("within %g s", o.WithinS)}
-	if o.WithinS == 0 {
-		res.Aim = fmt.Sprintf("within %g times the deadline", o.DeadlineFactor)
-	}
+	return free
+}
+
+// countJobs counts the jobs of the class in res and returns them in the order of their arrival.
+func (o *Order) countJobs(day *dayLog, res *OrderResult) []upperbound.Job {
 	var jobs []upperbound.Job
 	for _, j := range day.jobs {
-		// A deadline counts from the submission, WithinS from when the job could start. In both cases no task could
-		// run before the job was ready.
-		due := j.ready + o.WithinS
-		if o.WithinS == 0 {
-			due = j.submitted + o.DeadlineFactor*j.deadlineS
-		}
-		if j.class != o.Class || j.submitted < o.FromS || j.submitted > o.ToS || len(j.runTimes) < j.size || o.WithinS == 0 && o.DeadlineFactor*j.deadlineS <= 0 || due > day.lastAt {
+		due, counts := o.dueTime(day, j)
+		if !counts {
 			continue
 		}
 		res.Jobs++
@@ -179,15 +191,26 @@
 		slices.SortFunc(x.Tasks, func(a, b upperbound.Task) int { return cmp.Compare(a.RunS, b.RunS) })
 		jobs = append(jobs, x)
 	}
-	if res.Jobs == 0 {
-		return nil, fmt.Errorf("these logs hold no job of class %q that was submitted and completed in the given period; were they written with LOG_LEVEL=debug?", o.Class)
-	}
 	slices.SortFunc(jobs, func(a, b upperbound.Job) int {
 		return cmp.Or(cmp.Compare(a.Arrive, b.Arrive), len(a.Tasks)-len(b.Tasks))
 	})
-	b := upperbound.Compute(jobs, free, o.Rounds)
-	res.ImpossibleAlone, res.UpperBound = b.InfeasibleAlone, b.Bound
-	return res, nil
+	return jobs
+}
+
+// dueTime returns when a job was due, in seconds since the first log line, and whether it counts: it must belong to the
+// class, have been submitted in the given period, have completed, and have been due before the end of the logs.
+func (o *Order) dueTime(day *dayLog, j *loggedJob) (due float64, counts bool) {
+	// A deadline counts from the submission, WithinS from when the job could start. In both cases no task could run before
+	// the job was ready.
+	due = j.ready + o.WithinS
+	if o.WithinS == 0 {
+		due = j.submitted + o.DeadlineFactor*j.deadlineS
+	}
+	switch {
+	case j.class != o.Class, j.submitted < o.FromS, j.submitted > o.ToS, len(j.runTimes) < j.size, due > day.lastAt:
+		return due, false
+	}
+	return due, o.WithinS != 0 || o.DeadlineFactor*j.deadlineS > 0
 }
 
 // scanLog reads log lines and ignores what precedes time= on a line. For each line it calls handleLine with the line's
