--- a/store/stall.go
+++ b/store/stall.go
@@ -19,7 +19,8 @@
 	// refusedAt is when a transaction was last refused. It is zero if the state service has not served one since.
 	refusedAt time.Time
 	// answeredFor is the time since the last committed transaction for which the state service answered: the sum of the
-	// times between successive refusals with no unserved or unanswered transaction between them.
+	// times between successive refusals with no unserved or unanswered transaction between them, each up to
+	// tuning.MaxRefusalInterval.
 	answeredFor time.Duration
 }
 
@@ -43,7 +44,7 @@
 // observeRefusal records that a transaction with the given records was refused for its contents.
 func (d *stallDetector) observeRefusal(now time.Time, records []*pendingRecord) {
 	if !d.refusedAt.IsZero() {
-		d.answeredFor += now.Sub(d.refusedAt)
+		d.answeredFor += min(now.Sub(d.refusedAt), tuning.MaxRefusalInterval)
 	}
 	d.refusedAt = now
 	for _, record := range records {
--- a/store/stall_test.go
+++ b/store/stall_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -12,6 +13,9 @@
 	"switchferry/tuning"
 )
 
+// idle stands for seconds in which no transaction is sent.
+const idle commitResult = "idle"
+
 // observation is a result that is observed once in each of count seconds.
 type observation struct {
 	result  commitResult
@@ -23,6 +27,7 @@
 // and commits nothing, are a stall.
 func TestStallIsRefusalOfSeveralRecordsWhileStateServiceAnswers(t *testing.T) {
 	timeout := int(tuning.CommitStallTimeout / time.Second)
+	perRefusal := int(tuning.MaxRefusalInterval / time.Second)
 	one, two := []*pendingRecord{{key: "a"}}, []*pendingRecord{{key: "a"}, {key: "b"}}
 	deferred := func(key string) []*pendingRecord { return []*pendingRecord{{key: key, isolated: true}} }
 	tests := map[string]struct {
@@ -34,16 +39,18 @@
 		"conflicts, not long enough":                  {[]observation{{conflicted, two, timeout}}, false},
 		"conflicts of one record":                     {[]observation{{conflicted, one, 10 * timeout}}, false},
 		"conflicts of one record, then of another":    {[]observation{{conflicted, one, timeout}, {conflicted, two[1:], 1}}, true},
+		"a conflict, and another long afterwards":     {[]observation{{conflicted, one, 1}, {idle, nil, 10 * timeout}, {conflicted, two[1:], 1}}, false},
+		"conflicts, each some time after the last":    {slices.Repeat([]observation{{conflicted, two, 1}, {idle, nil, perRefusal - 1}}, 4), true},
 		"a commit between conflicts":                  {[]observation{{conflicted, two, timeout}, {committed, two, 1}, {conflicted, two, timeout}}, false},
 		"a commit after the stall":                    {[]observation{{conflicted, two, 2 * timeout}, {committed, two, 1}}, false},
-		"rate limits between conflicts":               {[]observation{{conflicted, two, 5}, {rateLimited, two, timeout}, {conflicted, two, 1}}, true},
+		"rate limits between conflicts":               {slices.Repeat([]observation{{conflicted, two, 1}, {rateLimited, two, perRefusal - 1}}, 4), true},
 		"rate limits alone":                           {[]observation{{rateLimited, two, 10 * timeout}}, false},
 		"an outage":                                   {[]observation{{notServed, two, 10 * timeout}}, false},
 		"an outage after a conflict":                  {[]observation{{conflicted, two, 2}, {notServed, two, 10 * timeout}, {conflicted, two, 2}}, false},
 		"lost responses after a conflict":             {[]observation{{conflicted, two, 2}, {outcomeUnknown, two, 10 * timeout}, {conflicted, two, 2}}, false},
 		"conflicts before and after an outage":        {[]observation{{conflicted, two, timeout}, {notServed, two, 10 * timeout}, {conflicted, two, 2}}, true},
 		"retries of deferred records":                 {[]observation{{conflicted, deferred("a"), timeout}, {conflicted, deferred("b"), timeout}}, false},
-		"retries of deferred records between refused": {[]observation{{conflicted, two, 2}, {conflicted, deferred("a"), timeout}, {conflicted, two, 1}}, true},
+		"retries of deferred records between refused": {slices.Repeat([]observation{{conflicted, two, 1}, {conflicted, deferred("a"), perRefusal - 1}}, 4), true},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/tuning/tuning.go
+++ b/tuning/tuning.go
@@ -224,6 +224,9 @@
 	// CommitStallTimeout is the time after which a leader resigns if the state service answers and refuses all of its
 	// transactions. It leaves the users who retry most of RetryPeriod for the next leader.
 	CommitStallTimeout = RetryPeriod / 4
+	// MaxRefusalInterval is how much of the time between two refusals counts for CommitStallTimeout. In a longer one there was
+	// nothing else to store, or the process was paused.
+	MaxRefusalInterval = CommitStallTimeout / 3
 	// MinStalledRecords is the number of different records that must have been refused for that: a single one may be the
 	// only one with a fault.
 	MinStalledRecords = 2
