--- a/controller/record_source.go
+++ b/controller/record_source.go
@@ -31,8 +31,8 @@
 	return value, exists, conditions
 }
 
-// Conflict handles a write that failed because the key holds another record. Found is that record, or nil if there is
-// none.
+// Conflict handles a write that failed because a key holds another record than its condition expected. Found is that
+// record.
 func (s recordSource) Conflict(key string, found *store.Item) {
 	if strings.HasPrefix(key, store.DatasetPrefix) {
 		if entry, err := scheduler.DecodeDataset(found); err == nil {
--- a/store/committer.go
+++ b/store/committer.go
@@ -23,7 +23,7 @@
 	// not the leader.
 	Condition() (leader Condition, ok bool)
 	// Conflict reports a stored value that this committer did not write, or that it wrote in a transaction
-	// whose outcome was unknown.
+	// whose outcome was unknown. It is called for every conflict, also with a value that it was called with before.
 	Conflict(key string, found *Item)
 	// Committed is called after each transaction, after the callbacks of its records.
 	Committed()
