--- a/store/conflict.go
+++ b/store/conflict.go
@@ -72,8 +72,9 @@
 }
 
 // resolveConflict reads the keys whose conditions did not hold, and passes to the source each value that a condition did
-// not expect. It returns the delay before the next attempt, which is not 0 if a key could not be read. The conditions of the transaction decide, not the revisions that the committer knows: another goroutine, or
-// an earlier conflict, may have made a revision known without the record that depends on it having changed.
+// not expect. The conditions of the transaction decide, not the revisions that the committer knows: another goroutine, or
+// an earlier conflict, may have made a revision known without the record that depends on it having changed. The delay
+// before the next attempt is returned; it is not 0 if a key could not be read.
 func (c *Committer) resolveConflict(ctx context.Context, transaction *pendingTransaction, failedKeys []string) time.Duration {
 	delay := time.Duration(0)
 	items, errs := c.readKeys(ctx, failedKeys)
