--- a/experiment/soak/faults.go
+++ b/experiment/soak/faults.go
@@ -21,7 +21,8 @@
 	lostAnswerShare = 0.3
 	// lateWriteShare is the share of transactions that LateWrites delays.
 	lateWriteShare = 0.2
-	// messageShare is the share of messages affected by LostHeartbeats, RepeatedHeartbeats and LateCommands.
+	// messageShare is the share of messages affected by LostHeartbeats, RepeatedHeartbeats, LateCommands and
+	// RepeatedCommands.
 	messageShare = 0.25
 	// affectedWorkersOneIn is n if a fault of workers affects about one worker in n.
 	affectedWorkersOneIn = 5
@@ -252,6 +253,8 @@
 			messages.RepeatedHeartbeats = messageShare
 		case LateCommands:
 			messages.LateCommands = messageShare
+		case RepeatedCommands:
+			messages.RepeatedCommands = messageShare
 		case SlowHeartbeats:
 			messages.SlowHeartbeats = slowMessageShare
 		case SlowCommands:
--- a/experiment/soak/schedule.go
+++ b/experiment/soak/schedule.go
@@ -49,6 +49,8 @@
 	RepeatedHeartbeats Kind = "repeated-heartbeats"
 	// LateCommands delays a share of the commands to all workers.
 	LateCommands Kind = "late-commands"
+	// RepeatedCommands executes a share of the commands to all workers once more after they were answered.
+	RepeatedCommands Kind = "repeated-commands"
 	// OutboundLostWorkers drops all messages to a fifth of the workers.
 	OutboundLostWorkers Kind = "deaf-workers"
 	// InboundLostWorkers drops all messages from a fifth of the workers.
@@ -101,6 +103,7 @@
 	LostHeartbeats:      {2 * time.Second, 10 * time.Second},
 	RepeatedHeartbeats:  {2 * time.Second, 10 * time.Second},
 	LateCommands:        {2 * time.Second, 10 * time.Second},
+	RepeatedCommands:    {2 * time.Second, 10 * time.Second},
 	OutboundLostWorkers: {time.Second, 8 * time.Second},
 	InboundLostWorkers:  {time.Second, 8 * time.Second},
 	RestartedWorkers:    {100 * time.Millisecond, 200 * time.Millisecond},
--- a/internal/cluster/message_faults.go
+++ b/internal/cluster/message_faults.go
@@ -15,6 +15,8 @@
 	minLateMessage = 500 * time.Millisecond
 	// maxLateMessage is the maximum delay of late commands and repeated heartbeats.
 	maxLateMessage = 12 * time.Second
+	// maxRepeatedCommand is the maximum delay of the second delivery of repeated commands.
+	maxRepeatedCommand = 40 * time.Second
 )
 
 // MessageFaults are the faults of messages between workers and controllers. Each field is the share of messages, from 0
@@ -25,6 +27,8 @@
 	LostHeartbeats, RepeatedHeartbeats float64
 	// LateCommands get no answer. The worker executes them later if they still apply.
 	LateCommands float64
+	// RepeatedCommands are executed and answered, and executed once more later if they still apply.
+	RepeatedCommands float64
 	// SlowHeartbeats is the share of heartbeats, and independently of their responses, that is delayed by up to
 	// maxSlowMessage. SlowCommands are executed and answered up to maxSlowMessage late.
 	SlowHeartbeats, SlowCommands float64
@@ -82,3 +86,8 @@
 func randomLateDelay() time.Duration {
 	return minLateMessage + randomDuration(maxLateMessage-minLateMessage)
 }
+
+// randomRepeatDelay returns the random time after which repeated commands are delivered again.
+func randomRepeatDelay() time.Duration {
+	return minLateMessage + randomDuration(maxRepeatedCommand-minLateMessage)
+}
--- a/internal/cluster/worker.go
+++ b/internal/cluster/worker.go
@@ -300,6 +300,9 @@
 	}
 	worker.recordCommand()
 	heartbeat, executed := worker.ExecuteCommands(commands)
+	if executed && withProbability(faults.RepeatedCommands) {
+		time.AfterFunc(randomRepeatDelay(), func() { worker.ExecuteCommands(commands) })
+	}
 	raw, err := json.Marshal(heartbeat)
 	if err != nil || !worker.waitUntilReachable(request.Context(), fromZone, toWorker) {
 		panic(http.ErrAbortHandler)
--- a/internal/simulation/faults.go
+++ b/internal/simulation/faults.go
@@ -45,6 +45,9 @@
 	DelayedCommands: func(s *activeFault) {
 		s.adjustWhileActive(func(by int) { s.withLock(func() { s.delayedCommandFaults += by }) })
 	},
+	RepeatedCommands: func(s *activeFault) {
+		s.adjustWhileActive(func(by int) { s.withLock(func() { s.repeatedCommandFaults += by }) })
+	},
 	CancelAtEnd: func(s *activeFault) { s.adjustWhileActive(func(by int) { s.cancelAtEndFaults.Add(int32(by)) }) },
 	SlowHeartbeats: func(s *activeFault) {
 		s.adjustWhileActive(func(by int) { s.withLock(func() { s.slowHeartbeatFaults += by }) })
--- a/internal/simulation/scenario.go
+++ b/internal/simulation/scenario.go
@@ -43,6 +43,9 @@
 	// DelayedCommands delays one request with commands in three, or the response to it, by up to
 	// maxDelayedCommandDelay.
 	DelayedCommands = "held"
+	// RepeatedCommands executes one request with commands in three, after the worker has executed and answered it, once
+	// more, between minRepeatedCommandDelay and maxRepeatedCommandDelay later. Nobody receives the second answer.
+	RepeatedCommands = "repeated-commands"
 	// CancellationWave makes Count in ten of the users who wait for the next poll cancel their job arrays, at once and
 	// then every waveInterval for the fault's duration. With HangMachinesFor, up to maxHungByWave machines that run
 	// tasks of these jobs are suspended for that time.
--- a/internal/simulation/simulation.go
+++ b/internal/simulation/simulation.go
@@ -56,6 +56,9 @@
 	duplicatingHeartbeats bool
 	// lateWriteFaults, delayedCommandFaults and slowHeartbeatFaults count the active faults of these kinds.
 	lateWriteFaults, delayedCommandFaults, slowHeartbeatFaults int
+	// repeatedCommandFaults counts the active RepeatedCommands faults; repeatRNG selects the requests that they affect.
+	repeatedCommandFaults int
+	repeatRNG             *rand.Rand
 	// slowStateFaults counts the active SlowState faults by controller; the empty name stands for all controllers.
 	slowStateFaults map[string]int
 	// pausedProcesses holds, for each paused controller, a channel that is closed when its process is resumed.
@@ -138,6 +141,7 @@
 		pausedProcesses: map[string]chan struct{}{},
 		cancellations:   make(chan Fault),
 	}
+	sim.repeatRNG = sim.actorRNG("repeated commands")
 	sim.checker = newInvariantChecker(sim)
 	if scenario.ChangeInterval > 0 {
 		sim.operators = newOperators(sim)
--- a/internal/simulation/transport.go
+++ b/internal/simulation/transport.go
@@ -228,6 +228,10 @@
 	// maxDelayedCommandDelay bounds the delay of commands to workers, or of their responses, during a DelayedCommands
 	// fault.
 	maxDelayedCommandDelay = 8 * time.Second
+	// minRepeatedCommandDelay and maxRepeatedCommandDelay bound the time after which a RepeatedCommands fault executes a
+	// request once more.
+	minRepeatedCommandDelay = 300 * time.Millisecond
+	maxRepeatedCommandDelay = 90 * time.Second
 )
 
 // sendDelayed executes a request after a delay, whether or not its caller still waits, and delays the response.
@@ -274,6 +278,9 @@
 		return nil, fmt.Errorf("decoding commands for %s: %w", endpoint.machine.Name, err)
 	}
 	heartbeat, ok := endpoint.machine.worker.ExecuteCommands(response)
+	if ok {
+		endpoint.sim.repeatCommands(endpoint.machine, response)
+	}
 	raw, err := json.Marshal(heartbeat)
 	if err != nil {
 		return nil, fmt.Errorf("encoding the heartbeat of %s: %w", endpoint.machine.Name, err)
@@ -284,3 +291,17 @@
 	}
 	return &http.Response{StatusCode: code, Header: http.Header{}, Body: io.NopCloser(bytes.NewReader(raw))}, nil
 }
+
+// repeatCommands executes one request in three once more, after a random time, while a RepeatedCommands fault is active.
+func (sim *simulation) repeatCommands(machine *simulatedMachine, response api.HeartbeatResponse) {
+	sim.mu.Lock()
+	repeat := sim.repeatedCommandFaults > 0 && sim.repeatRNG.IntN(3) == 0
+	delay := minRepeatedCommandDelay + time.Duration(sim.repeatRNG.Int64N(int64(maxRepeatedCommandDelay-minRepeatedCommandDelay)))
+	sim.mu.Unlock()
+	if repeat {
+		sim.actors.Go(func() {
+			time.Sleep(delay)
+			machine.worker.ExecuteCommands(response)
+		})
+	}
+}
--- a/scheduler/starts_random_test.go
+++ b/scheduler/starts_random_test.go
@@ -44,6 +44,9 @@
 	// commands holds direct commands that were not delivered yet; lost holds those that the leader counts as unanswered
 	// and that may still be delivered.
 	commands, lost []sentCommands
+	// repeating makes commands that were executed and answered arrive once more, at any later time; answered holds them.
+	repeating bool
+	answered  []sentCommands
 	// relayed holds the machines whose heartbeats a follower answers with commands from the leader's packets.
 	relayed map[string]bool
 	relay   *proxy.Workers
@@ -169,6 +172,9 @@
 // deliverCommand delivers a random direct command to its worker. The answer may be lost, and a command that the leader
 // counts as unanswered may be delivered later or never.
 func (r *randomStarts) deliverCommand() {
+	if r.repeating && len(r.answered) > 0 && r.rng.IntN(4) == 0 {
+		r.repeatCommand()
+	}
 	if len(r.lost) > 0 && r.rng.IntN(4) == 0 {
 		sent := r.takeCommand(&r.lost)
 		r.workers[sent.machine].ExecuteCommands(sent.response)
@@ -188,7 +194,7 @@
 	case 2:
 		r.workers[sent.machine].ExecuteCommands(sent.response)
 	default:
-		heartbeat, _ = r.workers[sent.machine].ExecuteCommands(sent.response)
+		heartbeat, _ = r.execute(sent)
 		settled = true
 	}
 	if sent.response.Term == h.term {
@@ -196,6 +202,22 @@
 	}
 }
 
+// execute makes a worker execute a direct command, and keeps the command if it may arrive once more.
+func (r *randomStarts) execute(sent sentCommands) (heartbeat *api.Heartbeat, executed bool) {
+	heartbeat, executed = r.workers[sent.machine].ExecuteCommands(sent.response)
+	if r.repeating && executed {
+		r.answered = append(r.answered, sent)
+	}
+	return heartbeat, executed
+}
+
+// repeatCommand delivers a random command that was executed and answered once more, also one of an earlier leader.
+// Nobody receives the answer.
+func (r *randomStarts) repeatCommand() {
+	sent := r.answered[r.rng.IntN(len(r.answered))]
+	r.workers[sent.machine].ExecuteCommands(sent.response)
+}
+
 // takeCommand removes a random command from a list and returns it.
 func (r *randomStarts) takeCommand(list *[]sentCommands) sentCommands {
 	index := r.rng.IntN(len(*list))
@@ -273,7 +295,10 @@
 		r.placeAndSend()
 		for len(r.commands) > 0 {
 			sent := r.takeCommand(&r.commands)
-			heartbeat, _ := r.workers[sent.machine].ExecuteCommands(sent.response)
+			heartbeat, _ := r.execute(sent)
+			if r.repeating {
+				r.repeatCommand()
+			}
 			r.harness.HandleCommandOutcome(sent.machine, sent.response, heartbeat, true)
 		}
 		r.harness.clock.Advance(time.Second)
@@ -328,6 +353,29 @@
 	return text.String()
 }
 
+// checkSeed plays 500 random events and then delivers all messages. It fails the test if a task ran on two machines, an
+// invariant was violated or a job is not done, and returns how many messages crossed a start command.
+func (r *randomStarts) checkSeed(seed uint64) (crossed int) {
+	r.Helper()
+	for _, name := range r.names {
+		r.join(name)
+	}
+	for range 500 {
+		r.step()
+	}
+	stats := r.harness.releaseStats
+	if twice := r.startedTwice(); len(twice) > 0 {
+		r.Fatalf("seed %d: tasks ran on two machines: %v", seed, twice)
+	}
+	if !r.settle() {
+		r.Fatalf("seed %d: not all of the %d jobs are done in the end:\n%s", seed, r.jobs, r.describeOpenWork())
+	}
+	if twice := r.startedTwice(); len(twice) > 0 || invariant.Violations() > 0 {
+		r.Fatalf("seed %d: tasks ran on two machines: %v; %d invariant violations", seed, twice, invariant.Violations())
+	}
+	return stats.exitsCrossed + stats.stopsCrossed + stats.absencesCrossed
+}
+
 // However the messages between leaders and workers are delayed, lost, repeated or reordered, no task runs on two
 // machines, no invariant is violated, and all jobs complete in the end, so that the leader never waits for a proof that
 // cannot arrive.
@@ -335,26 +383,24 @@
 	seeds := map[bool]uint64{false: 300, true: 30}[raceDetector]
 	crossed := 0
 	for seed := range seeds {
-		random := newRandomStarts(t, seed)
-		for _, name := range random.names {
-			random.join(name)
-		}
-		for range 500 {
-			random.step()
-		}
-		stats := random.harness.releaseStats
-		crossed += stats.exitsCrossed + stats.stopsCrossed + stats.absencesCrossed
-		if twice := random.startedTwice(); len(twice) > 0 {
-			t.Fatalf("seed %d: tasks ran on two machines: %v", seed, twice)
-		}
-		if !random.settle() {
-			t.Fatalf("seed %d: not all of the %d jobs are done in the end:\n%s", seed, random.jobs, random.describeOpenWork())
-		}
-		if twice := random.startedTwice(); len(twice) > 0 || invariant.Violations() > 0 {
-			t.Fatalf("seed %d: tasks ran on two machines: %v; %d invariant violations", seed, twice, invariant.Violations())
-		}
+		crossed += newRandomStarts(t, seed).checkSeed(seed)
 	}
 	if crossed == 0 {
 		t.Error("no messages crossed, so the test does not check what it should")
 	}
 }
+
+// The same holds if direct commands that were executed and answered arrive once more.
+func TestRandomRepeatedCommandsRunNoTaskTwice(t *testing.T) {
+	seeds := map[bool]uint64{false: 300, true: 30}[raceDetector]
+	repeated := 0
+	for seed := range seeds {
+		random := newRandomStarts(t, seed)
+		random.repeating = true
+		random.checkSeed(seed)
+		repeated += len(random.answered)
+	}
+	if repeated == 0 {
+		t.Error("no command was repeated, so the test does not check what it should")
+	}
+}
