Fence off commands that were sent before a clear: the machine's token is raised first

A right without an end: the token under which the start was sent stayed valid for as long as the leader led (docs/incidents/repeated-start-after-clear.md). **Change**: an exited attempt is cleared only under a fencing token above that of every start of it that was sent. The leader takes the revision of its newest committed transaction as a machine's token, in responses to heartbeats only, where no response in flight can be overtaken and its lease renewal be lost. All its transactions are conditional on its key, so every later term is higher; revisions that were only read do not count. Each comparison with a term says which it means: a token is of a later leader if it is above the term and all committed revisions; a machine has seen the term if its token is not below it. Followers answer under the worker's own token if that is higher, and deliver no relayed command that was derived before the worker had it. Relayed commands carry no raise, so they clear only what an earlier raise fenced off. Tokens are raised once all members have written sf/tokens/MEMBER, since an older one takes a raised token for a later leader's; until these are read nothing is cleared, and while one is missing clears go out as before. Commands in refused requests are sent again at once. Played fleets of the cluster map a token to the term of its leader.

--- a/controller/collaborators_helper_test.go
+++ b/controller/collaborators_helper_test.go
@@ -30,6 +30,7 @@
 func (discardedRecords) MarkDirty(string, int, func())                      {}
 func (discardedRecords) MarkDirtyWithin(string, int, time.Duration, func()) {}
 func (discardedRecords) SetRevision(string, uint64)                         {}
+func (discardedRecords) CommittedRevision() uint64                          { return 0 }
 func (discardedRecords) Delay() time.Duration                               { return 0 }
 
 // discardedCommands sends no commands or orders.
@@ -53,6 +54,8 @@
 	r.leader.committer.SetRevision(key, revision)
 }
 
+func (r leaderRecords) CommittedRevision() uint64 { return r.leader.committer.CommittedRevision() }
+
 func (r leaderRecords) Delay() time.Duration { return r.leader.committer.Delay() }
 
 // leaderCommands collects the commands that a testLeader sends.
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -52,6 +52,8 @@
 	features *optionalFeatures
 	// versions tracks which members may still run a process of an older version.
 	versions *upgrade.VersionRegistry
+	// tokens tracks whether all members accept raised fencing tokens.
+	tokens *upgrade.TokenRegistry
 
 	health        *stateHealth
 	catalog       *machineCatalog
@@ -117,6 +119,7 @@
 	}
 	c.client = store.NewClient(c.settings.External.State, transport)
 	c.versions = upgrade.NewVersionRegistry(c.settings.Member, members, c.client, c.clock)
+	c.tokens = upgrade.NewTokenRegistry(c.settings.Member, members, c.client, c.clock, c.applyTokenSupport)
 	c.cloud = cloud.New(c.settings.External.Cloud, c.settings.Facts.Cloud.RPS, transport)
 	c.worker = worker.New(transport)
 	c.peers = peer.New(c.settings.Peers, c.clock, c.hello, func(ctx context.Context, request peer.Request) peer.Response {
@@ -183,6 +186,7 @@
 	c.peers.Run(c.ctx)
 	go c.catalog.refresh(c.ctx, c.term)
 	go c.markVersion(c.ctx)
+	go c.tokens.Run(c.ctx)
 	go c.requestCounts.Log(c.ctx, c.clock, tuning.FleetLogInterval)
 	go c.workerProxy.Exchange.Run(c.ctx)
 	if c.features.data.On {
--- a/controller/fleet_loops.go
+++ b/controller/fleet_loops.go
@@ -24,7 +24,7 @@
 		t.scheduler.HandleCommandOutcome(name, response, nil, errors.Is(err, worker.ErrNotSent))
 		return
 	}
-	if heartbeat.Term > t.scheduler.Term() {
+	if t.scheduler.FromLaterTerm(heartbeat.Term) {
 		t.controller.resignIfDeposed(t.scheduler)
 	}
 	t.scheduler.HandleCommandOutcome(name, response, heartbeat, true)
--- a/controller/heartbeats.go
+++ b/controller/heartbeats.go
@@ -65,25 +65,22 @@
 }
 
 // answerWithoutLeader answers a heartbeat while no leader is known. For a limited time, the last leader's fencing token
-// still renews leases. A worker that was redirected instead might try controllers on the other side of a partition
+// still renews leases, or the worker's own if that is higher. A worker that was redirected instead might try controllers on the other side of a partition
 // until its lease expires.
 func (c *Controller) answerWithoutLeader(heartbeat *api.Heartbeat) answer {
 	lastTerm, since := c.elector.LeaderlessFor()
-	if lastTerm == 0 || heartbeat.Term > lastTerm || since > tuning.LeaderlessGrace && c.health.healthy() {
+	if lastTerm == 0 || since > tuning.LeaderlessGrace && c.health.healthy() {
 		return answer{http.StatusServiceUnavailable, api.Error{Error: "no leader yet"}}
 	}
 	if !c.leases.mayRenew() {
 		return c.leases.refuse()
 	}
-	return answer{http.StatusOK, c.leases.enforceCancellations(heartbeat, api.HeartbeatResponse{Term: lastTerm, Commands: []api.Command{}})}
+	return answer{http.StatusOK, c.leases.enforceCancellations(heartbeat, api.HeartbeatResponse{Term: max(lastTerm, heartbeat.Term), Commands: []api.Command{}})}
 }
 
 // answerForUnreachableLeader answers a heartbeat with commands that the leader of the term has relayed, and relays the
 // heartbeat to the leader. The argument relay is the method of workerProxy that does both.
 func (c *Controller) answerForUnreachableLeader(heartbeat *api.Heartbeat, term uint64, relay func(*api.Heartbeat, uint64) api.HeartbeatResponse) answer {
-	if heartbeat.Term > term {
-		return answer{http.StatusServiceUnavailable, api.Error{Error: "the leader is out of reach"}}
-	}
 	if !c.leases.mayRenew() {
 		return c.leases.refuse()
 	}
--- a/controller/term.go
+++ b/controller/term.go
@@ -12,6 +12,7 @@
 	"switchferry/settings"
 	"switchferry/store"
 	"switchferry/tuning"
+	"switchferry/upgrade"
 )
 
 // leaderTerm is one term in which this controller leads. It holds the scheduler of the term, and runs the loops that
@@ -37,9 +38,23 @@
 	if len(c.versions.Older()) == 0 {
 		term.useCurrentFormat()
 	}
+	c.applyTokenSupport(c.tokens.Support())
 	go term.run(ctx)
 }
 
+// applyTokenSupport lets the scheduler of the current term, if there is one, raise fencing tokens if all members accept
+// them.
+func (c *Controller) applyTokenSupport(support upgrade.TokenSupport) {
+	fencing := map[upgrade.TokenSupport]scheduler.Fencing{
+		upgrade.TokenSupportUnknown:  scheduler.FencingUndecided,
+		upgrade.TokenSupportMissing:  scheduler.FencingOff,
+		upgrade.TokenSupportComplete: scheduler.FencingOn,
+	}
+	if sched := c.term.scheduler(); sched != nil {
+		sched.SetFencing(fencing[support])
+	}
+}
+
 // Lost ends the current term. The elector calls it.
 func (c *Controller) Lost(uint64, string) { c.term.end() }
 
--- a/controller/term_collaborators.go
+++ b/controller/term_collaborators.go
@@ -39,6 +39,9 @@
 	r.term.committer.SetRevision(key, revision)
 }
 
+// CommittedRevision returns the highest revision at which the committer has written.
+func (r termRecords) CommittedRevision() uint64 { return r.term.committer.CommittedRevision() }
+
 // Delay returns how long the record of a new job would wait to be written.
 func (r termRecords) Delay() time.Duration { return r.term.committer.Delay() }
 
--- a/experiment/locality.go
+++ b/experiment/locality.go
@@ -200,6 +200,7 @@
 	types := []api.MachineType{{Name: "m", CPUs: float64(l.Slots), MemoryGB: 64, CacheGB: 3, PullGBs: 1, BootS: 1, Zones: []string{"z"}}}
 	p.scheduler = scheduler.New(1, clockwork.NewRealClock(), set, policy.Default(), types, scheduler.Collaborators{Records: localityRecords{p},
 		Sender: localityCommands{p}, Leadership: alwaysLeading{}, Zones: alwaysLeading{}, TerminalStates: noTerminalStates{}})
+	p.scheduler.SetFencing(scheduler.FencingOff)
 	p.scheduler.UseData(features.Data{On: true, Placement: mode, CacheGB: 1, LinkMBs: l.LinkRate / 1e6, StoreMBs: l.StoreRate / 1e6,
 		CopiesPerLink: tuning.StageCopiesPerLink, CopiesAtStore: max(tuning.StageCopiesAtStore, l.Machines/2), AheadTasks: tuning.StageAheadTasks})
 	p.scheduler.Load(nil, nil)
@@ -317,6 +318,9 @@
 	r.MarkDirty(key, urgency, stored)
 }
 
+// CommittedRevision returns 0: nothing is written.
+func (localityRecords) CommittedRevision() uint64 { return 0 }
+
 // SetRevision does nothing.
 func (localityRecords) SetRevision(string, uint64) {}
 
--- a/experiment/topology_placers.go
+++ b/experiment/topology_placers.go
@@ -44,6 +44,7 @@
 	}
 	p.scheduler = scheduler.New(1, w.clock, set, policy.Default(), types, scheduler.Collaborators{Records: placerRecords{p},
 		Sender: placerCommands{p}, Leadership: alwaysLeading{}, Zones: alwaysLeading{}, TerminalStates: noTerminalStates{}})
+	p.scheduler.SetFencing(scheduler.FencingOff)
 	if name == "topology" {
 		m, err := w.topologyMap()
 		if err != nil {
@@ -283,6 +284,9 @@
 	r.MarkDirty(key, urgency, stored)
 }
 
+// CommittedRevision returns 0: nothing is written.
+func (placerRecords) CommittedRevision() uint64 { return 0 }
+
 // SetRevision does nothing.
 func (placerRecords) SetRevision(string, uint64) {}
 
--- a/internal/cluster/worker.go
+++ b/internal/cluster/worker.go
@@ -73,7 +73,7 @@
 	options := fake.WorkerOptions{Host: host, Clock: cluster.clock, Controllers: members, Post: worker.post, HeartbeatInterval: seconds(cluster.options.Facts.Workers.HeartbeatIntervalS), Lease: seconds(cluster.options.Facts.Workers.LeaseS),
 		TaskDuration: cluster.options.TaskDuration, OnIneffectiveStart: cluster.options.OnIneffectiveStart, StartFailure: func(string) string { return cluster.messages.current().startFailure() }}
 	if observer := cluster.options.Observer; observer != nil {
-		options.OnStart = func(task string, term uint64, _ time.Time) { observer.Started(task, host.Name, term) }
+		options.OnStart = func(task string, token uint64, _ time.Time) { observer.Started(task, host.Name, cluster.TermOf(token)) }
 		options.OnEnd = func(task string, done bool) { observer.Ended(task, host.Name, done) }
 	}
 	worker.Worker = fake.NewWorker(options)
@@ -286,7 +286,7 @@
 		writer.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	fromZone := worker.cluster.zoneOfTerm(commands.Term)
+	fromZone := worker.cluster.zoneOfToken(commands.Term)
 	if !worker.waitUntilReachable(request.Context(), fromZone, toWorker) {
 		panic(http.ErrAbortHandler)
 	}
@@ -349,8 +349,22 @@
 	return len(cluster.zonesByTerm)
 }
 
-// zoneOfTerm returns the zone of a term's leader, RegionalServices if it is not known.
-func (cluster *Cluster) zoneOfTerm(term uint64) string {
+// TermOf returns the term whose leader issued a fencing token: the newest observed term that is not above the token, 0 if
+// there is none.
+func (cluster *Cluster) TermOf(token uint64) (term uint64) {
+	cluster.mu.Lock()
+	defer cluster.mu.Unlock()
+	for observed := range cluster.zonesByTerm {
+		if observed <= token {
+			term = max(term, observed)
+		}
+	}
+	return term
+}
+
+// zoneOfToken returns the zone of the leader that issued a fencing token, RegionalServices if it is not known.
+func (cluster *Cluster) zoneOfToken(token uint64) string {
+	term := cluster.TermOf(token)
 	cluster.mu.Lock()
 	defer cluster.mu.Unlock()
 	return cluster.zonesByTerm[term]
--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -116,7 +116,7 @@
 		incarnation: 1, renewedAt: options.Clock.Now(), tasks: map[attemptKey]*workerTask{}, wakeups: make(chan struct{}, 1)}
 }
 
-// Status returns the highest fencing token that the worker has seen since its last restart, the time of the last
+// Status returns as term the highest fencing token that the worker has seen since its last restart, the time of the last
 // accepted answer to a heartbeat, the number of running tasks that ended because the lease expired or the worker
 // restarted, and the number of tasks that run now.
 func (worker *Worker) Status() (term uint64, answered time.Time, killed, running int) {
--- a/reachability/link.go
+++ b/reachability/link.go
@@ -58,7 +58,8 @@
 // Heartbeat holds the fields of a heartbeat that show which direction works.
 type Heartbeat struct {
 	Incarnation, Seq uint64
-	// HighestTerm is the highest term that the worker has seen, Term that of the leader that observes it.
+	// HighestTerm is the highest fencing token that the worker has seen, Term the term of the leader that observes it,
+	// which has issued the token if it is not lower.
 	HighestTerm, Term uint64
 	// Via is the controller that the heartbeat came through, empty if it came directly.
 	Via string
@@ -112,7 +113,7 @@
 	}
 	// A worker adopts a term's token once and sends it with every later heartbeat. So only the first heartbeat
 	// with the token shows that the worker receives anything now.
-	firstWithTerm := heartbeat.HighestTerm == heartbeat.Term && l.confirmedAt.IsZero()
+	firstWithTerm := heartbeat.HighestTerm >= heartbeat.Term && l.confirmedAt.IsZero()
 	confirmed = firstWithTerm || l.followsAnswered(heartbeat)
 	newIncarnation := l.newest.incarnation > 0 && sent.incarnation > l.newest.incarnation
 	l.newest, l.via, l.relayed = sent, heartbeat.Via, heartbeat.Relayed
--- a/relay/proxy/workers.go
+++ b/relay/proxy/workers.go
@@ -35,8 +35,9 @@
 type workerState struct {
 	heartbeat api.Heartbeat
 	// firstSeq is the number of the first heartbeat of the current sequence. A new sequence begins after a gap in the
-	// numbers, and with each heartbeat that was forwarded to the leader directly. Commands derived from an earlier
-	// heartbeat may be out of date, since the worker may have received newer ones from other controllers in between.
+	// numbers, with a new fencing token above the leader's term, and with each heartbeat that was forwarded to the leader
+	// directly. Commands derived from an earlier heartbeat may be out of date, since the worker may have received newer
+	// ones from other controllers in between, also from a later leader.
 	firstSeq uint64
 	// deliveredSeq is the number of the heartbeat from which the last delivered commands were derived. Commands derived
 	// from an earlier heartbeat are not delivered after them.
@@ -67,7 +68,8 @@
 }
 
 // HandleHeartbeat relays a worker's heartbeat to the leader of a term and returns the commands that the leader has sent
-// for the worker. It returns none if they may be out of date.
+// for the worker. It returns none if they may be out of date. The response carries the worker's own fencing token if that
+// is above the term, because the leader raised it or because a later leader issued it.
 func (w *Workers) HandleHeartbeat(heartbeat *api.Heartbeat, term uint64) api.HeartbeatResponse {
 	return w.handleHeartbeat(heartbeat, term, false)
 }
@@ -83,7 +85,7 @@
 func (w *Workers) handleHeartbeat(heartbeat *api.Heartbeat, term uint64, forwarded bool) api.HeartbeatResponse {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	response := api.HeartbeatResponse{Term: term, Commands: []api.Command{}}
+	response := api.HeartbeatResponse{Term: max(term, heartbeat.Term), Commands: []api.Command{}}
 	if w.outbox.Term() != term {
 		w.reset(term)
 	}
@@ -93,7 +95,8 @@
 		// and the commands in the answer to it would count as delivered.
 		return response
 	}
-	newSequence := worker == nil || worker.heartbeat.Incarnation != heartbeat.Incarnation || heartbeat.Seq != worker.heartbeat.Seq+1
+	newSequence := worker == nil || worker.heartbeat.Incarnation != heartbeat.Incarnation || heartbeat.Seq != worker.heartbeat.Seq+1 ||
+		heartbeat.Term > term && heartbeat.Term != worker.heartbeat.Term
 	if newSequence {
 		slog.Debug("relaying a worker's heartbeats", "machine", heartbeat.Machine, "session", heartbeat.Incarnation)
 	}
--- a/scheduler/attempt_evidence.go
+++ b/scheduler/attempt_evidence.go
@@ -15,6 +15,9 @@
 	exitsCrossed, stopsCrossed int
 	// absencesCrossed counts heartbeats that did not list an attempt while a start command for it could still arrive.
 	absencesCrossed int
+	// tokensRaised counts raised fencing tokens, and commandsFenced direct commands that a worker refused because its
+	// token had been raised since they were sent.
+	tokensRaised, commandsFenced int
 }
 
 // LogReleases logs how many allocations were released in this term by each proof, and how often messages crossed.
@@ -26,7 +29,8 @@
 
 // log writes the counts as one line.
 func (stats *releaseStats) log(term uint64) {
-	attributes := []any{"term", term, "exits_crossed", stats.exitsCrossed, "stops_crossed", stats.stopsCrossed, "absences_crossed", stats.absencesCrossed}
+	attributes := []any{"term", term, "exits_crossed", stats.exitsCrossed, "stops_crossed", stats.stopsCrossed, "absences_crossed", stats.absencesCrossed,
+		"tokens_raised", stats.tokensRaised, "commands_fenced", stats.commandsFenced}
 	for _, name := range slices.Sorted(maps.Keys(stats.proofs)) {
 		attributes = append(attributes, string(name), stats.proofs[name])
 	}
--- a/scheduler/collaborators.go
+++ b/scheduler/collaborators.go
@@ -28,6 +28,9 @@
 	MarkDirtyWithin(key string, urgency int, wait time.Duration, stored func())
 	// SetRevision sets the revision of a record that another controller wrote and that the scheduler has adopted.
 	SetRevision(key string, revision uint64)
+	// CommittedRevision returns the highest revision at which the state service has confirmed a write of this term, 0
+	// before the first.
+	CommittedRevision() uint64
 	// Delay returns how long the record of a new job would wait because of the rate limits of the state service.
 	Delay() time.Duration
 }
--- a/scheduler/command_relay.go
+++ b/scheduler/command_relay.go
@@ -28,12 +28,12 @@
 }
 
 // HandleRelayedHeartbeat handles a worker's heartbeat that arrived in a packet of the peer named member. Commands for
-// the worker are relayed through the same peer. Heartbeats with a higher term, of released machines, and copies are
+// the worker are relayed through the same peer. Heartbeats with a later leader's token, of released machines, and copies are
 // ignored.
 func (s *Scheduler) HandleRelayedHeartbeat(member string, heartbeat *api.Heartbeat) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if heartbeat.Term > s.term {
+	if s.FromLaterTerm(heartbeat.Term) {
 		return
 	}
 	if _, released := s.releasedAt[heartbeat.Machine]; released {
--- a/scheduler/commands.go
+++ b/scheduler/commands.go
@@ -38,6 +38,12 @@
 // the attempt again. The result is never nil, because it must be encoded as a JSON array. s.mu must be held.
 func (s *Scheduler) commands(machine *machineState, path deliveryPath) []api.Command {
 	commands := []api.Command{}
+	if path == byHeartbeat {
+		// A raise in a direct command could overtake the response to a heartbeat, which the worker would then drop, so that
+		// its lease would not be renewed.
+		s.raiseToken(machine)
+	}
+	token := s.executionToken(machine, path)
 	for _, alloc := range machine.allocations {
 		// While a task saves its progress, the kill is repeated only with a grace period of 0, which ends it at once.
 		if alloc.stopping && alloc.reported && (alloc.state != api.TaskSaving || alloc.stopGraceS == 0) {
@@ -50,10 +56,10 @@
 			continue
 		}
 		if exit := machine.exited[attempt]; exit != nil {
-			// An exit that is not stored is known only to the worker (rule 2), and a run command still in transit would
-			// start the attempt again after a clear (rule 4).
-			if exit.mayClear() {
-				s.logCommand(api.CommandClear, machine, attempt, path, "its end is on record, no start under way")
+			// An exit that is not stored is known only to the worker (rule 2), and a run command still in transit, or a
+			// copy of one, would start the attempt again after a clear (rule 4).
+			if s.clearable(exit, token) {
+				s.logCommand(api.CommandClear, machine, attempt, path, "its end is on record, no start can be executed")
 				commands = append(commands, api.Command{Verb: api.CommandClear, Task: attempt.Task, Attempt: attempt.Number})
 			}
 		} else if report.State != api.TaskExited {
@@ -76,7 +82,7 @@
 // a task.
 func (s *Scheduler) logCommand(verb string, machine *machineState, attempt fleet.Attempt, path deliveryPath, allowedBy string) {
 	slog.Debug("command sent", "verb", verb, "task", attempt.Task, "attempt", attempt.Number, "machine", machine.Name, "incarnation", machine.Incarnation,
-		"seq", machine.Seq, "path", path, "term", s.term, "allowed_by", allowedBy)
+		"seq", machine.Seq, "path", path, "term", s.term, "token", s.token(machine), "allowed_by", allowedBy)
 }
 
 // killCommand returns the command that stops an attempt of a task with a grace period of graceS seconds.
@@ -125,6 +131,7 @@
 func (s *Scheduler) issueRunCommand(alloc *allocation, path deliveryPath) api.Command {
 	alloc.runSent, alloc.incarnation = true, alloc.machine.Incarnation
 	alloc.starts.add(path, alloc.machine.Seq)
+	alloc.startToken = s.token(alloc.machine)
 	s.logCommand(api.CommandRun, alloc.machine, alloc.attemptID(), path, "allocation on record")
 	return api.Command{Verb: api.CommandRun, Task: alloc.key, Attempt: alloc.attempt}
 }
@@ -152,7 +159,7 @@
 // flight to the worker. s.mu must be held.
 func (s *Scheduler) sendDirectly(machine *machineState, commands []api.Command) {
 	machine.commandInFlight = true
-	s.sender.SendCommands(machine.Name, machine.Address, api.HeartbeatResponse{Term: s.term, Incarnation: machine.Incarnation, Commands: commands})
+	s.sender.SendCommands(machine.Name, machine.Address, api.HeartbeatResponse{Term: s.token(machine), Incarnation: machine.Incarnation, Commands: commands})
 }
 
 // ConnectionRefused records that a machine refused the connection over which a command was to be sent.
@@ -185,10 +192,15 @@
 	s.noteCommandOutcome(machine, heartbeat, settled)
 	// A machine that has sent no heartbeat in this term has a full lease to find this leader. Only a heartbeat that it
 	// sends itself marks it as up.
-	if heartbeat != nil && machine.Up && heartbeat.Machine == name && heartbeat.Term <= s.term && machine.Newer(heartbeat) {
+	if heartbeat != nil && machine.Up && heartbeat.Machine == name && !s.FromLaterTerm(heartbeat.Term) && machine.Newer(heartbeat) {
 		s.reconcile(machine, heartbeat, byCommandResponse)
 	}
 	resend := machine.resendCommands
+	if heartbeat != nil && sent.Term < s.token(machine) && sent.Term < heartbeat.Term {
+		// The worker got a raised token first and executed nothing.
+		s.releaseStats.commandsFenced++
+		resend = true
+	}
 	machine.resendCommands = false
 	if resend && (settled || heartbeat != nil) {
 		s.pushCommands(machine)
--- a/scheduler/harness_test.go
+++ b/scheduler/harness_test.go
@@ -67,6 +67,7 @@
 	fakes := harnessCollaborators{h}
 	collaborators := Collaborators{Records: fakes, Sender: fakes, Leadership: fakes, Zones: fakes, TerminalStates: fakes}
 	h.Scheduler = New(term, h.clock, memberSettings, policy.Default(), testTypes, collaborators)
+	h.SetFencing(FencingOn)
 	if h.topologyMap != nil {
 		h.UseTopology(h.topologyMap)
 	}
@@ -108,6 +109,10 @@
 	c.harness.committer.SetRevision(key, revision)
 }
 
+func (c harnessCollaborators) CommittedRevision() uint64 {
+	return c.harness.committer.CommittedRevision()
+}
+
 func (c harnessCollaborators) Delay() time.Duration { return c.harness.committer.Delay() }
 
 func (c harnessCollaborators) SendCommands(machine, _ string, response api.HeartbeatResponse) {
--- a/scheduler/machine.go
+++ b/scheduler/machine.go
@@ -30,6 +30,8 @@
 	// commandInFlight is true while a direct command awaits its answer; resendCommands is true if commands must be sent
 	// again after it.
 	commandInFlight, resendCommands bool
+	// raisedToken is the fencing token that was issued to the machine instead of the term; 0 if none was.
+	raisedToken uint64
 	// relayPeer is the peer that relays the machine's heartbeats; empty if they arrive directly.
 	relayPeer string
 	// relayedCommands are the machine's commands in the mailbox for relayPeer; nil if there are none.
--- a/scheduler/pending_starts.go
+++ b/scheduler/pending_starts.go
@@ -65,6 +65,9 @@
 	incarnation uint64
 	// starts tracks the run commands that may still start the attempt.
 	starts pendingStarts
+	// startToken is the highest fencing token under which a run command was sent by this leader, or may have been sent
+	// for an attempt that it adopted; 0 if none was.
+	startToken uint64
 	// reported is set once a heartbeat listed the attempt.
 	reported bool
 	// stopping is set once the scheduler has decided to stop the task.
@@ -135,14 +138,19 @@
 	// starts tracks the run commands that may still arrive. They do not start the attempt again only because the worker
 	// still remembers it.
 	starts pendingStarts
+	// startToken is the highest fencing token under which a run command may have been sent. A copy of such a command, even
+	// of one that was answered, starts the attempt again once the worker has forgotten it, unless the worker has seen a
+	// higher token.
+	startToken uint64
 	// incarnation is the incarnation of the worker that reported the exit.
 	incarnation uint64
 	// stored is true once the end of the attempt is stored, or if it need not be.
 	stored bool
 }
 
-// mayClear reports whether the clear command for the attempt, after which the worker forgets it, may be sent. Clearing
-// an attempt while a start for it was in transit made a task run on two machines (docs/incidents/task-ran-twice.md).
+// mayClear reports whether the clear command for the attempt, after which the worker forgets it, may be sent to a worker
+// that fences off copies of its starts (fencedBy). Clearing an attempt while a start for it was in transit made a task run
+// on two machines (docs/incidents/task-ran-twice.md).
 func (e *exitedAttempt) mayClear() bool {
 	return e.stored && e.starts.isEmpty()
 }
--- a/scheduler/reconcile.go
+++ b/scheduler/reconcile.go
@@ -30,13 +30,13 @@
 }
 
 // HandleHeartbeat handles a worker's heartbeat and returns the response to it. via is the peer that forwarded the
-// heartbeat, or empty if the worker sent it to this controller. deposed means that the worker has seen a higher term
-// than this one; refused means that the machine was released to the cloud. In both cases the response must not be sent.
+// heartbeat, or empty if the worker sent it to this controller. deposed means that the worker has seen the token of a
+// later leader; refused means that the machine was released to the cloud. In both cases the response must not be sent.
 func (s *Scheduler) HandleHeartbeat(heartbeat *api.Heartbeat, via string) (response api.HeartbeatResponse, deposed, refused bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	response = api.HeartbeatResponse{Term: s.term, Commands: []api.Command{}}
-	if heartbeat.Term > s.term {
+	if s.FromLaterTerm(heartbeat.Term) {
 		// The worker would drop a response of this term, because it obeys only the highest fencing token it has seen.
 		return response, true, false
 	}
@@ -46,6 +46,7 @@
 		return response, false, true
 	}
 	machine := s.getOrAddMachine(heartbeat.Machine)
+	response.Term = max(heartbeat.Term, s.token(machine))
 	if !s.acceptHeartbeat(machine, heartbeat, via, false) {
 		// A late copy proves nothing. If a worker waits for the response, the response renews the worker's lease and
 		// does nothing else.
@@ -59,6 +60,7 @@
 	}
 	s.reconcile(machine, heartbeat, byHeartbeat)
 	response.Commands = s.commands(machine, byHeartbeat)
+	response.Term = s.token(machine)
 	return response, false, false
 }
 
@@ -199,7 +201,7 @@
 // reconcileExited handles the exit of an allocation's attempt, which proves that it no longer runs. s.mu must be held.
 func (s *Scheduler) reconcileExited(machine *machineState, alloc *allocation, cause string) {
 	// The attempt may be cleared only once no start for it is in transit on any path.
-	exit := &exitedAttempt{starts: alloc.starts, incarnation: machine.Incarnation, stored: cause != api.CauseDone}
+	exit := &exitedAttempt{starts: alloc.starts, startToken: alloc.startToken, incarnation: machine.Incarnation, stored: cause != api.CauseDone}
 	machine.exited[alloc.attemptID()] = exit
 	if !exit.starts.isEmpty() {
 		s.releaseStats.exitsCrossed++
@@ -249,7 +251,7 @@
 // reconcileMissing handles an allocation whose attempt the newest heartbeat does not list (rules 3 and 4 of
 // docs/design.md). s.mu must be held.
 func (s *Scheduler) reconcileMissing(machine *machineState, alloc *allocation) {
-	result, proof := alloc.evaluateAbsence(workerState{seenTerm: machine.Term == s.term, incarnation: machine.Incarnation})
+	result, proof := alloc.evaluateAbsence(workerState{seenTerm: machine.Term >= s.term, incarnation: machine.Incarnation})
 	switch result {
 	case absenceProven:
 		s.releaseAndRequeue(alloc, proof)
@@ -269,7 +271,7 @@
 	known := ok && job != nil && task < job.taskCount
 	switch {
 	case report.State == api.TaskExited:
-		exit := &exitedAttempt{incarnation: machine.Incarnation, stored: !known || report.Cause != api.CauseDone}
+		exit := &exitedAttempt{startToken: s.unknownStartToken(machine, attempt), incarnation: machine.Incarnation, stored: !known || report.Cause != api.CauseDone}
 		machine.exited[attempt] = exit
 		if !exit.stored {
 			s.removeQueuedTask(job, task)
@@ -292,7 +294,7 @@
 	switch {
 	case alloc == nil && machine.allocations[report.Task] == nil:
 		s.adoptTask(machine, job, task, report)
-	case alloc != nil && machine.Term == s.term:
+	case alloc != nil && machine.Term >= s.term:
 		s.reportSecondAttempt(machine, report, alloc)
 	}
 }
@@ -312,7 +314,7 @@
 	slog.Info("adopting unknown task", "task", taskKey(job.id, task), "machine", machine.Name, "attempt", report.Attempt,
 		"incarnation", machine.Incarnation, "seq", machine.Seq, "term", s.term, "state", report.State)
 	alloc := s.allocate(job, task, machine, report.Attempt)
-	alloc.committed = true
+	alloc.committed, alloc.startToken = true, s.unknownStartToken(machine, alloc.attemptID())
 	s.reconcileActive(machine, alloc, report)
 	s.removeQueuedTask(job, task)
 	if job.FinalState != "" || job.completed.Has(task) {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -121,6 +121,8 @@
 
 	// Commands.
 
+	// fencing is whether the tokens of machines are raised.
+	fencing Fencing
 	// releaseStats counts released allocations by proof, and crossed messages.
 	releaseStats releaseStats
 	// commandsReady holds the machines whose commands can be sent because the records that they depend on are stored.
--- a/store/committer.go
+++ b/store/committer.go
@@ -149,6 +149,11 @@
 	return c.revisions[key]
 }
 
+// CommittedRevision returns the highest revision at which a transaction of this committer is known to be executed, 0
+// before the first. All of its transactions are conditional on the leader's key, so the terms of later leaders are
+// higher.
+func (c *Committer) CommittedRevision() uint64 { return c.hedged.CommittedRevision() }
+
 // Pending returns the number of records in the queue.
 func (c *Committer) Pending() int {
 	c.mu.Lock()
--- a/store/hedge.go
+++ b/store/hedge.go
@@ -6,6 +6,7 @@
 	"errors"
 	"reflect"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -24,6 +25,8 @@
 	writeLimiter *rate.Limiter
 	// resendLimiter limits the resent changes while little of writeLimiter's burst is left.
 	resendLimiter *rate.Limiter
+	// committedRevision is the highest revision in a positive answer to a transaction.
+	committedRevision atomic.Uint64
 }
 
 // NewHedgedClient returns a hedged client for a writer whose changes are limited by writeLimiter. writeRPS is the
@@ -64,6 +67,9 @@
 	responses := make(chan outcome, tuning.MaxHedgeAttempts)
 	send := func() {
 		revision, failedKeys, err := h.client.Transact(ctx, conditions, operations)
+		if err == nil {
+			h.observeCommitted(revision)
+		}
 		responses <- outcome{revision, failedKeys, err}
 	}
 	go send()
@@ -106,6 +112,21 @@
 	}
 }
 
+// CommittedRevision returns the highest revision that the state service has stated in a positive answer to a transaction
+// of this client, 0 before the first. Revisions that were only read do not count: another process may have written the
+// same values.
+func (h *HedgedClient) CommittedRevision() uint64 { return h.committedRevision.Load() }
+
+// observeCommitted records the revision of a committed transaction.
+func (h *HedgedClient) observeCommitted(revision uint64) {
+	for {
+		known := h.committedRevision.Load()
+		if revision <= known || h.committedRevision.CompareAndSwap(known, revision) {
+			return
+		}
+	}
+}
+
 // allowResend reports whether a transaction with the given number of changes may be resent and, if so, counts the
 // changes against the write limit. Resending is allowed if at least the share tuning.HedgeSpareShare of the write
 // limiter's burst is left afterwards, or if resendLimiter allows it. When only resendLimiter was used, large
