--- a/controller/heartbeats_test.go
+++ b/controller/heartbeats_test.go
@@ -83,3 +83,31 @@
 		t.Errorf("heartbeat of a worker that returned: %d %+v", status, body)
 	}
 }
+
+// While the leader is unreachable, and between two leaders, a follower answers a worker whose token the leader has raised
+// under that token, so that the lease is renewed.
+func TestFollowerRenewsLeaseUnderRaisedToken(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	state := fake.NewState(clock)
+	set := &settings.Settings{Member: "n1", Zone: "b", Peers: []settings.Peer{{Member: "n0", Zone: "a", Address: "127.0.0.1:1"}}}
+	set.Facts.Workers = settings.Workers{HeartbeatIntervalS: 1, LeaseS: 10, CancelDeadlineS: 40}
+	controller := New(context.Background(), set, policy.Default(), clock, state)
+	term := state.Put(store.LeaderKey, store.LeaderRecord{Member: "n0"})
+	if controller.elector.Campaign(context.Background()) {
+		t.Fatal("two leaders")
+	}
+	controller.leases.watermark.MarkCurrent(clock.Now())
+	raised := term + 5
+	heartbeat := &api.Heartbeat{Machine: "b1", Zone: "b", Incarnation: 2, Seq: 10, Term: raised}
+	clock.Advance(time.Second)
+	controller.health.recordResponse(false)
+	answers := map[string]answer{
+		"unreachable leader": controller.answerForUnreachableLeader(heartbeat, term, controller.workerProxy.HandleHeartbeat),
+		"no leader":          controller.answerWithoutLeader(heartbeat),
+	}
+	for when, got := range answers {
+		if response, ok := got.body.(api.HeartbeatResponse); !ok || got.status != http.StatusOK || response.Term != raised || len(response.Commands) != 0 {
+			t.Errorf("%s: %d %+v", when, got.status, got.body)
+		}
+	}
+}
--- a/internal/golden/records_test.go
+++ b/internal/golden/records_test.go
@@ -28,6 +28,7 @@
 		messageOf[relay.Message]("letter-message"),
 		messageOf[store.RelayedCommands]("mail"),
 		messageOf[upgrade.VersionRecord]("version-mark"),
+		messageOf[upgrade.TokenRecord]("token-support"),
 		messageOf[configuration.Head]("configuration-head"),
 		messageOf[configuration.Part]("configuration-part"),
 		messageOf[configuration.Revision]("configuration-revision"),
@@ -51,6 +52,7 @@
 		{store.AgentRelayKey("n1", 3), "sf/srelay/n1/3"},
 		{store.AgentResponseKey("n1", 3), "sf/smail/n1/3"},
 		{upgrade.RecordPrefix, "sf/version/"},
+		{upgrade.TokenRecordPrefix, "sf/tokens/"},
 		{configuration.HeadKey, "sf/config/head"},
 		{configuration.PartKey(41, 2), "sf/config/r/00000041/2"},
 	} {
--- a/reachability/link_test.go
+++ b/reachability/link_test.go
@@ -131,3 +131,15 @@
 	script.heartbeat(time.Second, "", 1, 200, 7)
 	script.wantState(Reachable) // the first unconfirmed heartbeat after the relayed ones
 }
+
+// The first heartbeat with a token that the leader has raised above its term confirms the link as one with the term's own
+// token does.
+func TestRaisedTokenConfirmsLink(t *testing.T) {
+	script := newScript(t)
+	script.heartbeat(0, "", 1, 5, 6)
+	script.wantState(Unconfirmed)
+	if _, confirmed := script.heartbeat(time.Second, "n1", 1, 8, 9); !confirmed {
+		t.Error("a heartbeat with a raised token does not confirm the link")
+	}
+	script.wantState(Reachable)
+}
--- a/relay/proxy/workers_test.go
+++ b/relay/proxy/workers_test.go
@@ -164,3 +164,24 @@
 		t.Errorf("commands derived from a later heartbeat are not delivered: %+v", response)
 	}
 }
+
+// Commands are delivered under the token that the worker had when they were derived, and not once it has a newer one,
+// which may be a later leader's.
+func TestCommandsAreNotDeliveredUnderANewerToken(t *testing.T) {
+	const raised, newer = 9, 12 // above the leader's term 7
+	workers := newWorkers()
+	sendHeartbeat := func(seq, token uint64) api.HeartbeatResponse {
+		return workers.HandleHeartbeat(&api.Heartbeat{Machine: "b1", Incarnation: 1, Seq: seq, Term: token}, 7)
+	}
+	sendHeartbeat(10, raised)
+	relayStart(t, workers, 50, 10)
+	if response := sendHeartbeat(11, raised); len(response.Commands) != 1 || response.Term != raised {
+		t.Errorf("under the token of the commands: %+v", response)
+	}
+	if response := sendHeartbeat(12, newer); len(response.Commands) != 0 || response.Term != newer {
+		t.Errorf("under a newer token: %+v", response)
+	}
+	if response := sendHeartbeat(13, newer); len(response.Commands) != 0 || response.Term != newer {
+		t.Errorf("under a newer token, the next heartbeat: %+v", response)
+	}
+}
--- a/scheduler/commands.go
+++ b/scheduler/commands.go
@@ -196,10 +196,9 @@
 		s.reconcile(machine, heartbeat, byCommandResponse)
 	}
 	resend := machine.resendCommands
-	if heartbeat != nil && sent.Term < s.token(machine) && sent.Term < heartbeat.Term {
-		// The worker got a raised token first and executed nothing.
+	if heartbeat != nil && sent.Term < heartbeat.Term {
+		// The worker got a raised token first and executed nothing. The response with that token had the commands as well.
 		s.releaseStats.commandsFenced++
-		resend = true
 	}
 	machine.resendCommands = false
 	if resend && (settled || heartbeat != nil) {
--- a/scheduler/repeated_command_test.go
+++ b/scheduler/repeated_command_test.go
@@ -43,6 +43,15 @@
 	}
 }
 
+// startUnrecorded executes a start command of this term on a1 that the leader does not know.
+func (s *repeatedCommandScenario) startUnrecorded() {
+	const unrecorded = 7
+	term := s.harness.term
+	start := api.HeartbeatResponse{Term: term, Incarnation: 1, Commands: []api.Command{{Verb: api.CommandRun, Task: repeatedJob + "/0", Attempt: term<<tuning.AttemptBits + unrecorded}}}
+	s.workers["a1"].ExecuteCommands(start)
+	s.starts = append(s.starts, sentCommands{"a1", start})
+}
+
 // stop makes the leader stop all tasks of the job.
 func (s *repeatedCommandScenario) stop(reason string) {
 	s.harness.mu.Lock()
@@ -152,20 +161,21 @@
 			s.runTime = 500 * time.Millisecond
 			s.start()
 		}},
-		{"adopted and failed", nil, func(s *repeatedCommandScenario) {
-			h := s.harness
-			const unrecorded = 7
-			start := api.HeartbeatResponse{Term: h.term, Incarnation: 1, Commands: []api.Command{{Verb: api.CommandRun, Task: repeatedJob + "/0", Attempt: h.term<<tuning.AttemptBits + unrecorded}}}
-			s.workers["a1"].ExecuteCommands(start)
-			s.starts = append(s.starts, sentCommands{"a1", start})
+		{"adopted and stopped", nil, func(s *repeatedCommandScenario) {
+			s.startUnrecorded()
 			s.heartbeat("a1")
-			if alloc := h.jobs[repeatedJob].allocations[0]; alloc == nil || alloc.attempt != h.term<<tuning.AttemptBits+unrecorded {
+			if alloc := s.harness.jobs[repeatedJob].allocations[0]; alloc == nil || alloc.attempt != s.starts[0].response.Commands[0].Attempt {
 				s.Fatalf("the attempt was not adopted: %+v", alloc)
 			}
 			s.place()
 			s.stop("moved")
 			s.deliverCommands()
 		}},
+		{"unknown and failed", nil, func(s *repeatedCommandScenario) {
+			s.failures["a1"] = api.CauseError
+			s.startUnrecorded()
+			delete(s.failures, "a1")
+		}},
 		{"stopped, and a new leader before the clear", nil, func(s *repeatedCommandScenario) {
 			s.start()
 			s.heartbeat("a1")
--- a/store/hedge_test.go
+++ b/store/hedge_test.go
@@ -50,3 +50,36 @@
 		})
 	}
 }
+
+// The revision of a transaction whose execution was only found out by reading does not count as committed: a later leader
+// may have written the same values at a revision above its own term.
+func TestOnlyAnsweredTransactionsCountAsCommitted(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	state := fake.NewState(clock)
+	hedged := NewHedgedClient(NewClient("state:1", state), clock, rate.NewLimiter(10, 10), 10)
+	late := state.DelayNextTransaction(true)
+	revisions := make(chan uint64)
+	go func() {
+		revision, _, err := hedged.Transact(t.Context(), []Condition{{Key: JobKey("run-1")}}, []Operation{{Set: JobKey("run-1"), Value: "a"}})
+		if err != nil {
+			t.Error(err)
+		}
+		revisions <- revision
+	}()
+	<-late.Received
+	if err := clock.BlockUntilContext(t.Context(), 1); err != nil {
+		t.Fatal(err)
+	}
+	clock.Advance(tuning.HedgeDelay)
+	if revision := <-revisions; revision == 0 || hedged.CommittedRevision() != 0 {
+		t.Errorf("revision %d was read, and %d counts as committed", revision, hedged.CommittedRevision())
+	}
+	late.Release()
+	second, _, err := hedged.Transact(t.Context(), []Condition{{Key: JobKey("run-2")}}, []Operation{{Set: JobKey("run-2"), Value: "b"}})
+	if err != nil || hedged.CommittedRevision() != second {
+		t.Errorf("revision %d was answered, and %d counts as committed: %v", second, hedged.CommittedRevision(), err)
+	}
+	if _, _, err := hedged.Transact(t.Context(), []Condition{{Key: JobKey("run-2")}}, []Operation{{Set: JobKey("run-2"), Value: "c"}}); !errors.Is(err, ErrConflict) || hedged.CommittedRevision() != second {
+		t.Errorf("after a conflict, %d counts as committed: %v", hedged.CommittedRevision(), err)
+	}
+}
