Experiments: one record writer that writes nothing

**Cause**: the experiments on locality and topology each had the same five methods, and a new one had to be added to both. **Change**: unwrittenRecords, with the queue of its owner.

--- a/experiment/locality.go
+++ b/experiment/locality.go
@@ -198,7 +198,7 @@
 	set.Facts.Workers = settings.Workers{HeartbeatIntervalS: 1, LeaseS: 10, CancelDeadlineS: 40}
 	set.Facts.Teams = []settings.Team{{Name: "team"}}
 	types := []api.MachineType{{Name: "m", CPUs: float64(l.Slots), MemoryGB: 64, CacheGB: 3, PullGBs: 1, BootS: 1, Zones: []string{"z"}}}
-	p.scheduler = scheduler.New(1, clockwork.NewRealClock(), set, policy.Default(), types, scheduler.Collaborators{Records: localityRecords{p},
+	p.scheduler = scheduler.New(1, clockwork.NewRealClock(), set, policy.Default(), types, scheduler.Collaborators{Records: unwrittenRecords{p.queueStored},
 		Sender: localityCommands{p}, Leadership: alwaysLeading{}, Zones: alwaysLeading{}, TerminalStates: noTerminalStates{}})
 	p.scheduler.SetFencing(scheduler.FencingOff)
 	p.scheduler.UseData(features.Data{On: true, Placement: mode, CacheGB: 1, LinkMBs: l.LinkRate / 1e6, StoreMBs: l.StoreRate / 1e6,
@@ -303,30 +303,13 @@
 	p.scheduler.HandleCommandOutcome(name, response, r, true)
 }
 
-// localityRecords is a record writer whose records count as stored after the next placement round.
-type localityRecords struct{ run *localityRun }
-
-// MarkDirty queues the callback to be called once the record counts as stored.
-func (r localityRecords) MarkDirty(_ string, _ int, stored func()) {
-	r.run.mu.Lock()
-	defer r.run.mu.Unlock()
-	r.run.onStored = append(r.run.onStored, stored)
-}
-
-// MarkDirtyWithin is MarkDirty; the time limit is ignored.
-func (r localityRecords) MarkDirtyWithin(key string, urgency int, _ time.Duration, stored func()) {
-	r.MarkDirty(key, urgency, stored)
+// queueStored keeps the callback of a record until the next placement round.
+func (p *localityRun) queueStored(stored func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.onStored = append(p.onStored, stored)
 }
 
-// CommittedRevision returns 0: nothing is written.
-func (localityRecords) CommittedRevision() uint64 { return 0 }
-
-// SetRevision does nothing.
-func (localityRecords) SetRevision(string, uint64) {}
-
-// Delay returns zero: the write rate is not limited.
-func (r localityRecords) Delay() time.Duration { return 0 }
-
 // localityCommands delivers commands to the simulated machines.
 type localityCommands struct{ run *localityRun }
 
--- a/experiment/topology_placers.go
+++ b/experiment/topology_placers.go
@@ -42,7 +42,7 @@
 	for _, c := range []float64{8, 16, 32} {
 		types = append(types, api.MachineType{Name: fmt.Sprintf("m%g", c), CPUs: c, MemoryGB: 1000, CacheGB: 100, PullGBs: 1, BootS: 30, Zones: []string{"z"}})
 	}
-	p.scheduler = scheduler.New(1, w.clock, set, policy.Default(), types, scheduler.Collaborators{Records: placerRecords{p},
+	p.scheduler = scheduler.New(1, w.clock, set, policy.Default(), types, scheduler.Collaborators{Records: unwrittenRecords{p.queueStored},
 		Sender: placerCommands{p}, Leadership: alwaysLeading{}, Zones: alwaysLeading{}, TerminalStates: noTerminalStates{}})
 	p.scheduler.SetFencing(scheduler.FencingOff)
 	if name == "topology" {
@@ -271,27 +271,8 @@
 	return true
 }
 
-// placerRecords is a record writer whose records count as stored when schedulerPlacer.runStoredCallbacks is called.
-type placerRecords struct{ placer *schedulerPlacer }
-
-// MarkDirty queues the callback to be called once the record counts as stored.
-func (r placerRecords) MarkDirty(_ string, _ int, stored func()) {
-	r.placer.onStored = append(r.placer.onStored, stored)
-}
-
-// MarkDirtyWithin is MarkDirty; the time limit is ignored.
-func (r placerRecords) MarkDirtyWithin(key string, urgency int, _ time.Duration, stored func()) {
-	r.MarkDirty(key, urgency, stored)
-}
-
-// CommittedRevision returns 0: nothing is written.
-func (placerRecords) CommittedRevision() uint64 { return 0 }
-
-// SetRevision does nothing.
-func (placerRecords) SetRevision(string, uint64) {}
-
-// Delay returns zero: the write rate is not limited.
-func (r placerRecords) Delay() time.Duration { return 0 }
+// queueStored keeps the callback of a record until runStoredCallbacks is called.
+func (p *schedulerPlacer) queueStored(stored func()) { p.onStored = append(p.onStored, stored) }
 
 // placerCommands queues commands until the end of the round.
 type placerCommands struct{ placer *schedulerPlacer }
