Test: a heartbeat that a direct answer has overtaken is answered under the raised token

**Cause**: a mutation that answers it under the term survived all tests; the worker would drop the response, and its lease would not be renewed by it. **Change**: the test, also for a copy of the heartbeat. **Measured result**: it passes, and fails with that mutation.

--- a/scheduler/fencing_test.go
+++ b/scheduler/fencing_test.go
@@ -127,6 +127,22 @@
 	}
 }
 
+// The response to a heartbeat that a direct answer has overtaken renews the lease, under the token that was raised.
+func TestOvertakenHeartbeatIsAnsweredUnderTheRaisedToken(t *testing.T) {
+	scenario := newFailedStart(t)
+	h, a1 := scenario.harness, scenario.workers["a1"]
+	scenario.heartbeat("a1")
+	overtaken := a1.NextHeartbeat()
+	sent := api.HeartbeatResponse{Term: scenario.workerToken(), Incarnation: 1}
+	answer, _ := a1.ExecuteCommands(sent)
+	h.HandleCommandOutcome("a1", sent, answer, true)
+	for range 2 { // The second time it is a copy.
+		if response, _, _ := h.HandleHeartbeat(overtaken, ""); response.Term != scenario.workerToken() || response.Term <= h.term {
+			t.Errorf("answered under %d, the worker has %d in term %d", response.Term, scenario.workerToken(), h.term)
+		}
+	}
+}
+
 // While it is not known whether all controllers accept raised tokens, nothing is cleared; if one does not, attempts are
 // cleared under the term's own token.
 func TestTokensAreRaisedOnlyIfAllControllersAcceptThem(t *testing.T) {
