--- a/scheduler/fencing_test.go
+++ b/scheduler/fencing_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"switchferry/api"
+	"switchferry/invariant"
 )
 
 // newFailedStart starts a task on a1 that fails at once, and delivers the direct commands and their answers.
@@ -182,3 +183,17 @@
 		t.Errorf("the next term %d is not above the committed revision %d", next, committed)
 	}
 }
+
+// A second attempt of a task is reported as an invariant violation, whether or not its machine's token was raised.
+func TestSecondAttemptIsReportedUnderARaisedToken(t *testing.T) {
+	h := newHarness(t)
+	h.submitAndStart(repeatedJob)
+	const second = 7
+	invariant.ResetViolations()
+	for _, token := range []uint64{h.term, h.committer.CommittedRevision()} {
+		h.heartbeatAt("b1", 1, h.nextSeq("b1"), token, taskReport(repeatedJob+"/0", second, api.TaskRunning, ""))
+		if violations := invariant.ResetViolations(); violations != 1 {
+			t.Errorf("token %d of term %d: %d violations, want 1", token, h.term, violations)
+		}
+	}
+}
