--- a/controller/fleet_loops.go
+++ b/controller/fleet_loops.go
@@ -24,12 +24,15 @@
 		t.scheduler.HandleCommandOutcome(name, response, nil, errors.Is(err, worker.ErrNotSent))
 		return
 	}
-	if t.scheduler.FromLaterTerm(heartbeat.Term) {
-		t.controller.resignIfDeposed(t.scheduler)
-	}
+	t.resignIfDeposedBy(heartbeat)
 	t.scheduler.HandleCommandOutcome(name, response, heartbeat, true)
 }
 
+// resignIfDeposedBy ends the term if a worker's token is that of a later leader, and reports whether it did.
+func (t *leaderTerm) resignIfDeposedBy(heartbeat *api.Heartbeat) bool {
+	return t.scheduler.FromLaterTerm(heartbeat.Term) && t.controller.resignIfDeposed(t.scheduler)
+}
+
 // resignIfDeposed ends the term after a worker has reported a higher one, and reports whether it did. While the
 // leader's key is certainly valid, no other controller can have been elected. A worker that reports a term that was
 // never issued must not end the leader's term.
--- a/scheduler/attempt_evidence.go
+++ b/scheduler/attempt_evidence.go
@@ -24,12 +24,12 @@
 func (s *Scheduler) LogReleases() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.releaseStats.log(s.term)
+	s.releaseStats.log(s.term, s.fencing)
 }
 
 // log writes the counts as one line.
-func (stats *releaseStats) log(term uint64) {
-	attributes := []any{"term", term, "exits_crossed", stats.exitsCrossed, "stops_crossed", stats.stopsCrossed, "absences_crossed", stats.absencesCrossed,
+func (stats *releaseStats) log(term uint64, fencing Fencing) {
+	attributes := []any{"term", term, "fencing", fencing, "exits_crossed", stats.exitsCrossed, "stops_crossed", stats.stopsCrossed, "absences_crossed", stats.absencesCrossed,
 		"tokens_raised", stats.tokensRaised, "commands_fenced", stats.commandsFenced}
 	for _, name := range slices.Sorted(maps.Keys(stats.proofs)) {
 		attributes = append(attributes, string(name), stats.proofs[name])
--- a/scheduler/fencing.go
+++ b/scheduler/fencing.go
@@ -30,6 +30,18 @@
 	s.fencing = max(s.fencing, fencing)
 }
 
+// Fencing returns whether tokens are raised.
+func (s *Scheduler) Fencing() Fencing {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fencing
+}
+
+// String returns the state's name for logs.
+func (f Fencing) String() string {
+	return [...]string{"undecided", "off", "on"}[f]
+}
+
 // FromLaterTerm reports whether a fencing token was issued by a later leader. Every transaction of this leader is
 // conditional on its key, so the revisions of the committed ones lie below the term of any later leader, and this leader
 // issues no higher tokens.
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -46,7 +46,7 @@
 		s.fleetLoggedAt = now
 		s.logDatasets()
 		s.logFleet()
-		s.releaseStats.log(s.term)
+		s.releaseStats.log(s.term, s.fencing)
 	}
 	maps.DeleteFunc(s.releasedAt, func(_ string, at time.Time) bool { return now.Sub(at) > releasedNameRetention })
 	return released
