--- a/controller/heartbeats.go
+++ b/controller/heartbeats.go
@@ -65,8 +65,8 @@
 }
 
 // answerWithoutLeader answers a heartbeat while no leader is known. For a limited time, the last leader's fencing token
-// still renews leases, or the worker's own if that is higher. A worker that was redirected instead might try controllers on the other side of a partition
-// until its lease expires.
+// still renews leases, or the worker's own if that is higher. A worker that was redirected instead might try controllers
+// on the other side of a partition until its lease expires.
 func (c *Controller) answerWithoutLeader(heartbeat *api.Heartbeat) answer {
 	lastTerm, since := c.elector.LeaderlessFor()
 	if lastTerm == 0 || since > tuning.LeaderlessGrace && c.health.healthy() {
--- a/internal/simulation/repeated_commands_test.go
+++ b/internal/simulation/repeated_commands_test.go
@@ -1,21 +1,11 @@
 package simulation
 
-import (
-	"testing"
-	"time"
-)
+import "testing"
 
-// Guards against ran_twice of incident repeated-start-after-clear: machines fail tasks, jobs are cancelled, and commands
-// arrive once more, with one leader or through its crashes.
+// Guards against ran_twice of incident repeated-start-after-clear, with one leader and through crashes.
 func TestRepeatedCommandsRunNoTaskTwice(t *testing.T) {
 	forEachSeed(t, 16, 2, func(t *testing.T, seed uint64) {
-		scenario := NewScenario(seed, 12)
-		scenario.Workers, scenario.CancelShare, scenario.TaskRunS, scenario.JobsPerSecond = workerTimings[seed%2], 0.3, 20, 1.5
-		scenario.SubmitFor = 100 * time.Second
-		scenario.Faults = []Fault{
-			{At: seconds(5), For: seconds(90), Kind: RepeatedCommands},
-			{At: seconds(15), For: seconds(80), Kind: FailingMachines, Count: 6},
-		}
+		scenario := failingMachinesScenario(seed, workerTimings[seed%2], 0.3, 1.5, Fault{At: seconds(5), For: seconds(90), Kind: RepeatedCommands})
 		if seed%4 >= 2 {
 			scenario.Faults = append(scenario.Faults,
 				Fault{At: seconds(40), For: seconds(0.5), Kind: ControllerCrash, Count: 1},
@@ -41,15 +31,9 @@
 // Commands arrive once more while workers' heartbeats are alternately forwarded and relayed.
 func TestRepeatedCommandsBesideAlternatingRelayBreakNoRule(t *testing.T) {
 	forEachSeed(t, 6, 1, func(t *testing.T, seed uint64) {
-		scenario := NewScenario(seed, 12)
-		scenario.Workers, scenario.CancelShare, scenario.TaskRunS, scenario.JobsPerSecond = workerTimings[0], 0.3, 20, 2
-		scenario.SubmitFor = 100 * time.Second
-		scenario.Faults = []Fault{
-			{At: seconds(5), For: seconds(95), Kind: RepeatedCommands},
-			{At: seconds(15), For: seconds(80), Kind: LeaderLinkFlapping},
-			{At: seconds(15), For: seconds(80), Kind: FailingMachines, Count: 6},
-			{At: seconds(20), For: seconds(60), Kind: DuplicateHeartbeats},
-		}
-		runScenario(t, scenario)
+		runScenario(t, failingMachinesScenario(seed, workerTimings[0], 0.3, 2,
+			Fault{At: seconds(5), For: seconds(95), Kind: RepeatedCommands},
+			Fault{At: seconds(15), For: seconds(80), Kind: LeaderLinkFlapping},
+			Fault{At: seconds(20), For: seconds(60), Kind: DuplicateHeartbeats}))
 	})
 }
--- a/internal/simulation/start_under_way_test.go
+++ b/internal/simulation/start_under_way_test.go
@@ -3,8 +3,19 @@
 import (
 	"testing"
 	"time"
+
+	"switchferry/settings"
 )
 
+// failingMachinesScenario returns a scenario in which half of the machines fail tasks beside the given faults.
+func failingMachinesScenario(seed uint64, workers settings.Workers, cancelShare, jobsPerSecond float64, faults ...Fault) *Scenario {
+	scenario := NewScenario(seed, 12)
+	scenario.Workers, scenario.CancelShare, scenario.TaskRunS, scenario.JobsPerSecond = workers, cancelShare, 20, jobsPerSecond
+	scenario.SubmitFor = 100 * time.Second
+	scenario.Faults = append(faults, Fault{At: seconds(15), For: seconds(80), Kind: FailingMachines, Count: 6})
+	return scenario
+}
+
 // A start command that is delivered twice must not run the task twice. Operators saw a task on two machines at once,
 // in a fleet of some 4,000 machines under faults. Here heartbeats and their responses are slow, direct commands are
 // fast, and machines fail tasks. A start command is sent both directly and in the response to a heartbeat; the
@@ -13,14 +24,7 @@
 // change of leader.
 func TestStartDeliveredTwiceRunsTaskOnce(t *testing.T) {
 	forEachSeed(t, 16, 2, func(t *testing.T, seed uint64) {
-		scenario := NewScenario(seed, 12)
-		scenario.Workers, scenario.CancelShare, scenario.TaskRunS, scenario.JobsPerSecond = workerTimings[seed%2], 0.1, 20, 1.5
-		scenario.SubmitFor = 100 * time.Second
-		scenario.Faults = []Fault{
-			{At: seconds(15), For: seconds(80), Kind: SlowHeartbeats},
-			{At: seconds(15), For: seconds(80), Kind: FailingMachines, Count: 6},
-		}
-		runScenario(t, scenario)
+		runScenario(t, failingMachinesScenario(seed, workerTimings[seed%2], 0.1, 1.5, Fault{At: seconds(15), For: seconds(80), Kind: SlowHeartbeats}))
 	})
 }
 
@@ -28,13 +32,6 @@
 // while machines fail tasks. No task may run twice.
 func TestAlternatingRelayRunsNoTaskTwice(t *testing.T) {
 	forEachSeed(t, 6, 1, func(t *testing.T, seed uint64) {
-		scenario := NewScenario(seed, 12)
-		scenario.Workers, scenario.CancelShare, scenario.TaskRunS, scenario.JobsPerSecond = workerTimings[0], 0.1, 20, 2
-		scenario.SubmitFor = 100 * time.Second
-		scenario.Faults = []Fault{
-			{At: seconds(15), For: seconds(80), Kind: LeaderLinkFlapping},
-			{At: seconds(15), For: seconds(80), Kind: FailingMachines, Count: 6},
-		}
-		runScenario(t, scenario)
+		runScenario(t, failingMachinesScenario(seed, workerTimings[0], 0.1, 2, Fault{At: seconds(15), For: seconds(80), Kind: LeaderLinkFlapping}))
 	})
 }
--- a/scheduler/command_relay.go
+++ b/scheduler/command_relay.go
@@ -28,8 +28,8 @@
 }
 
 // HandleRelayedHeartbeat handles a worker's heartbeat that arrived in a packet of the peer named member. Commands for
-// the worker are relayed through the same peer. Heartbeats with a later leader's token, of released machines, and copies are
-// ignored.
+// the worker are relayed through the same peer. Heartbeats with a later leader's token, of released machines, and copies
+// are ignored.
 func (s *Scheduler) HandleRelayedHeartbeat(member string, heartbeat *api.Heartbeat) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/scheduler/commands.go
+++ b/scheduler/commands.go
@@ -195,11 +195,11 @@
 	if heartbeat != nil && machine.Up && heartbeat.Machine == name && !s.FromLaterTerm(heartbeat.Term) && machine.Newer(heartbeat) {
 		s.reconcile(machine, heartbeat, byCommandResponse)
 	}
-	resend := machine.resendCommands
 	if heartbeat != nil && sent.Term < heartbeat.Term {
 		// The worker got a raised token first and executed nothing. The response with that token had the commands as well.
 		s.releaseStats.commandsFenced++
 	}
+	resend := machine.resendCommands
 	machine.resendCommands = false
 	if resend && (settled || heartbeat != nil) {
 		s.pushCommands(machine)
--- a/scheduler/fencing.go
+++ b/scheduler/fencing.go
@@ -82,8 +82,8 @@
 // must be held.
 func (s *Scheduler) awaitsRaisedToken(machine *machineState) bool {
 	token := s.token(machine)
-	for attempt, exit := range machine.exited {
-		if _, listed := machine.Attempts[attempt]; listed && exit.mayClear() && !exit.fencedBy(token) {
+	for _, exit := range machine.exited {
+		if exit.mayClear() && !exit.fencedBy(token) {
 			return true
 		}
 	}
