Simulation: the faults of a scenario of failing machines in a slice of their own

**Cause**: the linter found that appends to its caller's slice; its run of the checks was red for that. **Change**: slices.Concat. **Measured result**: the linter is clean; the six simulation tests pass.

--- a/internal/simulation/start_under_way_test.go
+++ b/internal/simulation/start_under_way_test.go
@@ -1,6 +1,7 @@
 package simulation
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -12,7 +13,7 @@
 	scenario := NewScenario(seed, 12)
 	scenario.Workers, scenario.CancelShare, scenario.TaskRunS, scenario.JobsPerSecond = workers, cancelShare, 20, jobsPerSecond
 	scenario.SubmitFor = 100 * time.Second
-	scenario.Faults = append(faults, Fault{At: seconds(15), For: seconds(80), Kind: FailingMachines, Count: 6})
+	scenario.Faults = slices.Concat(faults, []Fault{{At: seconds(15), For: seconds(80), Kind: FailingMachines, Count: 6}})
 	return scenario
 }
 
