--- a/review/testdata/rig2/held_start.go
+++ b/review/testdata/rig2/held_start.go
@@ -21,9 +21,10 @@
 		return nil, err
 	}
 	leader := r.leader()
-	target := r.workers[0]
+	machines := r.machines()
+	target := machines[0]
 	if target.Zone == leader.Settings.Zone {
-		target = r.workers[1]
+		target = machines[1]
 	}
 	// A first service with a replica on both machines shows that they serve, and leaves the leader's connections to them open.
 	if err := r.submit(leader, service("run-000001", 2)); err != nil {
@@ -37,7 +38,7 @@
 		return nil, notRun("the leader has changed")
 	}
 	if r.trouble {
-		target.proxy.interrupt()
+		target.interrupt(leader.Settings.Member)
 		r.record.add("TROUBLE: the path between the hosts of %s and %s is interrupted", leader.Settings.Member, target.Name)
 	}
 	// The machine's next report is most of an interval away, so that only the direct command can start the task.
@@ -67,14 +68,14 @@
 	r.sleep(time.Until(told.Add(cancelS + 2*time.Second)))
 	if r.trouble {
 		r.record.add("TROUBLE: the path is restored, %.1f s after the user was told", time.Since(told).Seconds())
-		if err := target.proxy.heal(); err != nil {
+		if err := target.heal(); err != nil {
 			return nil, notRun("%v", err)
 		}
 	}
 	r.sleep(2 * time.Second)
 	endOutage()
 	r.sleep(3 * time.Second)
-	for _, m := range r.workers {
+	for _, m := range r.machines() {
 		for _, on := range m.spansOf(task) {
 			switch from, to := on.from.Sub(told), on.to.Sub(told); {
 			case from > cancelS:
@@ -118,7 +119,7 @@
 
 // running returns the number of tasks that run on all machines.
 func (r *rig) running() (n int) {
-	for _, m := range r.workers {
+	for _, m := range r.machines() {
 		_, _, _, running := m.Status()
 		n += running
 	}
--- a/review/testdata/rig2/rig.go
+++ b/review/testdata/rig2/rig.go
@@ -15,6 +15,7 @@
 	"io"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -125,6 +126,8 @@
 	http    *http.Client
 	site    deployment
 	cluster *cluster.Cluster
+	// mu guards workers.
+	mu      sync.Mutex
 	workers []*machine
 	// refused counts the reports that were answered with 400.
 	refused atomic.Int64
@@ -165,7 +168,7 @@
 			Resources: settings.Resources{CPU: 0.12, RAMMB: 98, MaxSockets: 900},
 		},
 		controllers: []string{"dar-pwani", "dar-pwani", "dar-pwani"},
-		machineType: api.MachineType{Name: "kubwa", CPUs: 32, MemoryGB: 256, CacheGB: 60, PullGBs: 0.6, Price: 2.64, SpotPrice: 0.66, BootS: 30, Zones: []string{"dar-pwani"}},
+		machineType: api.MachineType{Name: "kubwa", CPUs: 32, MemoryGB: 256, CacheGB: 40, PullGBs: 0.8, Price: 2.64, SpotPrice: 0.66, BootS: 30, Zones: []string{"dar-pwani"}},
 	}
 }
 
@@ -182,6 +185,7 @@
 		return notRun("%v", err)
 	}
 	r.cluster = c
+	c.Cloud.OnReturned = r.machineReturned
 	for _, controller := range c.Controllers {
 		if err := controller.Start(r.program); err != nil {
 			return notRun("%v", err)
@@ -197,8 +201,13 @@
 			}
 		}
 	}
+	ended := ""
 	ready := func() bool {
 		for _, controller := range c.Controllers {
+			if controller.EndedByItself() {
+				ended = controller.Settings.Member
+				return true
+			}
 			if status, _, err := c.Call(r.ctx, controller, http.MethodGet, "/ready", nil); err != nil || status != http.StatusOK {
 				return false
 			}
@@ -208,14 +217,35 @@
 	if err := c.WaitUntil(20*time.Second, ready); err != nil {
 		return notRun("the controllers are not ready: %v", err)
 	}
+	if ended != "" {
+		return notRun("controller %s ended by itself; another process may have its ports", ended)
+	}
 	r.record.add("the controllers are ready; leader %s", c.Leader().Settings.Member)
 	return nil
 }
 
+// machineReturned ends a machine that a controller returned to the cloud: with the answer it is gone, and all on it.
+func (r *rig) machineReturned(host fake.Host) {
+	for _, m := range r.machines() {
+		if m.Name == host.Name {
+			r.record.add("%s is returned to the cloud and gone", m.Name)
+			m.stop()
+			m.Restart()
+		}
+	}
+}
+
+// machines returns the machines that the rig has started.
+func (r *rig) machines() []*machine {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.workers)
+}
+
 // close ends everything that the rig started.
 func (r *rig) close() {
-	for _, worker := range r.workers {
-		worker.stop()
+	for _, m := range r.machines() {
+		m.stop()
 	}
 	if r.cluster != nil {
 		r.cluster.Close()
@@ -350,10 +380,36 @@
 	stop  func()
 
 	mu sync.Mutex
+	// cutFrom is the controller whose host the machine's reports do not reach, empty for none.
+	cutFrom string
 	// starts and ends hold when each task started and ended here.
 	starts, ends map[string][]time.Time
 }
 
+// interrupt begins an interruption of the path between the machine and the host of a controller, in both directions.
+func (m *machine) interrupt(controller string) {
+	m.mu.Lock()
+	m.cutFrom = controller
+	m.mu.Unlock()
+	m.proxy.interrupt()
+}
+
+// heal ends the interruption.
+func (m *machine) heal() error {
+	m.mu.Lock()
+	m.cutFrom = ""
+	m.mu.Unlock()
+	return m.proxy.heal()
+}
+
+// cutOff reports whether the machine's reports do not reach a controller. A report that is held longer than its worker
+// waits would be a late copy, which this stand-in does not deliver.
+func (m *machine) cutOff(controller string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.cutFrom == controller
+}
+
 // span is the time for which a task was on a machine. It ends in the future if the task is still there.
 type span struct{ from, to time.Time }
 
@@ -404,6 +460,10 @@
 	m.Worker = fake.NewWorker(fake.WorkerOptions{
 		Host: host, Clock: clockwork.NewRealClock(), Controllers: members,
 		Post: func(ctx context.Context, controller string, heartbeat *api.Heartbeat) (int, any) {
+			if m.cutOff(controller) {
+				<-ctx.Done()
+				return 0, nil
+			}
 			return r.post(ctx, byName[controller], heartbeat)
 		},
 		HeartbeatInterval: time.Duration(facts.HeartbeatIntervalS * float64(time.Second)), Lease: time.Duration(facts.LeaseS * float64(time.Second)),
@@ -421,9 +481,11 @@
 			r.record.add("%s: task %s ends, done %v", host.Name, task, done)
 		},
 	})
+	r.mu.Lock()
+	r.workers = append(r.workers, m)
+	r.mu.Unlock()
 	close(ready)
 	go m.Run(ctx)
-	r.workers = append(r.workers, m)
 	return nil
 }
 
