--- a/scheduler/commands.go
+++ b/scheduler/commands.go
@@ -29,6 +29,9 @@
 	}
 	if !alloc.starts.isEmpty() {
 		s.releaseStats.stopsCrossed++
+		slog.Info("stopping task whose start may still be executed", "task", alloc.key, "attempt", alloc.attempt, "machine", alloc.machine.Name,
+			"incarnation", alloc.incarnation, "unanswered_starts", alloc.starts.direct, "start_in_response_to", alloc.starts.responseSeq,
+			"start_relayed_up_to", alloc.starts.relayedSeq, "start_token", alloc.startToken, "committed", s.records.CommittedRevision())
 	}
 	s.pushCommands(alloc.machine)
 }
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -28,14 +28,15 @@
 	now := s.now()
 	s.tick(now)
 	if !s.loaded || !s.leadership.Leading() {
+		s.logKeptCancellations(now)
 		return nil
 	}
 	s.detectPartitions(now)
 	released := s.releaseFailedMachines(now)
 	s.stopOverLimit()
-	for _, machine := range s.overdueCancellations(now) {
-		if !machine.releasing {
-			released = append(released, machine.markReleasing("holds a cancelled task"))
+	for _, alloc := range s.overdueCancellations(now) {
+		if !alloc.machine.releasing {
+			released = append(released, alloc.machine.markReleasing("holds a cancelled task"))
 		}
 	}
 	released = append(released, s.releaseIdleMachine(now)...)
--- a/scheduler/lifecycle.go
+++ b/scheduler/lifecycle.go
@@ -114,27 +114,41 @@
 	}))
 }
 
-// overdueCancellations returns the machines, one entry for each task, that must be released to the cloud so that no
-// task of a cancelled job runs longer than cancel_s after the cancellation: they were sent the command to stop the task
-// and have not confirmed that it has ended. A machine that responds to commands is not released for an allocation that
+// overdueCancellations returns the allocations of cancelled jobs whose machines must be released to the cloud so that no
+// task of a cancelled job runs longer than cancel_s after the cancellation: the machines were sent the command to stop
+// the task and have not confirmed that it has ended. A machine that responds to commands is not released for an allocation that
 // this leader made or restored within that time. tuning.CancelReleaseMargin covers the cloud's response time. s.mu must
 // be held.
-func (s *Scheduler) overdueCancellations(now time.Time) []*machineState {
+func (s *Scheduler) overdueCancellations(now time.Time) []*allocation {
 	limit := settings.Seconds(s.settings.Facts.Workers.CancelDeadlineS) - tuning.CancelReleaseMargin
-	var overdue []*machineState
+	var overdue []*allocation
 	for _, job := range s.jobOrder {
 		if job.FinalState != api.Cancelled || len(job.allocations) == 0 || now.Sub(job.terminalAt) < limit {
 			continue
 		}
 		for _, alloc := range job.allocations {
 			if now.Sub(alloc.allocatedAt) >= limit || !s.respondsToCommands(alloc.machine, now) {
-				overdue = append(overdue, alloc.machine)
+				overdue = append(overdue, alloc)
 			}
 		}
 	}
 	return overdue
 }
 
+// logKeptCancellations logs, once for each attempt, that a task of a cancelled job is not proved gone in time and that
+// its machine cannot be released, because this controller is not certain to lead. s.mu must be held.
+func (s *Scheduler) logKeptCancellations(now time.Time) {
+	for _, alloc := range s.overdueCancellations(now) {
+		if alloc.overdueLogged {
+			continue
+		}
+		alloc.overdueLogged = true
+		slog.Warn("cancelled task not proved gone, its machine cannot be released without the leader's key", "task", alloc.key, "attempt", alloc.attempt,
+			"machine", alloc.machine.Name, "cancelled_ago", now.Sub(alloc.job.terminalAt).Round(time.Millisecond), "reported", alloc.reported,
+			"unanswered_starts", alloc.starts.direct, "start_token", alloc.startToken, "machine_token", alloc.machine.Term)
+	}
+}
+
 // respondsToCommands reports whether a machine sends heartbeats and receives responses, so that a command stops a task
 // on it sooner than releasing the machine would. s.mu must be held.
 func (s *Scheduler) respondsToCommands(machine *machineState, now time.Time) bool {
