A raised token ends a held start of a stopped task

A user was told that a job is cancelled, and its task started 42 s later, with a cancel_s of 40 s: ran_cancelled. A direct start without an answer stayed open for the term, and its machine still had the token and the session under which it went out. The only remedy was the release of the machine, 6 s before cancel_s, which needs the leader's key and the cloud. Once the machine's newest heartbeat shows a token above that of every start, the starts are settled and the allocation is released by the usual proofs. That needs heartbeats and their responses alone: a machine that gets no response ends its lease by itself. Only attempts that are to be stopped are settled so, since no newer start of them can be counted by mistake. `start without an answer fenced off` (info) and `starts_fenced` in `attempts released`.

--- a/scheduler/attempt_evidence.go
+++ b/scheduler/attempt_evidence.go
@@ -18,6 +18,8 @@
 	// tokensRaised counts raised fencing tokens, and commandsFenced direct commands that a worker refused because its
 	// token had been raised since they were sent.
 	tokensRaised, commandsFenced int
+	// startsFenced counts direct starts without an answer that a raised fencing token has ended.
+	startsFenced int
 }
 
 // LogReleases logs how many allocations were released in this term by each proof, and how often messages crossed.
@@ -30,7 +32,7 @@
 // log writes the counts as one line.
 func (stats *releaseStats) log(term uint64, fencing Fencing) {
 	attributes := []any{"term", term, "fencing", fencing, "exits_crossed", stats.exitsCrossed, "stops_crossed", stats.stopsCrossed, "absences_crossed", stats.absencesCrossed,
-		"tokens_raised", stats.tokensRaised, "commands_fenced", stats.commandsFenced}
+		"tokens_raised", stats.tokensRaised, "commands_fenced", stats.commandsFenced, "starts_fenced", stats.startsFenced}
 	for _, name := range slices.Sorted(maps.Keys(stats.proofs)) {
 		attributes = append(attributes, string(name), stats.proofs[name])
 	}
--- a/scheduler/fencing.go
+++ b/scheduler/fencing.go
@@ -65,8 +65,9 @@
 }
 
 // raiseToken raises a machine's token to the newest revision that this leader has committed, if an attempt can be
-// cleared only then. From the moment at which the machine gets the token, it refuses every command that was sent to it
-// before. s.mu must be held.
+// proved gone or cleared only then. From the moment at which the machine gets the token, it refuses every command that
+// was sent to it before. The committed revision is known from earlier answers, so the state service need not be
+// reachable. s.mu must be held.
 func (s *Scheduler) raiseToken(machine *machineState) {
 	if s.fencing != FencingOn || !s.awaitsRaisedToken(machine) {
 		return
@@ -78,10 +79,15 @@
 	}
 }
 
-// awaitsRaisedToken reports whether an exited attempt of a machine may be cleared except for the machine's token. s.mu
-// must be held.
+// awaitsRaisedToken reports whether a higher token would end a start without an answer that must not be executed any
+// more, or allow an exited attempt to be cleared. s.mu must be held.
 func (s *Scheduler) awaitsRaisedToken(machine *machineState) bool {
 	token := s.token(machine)
+	for _, alloc := range machine.allocations {
+		if alloc.awaitsFencing() && !alloc.fencedBy(token) {
+			return true
+		}
+	}
 	for _, exit := range machine.exited {
 		if exit.mayClear() && !exit.fencedBy(token) {
 			return true
@@ -90,12 +96,35 @@
 	return false
 }
 
+// awaitsFencing reports whether the allocation's attempt is to be stopped, is not on its machine, and may still be
+// started there by a direct command without an answer. Scheduler.mu must be held.
+func (a *allocation) awaitsFencing() bool {
+	_, present := a.machine.Attempts[a.attemptID()]
+	return a.stopping && !present && a.starts.direct > 0
+}
+
+// settleFencedStarts settles the direct starts of an attempt that is to be stopped if the machine's newest heartbeat
+// shows a token above that of every start. The worker refuses these starts from then on, and the heartbeat lists the
+// attempt if one of them was executed before. Such an attempt is never started again, so no newer start is settled by
+// mistake. s.mu must be held.
+func (s *Scheduler) settleFencedStarts(alloc *allocation) {
+	if alloc.stopping && alloc.starts.direct > 0 && alloc.fencedBy(alloc.machine.Term) {
+		slog.Info("start without an answer fenced off", "task", alloc.key, "attempt", alloc.attempt, "machine", alloc.machine.Name,
+			"incarnation", alloc.machine.Incarnation, "seq", alloc.machine.Seq, "start_token", alloc.startToken, "machine_token", alloc.machine.Term)
+		s.releaseStats.startsFenced += alloc.starts.direct
+		alloc.starts.direct = 0
+	}
+}
+
 // clearable reports whether an exited attempt may be cleared by a command that the machine executes under the given
 // token. s.mu must be held.
 func (s *Scheduler) clearable(exit *exitedAttempt, token uint64) bool {
 	return exit.mayClear() && (s.fencing == FencingOff || exit.fencedBy(token))
 }
 
+// fencedBy reports whether every direct start of the attempt is refused by a worker that has seen the given token.
+func (a *attemptState) fencedBy(token uint64) bool { return token > a.startToken }
+
 // fencedBy reports whether every start of the attempt is refused by a worker that has seen the given token.
 func (e *exitedAttempt) fencedBy(token uint64) bool { return token > e.startToken }
 
--- /dev/null
+++ b/scheduler/held_start_test.go
@@ -0,0 +1,160 @@
+package scheduler
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"switchferry/api"
+	"switchferry/settings"
+)
+
+const heldTask = repeatedJob + "/0"
+
+// heldStartScenario plays a job whose direct start command is held up on its way to machine a1.
+type heldStartScenario struct {
+	*repeatedCommandScenario
+	held sentCommands
+	// cancelledAt is when the user was told that the job is cancelled.
+	cancelledAt time.Time
+}
+
+// newHeldStart sends the start of the job to a1 and lets the call end without an answer.
+func newHeldStart(t *testing.T) *heldStartScenario {
+	scenario := &heldStartScenario{repeatedCommandScenario: newRepeatedCommandScenario(t, nil)}
+	h := scenario.harness
+	scenario.place()
+	starts := h.starts(heldTask)
+	if len(starts) != 1 || starts[0].machine != "a1" {
+		t.Fatalf("starts sent: %+v, want one to a1", starts)
+	}
+	scenario.held = starts[0]
+	h.answeredCommands = len(h.sent)
+	h.HandleCommandOutcome("a1", scenario.held.response, nil, false)
+	return scenario
+}
+
+// cancel cancels the job, stores that and tells the user.
+func (s *heldStartScenario) cancel() {
+	s.Helper()
+	h := s.harness
+	h.Cancel(cancelledContext(), repeatedJob)
+	h.commit()
+	if state := h.status(repeatedJob); state != api.Cancelled {
+		s.Fatalf("the job is %q after its cancellation", state)
+	}
+	s.cancelledAt = h.clock.Now()
+}
+
+// cancelDeadline returns cancel_s.
+func (s *heldStartScenario) cancelDeadline() time.Duration {
+	return settings.Seconds(s.harness.settings.Facts.Workers.CancelDeadlineS)
+}
+
+// untilDeadlineHasPassed calls second once a second until more than cancel_s have passed since the cancellation.
+func (s *heldStartScenario) untilDeadlineHasPassed(second func()) {
+	for s.harness.clock.Since(s.cancelledAt) <= s.cancelDeadline()+time.Second {
+		s.harness.clock.Advance(time.Second)
+		second()
+	}
+}
+
+// deliverHeldStart delivers the start and fails the test if a1 executes it.
+func (s *heldStartScenario) deliverHeldStart() {
+	s.Helper()
+	heartbeat, executed := s.workers["a1"].ExecuteCommands(s.held.response)
+	if executed {
+		s.Errorf("the held start was executed %v after the cancellation, cancel_s is %v: %+v",
+			s.harness.clock.Since(s.cancelledAt), s.cancelDeadline(), heartbeat.Tasks)
+	}
+}
+
+// Guards against ran_cancelled of incident held-start-after-cancellation: the release of the machine was the only remedy
+// for a held start, and needs the state service and the cloud.
+func TestHeldStartOfCancelledTaskIsRefused(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// second plays one second after the cancellation.
+		second func(s *heldStartScenario)
+	}{
+		{"the state service is away", func(s *heldStartScenario) {
+			s.harness.leading = false
+			s.heartbeat("a1")
+			if released := s.harness.MaintainFleet(); len(released) > 0 {
+				s.Errorf("machines are released without the leader's key: %v", released)
+			}
+		}},
+		{"the cloud is away", func(s *heldStartScenario) {
+			s.heartbeat("a1")
+			s.harness.InstancesReleased(s.harness.MaintainFleet(), errors.New("the cloud is away"))
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			scenario := newHeldStart(t)
+			scenario.cancel()
+			scenario.untilDeadlineHasPassed(func() { test.second(scenario) })
+			scenario.deliverHeldStart()
+			if held := len(scenario.harness.machines["a1"].allocations); held > 0 {
+				t.Errorf("%d allocations are still held on a1", held)
+			}
+		})
+	}
+}
+
+// Any stop of a task ends its held start, so that the task runs elsewhere and counts towards no limit on the machine.
+func TestHeldStartOfStoppedTaskKeepsNoAllocation(t *testing.T) {
+	scenario := newHeldStart(t)
+	h := scenario.harness
+	scenario.join("b1")
+	scenario.cancelledAt = h.clock.Now()
+	h.machines["a1"].refusedUntil = h.clock.Now().Add(time.Hour)
+	scenario.stop("moved")
+	for range 3 {
+		h.clock.Advance(time.Second)
+		scenario.heartbeat("a1")
+		scenario.heartbeat("b1")
+		scenario.place()
+		scenario.deliverCommands()
+	}
+	if !scenario.running[heldTask]["b1"] {
+		t.Error("the task does not run on b1")
+	}
+	scenario.deliverHeldStart()
+	if twice := scenario.startedTwice(); len(twice) > 0 {
+		t.Errorf("tasks ran on two machines: %v", twice)
+	}
+}
+
+// A start that was executed before the machine got the raised token is reported, and is stopped like any other.
+func TestHeldStartBeforeTheRaiseIsStopped(t *testing.T) {
+	scenario := newHeldStart(t)
+	h, a1 := scenario.harness, scenario.workers["a1"]
+	scenario.cancel()
+	raised := a1.NextHeartbeat()
+	response, _, _ := h.HandleHeartbeat(raised, "")
+	if response.Term <= scenario.held.response.Term {
+		t.Fatalf("the response has token %d, want one above %d", response.Term, scenario.held.response.Term)
+	}
+	if _, executed := a1.ExecuteCommands(scenario.held.response); !executed {
+		t.Fatal("the start was refused before the raise")
+	}
+	a1.ApplyResponse(raised, h.clock.Now(), response)
+	scenario.heartbeat("a1")
+	if len(scenario.running[heldTask]) > 0 {
+		t.Errorf("the cancelled task runs on %v", scenario.running[heldTask])
+	}
+	scenario.roundsUntilForgotten()
+}
+
+// A heartbeat that was sent before the machine got the raised token proves nothing about the held start.
+func TestHeartbeatBeforeTheRaiseSettlesNoStart(t *testing.T) {
+	scenario := newHeldStart(t)
+	h, a1 := scenario.harness, scenario.workers["a1"]
+	scenario.cancel()
+	lost := a1.NextHeartbeat()
+	h.HandleHeartbeat(lost, "")
+	h.HandleHeartbeat(a1.NextHeartbeat(), "")
+	if len(h.machines["a1"].allocations) != 1 {
+		t.Error("the allocation was released although the machine has the token of the start")
+	}
+}
--- a/scheduler/pending_starts.go
+++ b/scheduler/pending_starts.go
@@ -6,8 +6,8 @@
 // (rule 4 of docs/design.md). It exists from the attempt's first start until its machine has cleared the attempt: in
 // the allocation, and after the attempt's exit in its exitedAttempt. The zero value means none. Scheduler.mu guards it.
 type pendingStarts struct {
-	// direct counts commands sent directly whose outcome is unknown. Each may still be executed at any time in this
-	// term.
+	// direct counts commands sent directly whose outcome is unknown. Each may still be executed at any time until the
+	// machine has a higher fencing token (settleFencedStarts) or a new incarnation.
 	direct int
 	// responseSeq is the sequence number of the newest heartbeat whose response contained a start, or 0.
 	responseSeq uint64
--- a/scheduler/reconcile.go
+++ b/scheduler/reconcile.go
@@ -119,6 +119,7 @@
 	// machine.
 	for _, alloc := range machine.allocations {
 		alloc.starts.observe(path, machine.Seq)
+		s.settleFencedStarts(alloc)
 	}
 	for _, exit := range machine.exited {
 		exit.starts.observe(path, machine.Seq)
