A raised token ends an unanswered start of an exited attempt, so that it is cleared

An attempt whose direct start was executed and never answered is not cleared after its exit for the rest of the term: the start counts as open, and only an answer settled it. Each such exit takes a place in its machine's heartbeats. **Change**: an exit whose only open start is a direct one makes the machine's token rise, and the heartbeat that shows the token settles the start; the clear follows under the rule as it was (mayClear is not changed).

--- a/scheduler/fencing.go
+++ b/scheduler/fencing.go
@@ -89,7 +89,7 @@
 		}
 	}
 	for _, exit := range machine.exited {
-		if exit.mayClear() && !exit.fencedBy(token) {
+		if exit.stored && exit.starts.emptyExceptDirect() && !exit.fencedBy(token) {
 			return true
 		}
 	}
@@ -103,17 +103,33 @@
 	return a.stopping && !present && a.starts.direct > 0
 }
 
-// settleFencedStarts settles the direct starts of an attempt that is to be stopped if the machine's newest heartbeat
-// shows a token above that of every start. The worker refuses these starts from then on, and the heartbeat lists the
-// attempt if one of them was executed before. Such an attempt is never started again, so no newer start is settled by
-// mistake. s.mu must be held.
-func (s *Scheduler) settleFencedStarts(alloc *allocation) {
-	if alloc.stopping && alloc.starts.direct > 0 && alloc.fencedBy(alloc.machine.Term) {
-		slog.Info("start without an answer fenced off", "task", alloc.key, "attempt", alloc.attempt, "machine", alloc.machine.Name,
-			"incarnation", alloc.machine.Incarnation, "seq", alloc.machine.Seq, "start_token", alloc.startToken, "machine_token", alloc.machine.Term)
-		s.releaseStats.startsFenced += alloc.starts.direct
-		alloc.starts.direct = 0
+// settleFencedStarts settles the direct starts of attempts that have exited or are to be stopped if the machine's newest
+// heartbeat shows a token above that of every start. The worker refuses these starts from then on, and the heartbeat
+// lists the attempt if one of them was executed before. Such an attempt is never started again, so no newer start is
+// settled by mistake. s.mu must be held.
+func (s *Scheduler) settleFencedStarts(machine *machineState) {
+	for task, alloc := range machine.allocations {
+		if alloc.stopping && alloc.fencedBy(machine.Term) {
+			s.settleDirectStarts(machine, task, &alloc.starts, alloc.startToken)
+		}
+	}
+	for attempt, exit := range machine.exited {
+		if exit.fencedBy(machine.Term) {
+			s.settleDirectStarts(machine, attempt.Task, &exit.starts, exit.startToken)
+		}
+	}
+}
+
+// settleDirectStarts settles the direct starts of a task that have no answer, and counts and logs them. s.mu must be
+// held.
+func (s *Scheduler) settleDirectStarts(machine *machineState, task string, starts *pendingStarts, startToken uint64) {
+	if starts.direct == 0 {
+		return
 	}
+	slog.Info("start without an answer fenced off", "task", task, "machine", machine.Name, "incarnation", machine.Incarnation,
+		"seq", machine.Seq, "starts", starts.direct, "start_token", startToken, "machine_token", machine.Term)
+	s.releaseStats.startsFenced += starts.direct
+	starts.direct = 0
 }
 
 // clearable reports whether an exited attempt may be cleared by a command that the machine executes under the given
--- a/scheduler/held_start_test.go
+++ b/scheduler/held_start_test.go
@@ -144,6 +144,7 @@
 		t.Errorf("the cancelled task runs on %v", scenario.running[heldTask])
 	}
 	scenario.roundsUntilForgotten()
+	scenario.deliverHeldStart()
 }
 
 // A heartbeat that was sent before the machine got the raised token proves nothing about the held start.
@@ -158,3 +159,21 @@
 		t.Error("the allocation was released although the machine has the token of the start")
 	}
 }
+
+// Guards against an exit that is never cleared, and so takes a place on its machine for the rest of the term: its start was
+// held up and executed, but never answered.
+func TestExitWithAnUnansweredStartIsCleared(t *testing.T) {
+	for _, change := range []func(*heldStartScenario){
+		(*heldStartScenario).cancel,
+		func(s *heldStartScenario) { s.runTime = 500 * time.Millisecond },
+	} {
+		scenario := newHeldStart(t)
+		scenario.cancelledAt = scenario.harness.clock.Now()
+		change(scenario)
+		if _, executed := scenario.workers["a1"].ExecuteCommands(scenario.held.response); !executed {
+			t.Fatal("the start was refused")
+		}
+		scenario.roundsUntilForgotten()
+		scenario.deliverHeldStart()
+	}
+}
--- a/scheduler/pending_starts.go
+++ b/scheduler/pending_starts.go
@@ -56,6 +56,9 @@
 // emptyExceptRelayed reports whether no start can arrive any more except through a relay.
 func (p *pendingStarts) emptyExceptRelayed() bool { return p.direct == 0 && p.responseSeq == 0 }
 
+// emptyExceptDirect reports whether no start can arrive any more except through a direct command.
+func (p *pendingStarts) emptyExceptDirect() bool { return p.responseSeq == 0 && p.relayedSeq == 0 }
+
 // attemptState is what this leader knows about an attempt that has not exited. Scheduler.mu guards it.
 type attemptState struct {
 	// runSent is set once a run command was sent by this leader, or may have been sent by an earlier one.
--- a/scheduler/reconcile.go
+++ b/scheduler/reconcile.go
@@ -119,11 +119,11 @@
 	// machine.
 	for _, alloc := range machine.allocations {
 		alloc.starts.observe(path, machine.Seq)
-		s.settleFencedStarts(alloc)
 	}
 	for _, exit := range machine.exited {
 		exit.starts.observe(path, machine.Seq)
 	}
+	s.settleFencedStarts(machine)
 	for _, alloc := range machine.allocations {
 		if report, ok := machine.Attempts[alloc.attemptID()]; ok {
 			s.reconcileActive(machine, alloc, report)
