The leader lets a lease end where no token can fence off a held start of a cancelled task

**Cause**: a raised token needs members that all accept one, and a committed revision above the token of the start. While a member of an older version may run, before the members are known, or when the answer to the cancellation's write is lost and an outage begins, there is none, and the release of the machine was the only remedy: it needs the state service and the cloud. **Change**: from cancel_s - lease_s - 1 s after a cancellation, the bound of rule 10, the leader answers a machine without a token while it has a direct start of the cancelled task that is not settled. The worker's lease then ends before cancel_s, and its next incarnation refuses the start. That is decided for the one machine, and for no longer than the start is open.

--- a/scheduler/fencing.go
+++ b/scheduler/fencing.go
@@ -2,9 +2,13 @@
 
 import (
 	"log/slog"
+	"time"
 
+	"switchferry/api"
 	"switchferry/fleet"
+	"switchferry/settings"
 	"switchferry/tuning"
+	"switchferry/watermark"
 )
 
 // Fencing says whether the fencing token of a machine is raised before the machine forgets an attempt (rule 4 of
@@ -132,6 +136,29 @@
 	starts.direct = 0
 }
 
+// leaseMustEnd reports whether a machine's lease must not be renewed any more, because only the end of the lease still
+// keeps the direct start of a cancelled task from being executed after cancel_s: the start has no answer, and the
+// machine has shown no token above it although the time within which a renewed lease ends before that is over. That
+// needs neither the state service nor the cloud, and ends all tasks on the machine. s.mu must be held.
+func (s *Scheduler) leaseMustEnd(machine *machineState) bool {
+	workers := s.settings.Facts.Workers
+	renewFor := watermark.NewLimits(settings.Seconds(workers.CancelDeadlineS), s.lease()).RenewFor
+	for task, alloc := range machine.allocations {
+		if alloc.job.FinalState != api.Cancelled || !alloc.awaitsFencing() || s.since(alloc.job.terminalAt) < renewFor {
+			continue
+		}
+		if !machine.leaseEndLogged {
+			machine.leaseEndLogged = true
+			slog.Warn("lease not renewed, a start of a cancelled task may still be executed", "machine", machine.Name, "incarnation", machine.Incarnation, "task", task,
+				"cancelled_ago", s.since(alloc.job.terminalAt).Round(time.Millisecond), "start_token", alloc.startToken, "machine_token", machine.Term,
+				"committed", s.records.CommittedRevision(), "fencing", s.fencing)
+		}
+		return true
+	}
+	machine.leaseEndLogged = false
+	return false
+}
+
 // clearable reports whether an exited attempt may be cleared by a command that the machine executes under the given
 // token. s.mu must be held.
 func (s *Scheduler) clearable(exit *exitedAttempt, token uint64) bool {
--- a/scheduler/held_start_test.go
+++ b/scheduler/held_start_test.go
@@ -177,3 +177,55 @@
 		scenario.deliverHeldStart()
 	}
 }
+
+// Guards against ran_cancelled of incident held-start-after-cancellation where no token can fence the start off: the lease
+// of the machine ends in time, and not sooner than it has to.
+func TestLeaseEndsBeforeAHeldStartOutlivesItsCancellation(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		fencing Fencing
+		// startUnderNewest is set if the start went out under the newest committed revision.
+		startUnderNewest bool
+	}{
+		{"a member of an older version may run", FencingOff, false},
+		{"the members are not known yet", FencingUndecided, false},
+		{"nothing was committed since the start", FencingOn, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			scenario := &heldStartScenario{repeatedCommandScenario: newRepeatedCommandScenario(t, nil)}
+			h, a1 := scenario.harness, scenario.workers["a1"]
+			h.fencing = test.fencing
+			h.Place()
+			h.commit()
+			if scenario.held = h.starts(heldTask)[0]; test.startUnderNewest {
+				scenario.held.response.Term = h.committer.CommittedRevision()
+				h.machines["a1"].raisedToken = scenario.held.response.Term
+				h.jobs[repeatedJob].allocations[0].startToken = scenario.held.response.Term
+			}
+			h.answeredCommands = len(h.sent)
+			h.HandleCommandOutcome("a1", scenario.held.response, nil, false)
+			h.leading = false
+			h.Cancel(cancelledContext(), repeatedJob)
+			scenario.cancelledAt = h.clock.Now()
+
+			lastRenewal := time.Duration(0)
+			scenario.untilDeadlineHasPassed(func() {
+				scenario.heartbeat("a1")
+				if _, answered, _, _ := a1.Status(); answered.Equal(h.clock.Now()) && a1.NextHeartbeat().Incarnation == 1 {
+					lastRenewal = h.clock.Since(scenario.cancelledAt)
+				}
+			})
+			if latest := scenario.cancelDeadline() - h.lease() - time.Second; lastRenewal > latest || lastRenewal < latest-2*time.Second {
+				t.Errorf("the lease was last renewed %v after the cancellation, want within 2 s before %v", lastRenewal, latest)
+			}
+			scenario.deliverHeldStart()
+			if held := len(h.machines["a1"].allocations); held > 0 {
+				t.Errorf("%d allocations are still held on a1", held)
+			}
+			scenario.heartbeat("a1")
+			if _, answered, _, _ := a1.Status(); !answered.Equal(h.clock.Now()) {
+				t.Error("the lease of the next incarnation is not renewed")
+			}
+		})
+	}
+}
--- a/scheduler/machine.go
+++ b/scheduler/machine.go
@@ -32,6 +32,8 @@
 	commandInFlight, resendCommands bool
 	// raisedToken is the fencing token that was issued to the machine instead of the term; 0 if none was.
 	raisedToken uint64
+	// leaseEndLogged is true once it was logged that the machine's lease is not renewed.
+	leaseEndLogged bool
 	// relayPeer is the peer that relays the machine's heartbeats; empty if they arrive directly.
 	relayPeer string
 	// relayedCommands are the machine's commands in the mailbox for relayPeer; nil if there are none.
--- a/scheduler/reconcile.go
+++ b/scheduler/reconcile.go
@@ -47,20 +47,25 @@
 	}
 	machine := s.getOrAddMachine(heartbeat.Machine)
 	response.Term = max(heartbeat.Term, s.token(machine))
-	if !s.acceptHeartbeat(machine, heartbeat, via, false) {
-		// A late copy proves nothing. If a worker waits for the response, the response renews the worker's lease and
-		// does nothing else.
-		return response, false, false
-	}
-	s.stopRelayingCommands(machine)
-	// A heartbeat that was overtaken by the response to a command is not a copy, but its task list is outdated. Until
-	// the records are loaded, nothing can be decided. In both cases the response only renews the lease.
-	if !machine.Newer(heartbeat) || !s.loaded {
-		return response, false, false
-	}
-	s.reconcile(machine, heartbeat, byHeartbeat)
-	response.Commands = s.commands(machine, byHeartbeat)
-	response.Term = s.token(machine)
+	// A late copy proves nothing. A heartbeat that was overtaken by the response to a command is not a copy, but its task
+	// list is outdated. Until the records are loaded, nothing can be decided. In all three cases the response only renews
+	// the lease, if a worker waits for it.
+	accepted := s.acceptHeartbeat(machine, heartbeat, via, false)
+	if accepted {
+		s.stopRelayingCommands(machine)
+	}
+	newest := accepted && machine.Newer(heartbeat) && s.loaded
+	if newest {
+		s.reconcile(machine, heartbeat, byHeartbeat)
+	}
+	switch {
+	case s.leaseMustEnd(machine):
+		// The worker drops a response without a token.
+		response.Term = 0
+	case newest:
+		response.Commands = s.commands(machine, byHeartbeat)
+		response.Term = s.token(machine)
+	}
 	return response, false, false
 }
 
