--- a/internal/simulation/faults.go
+++ b/internal/simulation/faults.go
@@ -45,6 +45,7 @@
 	DelayedCommands: func(s *activeFault) {
 		s.adjustWhileActive(func(by int) { s.withLock(func() { s.delayedCommandFaults += by }) })
 	},
+	HeldCommands: (*activeFault).holdCommands,
 	RepeatedCommands: func(s *activeFault) {
 		s.adjustWhileActive(func(by int) { s.withLock(func() { s.repeatedCommandFaults += by }) })
 	},
@@ -184,6 +185,32 @@
 	})
 }
 
+// holdCommands interrupts the path between the target and Count machines. Commands that the target sends meanwhile are
+// executed when the fault ends.
+func (active *activeFault) holdCommands() {
+	var links, inbound [][2]string
+	for _, machine := range active.pickHealthyMachines(active.Count) {
+		links = append(links, [2]string{active.targetName, machine.Name})
+		inbound = append(inbound, [2]string{machine.Name, active.targetName})
+	}
+	healed := make(chan struct{})
+	hold := func(change func(link [2]string)) {
+		active.withLock(func() {
+			for _, link := range links {
+				change(link)
+			}
+		})
+	}
+	hold(func(link [2]string) { active.heldPaths[link] = healed })
+	active.cutLinks(inbound)
+	hold(func(link [2]string) {
+		if active.heldPaths[link] == healed {
+			delete(active.heldPaths, link)
+		}
+	})
+	close(healed)
+}
+
 // loseControllerOutbound cuts the links from one controller to all machines.
 func (active *activeFault) loseControllerOutbound() {
 	var links [][2]string
--- a/internal/simulation/scenario.go
+++ b/internal/simulation/scenario.go
@@ -43,6 +43,9 @@
 	// DelayedCommands delays one request with commands in three, or the response to it, by up to
 	// maxDelayedCommandDelay.
 	DelayedCommands = "held"
+	// HeldCommands interrupts the path between the target and Count machines, and holds the commands that the target sends
+	// them until the fault ends. They are executed then. The reports of these machines do not reach the target.
+	HeldCommands = "held-path"
 	// RepeatedCommands executes one request with commands in three, after the worker has executed and answered it, once
 	// more, between minRepeatedCommandDelay and maxRepeatedCommandDelay later. Nobody receives the second answer.
 	RepeatedCommands = "repeated-commands"
--- a/internal/simulation/simulation.go
+++ b/internal/simulation/simulation.go
@@ -56,6 +56,9 @@
 	duplicatingHeartbeats bool
 	// lateWriteFaults, delayedCommandFaults and slowHeartbeatFaults count the active faults of these kinds.
 	lateWriteFaults, delayedCommandFaults, slowHeartbeatFaults int
+	// heldPaths holds, for each path from a controller to a machine that a HeldCommands fault interrupts, a channel that is
+	// closed when the fault ends.
+	heldPaths map[[2]string]chan struct{}
 	// repeatedCommandFaults counts the active RepeatedCommands faults; repeatRNG selects the requests that they affect.
 	repeatedCommandFaults int
 	repeatRNG             *rand.Rand
@@ -139,6 +142,7 @@
 		stateRefusals:   map[string]string{},
 		slowStateFaults: map[string]int{},
 		pausedProcesses: map[string]chan struct{}{},
+		heldPaths:       map[[2]string]chan struct{}{},
 		cancellations:   make(chan Fault),
 	}
 	sim.repeatRNG = sim.actorRNG("repeated commands")
--- a/internal/simulation/transport.go
+++ b/internal/simulation/transport.go
@@ -55,6 +55,9 @@
 	if resp, refused, err := t.stateRefusal(request, host); refused {
 		return resp, err
 	}
+	if healed := t.heldUntil(host); healed != nil {
+		return t.sendDelayed(request, transport, requestDelay{healed: healed})
+	}
 	if delay, delayed := t.delay(request, host, transport); delayed {
 		return t.sendDelayed(request, transport, delay)
 	}
@@ -140,9 +143,18 @@
 	return nil, false, nil
 }
 
-// requestDelay is the delay of a request: before it is executed, and between its execution and the response.
+// heldUntil returns a channel that is closed when a HeldCommands fault on the path to a host ends, nil without one.
+func (t *controllerTransport) heldUntil(host string) chan struct{} {
+	t.sim.mu.Lock()
+	defer t.sim.mu.Unlock()
+	return t.sim.heldPaths[[2]string{t.from, host}]
+}
+
+// requestDelay is the delay of a request: before it is executed, and between its execution and the response. If healed is
+// not nil, the request is executed only after it is closed.
 type requestDelay struct {
 	before, after time.Duration
+	healed        chan struct{}
 }
 
 // delay draws whether a request is delayed, and by how much. A delayed request is executed even if its caller has given
@@ -251,6 +263,9 @@
 	// The request may outlive its caller; Run waits for the longest such delay at its end.
 	go func() { //nolint:contextcheck // A delayed request is executed even if its caller has given up.
 		time.Sleep(delay.before)
+		if delay.healed != nil {
+			<-delay.healed
+		}
 		again := request.Clone(context.WithoutCancel(request.Context()))
 		again.Body = io.NopCloser(bytes.NewReader(body))
 		resp, err := transport.RoundTrip(again) //nolint:bodyclose // The caller closes it, as any answer of a transport.
