A controller that answers workers without the leader knows the token that fences off held starts of cancelled tasks

Where another controller answers it, does not reach the leader and learns of cancellations from the third controller, it renews the lease for as long as that goes on, under the token that the worker has; a held start of a cancelled task is then executed minutes later. In an outage no relay reaches the leader either. A worker that such a controller answers may also lack the term of a new leader (by reading). **Change**: the token travels with the knowledge for which the lease is renewed. Before anyone can be told of a cancellation, the leader records its newest committed revision as required (watermark.Tracker.RequireToken) if the job has a direct start without an answer and the revision is above its token; otherwise as soon as one is. A new leader records its term. Answers without the leader have at least this token. It is no later leader's: a leader counts its own committed revisions as its own, and they are below every later term. New tests of each part pass: TestCancellationOfAHeldStartRequiresAToken, TestRequiredTokenFollowsTheCancellation, TestSettledStartsRequireNoToken, TestRequiredTokenSpreadsWithStatements, TestWorkersGetTheRequiredTokenWithoutTheLeader.

--- a/controller/collaborators_helper_test.go
+++ b/controller/collaborators_helper_test.go
@@ -11,7 +11,7 @@
 // testCollaborators returns collaborators of a scheduler that write no records and send no commands.
 func testCollaborators(leading func() bool) scheduler.Collaborators {
 	return scheduler.Collaborators{Records: discardedRecords{}, Sender: discardedCommands{}, Leadership: leadershipFunc(leading),
-		Zones: reachableZones{}, TerminalStates: lookup.NewTerminalStates()}
+		Zones: reachableZones{}, TerminalStates: lookup.NewTerminalStates(), Fences: discardedFences{}}
 }
 
 // leadershipFunc implements the scheduler's leadership check with a function.
@@ -24,6 +24,11 @@
 
 func (reachableZones) ZoneUnreachable(string) bool { return false }
 
+// discardedFences tells no other controller of required tokens.
+type discardedFences struct{}
+
+func (discardedFences) RequireToken(uint64) {}
+
 // discardedRecords writes no records.
 type discardedRecords struct{}
 
--- a/controller/lease_renewal.go
+++ b/controller/lease_renewal.go
@@ -126,6 +126,14 @@
 	return response
 }
 
+// withoutLeader returns the response that a worker gets from this controller without the leader: with the fencing token
+// that is required of workers, if that is higher, and with the changes of enforceCancellations. The response must be one
+// to a heartbeat, so that no other response to the worker is in flight that a raised token would make it drop.
+func (l *leaseRenewal) withoutLeader(heartbeat *api.Heartbeat, response api.HeartbeatResponse) api.HeartbeatResponse {
+	response.Term = max(response.Term, l.watermark.RequiredToken())
+	return l.enforceCancellations(heartbeat, response)
+}
+
 // refuse returns the answer to a worker whose lease must not be renewed. If this controller is isolated, the worker has
 // returned after a redirect because it reached no other controller. A response without a fencing token, which renews no
 // lease, keeps it here, so that its heartbeats arrive as soon as the partition ends. If it were refused, it would try
--- a/controller/lease_renewal_test.go
+++ b/controller/lease_renewal_test.go
@@ -153,3 +153,31 @@
 		t.Errorf("token %d from a leader that knows all cancellations, want 7", response.Term)
 	}
 }
+
+// Guards against ran_cancelled of incident held-start-after-cancellation where the leader does not reach the controller that
+// answers the worker: a start of a cancelled task may be under way to the worker, which must refuse it.
+func TestWorkersGetTheRequiredTokenWithoutTheLeader(t *testing.T) {
+	const term, required = 7, 12
+	controller, clock := newIsolatedController()
+	controller.settings.Facts.Workers.CancelDeadlineS = 40
+	controller.leases.watermark = watermark.New(clock.Now(), []string{"n0", "n2"}, watermark.NewLimits(40*time.Second, 10*time.Second))
+	controller.leases.watermark.MarkCurrent(clock.Now())
+	token := func(seq, highest uint64) uint64 {
+		heartbeat := &api.Heartbeat{Machine: "b1", Zone: "b", Incarnation: 1, Seq: seq, Term: highest}
+		response, ok := controller.answerForUnreachableLeader(heartbeat, term, controller.workerProxy.HandleHeartbeat).body.(api.HeartbeatResponse)
+		if !ok {
+			t.Fatal("the lease is not renewed")
+		}
+		return response.Term
+	}
+	if got := token(1, term); got != term {
+		t.Errorf("token %d while none is required, want %d", got, term)
+	}
+	controller.leases.watermark.RequireToken(required)
+	if got := token(2, term); got != required {
+		t.Errorf("token %d, want the required one, %d", got, required)
+	}
+	if got := token(3, required+1); got != required+1 {
+		t.Errorf("token %d for a worker that has %d", got, required+1)
+	}
+}
--- a/controller/term.go
+++ b/controller/term.go
@@ -34,6 +34,7 @@
 	ctx, stop := context.WithCancel(c.ctx)
 	term := c.newLeaderTerm(ctx, number)
 	term.stop = stop
+	c.leases.watermark.RequireToken(number)
 	c.term.begin(term)
 	if len(c.versions.Older()) == 0 {
 		term.useCurrentFormat()
--- a/controller/term_collaborators.go
+++ b/controller/term_collaborators.go
@@ -18,6 +18,7 @@
 		Leadership:     termLeadership{term.controller.elector, number},
 		Zones:          term.controller.workers,
 		TerminalStates: term.controller.jobs.TerminalStates,
+		Fences:         term.controller.leases.watermark,
 	}
 }
 
--- a/internal/simulation/held_commands_test.go
+++ b/internal/simulation/held_commands_test.go
@@ -45,3 +45,11 @@
 		runScenario(t, heldCommandsScenario(seed, furtherFaults...))
 	})
 }
+
+// Guards against ran_cancelled of the same incident where the controller that answers the machines does not reach the
+// leader, and learns of cancellations from the third controller.
+func TestHeldStartsBehindAPairPartitionAreNotExecuted(t *testing.T) {
+	forEachSeed(t, 36, 6, func(t *testing.T, seed uint64) {
+		runScenario(t, heldCommandsScenario(seed, Fault{At: seconds(34), For: seconds(100), Kind: ControllerPairPartition, Follower: true}))
+	})
+}
--- a/peer/decode.go
+++ b/peer/decode.go
@@ -70,6 +70,7 @@
 		cancellations:      cancellations,
 		statementCurrent:   encoded.Knows(),
 		statementAge:       time.Duration(encoded.WordAgeMs()) * time.Millisecond,
+		requiredToken:      encoded.Fence(),
 	}, nil
 }
 
--- a/peer/encode.go
+++ b/peer/encode.go
@@ -48,6 +48,7 @@
 	wire.FrameAddKnows(builder, message.statementCurrent)
 	// The age is rounded up, so that the statement never claims to cover a later time than it does.
 	wire.FrameAddWordAgeMs(builder, clampedMilliseconds(message.statementAge+time.Millisecond-1))
+	wire.FrameAddFence(builder, message.requiredToken)
 	builder.FinishSizePrefixed(wire.FrameEnd(builder))
 	return builder.FinishedBytes()
 }
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -48,6 +48,7 @@
 	// statementCurrent is true if the statement covers all cancellations until statementAge ago.
 	statementCurrent bool
 	statementAge     time.Duration
+	requiredToken    uint64
 }
 
 // writeFrame writes a frame with a timeout of tuning.PeerTimeout. It holds writeMutex while it writes, so that
--- a/peer/hello.go
+++ b/peer/hello.go
@@ -63,6 +63,7 @@
 	message.cancellations = statement.Cancellations
 	message.statementCurrent = statement.Current
 	message.statementAge = statement.Age
+	message.requiredToken = statement.RequiredToken
 }
 
 // statement returns the watermark statement of a hello.
@@ -75,6 +76,7 @@
 		Cancellations: message.cancellations,
 		Current:       message.statementCurrent,
 		Age:           message.statementAge,
+		RequiredToken: message.requiredToken,
 	}
 }
 
--- a/peer/wire/Frame.go
+++ b/peer/wire/Frame.go
@@ -320,8 +320,20 @@
 	return rcv._tab.MutateUint32Slot(46, n)
 }
 
+func (rcv *Frame) Fence() uint64 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(48))
+	if o != 0 {
+		return rcv._tab.GetUint64(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *Frame) MutateFence(n uint64) bool {
+	return rcv._tab.MutateUint64Slot(48, n)
+}
+
 func FrameStart(builder *flatbuffers.Builder) {
-	builder.StartObject(22)
+	builder.StartObject(23)
 }
 func FrameAddKind(builder *flatbuffers.Builder, kind Kind) {
 	builder.PrependByteSlot(0, byte(kind), 0)
@@ -398,6 +410,9 @@
 func FrameAddWordAgeMs(builder *flatbuffers.Builder, wordAgeMs uint32) {
 	builder.PrependUint32Slot(21, wordAgeMs, 0)
 }
+func FrameAddFence(builder *flatbuffers.Builder, fence uint64) {
+	builder.PrependUint64Slot(22, fence, 0)
+}
 func FrameEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
--- a/scheduler/allocation.go
+++ b/scheduler/allocation.go
@@ -31,6 +31,8 @@
 	// stopGraceS is the grace period of a task that is being stopped, in seconds; stopReason is why it is stopped.
 	stopGraceS float64
 	stopReason string
+	// fenceRequired is set once the other controllers were told of a token that fences the attempt's direct starts off.
+	fenceRequired bool
 	// overdueLogged is set once it was logged that the task of a cancelled job was not proved gone in time.
 	overdueLogged bool
 	// startedByAgeing is set if the task was started because its job was starved.
--- a/scheduler/collaborators.go
+++ b/scheduler/collaborators.go
@@ -15,6 +15,7 @@
 	Leadership     Leadership
 	Zones          ZoneMonitor
 	TerminalStates TerminalStates
+	Fences         FenceRegistry
 }
 
 // RecordWriter writes records to the state service asynchronously; store.Committer implements it. When it writes a key,
@@ -49,6 +50,12 @@
 	Leading() bool
 }
 
+// FenceRegistry tells the other controllers which fencing token they must give workers; watermark.Tracker implements it.
+type FenceRegistry interface {
+	// RequireToken records that a controller that answers a worker without the leader must give it at least this token.
+	RequireToken(token uint64)
+}
+
 // ZoneMonitor reports which zones are unreachable.
 type ZoneMonitor interface {
 	// ZoneUnreachable reports whether none of the controllers in a zone can be reached.
--- a/scheduler/fencing.go
+++ b/scheduler/fencing.go
@@ -136,6 +136,21 @@
 	starts.direct = 0
 }
 
+// requireFences tells the other controllers of a token that fences off the direct starts of a cancelled job that are
+// without an answer, since one of them may answer the machines alone by now and knows no start. s.mu must be held.
+func (s *Scheduler) requireFences(job *jobState) {
+	if s.fencing != FencingOn || job.FinalState != api.Cancelled {
+		return
+	}
+	committed := s.records.CommittedRevision()
+	for _, alloc := range job.allocations {
+		if !alloc.fenceRequired && alloc.awaitsFencing() && alloc.fencedBy(committed) {
+			alloc.fenceRequired = true
+			s.fences.RequireToken(committed)
+		}
+	}
+}
+
 // leaseMustEnd reports whether a machine's lease must not be renewed any more, because only the end of the lease still
 // keeps the direct start of a cancelled task from being executed after cancel_s: the start has no answer, and the
 // machine has shown no token above it although the time within which a renewed lease ends before that is over. That
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -27,6 +27,9 @@
 	defer s.mu.Unlock()
 	now := s.now()
 	s.tick(now)
+	for _, job := range s.jobOrder {
+		s.requireFences(job)
+	}
 	if !s.loaded || !s.leadership.Leading() {
 		s.logKeptCancellations(now)
 		return nil
--- a/scheduler/harness_test.go
+++ b/scheduler/harness_test.go
@@ -29,6 +29,8 @@
 	leading        bool
 	sent           []sentCommands
 	terminalStates map[string]store.FinalRecord
+	// requiredToken is the highest token that the other controllers were told to give workers.
+	requiredToken uint64
 	// sendStageOrder simulates the agents; it must be set if datasets are enabled.
 	sendStageOrder func(machine string, order api.StageOrder)
 	// seq holds each machine's newest sequence number.
@@ -65,7 +67,7 @@
 	client := store.NewClient("state:1", h.state)
 	h.leading, h.sent, h.answeredCommands, h.terminalStates = true, nil, 0, map[string]store.FinalRecord{}
 	fakes := harnessCollaborators{h}
-	collaborators := Collaborators{Records: fakes, Sender: fakes, Leadership: fakes, Zones: fakes, TerminalStates: fakes}
+	collaborators := Collaborators{Records: fakes, Sender: fakes, Leadership: fakes, Zones: fakes, TerminalStates: fakes, Fences: fakes}
 	h.Scheduler = New(term, h.clock, memberSettings, policy.Default(), testTypes, collaborators)
 	h.SetFencing(FencingOn)
 	if h.topologyMap != nil {
@@ -129,6 +131,10 @@
 	return zone == c.harness.unreachableZone
 }
 
+func (c harnessCollaborators) RequireToken(token uint64) {
+	c.harness.requiredToken = max(c.harness.requiredToken, token)
+}
+
 func (c harnessCollaborators) Remember(id string, final store.FinalRecord) {
 	c.harness.terminalStates[id] = final
 }
--- a/scheduler/held_start_test.go
+++ b/scheduler/held_start_test.go
@@ -229,3 +229,51 @@
 		})
 	}
 }
+
+// The other controllers learn of a token above that of a held start before anyone can be told of the cancellation: one
+// of them may answer the machine alone by then, and knows of no start.
+func TestCancellationOfAHeldStartRequiresAToken(t *testing.T) {
+	scenario := newHeldStart(t)
+	h := scenario.harness
+	if h.requiredToken != 0 {
+		t.Errorf("token %d is required before the cancellation", h.requiredToken)
+	}
+	h.Cancel(cancelledContext(), repeatedJob)
+	if h.requiredToken <= scenario.held.response.Term || h.requiredToken > h.committer.CommittedRevision() {
+		t.Errorf("required token %d, want one above %d and at most the committed revision %d", h.requiredToken, scenario.held.response.Term, h.committer.CommittedRevision())
+	}
+	if h.FromLaterTerm(h.requiredToken) {
+		t.Error("the leader takes the required token for that of a later leader")
+	}
+}
+
+// A start that was sent under the newest committed revision is fenced off only by the revision of the cancellation.
+func TestRequiredTokenFollowsTheCancellation(t *testing.T) {
+	scenario := newHeldStart(t)
+	h := scenario.harness
+	newest := h.committer.CommittedRevision()
+	h.machines["a1"].raisedToken = newest
+	h.jobs[repeatedJob].allocations[0].startToken = newest
+	h.Cancel(cancelledContext(), repeatedJob)
+	if h.requiredToken != 0 {
+		t.Errorf("token %d is required, which does not fence the start off", h.requiredToken)
+	}
+	h.commit()
+	if h.requiredToken <= newest {
+		t.Errorf("required token %d after the cancellation is stored, want one above %d", h.requiredToken, newest)
+	}
+}
+
+// No token is required for a job whose starts are settled, or while a member may not accept raised tokens.
+func TestSettledStartsRequireNoToken(t *testing.T) {
+	scenario := newRepeatedCommandScenario(t, nil)
+	scenario.start()
+	scenario.harness.Cancel(cancelledContext(), repeatedJob)
+	scenario.harness.commit()
+	unsupported := newHeldStart(t)
+	unsupported.harness.fencing = FencingOff
+	unsupported.cancel()
+	if scenario.harness.requiredToken != 0 || unsupported.harness.requiredToken != 0 {
+		t.Errorf("required tokens %d and %d, want none", scenario.harness.requiredToken, unsupported.harness.requiredToken)
+	}
+}
--- a/scheduler/lifecycle.go
+++ b/scheduler/lifecycle.go
@@ -79,6 +79,7 @@
 // s.mu must be held.
 func (s *Scheduler) onTerminalStored(job *jobState) {
 	job.terminalStored = true
+	s.requireFences(job)
 	s.terminalStates.Remember(job.id, job.terminalRecord(s.currentFormat))
 	job.notify()
 	for _, stored := range job.onTerminal {
--- a/scheduler/requests.go
+++ b/scheduler/requests.go
@@ -120,6 +120,7 @@
 		for _, alloc := range job.allocations {
 			s.stopTask(alloc, tuning.CancelGraceS, "cancelled")
 		}
+		s.requireFences(job)
 	}
 	stored, changed := job.terminalStored, job.changed
 	s.mu.Unlock()
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -37,6 +37,7 @@
 	leadership     Leadership
 	zones          ZoneMonitor
 	terminalStates TerminalStates
+	fences         FenceRegistry
 
 	// termStarted is when the Scheduler was created.
 	termStarted time.Time
@@ -166,6 +167,7 @@
 		leadership:        collaborators.Leadership,
 		zones:             collaborators.Zones,
 		terminalStates:    collaborators.TerminalStates,
+		fences:            collaborators.Fences,
 		configuration:     configuration.FromFiles(memberSettings.Facts.Teams, schedulingPolicy),
 		termStarted:       started,
 		lastHeartbeat:     started,
--- a/watermark/statement.go
+++ b/watermark/statement.go
@@ -22,6 +22,8 @@
 	// before it made the statement. Age is meaningful only if Current is true.
 	Current bool
 	Age     time.Duration
+	// RequiredToken is the fencing token that is known to be required of workers; see Tracker.RequireToken.
+	RequiredToken uint64
 }
 
 // Cancellation is the cancellation of a job. A user was, or may have been, notified of it Age before the statement was
@@ -64,7 +66,7 @@
 	if incarnation != t.incarnation || receivedSeq > t.latestSeq {
 		receivedSeq = 0
 	}
-	statement := Statement{Incarnation: t.incarnation, From: receivedSeq, To: t.latestSeq, Latest: t.latestSeq}
+	statement := Statement{Incarnation: t.incarnation, From: receivedSeq, To: t.latestSeq, Latest: t.latestSeq, RequiredToken: t.requiredToken}
 	first, _ := slices.BinarySearchFunc(t.ordered, receivedSeq+1, func(c *cancellation, seq uint64) int {
 		return cmp.Compare(c.seq, seq)
 	})
@@ -94,6 +96,8 @@
 	if err := statement.validate(peer); err != nil {
 		return err
 	}
+	// A token that is required stays required, whatever else the statement lacks.
+	t.requiredToken = max(t.requiredToken, statement.RequiredToken)
 	if peer == nil || peer.incarnation != statement.Incarnation {
 		peer = &peerState{incarnation: statement.Incarnation, firstStatementAt: now}
 		t.peers[member] = peer
--- a/watermark/statement_test.go
+++ b/watermark/statement_test.go
@@ -113,3 +113,23 @@
 		}
 	}
 }
+
+// A required token reaches a controller with the statements that advance its watermark, also through another peer, and
+// never falls.
+func TestRequiredTokenSpreadsWithStatements(t *testing.T) {
+	cluster := newCluster(t)
+	cluster.disconnected["ab"] = true
+	cluster.trackers["b"].RequireToken(12)
+	cluster.trackers["b"].RequireToken(9)
+	before := cluster.trackers["a"].completeUntil
+	cluster.exchangeAndAdvance()
+	cluster.exchangeAndAdvance()
+	if token := cluster.trackers["a"].RequiredToken(); token != 12 || !cluster.trackers["a"].completeUntil.After(before) {
+		t.Errorf("a knows the required token %d, want 12; its watermark advanced: %v", token, cluster.trackers["a"].completeUntil.After(before))
+	}
+	cluster.restart("b")
+	cluster.exchangeAndAdvance()
+	if token := cluster.trackers["b"].RequiredToken(); token != 12 {
+		t.Errorf("after a restart b knows the required token %d, want 12", token)
+	}
+}
--- a/watermark/watermark.go
+++ b/watermark/watermark.go
@@ -48,6 +48,8 @@
 	latestSeq uint64
 	// lastRemoval is the time when expired cancellations were last removed.
 	lastRemoval time.Time
+	// requiredToken is the highest token passed to RequireToken here or at a peer that has stated it, 0 for none.
+	requiredToken uint64
 	// peers has an entry for every other controller, which is nil until the controller's first statement.
 	peers map[string]*peerState
 }
@@ -130,6 +132,23 @@
 	return t.byJob[job] != nil
 }
 
+// RequireToken records that a controller that answers a worker without the leader must give it at least this fencing
+// token: a start of a cancelled task may still be under way to it, and a worker with the token refuses it. It must be
+// called before the user is notified of the cancellation. Peers get the token with the statements that advance their
+// watermark, so that none of them renews a lease for longer than the cancellation allows without knowing the token.
+func (t *Tracker) RequireToken(token uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.requiredToken = max(t.requiredToken, token)
+}
+
+// RequiredToken returns the fencing token that workers must have at least, 0 for none. It never falls.
+func (t *Tracker) RequiredToken() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.requiredToken
+}
+
 // MarkCurrent advances the watermark to moment. The caller guarantees that every cancellation that any controller
 // acknowledged before moment is recorded here.
 func (t *Tracker) MarkCurrent(moment time.Time) {
