A cancellation without a leader requires a token above those of former leaders

**Cause**: a controller cancels by itself while no leader's key exists. A start of the former leader may be under way then, and followers answer workers with that leader's token until the next one is known; through an outage of the state service that lasts until its end, as long as statements confirm that no cancellation is missed. Its transaction is conditional on there being no leader's key, so it lies above all commits of former leaders and below the next term.

--- a/controller/admission/leaderless.go
+++ b/controller/admission/leaderless.go
@@ -43,7 +43,7 @@
 
 // CancelWithoutLeader cancels a job while no leader's key exists in the state service. If one exists, only that leader
 // may cancel the job, since it answers status requests from memory; the cancellation is then requested through the
-// inbox.
+// inbox. A start that a former leader sent may still be under way, so workers must get a token above that leader's.
 func (s *Service) CancelWithoutLeader(ctx context.Context, id string) peer.Response {
 	if !api.ValidID(id) {
 		return peer.JSONResponse(http.StatusNotFound, api.Error{Error: "no such job"})
@@ -58,7 +58,7 @@
 	}
 	if record.FinalState == "" {
 		record.FinalState, record.FinalAt = api.Cancelled, s.clock.Now().UnixMilli()
-		_, _, err = s.leaderlessWriter.Transact(ctx,
+		_, _, err = s.leaderlessCanceller.Transact(ctx,
 			[]store.Condition{{Key: store.LeaderKey}, {Key: item.Key, Revision: item.Revision}},
 			[]store.Operation{{Set: item.Key, Value: record}})
 		if errors.Is(err, store.ErrConflict) {
@@ -69,6 +69,7 @@
 		if err != nil {
 			return peer.RetryLater("the leader is out of reach")
 		}
+		s.requireToken(s.leaderlessCanceller.CommittedRevision())
 	}
 	return peer.JSONResponse(http.StatusOK, api.JobStatus{ID: id, State: record.FinalState})
 }
--- a/controller/admission/service.go
+++ b/controller/admission/service.go
@@ -61,6 +61,9 @@
 	Configuration Configuration
 	Datasets      Datasets
 	Jobs          *jobstatus.Reader
+	// RequireToken is called, before the user is notified, with the revision at which a cancellation was stored while no
+	// leader's key existed. It lies above all fencing tokens of former leaders and below the term of the next one.
+	RequireToken func(revision uint64)
 }
 
 // Service accepts, refuses and cancels jobs, through the scheduler while this controller leads and otherwise by writing
@@ -79,8 +82,12 @@
 	Data features.Data
 	// TopologyOn reports whether jobs may have topology constraints. It is set before the first request.
 	TopologyOn bool
-	// leaderlessWriter writes the records of jobs that are accepted or cancelled without the leader.
+	// leaderlessWriter writes the records of jobs that are accepted without the leader.
 	leaderlessWriter *store.HedgedClient
+	// leaderlessCanceller writes the records of jobs that are cancelled while no leader's key exists, and nothing else, so
+	// that no leader's key existed at its committed revision.
+	leaderlessCanceller *store.HedgedClient
+	requireToken        func(revision uint64)
 
 	// mu guards retries, which spreads the retries of refused submissions over the time needed to accept them.
 	mu      sync.Mutex
@@ -99,7 +106,9 @@
 	}
 	return &Service{settings: options.Settings, clock: options.Clock, client: options.Client, catalog: options.Catalog,
 		configuration: options.Configuration, datasets: options.Datasets, jobs: options.Jobs, Versions: options.Versions,
-		leaderlessWriter: store.NewHedgedClient(options.Client, options.Clock, limiter, writeRate), retries: retries}
+		leaderlessWriter:    store.NewHedgedClient(options.Client, options.Clock, limiter, writeRate),
+		leaderlessCanceller: store.NewHedgedClient(options.Client, options.Clock, limiter, writeRate),
+		requireToken:        options.RequireToken, retries: retries}
 }
 
 // submissionVerdict is the outcome of checking a submission, which can be accepted if it is neither refused nor
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -105,7 +105,8 @@
 	controller.datasets = newDatasetService(controller)
 	controller.configuration = newLiveConfiguration(controller)
 	controller.submissions = admission.New(admission.Options{Settings: set, Clock: clock, Client: controller.client, Versions: controller.versions,
-		Catalog: controller.catalog, Configuration: controller.configuration, Datasets: controller.datasets.cache, Jobs: controller.jobs})
+		Catalog: controller.catalog, Configuration: controller.configuration, Datasets: controller.datasets.cache, Jobs: controller.jobs,
+		RequireToken: controller.requireTokenOfCancellation})
 	controller.workerProxy = proxy.NewWorkers(controller.proxyOptions())
 	controller.cpuMonitor = cpupressure.NewMonitor(clock)
 	return controller
--- a/controller/term.go
+++ b/controller/term.go
@@ -56,6 +56,14 @@
 	}
 }
 
+// requireTokenOfCancellation requires the revision of a cancellation that was stored while no leader's key existed as the
+// fencing token of workers, unless a member may not accept tokens that are no leader's term.
+func (c *Controller) requireTokenOfCancellation(revision uint64) {
+	if c.tokens.Support() == upgrade.TokenSupportComplete {
+		c.leases.watermark.RequireToken(revision)
+	}
+}
+
 // Lost ends the current term. The elector calls it.
 func (c *Controller) Lost(uint64, string) { c.term.end() }
 
