The required token reaches controllers through the state service where the leader reaches none

**Cause**: a leader that reaches no other controller hears machines through the relay alone. The remedy was to return the machine, which fails while the cloud is away: a held start of a cancelled task was executed after cancel_s. **Change**: the leader writes the required token to `sf/fence` when a machine with such a start sends it no heartbeat itself (relayed or silent), under its key's condition and the record's own revision. A controller that reads the cancellations reads this record before; if it can't, they don't count as known. The value is a revision that was committed before, so the leader counts it as its own even if the answer to the write is lost; the record's own revision would not do. Relayed commands keep their form. New tests: TestRequiredTokenIsStoredForMachinesBeyondReach, TestRequiredTokenIsStoredOnceAMachineFallsSilent, TestRequiredTokenIsReadWithTheCancellations, TestWatermarkAwaitsTheRequiredToken.

--- a/controller/cancellations.go
+++ b/controller/cancellations.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"log/slog"
 	"strings"
@@ -71,6 +72,9 @@
 // of its response.
 func (l *leaseRenewal) readCancelledJobs(ctx context.Context, after uint64) (uint64, error) {
 	requestedAt := l.clock.Now()
+	if err := l.readRequiredToken(ctx); err != nil {
+		return 0, err
+	}
 	var items []store.Item
 	var events []store.Event
 	var revision uint64
@@ -97,3 +101,22 @@
 	l.watermark.MarkCurrent(requestedAt)
 	return max(after, revision), nil
 }
+
+// readRequiredToken reads the fencing token that workers must have at least, so that cancellations do not become known by
+// their records without it.
+func (l *leaseRenewal) readRequiredToken(ctx context.Context) error {
+	item, err := l.client.Get(ctx, store.FenceKey)
+	if errors.Is(err, store.ErrNotFound) {
+		return nil
+	}
+	if err != nil {
+		return fmt.Errorf("read %s: %w", store.FenceKey, err)
+	}
+	var record store.FenceRecord
+	if err := json.Unmarshal(item.Value, &record); err != nil {
+		slog.Error("corrupt record of the required token", "key", store.FenceKey, "err", err)
+		return nil
+	}
+	l.watermark.RequireToken(record.Token)
+	return nil
+}
--- a/controller/lease_renewal_test.go
+++ b/controller/lease_renewal_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -181,3 +183,44 @@
 		t.Errorf("token %d for a worker that has %d", got, required+1)
 	}
 }
+
+// A controller that learns of cancellations from their records learns of the required token as well. A damaged record of
+// the token keeps nothing else from being read.
+func TestRequiredTokenIsReadWithTheCancellations(t *testing.T) {
+	controller, _ := newIsolatedController()
+	for _, test := range []struct {
+		value any
+		want  uint64
+	}{{store.FenceRecord{Token: 12}, 12}, {"damaged", 12}, {store.FenceRecord{Token: 9}, 12}, {store.FenceRecord{Token: 31}, 31}} {
+		if _, _, err := controller.client.Transact(t.Context(), nil, []store.Operation{{Set: store.FenceKey, Value: test.value}}); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := controller.leases.readCancelledJobs(t.Context(), 0); err != nil {
+			t.Errorf("%+v: %v", test.value, err)
+		}
+		if token := controller.leases.watermark.RequiredToken(); token != test.want {
+			t.Errorf("%+v: required token %d, want %d", test.value, token, test.want)
+		}
+	}
+}
+
+// While the record of the required token cannot be read, cancellations that are read do not count as known.
+func TestWatermarkAwaitsTheRequiredToken(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	state := fake.NewState(clock)
+	controller := New(context.Background(), &settings.Settings{Member: "y"}, policy.Default(), clock, withoutFence{state})
+	if _, err := controller.leases.readCancelledJobs(t.Context(), 0); err == nil || controller.leases.mayRenew() {
+		t.Errorf("cancellations count as known without the required token: %v", err)
+	}
+}
+
+// withoutFence is a state service that does not answer reads of the required token.
+type withoutFence struct{ state http.RoundTripper }
+
+// RoundTrip passes a request on.
+func (w withoutFence) RoundTrip(request *http.Request) (*http.Response, error) {
+	if strings.HasSuffix(request.URL.Path, store.FenceKey) {
+		return nil, errors.New("no answer")
+	}
+	return w.state.RoundTrip(request)
+}
--- a/internal/simulation/faults.go
+++ b/internal/simulation/faults.go
@@ -34,7 +34,7 @@
 // controllers which it stopped are started again in the background.
 var faultHandlers = map[string]func(s *activeFault){
 	RollingRestart: (*activeFault).rollingRestart, ControllerCrash: (*activeFault).crashControllers,
-	ControllerIsolated: (*activeFault).partitionController, ControllerPartition: (*activeFault).partitionController, ControllerPairPartition: (*activeFault).partitionController,
+	ControllerIsolated: (*activeFault).partitionController, ControllerPartition: (*activeFault).partitionController, ControllerPairPartition: (*activeFault).partitionController, ControllerSeparated: (*activeFault).partitionController,
 	OutboundLost: (*activeFault).loseOutbound, ControllerOutboundLost: (*activeFault).loseControllerOutbound, InboundLost: (*activeFault).loseInbound, MachineHang: (*activeFault).hangRandomMachines,
 	MachineCrash: (*activeFault).crashMachines, WorkerRestart: (*activeFault).restartWorkers, ZonePartition: (*activeFault).partitionZone, ProcessPause: (*activeFault).pauseProcess,
 	StateOutage: (*activeFault).stateOutage, SlowState: (*activeFault).slowState, StateRefused: (*activeFault).refuseState, CancellationWave: (*activeFault).cancellationWave,
@@ -46,6 +46,9 @@
 		s.adjustWhileActive(func(by int) { s.withLock(func() { s.delayedCommandFaults += by }) })
 	},
 	HeldCommands: (*activeFault).holdCommands,
+	CloudOutage: func(s *activeFault) {
+		s.adjustWhileActive(func(by int) { s.withLock(func() { s.cloudOutageFaults += by }) })
+	},
 	RepeatedCommands: func(s *activeFault) {
 		s.adjustWhileActive(func(by int) { s.withLock(func() { s.repeatedCommandFaults += by }) })
 	},
@@ -118,10 +121,13 @@
 }
 
 // partitionController cuts the target off from the state service and the other controllers (ControllerIsolated), from
-// all of these and the machines (ControllerPartition), or from one other controller (ControllerPairPartition).
+// all of these and the machines (ControllerPartition), from the other controllers (ControllerSeparated), or from one of
+// them (ControllerPairPartition).
 func (active *activeFault) partitionController() {
 	others := append([]string{"state"}, controllerNames...)
 	switch active.Kind {
+	case ControllerSeparated:
+		others = controllerNames
 	case ControllerPairPartition:
 		others = []string{controllerNames[(slices.Index(controllerNames, active.targetName)+2)%3]}
 	case ControllerPartition:
--- a/internal/simulation/held_commands_test.go
+++ b/internal/simulation/held_commands_test.go
@@ -53,3 +53,18 @@
 		runScenario(t, heldCommandsScenario(seed, Fault{At: seconds(34), For: seconds(100), Kind: ControllerPairPartition, Follower: true}))
 	})
 }
+
+// Guards against ran_cancelled of the same incident where the leader hears machines through the state service alone, and
+// the cloud is down, so that it can neither answer the machines nor return them.
+func TestHeldStartsBehindARelayAreNotExecuted(t *testing.T) {
+	forEachSeed(t, 36, 6, func(t *testing.T, seed uint64) {
+		scenario := heldCommandsScenario(seed)
+		for i := range scenario.Faults {
+			if scenario.Faults[i].Kind == StateOutage {
+				scenario.Faults[i].Kind = CloudOutage
+			}
+		}
+		scenario.Faults = append(scenario.Faults, Fault{At: seconds(32), For: seconds(100), Kind: ControllerSeparated})
+		runScenario(t, scenario)
+	})
+}
--- a/internal/simulation/scenario.go
+++ b/internal/simulation/scenario.go
@@ -37,6 +37,10 @@
 	ControllerPartition = "silence"
 	// ControllerPairPartition cuts the target off from one other controller. Messages between them arrive afterwards.
 	ControllerPairPartition = "apart"
+	// ControllerSeparated cuts the target off from both other controllers. Messages between them arrive afterwards.
+	ControllerSeparated = "separated"
+	// CloudOutage makes the cloud answer every request with 503.
+	CloudOutage = "cloud-outage"
 	// LateWrites delays the execution of one transaction in five by minLateWriteDelay to maxWriteDelay, so that its
 	// answer comes too late.
 	LateWrites = "late-writes"
--- a/internal/simulation/simulation.go
+++ b/internal/simulation/simulation.go
@@ -56,6 +56,8 @@
 	duplicatingHeartbeats bool
 	// lateWriteFaults, delayedCommandFaults and slowHeartbeatFaults count the active faults of these kinds.
 	lateWriteFaults, delayedCommandFaults, slowHeartbeatFaults int
+	// cloudOutageFaults counts the active CloudOutage faults.
+	cloudOutageFaults int
 	// heldPaths holds, for each path from a controller to a machine that a HeldCommands fault interrupts, a channel that is
 	// closed when the fault ends.
 	heldPaths map[[2]string]chan struct{}
--- a/internal/simulation/transport.go
+++ b/internal/simulation/transport.go
@@ -55,6 +55,9 @@
 	if resp, refused, err := t.stateRefusal(request, host); refused {
 		return resp, err
 	}
+	if host == cloudHost && t.cloudIsDown() {
+		return unavailable(), nil
+	}
 	if healed := t.heldUntil(host); healed != nil {
 		return t.sendDelayed(request, transport, requestDelay{healed: healed})
 	}
@@ -138,11 +141,23 @@
 		resp, err = t.awaitTimeout(request)
 		return resp, true, err
 	case refusalUnavailable:
-		return &http.Response{StatusCode: http.StatusServiceUnavailable, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("{}"))}, true, nil
+		return unavailable(), true, nil
 	}
 	return nil, false, nil
 }
 
+// cloudIsDown reports whether a CloudOutage fault is active.
+func (t *controllerTransport) cloudIsDown() bool {
+	t.sim.mu.Lock()
+	defer t.sim.mu.Unlock()
+	return t.sim.cloudOutageFaults > 0
+}
+
+// unavailable returns the response of a service during an outage.
+func unavailable() *http.Response {
+	return &http.Response{StatusCode: http.StatusServiceUnavailable, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("{}"))}
+}
+
 // heldUntil returns a channel that is closed when a HeldCommands fault on the path to a host ends, nil without one.
 func (t *controllerTransport) heldUntil(host string) chan struct{} {
 	t.sim.mu.Lock()
--- a/scheduler/allocation.go
+++ b/scheduler/allocation.go
@@ -33,6 +33,8 @@
 	stopReason string
 	// fenceRequired is set once the other controllers were told of a token that fences the attempt's direct starts off.
 	fenceRequired bool
+	// fenceStored is set once that token is in the state service, or is being written.
+	fenceStored bool
 	// overdueLogged is set once it was logged that the task of a cancelled job was not proved gone in time.
 	overdueLogged bool
 	// startedByAgeing is set if the task was started because its job was starved.
--- a/scheduler/fencing.go
+++ b/scheduler/fencing.go
@@ -7,6 +7,7 @@
 	"switchferry/api"
 	"switchferry/fleet"
 	"switchferry/settings"
+	"switchferry/store"
 	"switchferry/tuning"
 	"switchferry/watermark"
 )
@@ -142,15 +143,34 @@
 	if s.fencing != FencingOn || job.FinalState != api.Cancelled {
 		return
 	}
-	committed := s.records.CommittedRevision()
 	for _, alloc := range job.allocations {
-		if !alloc.fenceRequired && alloc.awaitsFencing() && alloc.fencedBy(committed) {
-			alloc.fenceRequired = true
-			s.fences.RequireToken(committed)
+		if alloc.awaitsFencing() {
+			s.requireFence(alloc)
 		}
 	}
 }
 
+// requireFence tells the other controllers of a token that fences off the direct starts of one attempt: with the
+// statements about cancellations and, if the machine sends this leader no heartbeat itself, through the state service.
+// Controllers that do not reach this leader in any other way read it there. s.mu must be held.
+func (s *Scheduler) requireFence(alloc *allocation) {
+	if committed := s.records.CommittedRevision(); !alloc.fenceRequired && alloc.fencedBy(committed) {
+		alloc.fenceRequired = true
+		s.requiredToken = max(s.requiredToken, committed)
+		s.fences.RequireToken(committed)
+	}
+	machine := alloc.machine
+	if alloc.fenceRequired && !alloc.fenceStored && (machine.relayPeer != "" || s.heartbeatOverdue(machine, s.now())) {
+		alloc.fenceStored = true
+		s.records.MarkDirty(store.FenceKey, store.Urgent, nil)
+	}
+}
+
+// fenceRecord builds the record of the token that other controllers must give workers.
+func (s *Scheduler) fenceRecord(string) recordContent {
+	return recordContent{value: store.FenceRecord{Token: s.requiredToken}, exists: s.requiredToken > 0}
+}
+
 // leaseMustEnd reports whether a machine's lease must not be renewed any more, because only the end of the lease still
 // keeps the direct start of a cancelled task from being executed after cancel_s: the start has no answer, and the
 // machine has shown no token above it although the time within which a renewed lease ends before that is over. That
--- a/scheduler/held_start_test.go
+++ b/scheduler/held_start_test.go
@@ -1,12 +1,14 @@
 package scheduler
 
 import (
+	"encoding/json"
 	"errors"
 	"testing"
 	"time"
 
 	"switchferry/api"
 	"switchferry/settings"
+	"switchferry/store"
 )
 
 const heldTask = repeatedJob + "/0"
@@ -277,3 +279,58 @@
 		t.Errorf("required tokens %d and %d, want none", scenario.harness.requiredToken, unsupported.harness.requiredToken)
 	}
 }
+
+// storedToken returns the required token in the state service, 0 if there is none.
+func (s *heldStartScenario) storedToken() uint64 {
+	s.Helper()
+	raw := s.harness.state.Get(store.FenceKey)
+	if raw == nil {
+		return 0
+	}
+	var record store.FenceRecord
+	if err := json.Unmarshal(raw, &record); err != nil {
+		s.Fatal(err)
+	}
+	return record.Token
+}
+
+// The required token is stored where the leader hears the machine through the state service alone, or not at all, and
+// replaces that of a former leader. It is not stored for a machine that gets it with its next response.
+func TestRequiredTokenIsStoredForMachinesBeyondReach(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// before plays what comes before the cancellation.
+		before func(s *heldStartScenario)
+		want   bool
+	}{
+		{"heard directly", func(s *heldStartScenario) { s.heartbeat("a1") }, false},
+		{"relayed", func(s *heldStartScenario) { s.harness.HandleRelayedHeartbeat("y", s.workers["a1"].NextHeartbeat()) }, true},
+		{"silent", func(s *heldStartScenario) { s.harness.clock.Advance(4 * time.Second) }, true},
+		{"relayed, with a token of a former leader", func(s *heldStartScenario) {
+			s.harness.state.Put(store.FenceKey, store.FenceRecord{Token: 2})
+			s.harness.HandleRelayedHeartbeat("y", s.workers["a1"].NextHeartbeat())
+		}, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			scenario := newHeldStart(t)
+			test.before(scenario)
+			scenario.cancel()
+			start := scenario.held.response.Term
+			if token := scenario.storedToken(); test.want != (token > start) || token > scenario.harness.committer.CommittedRevision() {
+				t.Errorf("token %d is stored, the start has %d; want a higher one: %v", token, start, test.want)
+			}
+		})
+	}
+}
+
+// A machine that falls silent only after the cancellation gets a stored token as well.
+func TestRequiredTokenIsStoredOnceAMachineFallsSilent(t *testing.T) {
+	scenario := newHeldStart(t)
+	scenario.heartbeat("a1")
+	scenario.cancel()
+	scenario.harness.maintainFor(4*time.Second, func() {})
+	scenario.harness.commit()
+	if token := scenario.storedToken(); token <= scenario.held.response.Term {
+		t.Errorf("token %d is stored, want one above %d", token, scenario.held.response.Term)
+	}
+}
--- a/scheduler/records.go
+++ b/scheduler/records.go
@@ -34,6 +34,7 @@
 	{store.ImagesPrefix, (*Scheduler).imagesRecordContent},
 	{store.ReplicasPrefix, (*Scheduler).replicaHintContent},
 	{store.RelayResponsePrefix, (*Scheduler).commandPacket},
+	{store.FenceKey, (*Scheduler).fenceRecord},
 	{store.AgentResponsePrefix, (*Scheduler).stageOrderPacket},
 }
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -124,6 +124,8 @@
 
 	// fencing is whether the tokens of machines are raised.
 	fencing Fencing
+	// requiredToken is the highest token that the other controllers were told to give workers; 0 if there is none.
+	requiredToken uint64
 	// releaseStats counts released allocations by proof, and crossed messages.
 	releaseStats releaseStats
 	// commandsReady holds the machines whose commands can be sent because the records that they depend on are stored.
--- a/store/keys.go
+++ b/store/keys.go
@@ -26,6 +26,8 @@
 	RelayPrefix = "sf/relay/"
 	// RelayResponsePrefix is the prefix of packets of the leader's responses to relayed heartbeats of workers.
 	RelayResponsePrefix = "sf/mail/"
+	// FenceKey is the key of the FenceRecord.
+	FenceKey = "sf/fence"
 	// ImagesPrefix is the prefix of the keys of ImagesRecord values, which inform the next leader which machines
 	// probably cache which images. They are soft state: an outdated or missing record does no harm.
 	ImagesPrefix = "sf/images/"
--- a/store/records.go
+++ b/store/records.go
@@ -54,6 +54,12 @@
 	Commands    []api.Command `json:"o"`
 }
 
+// FenceRecord states a fencing token of the leader that workers must have at least. Controllers that answer workers
+// without the leader read it. A start of a cancelled task may be under way to a machine that the leader does not reach.
+type FenceRecord struct {
+	Token uint64 `json:"token"`
+}
+
 // PlacedTask is an attempt of a task that runs or may run on a machine.
 type PlacedTask struct {
 	Task    int
