--- a/internal/simulation/held_commands_test.go
+++ b/internal/simulation/held_commands_test.go
@@ -68,3 +68,24 @@
 		runScenario(t, scenario)
 	})
 }
+
+// Paths to machines are interrupted, and their commands delivered afterwards, beside random faults, and while the cloud
+// or the leader's links to the other controllers fail.
+func TestHeldCommandsBesideRandomFaultsBreakNoRule(t *testing.T) {
+	forEachSeed(t, 36, 4, func(t *testing.T, seed uint64) {
+		rng := rand.New(rand.NewPCG(seed, 5))
+		at := func() time.Duration { return 15*time.Second + time.Duration(rng.IntN(40_000))*time.Millisecond }
+		scenario := randomScenario(seed)
+		for range 2 {
+			held := Fault{At: at(), For: seconds(10 + 60*rng.Float64()), Kind: HeldCommands, Count: 3 + rng.IntN(5), Follower: rng.IntN(4) == 0}
+			wave := Fault{At: held.At + seconds(4*rng.Float64()), For: 300 * time.Millisecond, Kind: CancellationWave, Count: 10}
+			scenario.Faults = append(scenario.Faults, held, wave)
+		}
+		for _, kind := range []string{CloudOutage, ControllerSeparated, ControllerPairPartition, StateOutage} {
+			if rng.IntN(3) == 0 {
+				scenario.Faults = append(scenario.Faults, Fault{At: at(), For: seconds(20 + 50*rng.Float64()), Kind: kind, Follower: rng.IntN(2) == 0})
+			}
+		}
+		runScenario(t, scenario)
+	})
+}
