--- a/controller/fleet_loops_test.go
+++ b/controller/fleet_loops_test.go
@@ -95,3 +95,17 @@
 		stop()
 	}
 }
+
+// Controllers that answer workers without the leader learn of a new term with the statements about cancellations, as a
+// start of an earlier leader may be under way to a worker that knows no later token.
+func TestElectedLeaderRequiresItsTerm(t *testing.T) {
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	state := fake.NewState(clockwork.NewRealClock())
+	controller := New(ctx, testSettings(), policy.Default(), clockwork.NewRealClock(), state)
+	term := state.Put(store.LeaderKey, store.LeaderRecord{Member: "y"})
+	controller.Elected(term)
+	if token := controller.leases.watermark.Statement(time.Now(), 0, 0).RequiredToken; token != term {
+		t.Errorf("the statement requires token %d, want the term %d", token, term)
+	}
+}
--- a/controller/heartbeats_test.go
+++ b/controller/heartbeats_test.go
@@ -110,4 +110,16 @@
 			t.Errorf("%s: %d %+v", when, got.status, got.body)
 		}
 	}
+	required := raised + 5
+	controller.leases.watermark.RequireToken(required)
+	heartbeat.Seq++
+	answers = map[string]answer{
+		"unreachable leader": controller.answerForUnreachableLeader(heartbeat, term, controller.workerProxy.HandleHeartbeat),
+		"no leader":          controller.answerWithoutLeader(heartbeat),
+	}
+	for when, got := range answers {
+		if response, ok := got.body.(api.HeartbeatResponse); !ok || got.status != http.StatusOK || response.Term != required {
+			t.Errorf("%s, with token %d required: %d %+v", when, required, got.status, got.body)
+		}
+	}
 }
--- a/scheduler/held_starts.go
+++ b/scheduler/held_starts.go
@@ -15,12 +15,9 @@
 // start, which the machine gets with the response to its next heartbeat, from whichever controller answers it, or else by
 // the end of its lease (rule 4 of docs/design.md).
 
-// awaitsFencing reports whether the allocation's attempt is to be stopped, is not on its machine, and may still be
-// started there by a direct command without an answer. Scheduler.mu must be held.
-func (a *allocation) awaitsFencing() bool {
-	_, present := a.machine.Attempts[a.attemptID()]
-	return a.stopping && !present && a.starts.direct > 0
-}
+// awaitsFencing reports whether the attempt is to be stopped and may still be started by a direct command without an
+// answer. Scheduler.mu must be held.
+func (a *attemptState) awaitsFencing() bool { return a.stopping && a.starts.direct > 0 }
 
 // settleFencedStarts settles the direct starts of attempts that have exited or are to be stopped if the machine's newest
 // heartbeat shows a token above that of every start. The worker refuses these starts from then on, and the heartbeat
--- a/scheduler/held_starts_test.go
+++ b/scheduler/held_starts_test.go
@@ -180,6 +180,57 @@
 	}
 }
 
+// A raised token ends no start of a task that is wanted: the start is repeated, and a newer one must not count as settled.
+func TestRaisedTokenSettlesNoStartOfAWantedTask(t *testing.T) {
+	scenario := newHeldStart(t)
+	h, a1 := scenario.harness, scenario.workers["a1"]
+	h.submit("run-000002", 1, nil)
+	raised := h.committer.CommittedRevision()
+	if raised <= scenario.held.response.Term {
+		t.Fatalf("token %d does not fence off a start under %d", raised, scenario.held.response.Term)
+	}
+	a1.ExecuteCommands(api.HeartbeatResponse{Term: raised, Incarnation: 1})
+	h.HandleHeartbeat(a1.NextHeartbeat(), "")
+	if open := h.jobs[repeatedJob].allocations[0].starts.direct; open != 1 || h.machines["a1"].Term != raised {
+		t.Errorf("%d direct starts are open, the machine has token %d; want 1 and %d", open, h.machines["a1"].Term, raised)
+	}
+}
+
+// The lease of a machine goes on while a start has no answer whose task was stopped for another reason than a
+// cancellation: nothing has to be over in time.
+func TestLeaseGoesOnBesideAHeldStartThatIsNotCancelled(t *testing.T) {
+	scenario := newHeldStart(t)
+	h := scenario.harness
+	h.fencing = FencingOff
+	scenario.stop("preempted")
+	scenario.cancelledAt = h.clock.Now()
+	scenario.untilDeadlineHasPassed(func() {
+		scenario.heartbeat("a1")
+		if _, answered, _, _ := scenario.workers["a1"].Status(); !answered.Equal(h.clock.Now()) {
+			t.Fatalf("the lease is not renewed %v after the stop", h.clock.Since(scenario.cancelledAt))
+		}
+	})
+}
+
+// No token is raised for an exit that cannot be cleared yet, as its end is not stored.
+func TestUnstoredExitRaisesNoToken(t *testing.T) {
+	scenario := newRepeatedCommandScenario(t, nil)
+	h := scenario.harness
+	scenario.runTime = 500 * time.Millisecond
+	scenario.start()
+	h.submit("run-000002", 1, nil)
+	h.clock.Advance(time.Second)
+	h.leading = false
+	for range 3 {
+		if response, _, _ := h.HandleHeartbeat(scenario.workers["a1"].NextHeartbeat(), ""); response.Term != h.term {
+			t.Errorf("the response has token %d, want the term %d", response.Term, h.term)
+		}
+	}
+	if exits := h.machines["a1"].exited; len(exits) != 1 {
+		t.Fatalf("exits %+v, want one", exits)
+	}
+}
+
 // Guards against ran_cancelled of incident held-start-after-cancellation where no token can fence the start off: the lease
 // of the machine ends in time, and not sooner than it has to.
 func TestLeaseEndsBeforeAHeldStartOutlivesItsCancellation(t *testing.T) {
@@ -266,17 +317,41 @@
 	}
 }
 
-// No token is required for a job whose starts are settled, or while a member may not accept raised tokens.
+// No token is required for a job whose direct starts are settled, or while a member may not accept raised tokens.
 func TestSettledStartsRequireNoToken(t *testing.T) {
 	scenario := newRepeatedCommandScenario(t, nil)
 	scenario.start()
 	scenario.harness.Cancel(cancelledContext(), repeatedJob)
 	scenario.harness.commit()
+	inResponse := newRepeatedCommandScenario(t, nil)
+	inResponse.place()
+	inResponse.harness.answerCommands()
+	inResponse.harness.HandleHeartbeat(inResponse.workers["a1"].NextHeartbeat(), "")
+	inResponse.harness.Cancel(cancelledContext(), repeatedJob)
+	if len(inResponse.harness.machines["a1"].allocations) != 1 {
+		t.Fatal("no start is open")
+	}
 	unsupported := newHeldStart(t)
 	unsupported.harness.fencing = FencingOff
 	unsupported.cancel()
-	if scenario.harness.requiredToken != 0 || unsupported.harness.requiredToken != 0 {
-		t.Errorf("required tokens %d and %d, want none", scenario.harness.requiredToken, unsupported.harness.requiredToken)
+	for _, h := range []*harness{scenario.harness, inResponse.harness, unsupported.harness} {
+		if h.requiredToken != 0 {
+			t.Errorf("token %d is required, want none", h.requiredToken)
+		}
+	}
+}
+
+// A raise would make the worker refuse the start of a wanted task that is just on its way.
+func TestStartOfAWantedTaskRaisesNoToken(t *testing.T) {
+	scenario := newRepeatedCommandScenario(t, nil)
+	scenario.place()
+	response, _, _ := scenario.harness.HandleHeartbeat(scenario.workers["a1"].NextHeartbeat(), "")
+	if response.Term != scenario.harness.term {
+		t.Errorf("the response has token %d, want the term %d", response.Term, scenario.harness.term)
+	}
+	scenario.deliverCommands()
+	if !scenario.running[heldTask]["a1"] {
+		t.Error("the start was refused")
 	}
 }
 
