--- a/watermark/statement_test.go
+++ b/watermark/statement_test.go
@@ -118,19 +118,19 @@
 // both through another peer. The required token never falls.
 func TestRequiredTokenSpreadsWithStatements(t *testing.T) {
 	cluster := newCluster(t)
-	a := cluster.trackers["a"]
+	observed := cluster.trackers["a"]
 	cluster.disconnected["ab"] = true
 	requiredAt := cluster.now
 	cluster.trackers["b"].RequireToken(12)
 	cluster.trackers["b"].RequireToken(9)
 	for range 10 {
 		cluster.exchangeAndAdvance()
-		if a.completeUntil.After(requiredAt) && a.RequiredToken() != 12 {
-			t.Errorf("the watermark is %v after the requirement, and the known token is %d, want 12", a.completeUntil.Sub(requiredAt), a.RequiredToken())
+		if observed.completeUntil.After(requiredAt) && observed.RequiredToken() != 12 {
+			t.Errorf("the watermark is %v after the requirement, and the known token is %d, want 12", observed.completeUntil.Sub(requiredAt), observed.RequiredToken())
 		}
 	}
-	if !a.completeUntil.After(requiredAt) || a.RequiredToken() != 12 {
-		t.Errorf("after 10 s the watermark is %v after the requirement, the token is %d, want 12", a.completeUntil.Sub(requiredAt), a.RequiredToken())
+	if !observed.completeUntil.After(requiredAt) || observed.RequiredToken() != 12 {
+		t.Errorf("after 10 s the watermark is %v after the requirement, the token is %d, want 12", observed.completeUntil.Sub(requiredAt), observed.RequiredToken())
 	}
 	cluster.restart("b")
 	cluster.exchangeAndAdvance()
