A former leader gives workers the required token as well

Two of the three paths on which a controller answers a worker without being certain to lead gave the required token; the third, a leader whose key may have ended, did not. In an outage it learns with the statements of a job that was cancelled without it, goes on renewing leases, and does not know that the task is to be stopped: a held start of its own would be executed after cancel_s. **Change**: enforceCancellations, which all three share, gives the token; withoutLeader is gone. A response that renews no lease stays without one.

--- a/controller/heartbeats.go
+++ b/controller/heartbeats.go
@@ -75,7 +75,7 @@
 	if !c.leases.mayRenew() {
 		return c.leases.refuse()
 	}
-	return answer{http.StatusOK, c.leases.withoutLeader(heartbeat, api.HeartbeatResponse{Term: max(lastTerm, heartbeat.Term), Commands: []api.Command{}})}
+	return answer{http.StatusOK, c.leases.enforceCancellations(heartbeat, api.HeartbeatResponse{Term: max(lastTerm, heartbeat.Term), Commands: []api.Command{}})}
 }
 
 // answerForUnreachableLeader answers a heartbeat with commands that the leader of the term has relayed, and relays the
@@ -84,7 +84,7 @@
 	if !c.leases.mayRenew() {
 		return c.leases.refuse()
 	}
-	return answer{http.StatusOK, c.leases.withoutLeader(heartbeat, relay(heartbeat, term))}
+	return answer{http.StatusOK, c.leases.enforceCancellations(heartbeat, relay(heartbeat, term))}
 }
 
 // handleForwardedHeartbeat serves a heartbeat that a peer forwards.
--- a/controller/lease_renewal.go
+++ b/controller/lease_renewal.go
@@ -114,10 +114,15 @@
 	return []string{fmt.Sprintf("leases of workers are not renewed here: cancellations last confirmed %s ago; %s", formatAge(sinceConfirmed), strings.Join(l.watermark.UnconfirmedPeers(), ", "))}
 }
 
-// enforceCancellations returns a copy of a response without commands that would start tasks of cancelled jobs, and with
-// commands that kill the tasks of cancelled jobs that the worker reports. It keeps the fencing token, since killing a
-// cancelled task is safe under any token.
+// enforceCancellations returns a copy of a response to a heartbeat without commands that would start tasks of cancelled
+// jobs, and with commands that kill the tasks of cancelled jobs that the worker reports; killing a cancelled task is safe
+// under any token. If the response renews the lease, it has at least the fencing token that is required of workers, since
+// a start of a cancelled task may be under way to the worker. No other response to the worker is in flight that it would
+// drop for a raised token.
 func (l *leaseRenewal) enforceCancellations(heartbeat *api.Heartbeat, response api.HeartbeatResponse) api.HeartbeatResponse {
+	if response.Term != 0 {
+		response.Term = max(response.Term, l.watermark.RequiredToken())
+	}
 	response.Commands = l.watermark.WithoutCancelledStarts(response.Commands)
 	if killCommands := l.watermark.KillCommands(heartbeat.Tasks, response.Commands); len(killCommands) > 0 {
 		slog.Info("killing tasks of cancelled jobs", "machine", heartbeat.Machine, "tasks", len(killCommands), "first", killCommands[0].Task)
@@ -126,14 +131,6 @@
 	return response
 }
 
-// withoutLeader returns the response that a worker gets from this controller without the leader: with the fencing token
-// that is required of workers, if that is higher, and with the changes of enforceCancellations. The response must be one
-// to a heartbeat, so that no other response to the worker is in flight that a raised token would make it drop.
-func (l *leaseRenewal) withoutLeader(heartbeat *api.Heartbeat, response api.HeartbeatResponse) api.HeartbeatResponse {
-	response.Term = max(response.Term, l.watermark.RequiredToken())
-	return l.enforceCancellations(heartbeat, response)
-}
-
 // refuse returns the answer to a worker whose lease must not be renewed. If this controller is isolated, the worker has
 // returned after a redirect because it reached no other controller. A response without a fencing token, which renews no
 // lease, keeps it here, so that its heartbeats arrive as soon as the partition ends. If it were refused, it would try
--- a/controller/lease_renewal_test.go
+++ b/controller/lease_renewal_test.go
@@ -184,6 +184,27 @@
 	}
 }
 
+// Guards against ran_cancelled of incident held-start-after-cancellation where the former leader itself still answers workers:
+// a job was cancelled without it, so it neither stops the task nor raises the machine's token, but it knows the required
+// token. A lease that must end is not renewed under that token either.
+func TestFormerLeaderGivesWorkersTheRequiredToken(t *testing.T) {
+	const term, required = 7, 12
+	controller, clock := newIsolatedController()
+	controller.settings.Facts.Workers.CancelDeadlineS = 40
+	controller.leases.watermark = watermark.New(clock.Now(), []string{"n0", "n2"}, watermark.NewLimits(40*time.Second, 10*time.Second))
+	controller.leases.watermark.MarkCurrent(clock.Now())
+	controller.leases.watermark.RequireToken(required)
+	sched := scheduler.New(term, clock, controller.settings, controller.policy, testTypes, testCollaborators(func() bool { return false }))
+	answer := controller.answerAsLeader(sched, &api.Heartbeat{Machine: "b1", Zone: "b", Incarnation: 1, Seq: 1, Term: term}, "")
+	if response, ok := answer.body.(api.HeartbeatResponse); !ok || response.Term != required {
+		t.Errorf("the former leader answers %d %+v, want token %d", answer.status, answer.body, required)
+	}
+	withoutToken := controller.leases.enforceCancellations(&api.Heartbeat{Machine: "b1"}, api.HeartbeatResponse{Commands: []api.Command{}})
+	if withoutToken.Term != 0 {
+		t.Errorf("a response that renews no lease got token %d", withoutToken.Term)
+	}
+}
+
 // A controller that learns of cancellations from their records learns of the required token as well. A damaged record of
 // the token keeps nothing else from being read.
 func TestRequiredTokenIsReadWithTheCancellations(t *testing.T) {
