--- a/scheduler/allocation.go
+++ b/scheduler/allocation.go
@@ -31,10 +31,6 @@
 	// stopGraceS is the grace period of a task that is being stopped, in seconds; stopReason is why it is stopped.
 	stopGraceS float64
 	stopReason string
-	// fenceRequired is set once the other controllers were told of a token that fences the attempt's direct starts off.
-	fenceRequired bool
-	// fenceStored is set once that token is in the state service, or is being written.
-	fenceStored bool
 	// overdueLogged is set once it was logged that the task of a cancelled job was not proved gone in time.
 	overdueLogged bool
 	// startedByAgeing is set if the task was started because its job was starved.
--- a/scheduler/held_starts.go
+++ b/scheduler/held_starts.go
@@ -65,14 +65,14 @@
 // statements about cancellations and, if the machine sends this leader no heartbeat itself, through the state service.
 // Controllers that do not reach this leader in any other way read it there. s.mu must be held.
 func (s *Scheduler) requireFence(alloc *allocation) {
-	if committed := s.records.CommittedRevision(); !alloc.fenceRequired && alloc.fencedBy(committed) {
-		alloc.fenceRequired = true
-		s.requiredToken = max(s.requiredToken, committed)
+	if committed := s.records.CommittedRevision(); !alloc.fencedBy(s.requiredToken) && alloc.fencedBy(committed) {
+		s.requiredToken = committed
 		s.fences.RequireToken(committed)
 	}
 	machine := alloc.machine
-	if alloc.fenceRequired && !alloc.fenceStored && (machine.relayPeer != "" || s.heartbeatOverdue(machine, s.now())) {
-		alloc.fenceStored = true
+	beyondReach := machine.relayPeer != "" || s.heartbeatOverdue(machine, s.now())
+	if beyondReach && alloc.fencedBy(s.requiredToken) && !alloc.fencedBy(s.storedToken) {
+		s.storedToken = s.requiredToken
 		s.records.MarkDirty(store.FenceKey, store.Urgent, nil)
 	}
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -124,8 +124,9 @@
 
 	// fencing is whether the tokens of machines are raised.
 	fencing Fencing
-	// requiredToken is the highest token that the other controllers were told to give workers; 0 if there is none.
-	requiredToken uint64
+	// requiredToken is the highest token that the other controllers were told to give workers, and storedToken the highest
+	// one that is in the state service or is being written; 0 if there is none.
+	requiredToken, storedToken uint64
 	// releaseStats counts released allocations by proof, and crossed messages.
 	releaseStats releaseStats
 	// commandsReady holds the machines whose commands can be sent because the records that they depend on are stored.
