Soak: commands that are held through an outage on real processes

The soak had no fault that holds commands for longer than a cancellation may take, so it could not find held-start-after-cancellation. New kind held-commands: the path of direct commands to half of the workers, each time others, is interrupted for 35 s, the last 21 s of them without the state service; the commands are executed when the path is restored. cancel_s is 20 s there. The draws of the other kinds are as before.

--- a/cli/experiment_soak.go
+++ b/cli/experiment_soak.go
@@ -49,7 +49,7 @@
 	flags.IntVar(&options.Workers, "workers", options.Workers, "workers of a run")
 	flags.Float64Var(&options.ForS, "for", options.ForS, "how long faults are played in a run, seconds")
 	flags.IntVar(&options.AtOnce, "at-once", options.AtOnce, "runs at the same time")
-	flags.StringSliceVar(&options.Kinds, "kinds", nil, "kinds of faults; none: all")
+	flags.StringSliceVar(&options.Kinds, "kinds", nil, "kinds of faults; none: all but held-commands")
 	flags.StringVar(&options.Program, "program", "", "program whose serve is run; none: this one")
 	flags.StringVar(&options.LogDir, "log-dir", "", "where logs of runs that broke something are kept; none: a new directory")
 	flags.StringVar(&options.LogLevel, "log-level", options.LogLevel, "the controllers' level: error, info or debug")
--- a/experiment/soak/faults.go
+++ b/experiment/soak/faults.go
@@ -45,6 +45,12 @@
 	seriesInterval = 1500 * time.Millisecond
 	// seriesDowntime is how long a controller killed by KillSeries stays down.
 	seriesDowntime = 300 * time.Millisecond
+	// heldWithState and heldInOutage are how long HeldCommands interrupts the path to the same workers before the state
+	// service stops, and afterwards. A start of the first spell is held for longer than its cancellation allows.
+	heldWithState = 14 * time.Second
+	heldInOutage  = (cancelDeadlineS + 1) * time.Second
+	// heldWorkersOneIn is n if HeldCommands affects about one worker in n.
+	heldWorkersOneIn = 2
 	// maxCancelWaveJobs is the maximum number of jobs that CancelWave cancels.
 	maxCancelWaveJobs = 12
 )
@@ -93,6 +99,7 @@
 	for _, worker := range in.cluster.Workers() {
 		worker.BlockMessages(false, false)
 		worker.Suspend(false)
+		worker.HoldCommands(false)
 	}
 }
 
@@ -112,6 +119,8 @@
 		in.cluster.Controllers[target].Resume()
 	case OutboundLostWorkers, InboundLostWorkers, RestartedWorkers, HungWorkers:
 		in.disturbWorkers(ctx, fault)
+	case HeldCommands:
+		in.holdCommands(ctx, fault)
 	case FailedWorkers, PreemptedWorkers:
 		in.endWorkers(ctx, fault)
 	case FlappingPeers:
@@ -187,6 +196,21 @@
 	}
 }
 
+// holdCommands holds the commands to some workers, and then to others, until the fault ends.
+func (in *injector) holdCommands(ctx context.Context, fault *Fault) {
+	for end := time.Now().Add(fault.For); time.Now().Before(end) && ctx.Err() == nil; {
+		affected := in.pickWorkers(heldWorkersOneIn)
+		for _, worker := range affected {
+			worker.HoldCommands(true)
+		}
+		sleep.OnRealClock(ctx, min(heldWithState, time.Until(end)))
+		in.applyFor(ctx, &Fault{Kind: Outage, For: min(heldInOutage, time.Until(end))}, 0)
+		for _, worker := range affected {
+			worker.HoldCommands(false)
+		}
+	}
+}
+
 // endWorkers ends some workers permanently, with or without a notice.
 func (in *injector) endWorkers(ctx context.Context, fault *Fault) {
 	ended := in.pickWorkers(endedWorkersOneIn)
--- a/experiment/soak/schedule.go
+++ b/experiment/soak/schedule.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -51,6 +52,10 @@
 	LateCommands Kind = "late-commands"
 	// RepeatedCommands executes a share of the commands to all workers once more after they were answered.
 	RepeatedCommands Kind = "repeated-commands"
+	// HeldCommands interrupts the path of commands to half of the workers, each time others, first with the state service
+	// and then without it, for longer than the tasks of a cancelled job may run. The commands are executed when the path
+	// is restored. It is injected only if it is named, since terms hardly change beside it.
+	HeldCommands Kind = "held-commands"
 	// OutboundLostWorkers drops all messages to a fifth of the workers.
 	OutboundLostWorkers Kind = "deaf-workers"
 	// InboundLostWorkers drops all messages from a fifth of the workers.
@@ -104,6 +109,7 @@
 	RepeatedHeartbeats:  {2 * time.Second, 10 * time.Second},
 	LateCommands:        {2 * time.Second, 10 * time.Second},
 	RepeatedCommands:    {2 * time.Second, 10 * time.Second},
+	HeldCommands:        {time.Second, heldWithState + heldInOutage},
 	OutboundLostWorkers: {time.Second, 8 * time.Second},
 	InboundLostWorkers:  {time.Second, 8 * time.Second},
 	RestartedWorkers:    {100 * time.Millisecond, 200 * time.Millisecond},
@@ -119,13 +125,11 @@
 }
 
 // Kinds returns all kinds of faults that can be scheduled, sorted.
-func Kinds() []Kind {
-	kinds := make([]Kind, 0, len(durations))
-	for kind := range durations {
-		kinds = append(kinds, kind)
-	}
-	slices.Sort(kinds)
-	return kinds
+func Kinds() []Kind { return slices.Sorted(maps.Keys(durations)) }
+
+// DefaultKinds returns the kinds of faults that are scheduled if none are named, sorted.
+func DefaultKinds() []Kind {
+	return slices.DeleteFunc(Kinds(), func(kind Kind) bool { return kind == HeldCommands })
 }
 
 // Target is the controller that a fault affects: TheLeader or an index in cluster.Controllers.
@@ -171,8 +175,8 @@
 const openingDuration = 6 * time.Second
 
 // permanentFaults are the kinds of faults that last from quietStart to the end of a run, if they are enabled, and are not
-// drawn: copies of commands arrive beside every other fault.
-var permanentFaults = []Kind{RepeatedCommands}
+// drawn: copies of commands, and commands that were held, arrive beside every other fault.
+var permanentFaults = []Kind{RepeatedCommands, HeldCommands}
 
 // DrawSchedule returns the schedule for a seed, sorted by start: the permanent and the opening faults, then random faults
 // of the other kinds. All begin and end within the duration.
--- a/experiment/soak/soak.go
+++ b/experiment/soak/soak.go
@@ -33,6 +33,8 @@
 const (
 	// teamCPUsPerWorker is the team's CPU limit per worker; a worker has eight CPUs.
 	teamCPUsPerWorker = 7
+	// cancelDeadlineS is the time in seconds within which the tasks of a cancelled job must have ended.
+	cancelDeadlineS = 20
 	// controllers is the number of controllers.
 	controllers = 3
 	// maxWorkers is the maximum of Options.Workers.
@@ -65,7 +67,7 @@
 	// Workers is the initial number of workers. ForS is how long faults are injected, in seconds.
 	Workers int
 	ForS    float64
-	// Kinds are the kinds of faults to inject; empty means all.
+	// Kinds are the kinds of faults to inject; empty means DefaultKinds.
 	Kinds []string
 	// AtOnce is the maximum number of concurrent runs.
 	AtOnce int
@@ -253,7 +255,7 @@
 // kinds returns the kinds of faults to inject.
 func (o *Options) kinds() []Kind {
 	if len(o.Kinds) == 0 {
-		return Kinds()
+		return DefaultKinds()
 	}
 	kinds := make([]Kind, len(o.Kinds))
 	for i, kind := range o.Kinds {
@@ -269,7 +271,7 @@
 	return settings.Facts{
 		ControllerCount: controllers, Zones: []string{"a"},
 		Teams:     []settings.Team{{Name: teamName, CPUsMax: float64(teamCPUsPerWorker * o.Workers)}},
-		Workers:   settings.Workers{HeartbeatIntervalS: 0.5, LeaseS: 5, CancelDeadlineS: 20},
+		Workers:   settings.Workers{HeartbeatIntervalS: 0.5, LeaseS: 5, CancelDeadlineS: cancelDeadlineS},
 		State:     settings.StateLimits{RPS: 400 * scale, WriteRPS: 80 * scale, ValueKB: 16, TxnOps: 12},
 		Cloud:     settings.CloudLimits{RPS: 20, ListLagS: 1},
 		Resources: settings.Resources{CPU: 1, RAMMB: 300, MaxSockets: 3000},
--- a/experiment/soak/soak_test.go
+++ b/experiment/soak/soak_test.go
@@ -48,6 +48,35 @@
 	}
 }
 
+// Guards against ran_cancelled of incident held-start-after-cancellation on real processes: starts that are held through
+// an outage of the state service are not executed after their cancellations.
+func TestHeldStartsOfCancelledTasksAreRefused(t *testing.T) {
+	if raceDetector {
+		t.Skip("the controllers are built without the race detector, so the run would be the same as without it")
+	}
+	options := Defaults()
+	options.Program, options.First, options.Seeds, options.ForS, options.AtOnce, options.LogDir = buildProgram(t), 76000, 3, 36, 3, t.TempDir()
+	options.Kinds = []string{string(HeldCommands), string(CancelWave)}
+	options.Progress = t.Logf
+	ctx, stop := context.WithTimeout(t.Context(), 4*time.Minute)
+	defer stop()
+	result, err := options.Run(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	fenced := 0
+	for _, run := range result.Runs {
+		fenced += run.Releases["starts_fenced"]
+		if run.Failed() {
+			t.Errorf("seed %d: rules violated %v, %d invariant violations, %d unexpected exits: %v", run.Seed, run.Violations, run.InvariantViolations, run.UnexpectedExits, run.Details)
+			printLogs(t, run.Logs)
+		}
+	}
+	if fenced == 0 {
+		t.Error("no held start of a stopped task was fenced off, so the runs show nothing")
+	}
+}
+
 // printLogs prints the end of each log of a failed run, because the test's temporary directory is removed at its end.
 func printLogs(t *testing.T, directory string) {
 	t.Helper()
--- a/internal/cluster/worker.go
+++ b/internal/cluster/worker.go
@@ -30,6 +30,9 @@
 	changed chan struct{}
 	// firstCommandAt is when the first direct command arrived since the last heartbeat was sent, zero if none did.
 	firstCommandAt time.Time
+	// holdingCommands is set while direct commands are held. heldCommands has those that arrived, in order.
+	holdingCommands bool
+	heldCommands    []api.HeartbeatResponse
 }
 
 // AddWorkers starts n machines with their workers, distributed evenly over the zones.
@@ -147,6 +150,32 @@
 	worker.changed = make(chan struct{})
 }
 
+// HoldCommands interrupts the path of direct commands to the worker or restores it. Heartbeats and their responses pass.
+// Commands that arrive meanwhile get no answer, and the worker executes them in order when the path is restored, if they
+// still apply. HoldCommands returns after that.
+func (worker *Worker) HoldCommands(hold bool) {
+	worker.mu.Lock()
+	worker.holdingCommands = hold
+	var released []api.HeartbeatResponse
+	if !hold {
+		released, worker.heldCommands = worker.heldCommands, nil
+	}
+	worker.mu.Unlock()
+	for _, commands := range released {
+		worker.ExecuteCommands(commands)
+	}
+}
+
+// holdIfInterrupted keeps commands whose path is interrupted, and reports whether it is.
+func (worker *Worker) holdIfInterrupted(commands api.HeartbeatResponse) bool {
+	worker.mu.Lock()
+	defer worker.mu.Unlock()
+	if worker.holdingCommands {
+		worker.heldCommands = append(worker.heldCommands, commands)
+	}
+	return worker.holdingCommands
+}
+
 // Fail fails the machine permanently and ends all tasks on it.
 func (worker *Worker) Fail() {
 	worker.mu.Lock()
@@ -279,13 +308,17 @@
 
 // serveCommand executes commands that a leader sends directly, subject to the network faults and the message faults.
 // While the leader's zone and the worker do not reach each other, it waits. It aborts the request if the request's
-// context ends first.
+// context ends first, or if the commands are held.
 func (worker *Worker) serveCommand(writer http.ResponseWriter, request *http.Request) {
 	var commands api.HeartbeatResponse
 	if err := json.NewDecoder(request.Body).Decode(&commands); err != nil {
 		writer.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if worker.holdIfInterrupted(commands) {
+		<-request.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	fromZone := worker.cluster.zoneOfToken(commands.Term)
 	if !worker.waitUntilReachable(request.Context(), fromZone, toWorker) {
 		panic(http.ErrAbortHandler)
