Stand-ins and soak: commands to workers, terms and the reading of logs in files of their own

Moved without a change: internal/cluster/worker.go held the worker, the commands to it and the record of the leaders' terms; experiment/soak/soak.go also read the controllers' logs.

--- a/internal/cluster/worker.go
+++ b/internal/cluster/worker.go
@@ -12,7 +12,6 @@
 
 	"switchferry/api"
 	"switchferry/internal/fake"
-	"switchferry/store"
 )
 
 // Worker is a fake worker with its own listening port and connections. It executes no tasks.
@@ -150,32 +149,6 @@
 	worker.changed = make(chan struct{})
 }
 
-// HoldCommands interrupts the path of direct commands to the worker or restores it. Heartbeats and their responses pass.
-// Commands that arrive meanwhile get no answer, and the worker executes them in order when the path is restored, if they
-// still apply. HoldCommands returns after that.
-func (worker *Worker) HoldCommands(hold bool) {
-	worker.mu.Lock()
-	worker.holdingCommands = hold
-	var released []api.HeartbeatResponse
-	if !hold {
-		released, worker.heldCommands = worker.heldCommands, nil
-	}
-	worker.mu.Unlock()
-	for _, commands := range released {
-		worker.ExecuteCommands(commands)
-	}
-}
-
-// holdIfInterrupted keeps commands whose path is interrupted, and reports whether it is.
-func (worker *Worker) holdIfInterrupted(commands api.HeartbeatResponse) bool {
-	worker.mu.Lock()
-	defer worker.mu.Unlock()
-	if worker.holdingCommands {
-		worker.heldCommands = append(worker.heldCommands, commands)
-	}
-	return worker.holdingCommands
-}
-
 // Fail fails the machine permanently and ends all tasks on it.
 func (worker *Worker) Fail() {
 	worker.mu.Lock()
@@ -259,29 +232,6 @@
 	return response.StatusCode, decodeAnswer(response.StatusCode, answer)
 }
 
-// resetFirstCommand resets the record of direct commands when a heartbeat is sent.
-func (worker *Worker) resetFirstCommand() {
-	worker.mu.Lock()
-	defer worker.mu.Unlock()
-	worker.firstCommandAt = time.Time{}
-}
-
-// recordCommand records the time of a direct command if it is the first since the last heartbeat was sent.
-func (worker *Worker) recordCommand() {
-	worker.mu.Lock()
-	defer worker.mu.Unlock()
-	if worker.firstCommandAt.IsZero() {
-		worker.firstCommandAt = time.Now()
-	}
-}
-
-// firstCommand returns when the first direct command arrived since the last heartbeat was sent, zero if none did.
-func (worker *Worker) firstCommand() time.Time {
-	worker.mu.Lock()
-	defer worker.mu.Unlock()
-	return worker.firstCommandAt
-}
-
 // repeatHeartbeat sends a copy of an earlier heartbeat to a random controller and discards the answer.
 func (worker *Worker) repeatHeartbeat(ctx context.Context, raw []byte) {
 	ctx, stop := context.WithTimeout(ctx, time.Second)
@@ -305,100 +255,3 @@
 	_ = json.Unmarshal(raw, &redirect)
 	return redirect
 }
-
-// serveCommand executes commands that a leader sends directly, subject to the network faults and the message faults.
-// While the leader's zone and the worker do not reach each other, it waits. It aborts the request if the request's
-// context ends first, or if the commands are held.
-func (worker *Worker) serveCommand(writer http.ResponseWriter, request *http.Request) {
-	var commands api.HeartbeatResponse
-	if err := json.NewDecoder(request.Body).Decode(&commands); err != nil {
-		writer.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	if worker.holdIfInterrupted(commands) {
-		<-request.Context().Done()
-		panic(http.ErrAbortHandler)
-	}
-	fromZone := worker.cluster.zoneOfToken(commands.Term)
-	if !worker.waitUntilReachable(request.Context(), fromZone, toWorker) {
-		panic(http.ErrAbortHandler)
-	}
-	faults := worker.cluster.messages.current()
-	if withProbability(faults.LateCommands) {
-		time.AfterFunc(randomLateDelay(), func() { worker.ExecuteCommands(commands) })
-		panic(http.ErrAbortHandler)
-	}
-	if !delayShare(request.Context(), faults.SlowCommands) {
-		panic(http.ErrAbortHandler)
-	}
-	worker.recordCommand()
-	heartbeat, executed := worker.ExecuteCommands(commands)
-	if executed && withProbability(faults.RepeatedCommands) {
-		time.AfterFunc(randomRepeatDelay(), func() { worker.ExecuteCommands(commands) })
-	}
-	raw, err := json.Marshal(heartbeat)
-	if err != nil || !worker.waitUntilReachable(request.Context(), fromZone, toWorker) {
-		panic(http.ErrAbortHandler)
-	}
-	worker.cluster.Traffic.Add("commands", int(max(0, request.ContentLength))+len(raw))
-	if !executed {
-		writer.WriteHeader(http.StatusConflict)
-	}
-	_, _ = writer.Write(raw)
-}
-
-// currentLeader returns the leader that is recorded in the state service, and its term; empty and 0 if there is none.
-func (cluster *Cluster) currentLeader() (member string, term uint64) {
-	raw, stamp := cluster.State.Read(store.LeaderKey)
-	var record store.LeaderRecord
-	if json.Unmarshal(raw, &record) != nil {
-		return "", 0
-	}
-	return record.Member, stamp
-}
-
-// watchLeader records the zone of each term's leader until the cluster is closed. It is needed because commands carry
-// a term but not their sender.
-func (cluster *Cluster) watchLeader() {
-	for cluster.Sleep(20 * time.Millisecond) {
-		member, term := cluster.currentLeader()
-		if term == 0 {
-			continue
-		}
-		for _, controller := range cluster.Controllers {
-			if controller.Settings.Member == member {
-				cluster.mu.Lock()
-				cluster.zonesByTerm[term] = controller.Settings.Zone
-				cluster.mu.Unlock()
-			}
-		}
-	}
-}
-
-// Terms returns the number of leader terms that were observed.
-func (cluster *Cluster) Terms() int {
-	cluster.mu.Lock()
-	defer cluster.mu.Unlock()
-	return len(cluster.zonesByTerm)
-}
-
-// TermOf returns the term whose leader issued a fencing token: the newest observed term that is not above the token, 0 if
-// there is none.
-func (cluster *Cluster) TermOf(token uint64) (term uint64) {
-	cluster.mu.Lock()
-	defer cluster.mu.Unlock()
-	for observed := range cluster.zonesByTerm {
-		if observed <= token {
-			term = max(term, observed)
-		}
-	}
-	return term
-}
-
-// zoneOfToken returns the zone of the leader that issued a fencing token, RegionalServices if it is not known.
-func (cluster *Cluster) zoneOfToken(token uint64) string {
-	term := cluster.TermOf(token)
-	cluster.mu.Lock()
-	defer cluster.mu.Unlock()
-	return cluster.zonesByTerm[term]
-}
