Fake worker: the lease's timer ends with Run

Found on reading again: Restart of a worker whose Run has ended, as that of a returned machine, armed the timer once more, and it then went on from lease to lease. The new test failed before ("a worker that does not run has ended a task by a timer").

--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -36,7 +36,7 @@
 	term uint64
 	// renewedAt is the start of the lease: when the last answered heartbeat was sent, or a later start of the worker.
 	renewedAt time.Time
-	// leaseTimer ends the tasks when the lease expires, whatever Run waits for then. It is nil until Run begins.
+	// leaseTimer ends the tasks when the lease expires, whatever Run waits for then. It is nil while Run is not running.
 	leaseTimer clockwork.Timer
 	tasks      map[attemptKey]*workerTask
 	// wakeups signals Run to send a heartbeat early.
@@ -238,7 +238,12 @@
 		worker.wakeRun()
 	})
 	worker.leaseTimer = timer
-	return func() { timer.Stop() }
+	return func() {
+		worker.mu.Lock()
+		defer worker.mu.Unlock()
+		timer.Stop()
+		worker.leaseTimer = nil
+	}
 }
 
 // startTask starts a task whose image is present. The caller holds mu.
--- a/internal/fake/worker_lease_test.go
+++ b/internal/fake/worker_lease_test.go
@@ -63,6 +63,29 @@
 	}
 }
 
+// The timer of the lease ends with Run, also if the worker restarts afterwards, as that of a returned machine does.
+func TestLeaseTimerEndsWithRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		expired := 0
+		worker := NewWorker(WorkerOptions{Host: Host{Name: "a1"}, Clock: clockwork.NewRealClock(), Controllers: []string{"n0"}, HeartbeatInterval: time.Second, Lease: 10 * time.Second,
+			TaskDuration: func(string) time.Duration { return time.Hour }, OnStart: func(string, uint64, time.Time) {}, OnEnd: func(string, bool) { expired++ }, Post: func(ctx context.Context, _ string, _ *api.Heartbeat) (int, any) { return noResponse(ctx) }})
+		ctx, stop := context.WithCancel(t.Context())
+		go worker.Run(ctx)
+		synctest.Wait()
+		stop()
+		synctest.Wait()
+		worker.Restart()
+		if _, executed := worker.ExecuteCommands(api.HeartbeatResponse{Term: 3, Incarnation: 2, Commands: []api.Command{command(api.CommandRun, 1)}}); !executed {
+			t.Fatal("the worker rejected the start")
+		}
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		if expired != 0 {
+			t.Error("a worker that does not run has ended a task by a timer")
+		}
+	})
+}
+
 // noResponse waits until the worker gives up.
 func noResponse(ctx context.Context) (status int, body any) {
 	<-ctx.Done()
