--- a/controller/lease_renewal_test.go
+++ b/controller/lease_renewal_test.go
@@ -131,12 +131,19 @@
 	}
 }
 
-// A new leader that has not read the records may not know all acknowledged cancellations. Until it does, it keeps the
-// worker but renews no lease. Leaders used to renew leases for as long as their key existed.
-func TestNewLeaderRenewsNoLeaseBeforeRecordsAreLoaded(t *testing.T) {
+// newIsolatedControllerWithLimits returns an isolated controller that has a bound for the end of cancelled tasks, and no
+// watermark yet.
+func newIsolatedControllerWithLimits() (*Controller, *clockwork.FakeClock) {
 	controller, clock := newIsolatedController()
 	controller.settings.Facts.Workers.CancelDeadlineS = 40
 	controller.leases.watermark = watermark.New(clock.Now(), []string{"n0", "n2"}, watermark.NewLimits(40*time.Second, 10*time.Second))
+	return controller, clock
+}
+
+// A new leader that has not read the records may not know all acknowledged cancellations. Until it does, it keeps the
+// worker but renews no lease. Leaders used to renew leases for as long as their key existed.
+func TestNewLeaderRenewsNoLeaseBeforeRecordsAreLoaded(t *testing.T) {
+	controller, clock := newIsolatedControllerWithLimits()
 	sched := scheduler.New(7, clock, controller.settings, controller.policy, testTypes, testCollaborators(func() bool { return true }))
 	sendHeartbeat := func(seq uint64) api.HeartbeatResponse {
 		answer := controller.answerAsLeader(sched, &api.Heartbeat{Machine: "b1", Zone: "b", Incarnation: 1, Seq: seq}, "")
@@ -160,9 +167,7 @@
 // answers the worker: a start of a cancelled task may be under way to the worker, which must refuse it.
 func TestWorkersGetTheRequiredTokenWithoutTheLeader(t *testing.T) {
 	const term, required = 7, 12
-	controller, clock := newIsolatedController()
-	controller.settings.Facts.Workers.CancelDeadlineS = 40
-	controller.leases.watermark = watermark.New(clock.Now(), []string{"n0", "n2"}, watermark.NewLimits(40*time.Second, 10*time.Second))
+	controller, clock := newIsolatedControllerWithLimits()
 	controller.leases.watermark.MarkCurrent(clock.Now())
 	token := func(seq, highest uint64) uint64 {
 		heartbeat := &api.Heartbeat{Machine: "b1", Zone: "b", Incarnation: 1, Seq: seq, Term: highest}
@@ -189,9 +194,7 @@
 // token. A lease that must end is not renewed under that token either.
 func TestFormerLeaderGivesWorkersTheRequiredToken(t *testing.T) {
 	const term, required = 7, 12
-	controller, clock := newIsolatedController()
-	controller.settings.Facts.Workers.CancelDeadlineS = 40
-	controller.leases.watermark = watermark.New(clock.Now(), []string{"n0", "n2"}, watermark.NewLimits(40*time.Second, 10*time.Second))
+	controller, clock := newIsolatedControllerWithLimits()
 	controller.leases.watermark.MarkCurrent(clock.Now())
 	controller.leases.watermark.RequireToken(required)
 	sched := scheduler.New(term, clock, controller.settings, controller.policy, testTypes, testCollaborators(func() bool { return false }))
--- a/experiment/soak/faults.go
+++ b/experiment/soak/faults.go
@@ -99,7 +99,6 @@
 	for _, worker := range in.cluster.Workers() {
 		worker.BlockMessages(false, false)
 		worker.Suspend(false)
-		worker.HoldCommands(false)
 	}
 }
 
--- a/experiment/soak/soak_test.go
+++ b/experiment/soak/soak_test.go
@@ -20,14 +20,18 @@
 	return program
 }
 
-// Random faults with fixed seeds on real processes violate no rule, no controller logs an invariant violation, and no
+// runSeeds runs some seeds, and fails the test if a rule was violated, a controller logged an invariant violation, or a
 // process is left running.
-func TestRandomFaultsViolateNoRule(t *testing.T) {
+func runSeeds(t *testing.T, first uint64, seeds int, forS float64, kinds ...Kind) []*Run {
+	t.Helper()
 	if raceDetector {
 		t.Skip("the controllers are built without the race detector, so the run would be the same as without it")
 	}
 	options := Defaults()
-	options.Program, options.Seeds, options.ForS, options.AtOnce, options.LogDir = buildProgram(t), 6, 20, 3, t.TempDir()
+	options.Program, options.First, options.Seeds, options.ForS, options.AtOnce, options.LogDir = buildProgram(t), first, seeds, forS, 3, t.TempDir()
+	for _, kind := range kinds {
+		options.Kinds = append(options.Kinds, string(kind))
+	}
 	options.Progress = t.Logf
 	ctx, stop := context.WithTimeout(t.Context(), 4*time.Minute)
 	defer stop()
@@ -35,40 +39,32 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, run := range result.Runs {
-		if run.Failed() || run.InconclusiveReason != "" {
-			t.Errorf("seed %d: rules violated %v, %d invariant violations, %d unexpected exits, %q: %v", run.Seed, run.Violations, run.InvariantViolations, run.UnexpectedExits, run.InconclusiveReason, run.Details)
-			printLogs(t, run.Logs)
-		}
+	for _, run := range result.Failed() {
+		t.Errorf("seed %d: rules violated %v, %d invariant violations, %d unexpected exits: %v", run.Seed, run.Violations, run.InvariantViolations, run.UnexpectedExits, run.Details)
+		printLogs(t, run.Logs)
 	}
 	if out, err := exec.CommandContext(t.Context(), "pgrep", "-f", options.Program).Output(); err == nil && len(out) > 0 {
 		t.Errorf("processes still running: %s", out)
 	}
+	return result.Runs
+}
+
+// Random faults with fixed seeds on real processes violate no rule, no controller logs an invariant violation, and no
+// process is left running.
+func TestRandomFaultsViolateNoRule(t *testing.T) {
+	for _, run := range runSeeds(t, 1, 6, 20) {
+		if run.InconclusiveReason != "" {
+			t.Errorf("seed %d: %s", run.Seed, run.InconclusiveReason)
+		}
+	}
 }
 
 // Guards against ran_cancelled of incident held-start-after-cancellation on real processes: starts that are held through
 // an outage of the state service are not executed after their cancellations.
 func TestHeldStartsOfCancelledTasksAreRefused(t *testing.T) {
-	if raceDetector {
-		t.Skip("the controllers are built without the race detector, so the run would be the same as without it")
-	}
-	options := Defaults()
-	options.Program, options.First, options.Seeds, options.ForS, options.AtOnce, options.LogDir = buildProgram(t), 76000, 3, 36, 3, t.TempDir()
-	options.Kinds = []string{string(HeldCommands), string(CancelWave)}
-	options.Progress = t.Logf
-	ctx, stop := context.WithTimeout(t.Context(), 4*time.Minute)
-	defer stop()
-	result, err := options.Run(ctx)
-	if err != nil {
-		t.Fatal(err)
-	}
 	fenced := 0
-	for _, run := range result.Runs {
+	for _, run := range runSeeds(t, 76000, 3, 36, HeldCommands, CancelWave) {
 		fenced += run.Releases["starts_fenced"]
-		if run.Failed() {
-			t.Errorf("seed %d: rules violated %v, %d invariant violations, %d unexpected exits: %v", run.Seed, run.Violations, run.InvariantViolations, run.UnexpectedExits, run.Details)
-			printLogs(t, run.Logs)
-		}
 	}
 	if fenced == 0 {
 		t.Error("no held start of a stopped task was fenced off, so the runs show nothing")
--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -143,15 +143,6 @@
 	case suspend && worker.resumed == nil:
 		worker.applyDueTransitions()
 		worker.resumed, worker.suspendedAt = make(chan struct{}), worker.clock.Now()
-		resumed := worker.resumed
-		worker.clock.AfterFunc(worker.lease-worker.clock.Since(worker.renewedAt), func() {
-			worker.mu.Lock()
-			defer worker.mu.Unlock()
-			if worker.resumed == resumed {
-				// Tasks end with the lease, although the worker detects the lease's expiry only after it resumes.
-				worker.endAllTasks()
-			}
-		})
 	case !suspend && worker.resumed != nil:
 		suspendedFor := worker.clock.Since(worker.suspendedAt)
 		for _, current := range worker.tasks {
@@ -190,14 +181,18 @@
 }
 
 // applyDueTransitions ends all tasks if the lease has expired, starts tasks whose image is present and completes tasks
-// whose run time has passed. It does nothing while the machine is suspended. The caller holds mu.
+// whose run time has passed. While the machine is suspended, tasks only end; the worker detects the expiry of the lease
+// after it resumes. The caller holds mu.
 func (worker *Worker) applyDueTransitions() {
+	now := worker.clock.Now()
+	expired := now.Sub(worker.renewedAt) > worker.lease
+	if expired {
+		worker.endAllTasks()
+	}
 	if worker.resumed != nil {
 		return
 	}
-	now := worker.clock.Now()
-	if now.Sub(worker.renewedAt) > worker.lease {
-		worker.endAllTasks()
+	if expired {
 		worker.incarnation++
 		worker.beginLease(now)
 	}
--- a/internal/fake/worker_lease_test.go
+++ b/internal/fake/worker_lease_test.go
@@ -37,7 +37,6 @@
 				var endedAfter, renewedAfter time.Duration
 				worker := NewWorker(WorkerOptions{Host: Host{Name: "a1"}, Clock: clockwork.NewRealClock(), Controllers: []string{"n0", "n1"}, HeartbeatInterval: test.interval, Lease: lease,
 					TaskDuration: func(string) time.Duration { return time.Hour },
-					OnStart:      func(string, uint64, time.Time) {},
 					OnEnd:        func(string, bool) { endedAfter = time.Since(start) },
 					Post: func(ctx context.Context, _ string, heartbeat *api.Heartbeat) (int, any) {
 						if heartbeat.Seq > 1 {
@@ -68,7 +67,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		expired := 0
 		worker := NewWorker(WorkerOptions{Host: Host{Name: "a1"}, Clock: clockwork.NewRealClock(), Controllers: []string{"n0"}, HeartbeatInterval: time.Second, Lease: 10 * time.Second,
-			TaskDuration: func(string) time.Duration { return time.Hour }, OnStart: func(string, uint64, time.Time) {}, OnEnd: func(string, bool) { expired++ }, Post: func(ctx context.Context, _ string, _ *api.Heartbeat) (int, any) { return noResponse(ctx) }})
+			TaskDuration: func(string) time.Duration { return time.Hour }, OnEnd: func(string, bool) { expired++ }, Post: func(ctx context.Context, _ string, _ *api.Heartbeat) (int, any) { return noResponse(ctx) }})
 		ctx, stop := context.WithCancel(t.Context())
 		go worker.Run(ctx)
 		synctest.Wait()
